--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Scripted scenarios, run by `python -m features.run`."""
--- /dev/null
+++ b/features/query.feature
@@ -0,0 +1,84 @@
+Feature: A query is answered whole and truthfully
+
+  Scenario: all shards answer
+    Given 3 hosts before 10 services
+    And the team "desk"
+    When "desk" asks host "h1"
+    Then the answer covers 10 of 10 shards
+    And every upstream's record agrees with what was reported
+
+  Scenario: a wrong token is refused and nothing runs
+    Given 1 host before 4 services
+    And the team "desk"
+    When "stranger" asks host "h1"
+    Then the request is refused as "unauthenticated"
+    And no upstream has run anything
+
+  Scenario: a team is not told of another team's collection
+    Given 1 host before 4 services
+    And the team "desk" with
+      | field       | value     |
+      | collections | ["other"] |
+    When "desk" asks host "h1"
+    Then the request is refused as "unknown_collection"
+    And no upstream has run anything
+
+  Scenario: a shard without replicas is reported missing
+    Given 1 host before 10 services
+    And the team "desk"
+    And all replicas of shard "members-3" are lost
+    When 1 second passes
+    And "desk" asks host "h1"
+    Then the answer covers 9 of 10 shards
+    And shard "members-3" is missing because "lost"
+
+  Scenario: a lost replica costs no coverage
+    Given 2 hosts before 10 services
+    And the team "desk"
+    And the upstream "members-3-0" is lost
+    When "desk" asks 20 times a second for 5 seconds
+    Then every answer covers all shards
+
+  Scenario: stragglers are hedged within the budget
+    Given 2 hosts before 20 services
+    And the team "desk"
+    And 1 percent of requests take 15 times as long
+    When "desk" asks 40 times a second for 30 seconds
+    Then every answer covers all shards
+    And the 99th percentile of "desk" is under 40 ms
+    And extra upstream load is at most 3 percent
+
+  Scenario: an early team is answered at its soft deadline
+    Given 1 host before 10 services
+    And the team "desk" with
+      | field           | value   |
+      | coverage_policy | "early" |
+      | coverage        | 0.8     |
+      | soft_deadline_s | 0.1     |
+      | deadline_s      | 2       |
+    And the upstreams of shard "members-3" are 200 times slower
+    When "desk" asks host "h1"
+    Then the answer covers 9 of 10 shards
+    And shard "members-3" is missing because "early"
+    And it took about 100 ms
+
+  Scenario: a waiting team gets the slow shard too
+    Given 1 host before 10 services
+    And the team "desk" with
+      | field      | value |
+      | deadline_s | 3     |
+    And the upstreams of shard "members-3" are 200 times slower
+    When "desk" asks host "h1"
+    Then the answer covers 10 of 10 shards
+
+  Scenario: a leaving upstream gets no new work
+    Given 3 hosts before 10 services
+    And the team "desk"
+    When "desk" asks 20 times a second for 6 seconds, meanwhile
+    And 2 seconds pass
+    And the layout says that upstream "members-3-0" leaves
+    And 2 seconds pass
+    And the record of upstream "members-3-0" is noted
+    And the load ends
+    Then upstream "members-3-0" has received nothing since
+    And every answer covers all shards
--- /dev/null
+++ b/features/steps/common.py
@@ -0,0 +1,158 @@
+"""Steps that set up a fleet, pass time, send requests and check outcomes."""
+
+import asyncio
+import json
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from rudderrock import protocol
+
+use_step_matcher('re')
+
+_TOLERANCE_S = 0.02
+
+
+def run(context, coroutine):
+    """Run a coroutine on the scenario's virtual-time loop."""
+    return context.loop.run_until_complete(coroutine)
+
+
+@given(r'(\d+) hosts? before (\d+) services?')
+def start_fleet(context, hosts, services):
+    run(context, context.bench.start(int(hosts), int(services)))
+
+
+@given(r'(\d+) hosts? before (\d+) services? with settings')
+def start_fleet_with(context, hosts, services):
+    settings: dict[str, dict] = {}
+    for row in context.table:
+        part, _, key = row['setting'].partition('.')
+        settings.setdefault(part, {})[key] = json.loads(row['value'])
+    bench = context.bench
+    run(context, bench.start(int(hosts), int(services), settings=settings))
+
+
+@given(r'the team "([^"]+)"')
+def add_team(context, team):
+    run(context, context.bench.set_row(team))
+
+
+@given(r'the team "([^"]+)" with')
+def add_team_with(context, team):
+    fields = {row['field']: json.loads(row['value']) for row in context.table}
+    run(context, context.bench.set_row(team, **fields))
+
+
+@when(r'([\d.]+) seconds? pass(?:es)?')
+def pass_time(context, seconds):
+    run(context, asyncio.sleep(float(seconds)))
+
+
+@when(r'"([^"]+)" asks host "([^"]+)"')
+def ask_host(context, team, host):
+    run(context, context.bench.ask(team, host))
+
+
+@when(r'"([^"]+)" asks ([\d.]+) times a second for ([\d.]+) seconds')
+def ask_at_rate(context, team, rate, seconds):
+    bench = context.bench
+    hosts = list(bench.fleet.hosts)
+    load = bench.ask_at_rate(team, float(rate), float(seconds), hosts)
+    run(context, load)
+
+
+@when(
+    r'"([^"]+)" asks ([\d.]+) times a second for ([\d.]+) seconds, meanwhile'
+)
+def ask_meanwhile(context, team, rate, seconds):
+    async def start():
+        hosts = list(context.bench.fleet.hosts)
+        context.bench.start_load(team, float(rate), float(seconds), hosts)
+
+    run(context, start())
+
+
+@when('the load ends')
+def end_load(context):
+    run(context, context.bench.end_load())
+
+
+@then(r'the answer covers (\d+) of (\d+) shards')
+def check_coverage(context, answered, shards):
+    outcome = context.bench.seen[-1].outcome
+    assert isinstance(outcome, protocol.Answered), outcome
+    coverage = outcome.coverage
+    assert coverage.shards == int(shards), coverage
+    assert coverage.answered == int(answered), coverage
+    assert len(coverage.missing) == int(shards) - int(answered), coverage
+
+
+@then(r'shard "([^"]+)" is missing because "([^"]+)"')
+def check_missing(context, shard, reason):
+    missing = context.bench.seen[-1].outcome.coverage.missing
+    assert missing[shard] is protocol.MissReason(reason), missing
+
+
+@then('every answer covers all shards')
+def check_full_coverage(context):
+    answers = context.bench.list_answers()
+    assert len(answers) == len(context.bench.seen) > 0, [
+        seen.outcome
+        for seen in context.bench.seen
+        if not isinstance(seen.outcome, protocol.Answered)
+    ][:3]
+    for seen in answers:
+        assert seen.outcome.coverage.fraction == 1.0, seen
+
+
+@then(r'the request is refused as "([^"]+)"')
+def check_refused(context, reason):
+    outcome = context.bench.seen[-1].outcome
+    assert isinstance(outcome, protocol.Refused), outcome
+    assert outcome.reason is protocol.RefusalReason(reason), outcome
+
+
+@then('no upstream has run anything')
+def check_nothing_ran(context):
+    assert context.bench.fleet.list_runs() == []
+
+
+@then(r"every upstream's record agrees with what was reported")
+def check_records(context):
+    """Each shard that was counted ran, at the version reported."""
+    ran = {
+        (run.request.request_id.rpartition('.')[0], run.request.shard)
+        for run in context.bench.fleet.list_runs()
+        if run.finished
+    }
+    versions = {
+        run.request.request_id.rpartition('.')[0]: run.request.version
+        for run in context.bench.fleet.list_runs()
+    }
+    for seen in context.bench.list_answers():
+        outcome = seen.outcome
+        assert versions[outcome.query] == outcome.version
+        counted = [pair for pair in ran if pair[0] == outcome.query]
+        assert len(counted) >= outcome.coverage.answered
+
+
+@then(r'the (\d+)th percentile of "([^"]+)" is under (\d+) ms')
+def check_percentile(context, percentile, team, millis):
+    found = context.bench.get_percentile(float(percentile), team)
+    assert found < int(millis) / 1000, found
+
+
+@then(r'extra upstream load is at most ([\d.]+) percent')
+def check_extra_load(context, percent):
+    extra = context.bench.get_extra_load()
+    assert extra <= float(percent) / 100, extra
+
+
+@then(r'it took about (\d+) ms')
+def check_duration(context, millis):
+    seen = context.bench.seen[-1]
+    passed = seen.ended - seen.began
+    assert abs(passed - int(millis) / 1000) < _TOLERANCE_S, passed
--- /dev/null
+++ b/features/steps/upstreams.py
@@ -0,0 +1,66 @@
+"""Steps that break and mend upstreams, and read their records."""
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features.steps.common import run
+
+use_step_matcher('re')
+
+
+def _list_replicas(context, shard):
+    return [
+        model
+        for upstream, model in context.bench.fleet.models.items()
+        if upstream.rpartition('-')[0] == shard
+    ]
+
+
+@given(r'all replicas of shard "([^"]+)" are lost')
+def lose_shard(context, shard):
+    for model in _list_replicas(context, shard):
+        lose(context, model)
+
+
+@given(r'the upstream "([^"]+)" is lost')
+def lose_upstream(context, upstream):
+    lose(context, context.bench.fleet.models[upstream])
+
+
+def lose(context, model):
+    """Let an upstream go silent and refuse connections."""
+    model.faults.lost = True
+
+
+@given(r'(\d+) percent of requests take (\d+) times as long')
+def set_stragglers(context, percent, factor):
+    for model in context.bench.fleet.models.values():
+        model.faults.straggle = int(percent) / 100
+        model.faults.straggle_factor = float(factor)
+
+
+@given(r'the upstreams of shard "([^"]+)" are (\d+) times slower')
+def slow_shard(context, shard, factor):
+    for model in _list_replicas(context, shard):
+        model.faults.slow_factor = float(factor)
+
+
+@when(r'the layout says that upstream "([^"]+)" leaves')
+def set_leaving(context, upstream):
+    leaving = context.bench.fleet.layout.leaving | {upstream}
+    run(context, context.bench.fleet.change_layout(leaving=leaving))
+
+
+@when(r'the record of upstream "([^"]+)" is noted')
+def note_record(context, upstream):
+    received = context.bench.fleet.models[upstream].received
+    context.bench.notes[upstream] = received
+
+
+@then(r'upstream "([^"]+)" has received nothing since')
+def check_no_new_work(context, upstream):
+    received = context.bench.fleet.models[upstream].received
+    assert received == context.bench.notes[upstream], received
+    assert received > 0, 'it never got any work'
--- /dev/null
+++ b/rudderrock/coordination/__init__.py
@@ -0,0 +1,107 @@
+"""The decisions of a host: alone for each query, and with its peers."""
+
+from rudderrock.coordination._admission import Admission
+from rudderrock.coordination._attempt import Attempt
+from rudderrock.coordination._attempt import AttemptKind
+from rudderrock.coordination._attempt import Mailbox
+from rudderrock.coordination._budget import Budget
+from rudderrock.coordination._budget import RateLimit
+from rudderrock.coordination._budget import spend_all
+from rudderrock.coordination._claims import Claim
+from rudderrock.coordination._claims import Claims
+from rudderrock.coordination._claims import ClaimState
+from rudderrock.coordination._claims import ClaimStore
+from rudderrock.coordination._claims import make_fingerprint
+from rudderrock.coordination._claims import NotCommitted
+from rudderrock.coordination._claims import Taken
+from rudderrock.coordination._claims import Won
+from rudderrock.coordination._commands import CommandRunner
+from rudderrock.coordination._commands import CommandTicket
+from rudderrock.coordination._dispatch import Dispatcher
+from rudderrock.coordination._dispatch import is_not_run
+from rudderrock.coordination._dispatch import Service
+from rudderrock.coordination._fair_queue import FairQueue
+from rudderrock.coordination._follow import KeyFollower
+from rudderrock.coordination._follow import LAYOUT_KEY
+from rudderrock.coordination._follow import read_layout
+from rudderrock.coordination._follow import read_table
+from rudderrock.coordination._follow import TABLE_KEY
+from rudderrock.coordination._host import describe_outcome
+from rudderrock.coordination._host import EntryHost
+from rudderrock.coordination._latency import FadingMean
+from rudderrock.coordination._latency import LatencyWindow
+from rudderrock.coordination._lifecycle import HostState
+from rudderrock.coordination._lifecycle import Lifecycle
+from rudderrock.coordination._link import UpstreamLink
+from rudderrock.coordination._link import UpstreamState
+from rudderrock.coordination._members import make_incarnation
+from rudderrock.coordination._members import Membership
+from rudderrock.coordination._metrics import format_prometheus
+from rudderrock.coordination._metrics import HostMetrics
+from rudderrock.coordination._metrics import Sample
+from rudderrock.coordination._metrics import TeamMetrics
+from rudderrock.coordination._operators import EditAccepted
+from rudderrock.coordination._operators import EditInvalid
+from rudderrock.coordination._operators import EditLost
+from rudderrock.coordination._operators import EditOutcome
+from rudderrock.coordination._operators import EditUncertain
+from rudderrock.coordination._operators import TableEditor
+from rudderrock.coordination._query import QueryCounters
+from rudderrock.coordination._query import QueryRunner
+from rudderrock.coordination._query import QueryTicket
+from rudderrock.coordination._query import TeamBudgets
+from rudderrock.coordination._shares import ShareBook
+
+__all__ = [
+    'Admission',
+    'Attempt',
+    'AttemptKind',
+    'Budget',
+    'Claim',
+    'ClaimState',
+    'ClaimStore',
+    'Claims',
+    'CommandRunner',
+    'CommandTicket',
+    'Dispatcher',
+    'EditAccepted',
+    'EditInvalid',
+    'EditLost',
+    'EditOutcome',
+    'EditUncertain',
+    'EntryHost',
+    'FadingMean',
+    'FairQueue',
+    'HostMetrics',
+    'HostState',
+    'KeyFollower',
+    'LAYOUT_KEY',
+    'LatencyWindow',
+    'Lifecycle',
+    'Mailbox',
+    'Membership',
+    'NotCommitted',
+    'QueryCounters',
+    'QueryRunner',
+    'QueryTicket',
+    'RateLimit',
+    'Sample',
+    'Service',
+    'ShareBook',
+    'TABLE_KEY',
+    'TableEditor',
+    'Taken',
+    'TeamBudgets',
+    'TeamMetrics',
+    'UpstreamLink',
+    'UpstreamState',
+    'Won',
+    'describe_outcome',
+    'format_prometheus',
+    'is_not_run',
+    'make_fingerprint',
+    'make_incarnation',
+    'read_layout',
+    'read_table',
+    'spend_all',
+]
--- /dev/null
+++ b/rudderrock/coordination/_admission.py
@@ -0,0 +1,149 @@
+"""What is refused at once, before any of it runs.
+
+Cost is counted in shard requests, so a wide query weighs what it costs.
+A query that is admitted is never refused later: it is answered with what
+coverage it got. So all that would fail is refused here, with the time
+after which it is worth coming back.
+"""
+
+import dataclasses
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock.coordination import _budget as budgets
+from rudderrock.coordination import _dispatch as dispatch
+from rudderrock.coordination import _shares as shares
+
+_MIN_RETRY_AFTER_S = 0.05
+_BUSY_RETRY_AFTER_S = 0.2
+
+
+@dataclasses.dataclass(slots=True)
+class _Gate:
+    """One team's use of this host."""
+
+    rate: budgets.RateLimit
+    in_flight: int = 0
+
+
+class Admission:
+    """Decides on each request of a team against its row and the load."""
+
+    def __init__(
+        self,
+        settings: state.AdmissionSettings,
+        book: shares.ShareBook,
+        dispatcher: dispatch.Dispatcher,
+        clock: state.Clock,
+    ):
+        self._settings = settings
+        self._book = book
+        self._dispatcher = dispatcher
+        self._clock = clock
+        self._gates: dict[state.TeamId, _Gate] = {}
+        self._in_flight = 0
+
+    def admit(
+        self, row: state.TeamRow, cost: int, deadline: float
+    ) -> result.Result[None, protocol.Refused]:
+        """Admit work of `cost` shard requests, or say why not.
+
+        `deadline` is in loop time. Admitted work must be given to
+        `release` when it ends, however it ends.
+        """
+        team = state.TeamId(row.team)
+        self._book.note(team, cost)
+        gate = self._find_gate(row)
+        refused = (
+            self._check_concurrency(row, gate, cost)
+            or self._check_host(cost)
+            or self._check_rate(gate, cost)
+            or self._check_queues(row, deadline)
+        )
+        if refused is not None:
+            return result.Err(refused)
+        gate.rate.take(cost)
+        gate.in_flight += cost
+        self._in_flight += cost
+        return result.Ok(None)
+
+    def release(self, row: state.TeamRow, cost: int) -> None:
+        """Note that admitted work has ended."""
+        self._gates[state.TeamId(row.team)].in_flight -= cost
+        self._in_flight -= cost
+
+    @property
+    def in_flight(self) -> int:
+        """Return the shard requests admitted and not ended."""
+        return self._in_flight
+
+    def forget_teams(self, rows: dict[state.TeamId, state.TeamRow]) -> None:
+        """Drop what is kept of teams that are no longer in the table."""
+        for team, gate in list(self._gates.items()):
+            if team not in rows and not gate.in_flight:
+                del self._gates[team]
+
+    def _find_gate(self, row: state.TeamRow) -> _Gate:
+        team = state.TeamId(row.team)
+        rate = row.rate * self._book.get_fraction(team)
+        burst = max(1.0, rate * self._settings.rate_burst_s)
+        gate = self._gates.get(team)
+        if gate is None:
+            gate = _Gate(budgets.RateLimit(self._clock, rate, burst))
+            self._gates[team] = gate
+        else:
+            gate.rate.set_rate(rate, burst)
+        return gate
+
+    def _check_concurrency(
+        self, row: state.TeamRow, gate: _Gate, cost: int
+    ) -> protocol.Refused | None:
+        fraction = self._book.get_fraction(state.TeamId(row.team))
+        limit = row.concurrency * fraction
+        # One query must pass however wide it is, or it never could.
+        if gate.in_flight == 0 or gate.in_flight + cost <= limit:
+            return None
+        return protocol.Refused(
+            reason=protocol.RefusalReason.CONCURRENCY,
+            detail=f'{gate.in_flight} shard requests are in flight and '
+            f'{limit:.0f} are allowed at this host',
+            retry_after_s=_BUSY_RETRY_AFTER_S,
+        )
+
+    def _check_host(self, cost: int) -> protocol.Refused | None:
+        if self._in_flight + cost <= self._settings.max_shard_requests:
+            return None
+        return protocol.Refused(
+            reason=protocol.RefusalReason.OVERLOAD,
+            detail='this host has as much in flight as it may',
+            retry_after_s=_BUSY_RETRY_AFTER_S,
+        )
+
+    def _check_rate(self, gate: _Gate, cost: int) -> protocol.Refused | None:
+        wait_s = gate.rate.get_wait_s(cost)
+        if wait_s <= 0:
+            return None
+        return protocol.Refused(
+            reason=protocol.RefusalReason.RATE,
+            detail=f'{cost} shard requests are above the rate allowed',
+            retry_after_s=max(wait_s, _MIN_RETRY_AFTER_S),
+        )
+
+    def _check_queues(
+        self, row: state.TeamRow, deadline: float
+    ) -> protocol.Refused | None:
+        """Refuse what would still wait for slots at its deadline."""
+        left_s = deadline - self._clock.now()
+        for service in self._dispatcher.list_waiting():
+            queued = service.queue.count(state.TeamId(row.team))
+            wait_s = service.estimate_wait_s(row) + service.work_s
+            if queued >= self._settings.max_queued or wait_s > left_s:
+                return protocol.Refused(
+                    reason=protocol.RefusalReason.DEADLINE,
+                    detail=f'would wait {wait_s:.3f} s for {service.shard} '
+                    f'and has {max(left_s, 0):.3f} s',
+                    retry_after_s=max(wait_s - left_s, _MIN_RETRY_AFTER_S),
+                )
+        return None
--- /dev/null
+++ b/rudderrock/coordination/_commands.py
@@ -0,0 +1,278 @@
+"""Non-idempotent requests, each run at most once.
+
+The order is claim, send, record. Nothing is sent without a claim, nothing
+is sent a second time once its bytes may have left, and nothing is hedged.
+Where it is certain that the request did not run, the claim is released and
+the refusal says "not run"; where it is not certain, the outcome is
+"unknown" and stays so.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import result
+import xxhash
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock.coordination import _attempt as attempts
+from rudderrock.coordination import _claims as claims
+from rudderrock.coordination import _dispatch as dispatch
+
+_MAX_TRIES = 3
+_RETRY_AFTER_S = 0.2
+_KV_RETRY_AFTER_S = 1.0
+_FIRST_POLL_S = 0.05
+# Part of the time to the deadline that claiming may use.
+_CLAIM_TIME_FRACTION = 0.5
+_RECORD_BOUND_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CommandTicket:
+    """An admitted command; `deadline` is in loop time."""
+
+    query_id: state.QueryId
+    row: state.TeamRow
+    command: protocol.Command
+    key: str
+    deadline: float
+
+    @property
+    def claim_key(self) -> str:
+        """Return the key under which it is claimed, apart for each team."""
+        return f'{self.row.team}/{self.key}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NotRun:
+    """The upstreams proved that the request did not run."""
+
+    detail: str
+
+
+class CommandRunner:
+    """Runs admitted commands at most once."""
+
+    def __init__(
+        self,
+        host: state.HostId,
+        store: claims.ClaimStore,
+        dispatcher: dispatch.Dispatcher,
+        settings: state.Settings,
+        clock: state.Clock,
+        source: random.Random,
+        ring: state.EventRing,
+    ):
+        self._host = host
+        self._store = store
+        self._dispatcher = dispatcher
+        self._settings = settings
+        self._clock = clock
+        self._source = source
+        self._ring = ring
+
+    async def run(
+        self, ticket: CommandTicket, collection: state.Collection
+    ) -> protocol.Outcome:
+        """Run a command, or tell the outcome of its first run."""
+        checked = self._store.check_key(ticket.key)
+        if checked.is_err():
+            return checked.unwrap_err()
+        claim = self._make_claim(ticket)
+        now = self._clock.now()
+        until = now + _CLAIM_TIME_FRACTION * (ticket.deadline - now)
+        claimed = await self._store.claim(ticket.claim_key, claim, until)
+        match claimed:
+            case claims.Taken(earlier):
+                return await self._repeat(ticket, claim, earlier)
+            case claims.NotCommitted(detail):
+                # Nothing was sent, and if the claim did take effect after
+                # all it is released, so the key can be used again.
+                self._store.release(ticket.claim_key, claim)
+                return _refuse_without_kv(ticket, detail)
+            case claims.Won():
+                return await self._run_claimed(ticket, collection, claim)
+
+    async def close(self) -> None:
+        """Give up what is not yet written."""
+        await self._store.close()
+
+    def _make_claim(self, ticket: CommandTicket) -> claims.Claim:
+        left_s = ticket.deadline - self._clock.now()
+        return claims.Claim(
+            nonce=f'{self._source.getrandbits(96):024x}',
+            holder=self._host,
+            fingerprint=claims.make_fingerprint(ticket.command),
+            expires=self._clock.wall() + left_s,
+        )
+
+    async def _repeat(
+        self,
+        ticket: CommandTicket,
+        claim: claims.Claim,
+        earlier: claims.Claim,
+    ) -> protocol.Outcome:
+        """Tell the outcome of the first call, waiting for it if need be."""
+        if earlier.fingerprint != claim.fingerprint:
+            return protocol.Refused(
+                reason=protocol.RefusalReason.KEY_REUSED,
+                detail='this key was used for a different request',
+                query=ticket.query_id,
+            )
+        pause_s = _FIRST_POLL_S
+        while earlier.state is claims.ClaimState.CLAIMED:
+            over = self._clock.wall() >= earlier.expires
+            if over or self._clock.now() + pause_s >= ticket.deadline:
+                return protocol.Unknown(
+                    query=ticket.query_id,
+                    detail='an earlier call with this key may have run; '
+                    'its outcome is not recorded',
+                )
+            await asyncio.sleep(pause_s)
+            pause_s *= 2
+            match await self._store.read(ticket.claim_key):
+                case result.Ok(claims.Claim() as current):
+                    earlier = current
+                case result.Ok(None):
+                    return protocol.Refused(
+                        reason=protocol.RefusalReason.UPSTREAM,
+                        detail='the earlier call with this key did not run',
+                        retry_after_s=_RETRY_AFTER_S,
+                        query=ticket.query_id,
+                    )
+        return protocol.Recorded(
+            query=ticket.query_id,
+            key=ticket.key,
+            hits=earlier.hits,
+            repeat=True,
+        )
+
+    async def _run_claimed(
+        self,
+        ticket: CommandTicket,
+        collection: state.Collection,
+        claim: claims.Claim,
+    ) -> protocol.Outcome:
+        team = state.TeamId(ticket.row.team)
+        self._ring.record(
+            state.EventKind.CLAIM,
+            team=team,
+            query=ticket.query_id,
+            detail=ticket.key,
+        )
+        try:
+            ran = await self._send(ticket, collection)
+        except asyncio.CancelledError:
+            # Cut by an impatient operator or a caller that went away. The
+            # claim stays, so nobody runs it again.
+            asyncio.current_task().uncancel()
+            return protocol.Unknown(
+                query=ticket.query_id, detail='cut while under way'
+            )
+        match ran:
+            case _NotRun(detail):
+                self._store.release(ticket.claim_key, claim)
+                return protocol.Refused(
+                    reason=protocol.RefusalReason.UPSTREAM,
+                    detail=detail,
+                    retry_after_s=_RETRY_AFTER_S,
+                    query=ticket.query_id,
+                )
+            case protocol.ShardAnswer(hits=hits):
+                await self._record(ticket, claim, hits)
+                return protocol.Recorded(
+                    query=ticket.query_id,
+                    key=ticket.key,
+                    hits=hits,
+                    repeat=False,
+                )
+        return protocol.Unknown(
+            query=ticket.query_id, detail='the upstream gave no answer'
+        )
+
+    async def _record(
+        self,
+        ticket: CommandTicket,
+        claim: claims.Claim,
+        hits: list[protocol.Hit],
+    ) -> None:
+        done = dataclasses.replace(
+            claim, state=claims.ClaimState.DONE, hits=hits
+        )
+        until = max(ticket.deadline, self._clock.now() + _RECORD_BOUND_S)
+        await self._store.finish(ticket.claim_key, done, until)
+
+    async def _send(
+        self, ticket: CommandTicket, collection: state.Collection
+    ) -> protocol.ShardReply | _NotRun:
+        """Send to one replica; to another only if it provably did not run."""
+        placement = collection.placements[-1]
+        shards = sorted(placement.shards)
+        index = xxhash.xxh64_intdigest(ticket.command.routing_key.encode())
+        service = self._dispatcher.find_service(shards[index % len(shards)])
+        avoid: set[state.UpstreamId] = set()
+        reply: protocol.ShardReply = protocol.ShardLost(False, 'not tried')
+        for number in range(_MAX_TRIES):
+            if self._clock.now() >= ticket.deadline:
+                return _NotRun('the deadline came before it could be sent')
+            if not service.is_reachable:
+                return _NotRun(f'no replica of {service.shard} is reachable')
+            attempt = self._make_attempt(
+                ticket, service, placement, number, frozenset(avoid)
+            )
+            reply = await self._exchange(service, attempt)
+            if not dispatch.is_not_run(reply):
+                return reply
+            if attempt.upstream is not None:
+                avoid.add(attempt.upstream)
+        return _NotRun(f'refused by {len(avoid)} replicas, last: {reply}')
+
+    def _make_attempt(
+        self,
+        ticket: CommandTicket,
+        service: dispatch.Service,
+        placement: state.Placement,
+        number: int,
+        avoid: frozenset[state.UpstreamId],
+    ) -> attempts.Attempt:
+        left_s = ticket.deadline - self._clock.now()
+        request = protocol.ShardRequest(
+            request_id=state.RequestId(f'{ticket.query_id}.{number}'),
+            shard=service.shard,
+            version=placement.version,
+            body=ticket.command.body,
+            limit=1,
+            deadline=self._clock.wall() + left_s,
+            write=True,
+        )
+        return attempts.Attempt(
+            request=request,
+            row=ticket.row,
+            kind=attempts.AttemptKind.FIRST,
+            deadline=ticket.deadline,
+            grace_s=self._settings.routing.exchange_grace_s,
+            mailbox=attempts.Mailbox(asyncio.get_running_loop()),
+            avoid=avoid,
+        )
+
+    async def _exchange(
+        self, service: dispatch.Service, attempt: attempts.Attempt
+    ) -> protocol.ShardReply:
+        self._dispatcher.submit(service, attempt)
+        until = attempt.until + attempt.grace_s
+        for _, reply in await attempt.mailbox.take(until):
+            return reply
+        sent = attempt.sent_at is not None
+        attempt.detach()
+        return protocol.ShardLost(sent, 'deadline')
+
+
+def _refuse_without_kv(ticket: CommandTicket, detail: str) -> protocol.Refused:
+    return protocol.Refused(
+        reason=protocol.RefusalReason.KV_UNAVAILABLE,
+        detail=f'could not be claimed: {detail}',
+        retry_after_s=_KV_RETRY_AFTER_S,
+        query=ticket.query_id,
+    )
--- /dev/null
+++ b/rudderrock/coordination/_dispatch.py
@@ -0,0 +1,303 @@
+"""Which replica gets a shard request, and who waits when none is free.
+
+Each shard's replicas form a service. A request goes to the better of two
+replicas that are free; when none is, it waits in the service's fair queue,
+so waiting happens where teams can be weighed against each other and not in
+an upstream's own queue.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.coordination import _attempt as attempts
+from rudderrock.coordination import _budget as budgets
+from rudderrock.coordination import _fair_queue as fair_queue
+from rudderrock.coordination import _latency as latency
+from rudderrock.coordination import _link as links
+
+_ZONE_PENALTY = 1.1
+# Weight of one request in the moving fraction of late ones.
+_LATE_WEIGHT = 0.02
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Service:
+    """One shard's replicas, queue, latency and budgets.
+
+    `late` is the moving fraction of requests that were not answered within
+    the hedge delay.
+    """
+
+    shard: state.ShardId
+    links: list[links.UpstreamLink]
+    queue: fair_queue.FairQueue[attempts.Attempt]
+    latency: latency.LatencyWindow
+    hedges: budgets.Budget
+    retries: budgets.Budget
+    late: float = 0.0
+    work_s: float = 0.0
+
+    def note_answer(self, elapsed: float, hedge_delay_s: float) -> None:
+        """Take note of an answer to a first attempt, in seconds."""
+        self.latency.record(elapsed)
+        self.note_late(elapsed > hedge_delay_s)
+        self.work_s += 0.1 * (elapsed - self.work_s)
+
+    def note_late(self, late: bool) -> None:
+        """Take note of whether a first attempt was late."""
+        self.late += _LATE_WEIGHT * (late - self.late)
+
+    @property
+    def is_reachable(self) -> bool:
+        """Tell whether any replica can take work before long."""
+        return any(link.is_reachable for link in self.links)
+
+    @property
+    def capacity(self) -> int:
+        """Return how many requests may be in flight at once."""
+        return sum(link.capacity for link in self.links if link.is_reachable)
+
+    def estimate_wait_s(self, row: state.TeamRow) -> float:
+        """Return how long one more request of a team would wait, seconds."""
+        if not len(self.queue):
+            return 0.0
+        ahead = self.queue.count(row.team) + 1
+        share = self.queue.get_share(row)
+        slots = max(1, self.capacity) * share
+        return ahead * max(self.work_s, 1e-4) / slots
+
+
+class Dispatcher:
+    """All services and links of one host.
+
+    Parameters: `zone` is the host's own availability zone; `port` makes
+    connections to upstreams; the settings give the policies.
+    """
+
+    def __init__(
+        self,
+        zone: state.ZoneId,
+        port: transport.UpstreamPort,
+        settings: state.Settings,
+        clock: state.Clock,
+        source: random.Random,
+        ring: state.EventRing,
+    ):
+        self._zone = zone
+        self._port = port
+        self._settings = settings
+        self._clock = clock
+        self._source = source
+        self._ring = ring
+        self._links: dict[state.UpstreamId, links.UpstreamLink] = {}
+        self._services: dict[state.ShardId, Service] = {}
+        self._by_link: dict[state.UpstreamId, list[Service]] = {}
+        self._layout = state.Layout()
+        self._hosts = 1
+        self._closing: set[asyncio.Task] = set()
+
+    def apply_layout(self, layout: state.Layout) -> None:
+        """Bring links and services into the shape of a layout."""
+        old, self._layout = self._layout, layout
+        for upstream, described in layout.upstreams.items():
+            if old.upstreams.get(upstream) != described:
+                self._drop_link(upstream)
+                self._add_link(described)
+        for upstream in set(self._links) - set(layout.upstreams):
+            self._drop_link(upstream)
+        for upstream, link in self._links.items():
+            link.mark_leaving(upstream in layout.leaving, 'layout')
+        self._rebuild_services()
+
+    def set_host_count(self, hosts: int) -> None:
+        """Share each upstream's connections between this many hosts."""
+        if hosts == self._hosts:
+            return
+        self._hosts = hosts
+        for link in self._links.values():
+            link.set_lanes(self._count_lanes(link.upstream))
+
+    def find_collection(
+        self, collection: state.CollectionId
+    ) -> state.Collection | None:
+        """Return a collection as the layout in force has it."""
+        return self._layout.collections.get(collection)
+
+    def find_service(self, shard: state.ShardId) -> Service:
+        """Return the service of a shard that the layout names."""
+        return self._services[shard]
+
+    def list_links(self) -> list[links.UpstreamLink]:
+        """Return the links to all upstreams."""
+        return list(self._links.values())
+
+    def list_waiting(self) -> list[Service]:
+        """Return the services at which requests wait."""
+        return [each for each in self._services.values() if len(each.queue)]
+
+    def can_serve(
+        self, shard: state.ShardId, version: state.IndexVersion
+    ) -> bool:
+        """Tell whether some replica can be expected to have a version."""
+        now = self._clock.now()
+        return any(
+            link.is_reachable and not link.lacks(shard, version, now)
+            for link in self._services[shard].links
+        )
+
+    def submit(self, service: Service, attempt: attempts.Attempt) -> None:
+        """Send an attempt to a free replica, or let it wait its turn."""
+        link = self._choose(service, attempt)
+        if link is not None and not len(service.queue):
+            link.send(attempt)
+        else:
+            service.queue.push(attempt.row, attempt)
+
+    def try_now(self, service: Service, attempt: attempts.Attempt) -> bool:
+        """Send an attempt only if a replica is free for it now."""
+        if len(service.queue):
+            return False
+        link = self._choose(service, attempt)
+        if link is None:
+            return False
+        link.send(attempt)
+        return True
+
+    async def close(self) -> None:
+        """Close all connections."""
+        for upstream in list(self._links):
+            self._drop_link(upstream)
+        await asyncio.gather(*self._closing, return_exceptions=True)
+
+    def _choose(
+        self, service: Service, attempt: attempts.Attempt
+    ) -> links.UpstreamLink | None:
+        """Take the better of two free replicas drawn at random.
+
+        Power of two choices (Mitzenmacher, 2001). What speaks against a
+        replica for the moment is set aside when it speaks against all of
+        them, so it can never leave a shard without replicas.
+        """
+        now = self._clock.now()
+        request = attempt.request
+        able = [
+            link
+            for link in service.links
+            if link.takes_new_work
+            and link.upstream.upstream not in attempt.avoid
+            and not link.lacks(request.shard, request.version, now)
+        ]
+        favoured = [link for link in able if link.is_favoured(now)]
+        free = [link for link in favoured or able if link.is_free]
+        if len(free) > 2:
+            free = self._source.sample(free, 2)
+        if not free:
+            return None
+        return min(free, key=lambda link: self._score(link, now))
+
+    def _score(self, link: links.UpstreamLink, now: float) -> float:
+        score = link.get_score(now)
+        if link.upstream.zone != self._zone:
+            score *= _ZONE_PENALTY
+        return score
+
+    def _on_free(self, link: links.UpstreamLink) -> None:
+        """Give a lane that became idle to who waits for it."""
+        for service in self._by_link.get(link.upstream.upstream, ()):
+            while link.is_free and len(service.queue):
+                if not self._serve_next(service):
+                    break
+
+    def _serve_next(self, service: Service) -> bool:
+        """Send the next waiting attempt; False if it cannot be sent now."""
+        attempt = service.queue.pop()
+        if attempt.given_up:
+            return True
+        link = self._choose(service, attempt)
+        if link is None:
+            # The free lane is of a replica that it has to avoid.
+            attempt.avoid = frozenset()
+            link = self._choose(service, attempt)
+        if link is None:
+            service.queue.push(attempt.row, attempt)
+            return False
+        link.send(attempt)
+        return True
+
+    def _add_link(self, upstream: state.Upstream) -> None:
+        link = links.UpstreamLink(
+            upstream,
+            self._port,
+            self._settings.routing,
+            self._clock,
+            self._source,
+            self._ring,
+            self._on_free,
+        )
+        self._links[upstream.upstream] = link
+        link.start(self._count_lanes(upstream))
+
+    def _drop_link(self, upstream: state.UpstreamId) -> None:
+        link = self._links.pop(upstream, None)
+        if link is not None:
+            task = asyncio.create_task(link.close())
+            self._closing.add(task)
+            task.add_done_callback(self._closing.discard)
+
+    def _count_lanes(self, upstream: state.Upstream) -> int:
+        """Return this host's part of the connections of an upstream."""
+        reserve = self._settings.routing.connection_reserve
+        allowed = upstream.connections * (1.0 - reserve) / self._hosts
+        return max(1, min(int(allowed), self._settings.routing.max_lanes))
+
+    def _rebuild_services(self) -> None:
+        replicas: dict[state.ShardId, dict[state.UpstreamId, None]] = {}
+        for collection in self._layout.collections.values():
+            for placement in collection.placements:
+                for shard, upstreams in placement.shards.items():
+                    known = replicas.setdefault(shard, {})
+                    known.update(dict.fromkeys(upstreams))
+        self._services = {
+            shard: self._keep_service(shard, list(upstreams))
+            for shard, upstreams in replicas.items()
+        }
+        self._by_link = {}
+        for service in self._services.values():
+            for link in service.links:
+                name = link.upstream.upstream
+                self._by_link.setdefault(name, []).append(service)
+
+    def _keep_service(
+        self, shard: state.ShardId, upstreams: list[state.UpstreamId]
+    ) -> Service:
+        """Return the service as it was, with its replicas of now."""
+        replicas = [self._links[upstream] for upstream in upstreams]
+        service = self._services.get(shard)
+        if service is None:
+            hedging = self._settings.hedging
+            retries = self._settings.retries
+            return Service(
+                shard=shard,
+                links=replicas,
+                queue=fair_queue.FairQueue(),
+                latency=latency.LatencyWindow(self._clock),
+                hedges=budgets.Budget(hedging.budget, hedging.burst),
+                retries=budgets.Budget(retries.budget, retries.burst),
+            )
+        service.links = replicas
+        return service
+
+
+def is_not_run(reply: protocol.ShardReply) -> bool:
+    """Tell whether a reply proves that its request did not run."""
+    match reply:
+        case protocol.ShardRejected():
+            return True
+        case protocol.ShardLost(sent=sent):
+            return not sent
+        case _:
+            return False
--- /dev/null
+++ b/rudderrock/coordination/_fair_queue.py
@@ -0,0 +1,103 @@
+"""A weighted fair queue between teams, for one service's slots.
+
+Start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996) gives each
+team that waits its weight's share. Priorities are taken from borrowed
+virtual time (Duda and Cheriton, SOSP 1999): a team of higher priority is
+served earlier by a bounded lead, which it pays back, so over any longer
+time no team's share changes.
+"""
+
+import collections
+import dataclasses
+from typing import Generic
+from typing import TypeVar
+
+from rudderrock import state
+
+T = TypeVar('T')
+
+# Lead of each step of priority, in requests of a team of weight 1.
+_LEAD_PER_STEP = 1.0
+_LOWEST_PRIORITY = 9
+
+
+@dataclasses.dataclass(slots=True)
+class _Lane(Generic[T]):
+    """One team's waiting requests and its virtual time."""
+
+    weight: float
+    priority: int
+    start: float
+    items: collections.deque[T] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    @property
+    def rank(self) -> float:
+        steps = _LOWEST_PRIORITY - self.priority
+        return self.start - steps * _LEAD_PER_STEP
+
+
+class FairQueue(Generic[T]):
+    """Requests waiting for one service, served by weight.
+
+    Each request counts as one unit of cost, since each takes one slot.
+    """
+
+    def __init__(self):
+        self._lanes: dict[state.TeamId, _Lane[T]] = {}
+        self._virtual = 0.0
+        self._length = 0
+
+    def __len__(self) -> int:
+        return self._length
+
+    def push(self, row: state.TeamRow, item: T) -> None:
+        """Add one request of a team."""
+        lane = self._lanes.get(row.team)
+        if lane is None:
+            lane = _Lane(row.weight, row.priority, self._virtual)
+            self._lanes[row.team] = lane
+        # The row may have been edited since the team's last request.
+        lane.weight = row.weight
+        lane.priority = row.priority
+        if not lane.items:
+            lane.start = max(lane.start, self._virtual)
+        lane.items.append(item)
+        self._length += 1
+
+    def pop(self) -> T | None:
+        """Take the request that is next, or None if none waits."""
+        waiting = [lane for lane in self._lanes.values() if lane.items]
+        if not waiting:
+            return None
+        lane = min(waiting, key=lambda each: each.rank)
+        self._virtual = max(self._virtual, lane.start)
+        lane.start += 1.0 / lane.weight
+        self._length -= 1
+        item = lane.items.popleft()
+        if not self._length:
+            self._forget_idle()
+        return item
+
+    def count(self, team: state.TeamId) -> int:
+        """Return how many requests of a team wait."""
+        lane = self._lanes.get(team)
+        return len(lane.items) if lane else 0
+
+    def get_share(self, row: state.TeamRow) -> float:
+        """Return the part of the slots a team gets while others wait."""
+        others = sum(
+            lane.weight
+            for team, lane in self._lanes.items()
+            if lane.items and team != row.team
+        )
+        return row.weight / (row.weight + others)
+
+    def _forget_idle(self) -> None:
+        """Drop teams that owe nothing, so idle teams take no memory."""
+        self._lanes = {
+            team: lane
+            for team, lane in self._lanes.items()
+            if lane.start > self._virtual
+        }
--- /dev/null
+++ b/rudderrock/coordination/_follow.py
@@ -0,0 +1,165 @@
+"""Following one key of the key-value service.
+
+A follower applies each later value that passes its checks, never an
+earlier one, and keeps the last good one in force when a bad one comes or
+the service is down.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+from typing import Any
+from typing import Generic
+from typing import TypeVar
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+
+T = TypeVar('T')
+
+TABLE_KEY = 'rudderrock/table'
+LAYOUT_KEY = 'rudderrock/layout'
+
+_FIRST_PAUSE_S = 0.1
+_LONGEST_PAUSE_S = 5.0
+
+
+class KeyFollower(Generic[T]):
+    """Keeps one value up to date and says when it was last confirmed.
+
+    Parameters: `read` turns bytes into a checked value or a reason;
+    `get_revision` reads its revision; `apply` puts it in force; `kinds`
+    are the events for in force and rejected.
+    """
+
+    def __init__(
+        self,
+        kv: transport.KvPort,
+        key: str,
+        *,
+        read: Callable[[bytes], result.Result[T, str]],
+        get_revision: Callable[[T], state.Revision],
+        apply: Callable[[T], None],
+        kinds: tuple[state.EventKind, state.EventKind],
+        watch_s: float,
+        clock: state.Clock,
+        source: random.Random,
+        ring: state.EventRing,
+    ):
+        self.revision = state.NO_REVISION
+        self.confirmed_at: float | None = None
+        self.heard_at: float | None = None
+        self.is_up = True
+        self._kv = kv
+        self._key = key
+        self._read = read
+        self._get_revision = get_revision
+        self._apply = apply
+        self._in_force, self._rejected = kinds
+        self._watch_s = watch_s
+        self._clock = clock
+        self._source = source
+        self._ring = ring
+        self._version = protocol.ABSENT
+        self._first_read = asyncio.Event()
+
+    async def run(self) -> None:
+        """Follow the key until cancelled."""
+        pause_s = _FIRST_PAUSE_S
+        while True:
+            if self._version == protocol.ABSENT:
+                outcome = await self._kv.get(self._key)
+            else:
+                outcome = await self._kv.watch(
+                    self._key, self._version, self._watch_s
+                )
+            match outcome:
+                case result.Ok(entry):
+                    self._note_up()
+                    self._take(entry)
+                    pause_s = _FIRST_PAUSE_S
+                    if entry.version != protocol.ABSENT:
+                        continue
+                case result.Err(failure):
+                    self._note_down(failure.detail)
+            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.0))
+            pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+
+    async def wait_until_read(self) -> None:
+        """Wait until a value is in force, from wherever it came."""
+        await self._first_read.wait()
+
+    def offer(self, value: T, origin: str) -> bool:
+        """Put a checked value in force if it is later than the present."""
+        revision = self._get_revision(value)
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        self._apply(value)
+        self._first_read.set()
+        self._ring.record(
+            self._in_force, detail=f'revision {revision} from {origin}'
+        )
+        return True
+
+    def confirm(self, age_s: float) -> None:
+        """Note that the revision in force was the latest so long ago."""
+        at = self._clock.now() - age_s
+        if self.confirmed_at is None or at > self.confirmed_at:
+            self.confirmed_at = at
+
+    def get_age_s(self) -> float:
+        """Return how long ago the revision was known to be the latest."""
+        if self.confirmed_at is None:
+            return float('inf')
+        return self._clock.now() - self.confirmed_at
+
+    def _take(self, entry: protocol.Entry) -> None:
+        self.heard_at = self._clock.now()
+        if entry.version <= self._version or entry.value is None:
+            self.confirm(0.0)
+            return
+        self._version = entry.version
+        match self._read(entry.value):
+            case result.Err(reason):
+                self._ring.record(self._rejected, detail=reason)
+            case result.Ok(value):
+                self.offer(value, 'key-value service')
+                self.confirm(0.0)
+
+    def _note_up(self) -> None:
+        if not self.is_up:
+            self.is_up = True
+            self._ring.record(state.EventKind.KV_UP, detail=self._key)
+
+    def _note_down(self, detail: str) -> None:
+        if self.is_up:
+            self.is_up = False
+            self._ring.record(
+                state.EventKind.KV_DOWN, detail=f'{self._key}: {detail}'
+            )
+
+
+def read_table(data: bytes) -> result.Result[state.Table, str]:
+    """Decode and check a table."""
+    return _read_checked(state.Table, state.check_table, data)
+
+
+def read_layout(data: bytes) -> result.Result[state.Layout, str]:
+    """Decode and check a layout."""
+    return _read_checked(state.Layout, state.check_layout, data)
+
+
+def _read_checked(
+    cls: type, check: Callable[[Any], state.Problems], data: bytes
+) -> result.Result[Any, str]:
+    decoded = protocol.decode(cls, data)
+    if decoded.is_err():
+        return decoded
+    problems = check(decoded.unwrap())
+    if problems:
+        return result.Err('; '.join(str(each) for each in problems))
+    return decoded
--- /dev/null
+++ b/rudderrock/coordination/_host.py
@@ -0,0 +1,411 @@
+"""One entry host: what it does with a request, and its own life."""
+
+import asyncio
+import contextlib
+import math
+import random
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.coordination import _admission as admission
+from rudderrock.coordination import _commands as commands
+from rudderrock.coordination import _dispatch as dispatch
+from rudderrock.coordination import _follow as follow
+from rudderrock.coordination import _lifecycle as lifecycle
+from rudderrock.coordination import _members as members
+from rudderrock.coordination import _metrics as metrics
+from rudderrock.coordination import _query as queries
+from rudderrock.coordination import _shares as shares
+
+_SPREAD_FANOUT = 3
+_DRAIN_POLL_S = 0.02
+_NOT_READY_RETRY_S = 1.0
+_TABLE_FETCH_TIMEOUT_S = 1.0
+
+
+class EntryHost:
+    """All parts of one host, as the composition root has wired them."""
+
+    def __init__(
+        self,
+        settings: state.Settings,
+        *,
+        clock: state.Clock,
+        source: random.Random,
+        ring: state.EventRing,
+        table: follow.KeyFollower[state.Table],
+        layout: follow.KeyFollower[state.Layout],
+        dispatcher: dispatch.Dispatcher,
+        runner: queries.QueryRunner,
+        book: shares.ShareBook,
+        gate: admission.Admission,
+        command_runner: commands.CommandRunner,
+        membership: members.Membership,
+        peers: transport.PeerPort,
+    ):
+        self.settings = settings
+        self.ring = ring
+        self.table = table
+        self.layout = layout
+        self.dispatcher = dispatcher
+        self.runner = runner
+        self.gate = gate
+        self.membership = membership
+        self.command_runner = command_runner
+        self.lifecycle = lifecycle.Lifecycle(ring)
+        self.metrics = metrics.HostMetrics(clock)
+        self.rows: dict[state.TeamId, state.TeamRow] = {}
+        self.table_in_force = state.Table()
+        self._clock = clock
+        self._source = source
+        self._book = book
+        self._peers = peers
+        self._hurry = asyncio.Event()
+        self._fetching: asyncio.Task | None = None
+        self._spreading: asyncio.Task | None = None
+        self._active: set[asyncio.Task] = set()
+        self._started_at = clock.now()
+
+    # Life
+
+    async def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._close)
+            group = await stack.enter_async_context(_task_group())
+            group.create_task(self.table.run())
+            group.create_task(self.layout.run())
+            group.create_task(self.membership.run())
+            group.create_task(self._state_demand())
+            group.create_task(self._serve_when_ready())
+            await self.lifecycle.wait_until_stopped()
+
+    async def stop(self) -> None:
+        """Stop as planned: cut nothing that is in flight.
+
+        Readiness falls first, and work is still taken while the balancer
+        lags; then what is in flight ends, up to the bound. `hurry` cuts
+        the waiting short.
+        """
+        if self.lifecycle.state in (
+            lifecycle.HostState.STARTING,
+            lifecycle.HostState.SERVING,
+        ):
+            self.lifecycle.leave()
+            self.membership.announce_leaving()
+            await self.membership.spread(_SPREAD_FANOUT)
+            await self._wait_unless_hurried(self.settings.drain.balancer_lag_s)
+            self.lifecycle.drain()
+            end = self._clock.now() + self.settings.drain.bound_s
+            while self._active and self._clock.now() < end:
+                if self._hurry.is_set():
+                    break
+                await asyncio.sleep(_DRAIN_POLL_S)
+            await self._cut()
+            self.lifecycle.stop()
+
+    def hurry(self) -> None:
+        """Stop without waiting; what is in flight is cut, truthfully."""
+        self._hurry.set()
+
+    async def _cut(self) -> None:
+        for task in list(self._active):
+            task.cancel()
+        if self._active:
+            await asyncio.wait(self._active, timeout=1.0)
+
+    async def _wait_unless_hurried(self, seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._hurry.wait()
+
+    async def _serve_when_ready(self) -> None:
+        await self.table.wait_until_read()
+        await self.layout.wait_until_read()
+        if self.lifecycle.state is lifecycle.HostState.STARTING:
+            self.lifecycle.serve()
+
+    async def _close(self) -> None:
+        await self.command_runner.close()
+        await self.dispatcher.close()
+
+    # What is in force
+
+    def apply_table(self, table: state.Table) -> None:
+        """Put a table in force, and tell peers of it."""
+        self.rows = table.rows
+        self.table_in_force = table
+        self.gate.forget_teams(table.rows)
+        if self._spreading is None or self._spreading.done():
+            self._spreading = asyncio.create_task(
+                self.membership.spread(_SPREAD_FANOUT)
+            )
+
+    def apply_layout(self, layout: state.Layout) -> None:
+        """Put a layout in force."""
+        self.dispatcher.apply_layout(layout)
+
+    def get_table_age(self) -> tuple[state.Revision, float]:
+        """Return the revision in force and how long ago it was confirmed."""
+        return self.table.revision, self.table.get_age_s()
+
+    def on_digest(self, digest: protocol.Digest) -> None:
+        """Compare a peer's table with our own, and fetch a later one."""
+        if digest.table_revision == self.table.revision:
+            self.table.confirm(digest.table_age_s)
+        elif digest.table_revision > self.table.revision:
+            if self._fetching is None or self._fetching.done():
+                self._fetching = asyncio.create_task(
+                    self._fetch_table(digest.sender)
+                )
+
+    def on_members(self) -> None:
+        """Divide limits and connections anew."""
+        sharing = self.membership.list_sharing()
+        self._book.set_hosts(sharing)
+        self.dispatcher.set_host_count(len(sharing))
+
+    async def _fetch_table(self, peer: protocol.Member) -> None:
+        request = protocol.TableRequest(revision=self.table.revision)
+        fetched = await self._peers.fetch_table(
+            peer.control, request, _TABLE_FETCH_TIMEOUT_S
+        )
+        match fetched:
+            case result.Ok(protocol.TableReply(table=state.Table() as table)):
+                problems = state.check_table(table)
+                if not problems:
+                    self.table.offer(table, f'peer {peer.host}')
+
+    async def _state_demand(self) -> None:
+        while True:
+            self._book.state_demand()
+            await asyncio.sleep(self.settings.membership.period_s)
+
+    @property
+    def is_isolated(self) -> bool:
+        """Tell whether this host may be serving a table long replaced.
+
+        So it is when neither the key-value service nor any peer has been
+        heard of for `isolation_s`.
+        """
+        if self.membership.is_alone:
+            return False
+        heard = max(
+            self.table.heard_at or -math.inf,
+            self.membership.heard_at or -math.inf,
+        )
+        bound = self.settings.membership.isolation_s
+        return self._clock.now() - max(heard, self._started_at) > bound
+
+    # Requests
+
+    def authenticate(
+        self, token: str | None
+    ) -> result.Result[state.TeamRow, protocol.Refused]:
+        """Return the row of the team that a token belongs to."""
+        claimed = state.split_token(token or '')
+        row = self.rows.get(claimed.ok()) if claimed.is_ok() else None
+        known = row.token_hashes if row else ()
+        # Checked for unknown teams too: their absence takes no less time.
+        if state.check_token(token or '', known or ('none$none',)) and row:
+            return result.Ok(row)
+        return result.Err(
+            protocol.Refused(
+                reason=protocol.RefusalReason.UNAUTHENTICATED,
+                detail='no team has this token',
+            )
+        )
+
+    def check_serving(self) -> protocol.Refused | None:
+        """Return why no work is taken now, or None."""
+        if not self.lifecycle.takes_work:
+            starting = self.lifecycle.state is lifecycle.HostState.STARTING
+            reasons = protocol.RefusalReason
+            return protocol.Refused(
+                reason=reasons.NOT_READY if starting else reasons.DRAINING,
+                detail=f'this host is {self.lifecycle.state.value}',
+                retry_after_s=_NOT_READY_RETRY_S if starting else 0.0,
+            )
+        if self.is_isolated:
+            return protocol.Refused(
+                reason=protocol.RefusalReason.ISOLATED,
+                detail='this host hears neither the key-value service nor '
+                'any peer',
+                retry_after_s=_NOT_READY_RETRY_S,
+            )
+        return None
+
+    async def query(
+        self, row: state.TeamRow, query: protocol.Query
+    ) -> protocol.Outcome:
+        """Answer a team's query, or refuse it before any of it runs."""
+        query_id = self._make_query_id()
+        began = self._clock.now()
+        with self._track():
+            outcome = await self._query(row, query, query_id)
+        self._note_outcome(row, query_id, outcome, began)
+        return outcome
+
+    async def command(
+        self, row: state.TeamRow, command: protocol.Command, key: str
+    ) -> protocol.Outcome:
+        """Run a team's non-idempotent request at most once."""
+        query_id = self._make_query_id()
+        began = self._clock.now()
+        with self._track():
+            outcome = await self._command(row, command, key, query_id)
+        self._note_outcome(row, query_id, outcome, began)
+        return outcome
+
+    async def _query(
+        self,
+        row: state.TeamRow,
+        query: protocol.Query,
+        query_id: state.QueryId,
+    ) -> protocol.Outcome:
+        checked = self._check_request(row, query.collection)
+        if checked.is_err():
+            return checked.unwrap_err()
+        collection = checked.unwrap()
+        now = self._clock.now()
+        deadline = now + min(
+            row.deadline_s, query.deadline_s or row.deadline_s
+        )
+        cost = len(collection.placements[-1].shards)
+        admitted = self.gate.admit(row, cost, deadline)
+        if admitted.is_err():
+            return admitted.unwrap_err()
+        ticket = queries.QueryTicket(
+            query_id=query_id,
+            row=row,
+            query=query,
+            deadline=deadline,
+            soft_deadline=min(now + row.soft_deadline_s, deadline),
+        )
+        try:
+            return await self.runner.run(ticket, collection)
+        finally:
+            self.gate.release(row, cost)
+
+    async def _command(
+        self,
+        row: state.TeamRow,
+        command: protocol.Command,
+        key: str,
+        query_id: state.QueryId,
+    ) -> protocol.Outcome:
+        checked = self._check_request(row, command.collection)
+        if checked.is_err():
+            return checked.unwrap_err()
+        if not row.may_write:
+            return protocol.Refused(
+                reason=protocol.RefusalReason.FORBIDDEN,
+                detail='this team may not write',
+            )
+        now = self._clock.now()
+        deadline = now + min(
+            row.deadline_s, command.deadline_s or row.deadline_s
+        )
+        admitted = self.gate.admit(row, 1, deadline)
+        if admitted.is_err():
+            return admitted.unwrap_err()
+        try:
+            return await self.command_runner.run(
+                commands.CommandTicket(
+                    query_id=query_id,
+                    row=row,
+                    command=command,
+                    key=key,
+                    deadline=deadline,
+                ),
+                checked.unwrap(),
+            )
+        finally:
+            self.gate.release(row, 1)
+
+    def _check_request(
+        self, row: state.TeamRow, collection: state.CollectionId
+    ) -> result.Result[state.Collection, protocol.Refused]:
+        refused = self.check_serving()
+        if refused is not None:
+            return result.Err(refused)
+        found = self.dispatcher.find_collection(collection)
+        # Not telling apart what is absent from what is another team's.
+        if found is None or not row.may_query(collection):
+            return result.Err(
+                protocol.Refused(
+                    reason=protocol.RefusalReason.UNKNOWN_COLLECTION,
+                    detail=f'no collection {collection!r} for this team',
+                )
+            )
+        return result.Ok(found)
+
+    def _make_query_id(self) -> state.QueryId:
+        number = self._source.getrandbits(64)
+        return state.QueryId(f'{self.settings.host.id}-{number:016x}')
+
+    @contextlib.contextmanager
+    def _track(self):
+        """Let a planned stop wait for the request that this task serves."""
+        task = asyncio.current_task()
+        self._active.add(task)
+        try:
+            yield
+        finally:
+            self._active.discard(task)
+
+    def _note_outcome(
+        self,
+        row: state.TeamRow,
+        query_id: state.QueryId,
+        outcome: protocol.Outcome,
+        began: float,
+    ) -> None:
+        team = state.TeamId(row.team)
+        self.metrics.note(team, outcome, self._clock.now() - began)
+        kind, detail = describe_outcome(outcome)
+        self.ring.record(kind, team=team, query=query_id, detail=detail)
+
+
+def describe_outcome(
+    outcome: protocol.Outcome,
+) -> tuple[state.EventKind, str]:
+    """Return the time line's kind and detail for an outcome."""
+    match outcome:
+        case protocol.Answered(coverage=coverage, version=version):
+            detail = (
+                f'{coverage.answered} of {coverage.shards} shards '
+                f'at version {version}'
+            )
+            return state.EventKind.ANSWERED, detail
+        case protocol.Recorded(repeat=repeat):
+            return state.EventKind.ANSWERED, 'repeat' if repeat else 'ran'
+        case protocol.Refused(reason=reason):
+            return state.EventKind.REFUSED, reason.value
+        case protocol.Unknown(detail=detail):
+            return state.EventKind.UNKNOWN, detail
+
+
+@contextlib.asynccontextmanager
+async def _task_group():
+    """Run tasks beside the body and cancel them when the body ends."""
+    async with asyncio.TaskGroup() as group:
+        tasks: list[asyncio.Task] = []
+        yield _Group(group, tasks)
+        for task in tasks:
+            task.cancel()
+
+
+class _Group:
+    """Creates tasks of a group and remembers them."""
+
+    def __init__(self, group: asyncio.TaskGroup, tasks: list[asyncio.Task]):
+        self._group = group
+        self._tasks = tasks
+
+    def create_task(self, coroutine) -> None:
+        """Start a task that ends with the group's body at the latest."""
+        self._tasks.append(self._group.create_task(coroutine))
--- /dev/null
+++ b/rudderrock/coordination/_members.py
@@ -0,0 +1,364 @@
+"""Which hosts there are, as one host sees it.
+
+Hosts probe one another in the manner of SWIM (Das, Gupta and Motivala,
+DSN 2002): one peer a period, others asked to probe when it is silent, news
+carried by the probes themselves, so what a host sends and receives does
+not grow with the fleet. A suspected host refutes by a higher incarnation.
+
+The platform's host list brings in hosts never heard of, and is asked
+before one that is silent is forgotten; neither source decides alone.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.coordination import _shares as shares
+
+# Each piece of news is sent this many times log2 of the fleet's size.
+_NEWS_REPEAT = 3
+_MILLIS = 1000
+_LIST_PERIODS = 10
+
+_SEVERITY = {
+    protocol.MemberState.ALIVE: 0,
+    protocol.MemberState.SUSPECT: 1,
+    protocol.MemberState.LEAVING: 2,
+    protocol.MemberState.FAILED: 3,
+}
+
+
+class Membership:
+    """The members this host knows of, itself among them.
+
+    Parameters: `me` is this host; `peers` and `host_list` are the ports;
+    `get_table` tells the revision in force and its age for digests;
+    `on_change` is called when the set of hosts has changed.
+    """
+
+    def __init__(
+        self,
+        me: protocol.Member,
+        peers: transport.PeerPort,
+        host_list: transport.HostListPort | None,
+        settings: state.MembershipSettings,
+        *,
+        book: shares.ShareBook,
+        get_table: Callable[[], tuple[state.Revision, float]],
+        on_digest: Callable[[protocol.Digest], None],
+        on_change: Callable[[], None],
+        clock: state.Clock,
+        hybrid: state.HybridClock,
+        source: random.Random,
+        ring: state.EventRing,
+    ):
+        self.me = me
+        self.heard_at: float | None = None
+        self.probes_sent = 0
+        self._peers = peers
+        self._host_list = host_list
+        self._settings = settings
+        self._book = book
+        self._get_table = get_table
+        self._on_digest = on_digest
+        self._on_change = on_change
+        self._clock = clock
+        self._hybrid = hybrid
+        self._source = source
+        self._ring = ring
+        self._members: dict[state.HostId, protocol.Member] = {}
+        self._changed_at: dict[state.HostId, float] = {}
+        self._news: dict[state.HostId, int] = {}
+        self._round: list[state.HostId] = []
+        self._listed: set[state.HostId] = set()
+        self._list_read = False
+
+    def list_live(self) -> list[protocol.Member]:
+        """Return the peers that are not known to have failed."""
+        return [
+            member
+            for member in self._members.values()
+            if member.state is not protocol.MemberState.FAILED
+        ]
+
+    def list_members(self) -> list[protocol.Member]:
+        """Return all members kept, this host first."""
+        return [self.me, *self._members.values()]
+
+    def list_sharing(self) -> set[state.HostId]:
+        """Return the hosts that limits and connections are shared with.
+
+        A host that seems failed goes on holding its part until it is
+        forgotten, because it may be serving on the far side of a broken
+        link.
+        """
+        return {self.me.host, *self._members}
+
+    @property
+    def is_alone(self) -> bool:
+        """Tell whether there is no other host, by all that is known."""
+        return self._list_read and not self._members
+
+    async def run(self) -> None:
+        """Probe one peer a period until cancelled."""
+        periods = 0
+        while True:
+            if periods % _LIST_PERIODS == 0:
+                await self._read_host_list()
+            periods += 1
+            self._age_members()
+            target = self._pick_target()
+            if target is not None:
+                await self._probe(target)
+            pause_s = self._settings.period_s * self._source.uniform(0.8, 1.2)
+            await asyncio.sleep(pause_s)
+
+    async def spread(self, fanout: int) -> None:
+        """Send what is new to some peers at once, without their asking."""
+        live = self.list_live()
+        chosen = self._source.sample(live, min(fanout, len(live)))
+        await asyncio.gather(*(self._send_probe(each) for each in chosen))
+
+    async def answer_probe(self, probe: protocol.Probe) -> protocol.ProbeReply:
+        """Answer a peer, or probe a third host on its behalf."""
+        self.hear(probe.digest)
+        reached = True
+        if probe.target is not None and probe.target.host != self.me.host:
+            reached = await self._send_probe(probe.target)
+        return protocol.ProbeReply(digest=self.make_digest(), reached=reached)
+
+    def make_digest(self) -> protocol.Digest:
+        """Return what goes on the next message."""
+        revision, age_s = self._get_table()
+        demands = self._book.list_demands()
+        if len(demands) > protocol.MAX_NEWS:
+            own = [each for each in demands if each.host == self.me.host]
+            demands = own + self._source.sample(demands, protocol.MAX_NEWS)
+        return protocol.Digest(
+            sender=self.me,
+            stamp=self._hybrid.tick(),
+            table_revision=revision,
+            table_age_s=min(age_s, 1e9),
+            news=self._pick_news(),
+            demands=demands,
+        )
+
+    def hear(self, digest: protocol.Digest) -> None:
+        """Take in a peer's digest."""
+        self.heard_at = self._clock.now()
+        self._hybrid.hear(digest.stamp)
+        for demand in digest.demands:
+            self._book.hear(demand)
+        self._note(digest.sender)
+        for member in digest.news:
+            self._note(member)
+        self._on_digest(digest)
+
+    def announce_leaving(self) -> None:
+        """State that this host leaves; peers stop counting on it."""
+        self._set_own_state(protocol.MemberState.LEAVING)
+
+    def _set_own_state(self, new: protocol.MemberState) -> None:
+        self.me = protocol.Member(
+            host=self.me.host,
+            zone=self.me.zone,
+            control=self.me.control,
+            incarnation=self.me.incarnation + 1,
+            state=new,
+        )
+        self._news[self.me.host] = self._get_news_count()
+
+    def _note(self, member: protocol.Member) -> None:
+        """Take in one statement about one member, if it is news."""
+        if member.host == self.me.host:
+            self._refute(member)
+            return
+        known = self._members.get(member.host)
+        if known is not None and not _is_later(member, known):
+            return
+        if known is None and member.state is protocol.MemberState.FAILED:
+            return
+        self._set_member(member)
+
+    def _refute(self, member: protocol.Member) -> None:
+        """Contradict a statement that this host is suspect or failed."""
+        wrong = member.state is not self.me.state
+        if wrong and member.incarnation >= self.me.incarnation:
+            self.me = protocol.Member(
+                host=self.me.host,
+                zone=self.me.zone,
+                control=self.me.control,
+                incarnation=member.incarnation + 1,
+                state=self.me.state,
+            )
+            self._news[self.me.host] = self._get_news_count()
+
+    def _set_member(self, member: protocol.Member) -> None:
+        known = self._members.get(member.host)
+        self._members[member.host] = member
+        self._changed_at[member.host] = self._clock.now()
+        self._news[member.host] = self._get_news_count()
+        if known is None or known.state is not member.state:
+            self._ring.record(
+                state.EventKind.PEER_STATE,
+                detail=f'{member.host} {member.state.value}',
+            )
+        if known is None:
+            self._on_change()
+
+    def _forget(self, host: state.HostId) -> None:
+        del self._members[host]
+        self._changed_at.pop(host, None)
+        self._news.pop(host, None)
+        self._ring.record(
+            state.EventKind.PEER_STATE, detail=f'{host} forgotten'
+        )
+        self._on_change()
+
+    def _change_state(
+        self, member: protocol.Member, new: protocol.MemberState
+    ) -> None:
+        self._set_member(
+            protocol.Member(
+                host=member.host,
+                zone=member.zone,
+                control=member.control,
+                incarnation=member.incarnation,
+                state=new,
+            )
+        )
+
+    def _age_members(self) -> None:
+        """Let suspects fail, and forget those that are gone for long."""
+        now = self._clock.now()
+        settings = self._settings
+        for member in list(self._members.values()):
+            since_s = now - self._changed_at[member.host]
+            match member.state:
+                case protocol.MemberState.SUSPECT:
+                    if since_s >= settings.suspect_s:
+                        self._change_state(member, protocol.MemberState.FAILED)
+                case protocol.MemberState.FAILED:
+                    if since_s >= settings.forget_s and self._may_forget(
+                        member.host
+                    ):
+                        self._forget(member.host)
+
+    def _may_forget(self, host: state.HostId) -> bool:
+        """Tell whether the platform agrees that a host is gone."""
+        return self._list_read and host not in self._listed
+
+    def _pick_target(self) -> protocol.Member | None:
+        """Return the next peer of a shuffled round over all of them."""
+        while self._round:
+            member = self._members.get(self._round.pop())
+            if member is not None:
+                return member
+        self._round = list(self._members)
+        self._source.shuffle(self._round)
+        if not self._round:
+            return None
+        return self._members[self._round.pop()]
+
+    async def _probe(self, target: protocol.Member) -> None:
+        """Probe a peer, with the help of others if it is silent."""
+        if await self._send_probe(target):
+            return
+        if await self._ask_others(target):
+            return
+        known = self._members.get(target.host)
+        if known is None:
+            return
+        if known.state is protocol.MemberState.ALIVE:
+            self._change_state(known, protocol.MemberState.SUSPECT)
+        elif known.state is protocol.MemberState.LEAVING:
+            self._change_state(known, protocol.MemberState.FAILED)
+
+    async def _ask_others(self, target: protocol.Member) -> bool:
+        others = [
+            each for each in self.list_live() if each.host != target.host
+        ]
+        count = min(self._settings.indirect, len(others))
+        helpers = self._source.sample(others, count)
+        reached = await asyncio.gather(
+            *(self._send_probe(each, target) for each in helpers)
+        )
+        return any(reached)
+
+    async def _send_probe(
+        self,
+        address: protocol.Member,
+        target: protocol.Member | None = None,
+    ) -> bool:
+        """Send one probe; tell whether the one probed was reached."""
+        self.probes_sent += 1
+        timeout_s = self._settings.probe_timeout_s
+        if target is not None:
+            timeout_s *= 2
+        probe = protocol.Probe(digest=self.make_digest(), target=target)
+        reply = await self._peers.probe(address.control, probe, timeout_s)
+        match reply:
+            case result.Ok(answer):
+                self.hear(answer.digest)
+                return answer.reached
+        return False
+
+    async def _read_host_list(self) -> None:
+        if self._host_list is None:
+            return
+        listed = await self._host_list.list_hosts()
+        if listed.is_err():
+            return
+        self._list_read = True
+        self._listed = {each.host for each in listed.unwrap()}
+        for each in listed.unwrap():
+            if each.host in self._members or each.host == self.me.host:
+                continue
+            if not each.leaving:
+                self._note(
+                    protocol.Member(
+                        host=each.host,
+                        zone=each.zone,
+                        control=each.control,
+                        incarnation=0,
+                        state=protocol.MemberState.ALIVE,
+                    )
+                )
+
+    def _get_news_count(self) -> int:
+        return _NEWS_REPEAT * max(1, len(self._members).bit_length())
+
+    def _pick_news(self) -> list[protocol.Member]:
+        """Return the news sent least often, then any other members."""
+        fresh = sorted(self._news.items(), key=lambda each: -each[1])
+        chosen: dict[state.HostId, protocol.Member] = {}
+        for host, left in fresh[: protocol.MAX_NEWS]:
+            member = self._members.get(host)
+            if member is not None:
+                chosen[host] = member
+            if left <= 1:
+                del self._news[host]
+            else:
+                self._news[host] = left - 1
+        room = protocol.MAX_NEWS - len(chosen)
+        rest = [host for host in self._members if host not in chosen]
+        for host in self._source.sample(rest, min(room, len(rest))):
+            chosen[host] = self._members[host]
+        return list(chosen.values())
+
+
+def make_incarnation(clock: state.Clock) -> int:
+    """Return a first incarnation later than any of an earlier process."""
+    return round(clock.wall() * _MILLIS)
+
+
+def _is_later(news: protocol.Member, known: protocol.Member) -> bool:
+    """Tell whether a statement overrides what is known of a member."""
+    if news.incarnation != known.incarnation:
+        return news.incarnation > known.incarnation
+    return _SEVERITY[news.state] > _SEVERITY[known.state]
--- /dev/null
+++ b/rudderrock/coordination/_metrics.py
@@ -0,0 +1,133 @@
+"""What a host counts, and its two forms: Prometheus text and JSON."""
+
+import collections
+import dataclasses
+
+from hdrh import histogram
+
+from rudderrock import protocol
+from rudderrock import state
+
+_MICROS = 1_000_000
+_HIGHEST = 120 * _MICROS
+_PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+@dataclasses.dataclass(slots=True)
+class TeamMetrics:
+    """One team's outcomes, coverage and latency."""
+
+    outcomes: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    shards: int = 0
+    shards_answered: int = 0
+    latency: histogram.HdrHistogram = dataclasses.field(
+        default_factory=lambda: histogram.HdrHistogram(1, _HIGHEST, 2)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Sample:
+    """One figure with its name and labels."""
+
+    name: str
+    value: float
+    labels: dict[str, str]
+
+
+class HostMetrics:
+    """Counts by team, and samples of a host's present state."""
+
+    def __init__(self, clock: state.Clock):
+        self._clock = clock
+        self._teams: dict[state.TeamId, TeamMetrics] = {}
+
+    def note(
+        self, team: state.TeamId, outcome: protocol.Outcome, seconds: float
+    ) -> None:
+        """Count one outcome and the time it took."""
+        metrics = self._teams.setdefault(team, TeamMetrics())
+        metrics.outcomes[_name_outcome(outcome)] += 1
+        match outcome:
+            case protocol.Answered(coverage=coverage):
+                metrics.shards += coverage.shards
+                metrics.shards_answered += coverage.answered
+                micros = min(max(1, round(seconds * _MICROS)), _HIGHEST)
+                metrics.latency.record_value(micros)
+
+    def list_samples(self) -> list[Sample]:
+        """Return all figures by team."""
+        samples = []
+        for team, metrics in sorted(self._teams.items()):
+            samples.extend(_list_team_samples(team, metrics))
+        return samples
+
+
+def _name_outcome(outcome: protocol.Outcome) -> str:
+    match outcome:
+        case protocol.Answered():
+            return 'answered'
+        case protocol.Recorded():
+            return 'recorded'
+        case protocol.Refused(reason=reason):
+            return f'refused_{reason.value}'
+        case protocol.Unknown():
+            return 'unknown'
+
+
+def _list_team_samples(
+    team: state.TeamId, metrics: TeamMetrics
+) -> list[Sample]:
+    label = {'team': str(team)}
+    samples = [
+        Sample(
+            name='rudderrock_requests_total',
+            value=count,
+            labels={**label, 'outcome': outcome},
+        )
+        for outcome, count in sorted(metrics.outcomes.items())
+    ]
+    samples += [
+        Sample(
+            name='rudderrock_shards_total', value=metrics.shards, labels=label
+        ),
+        Sample(
+            name='rudderrock_shards_answered_total',
+            value=metrics.shards_answered,
+            labels=label,
+        ),
+    ]
+    if metrics.latency.get_total_count():
+        read = metrics.latency.get_value_at_percentile
+        samples += [
+            Sample(
+                name='rudderrock_latency_seconds',
+                value=read(percentile) / _MICROS,
+                labels={**label, 'quantile': f'{percentile / 100:g}'},
+            )
+            for percentile in _PERCENTILES
+        ]
+    return samples
+
+
+def format_prometheus(samples: list[Sample]) -> str:
+    """Return samples in the Prometheus text exposition format 0.0.4."""
+    lines = []
+    named = ''
+    for sample in sorted(samples, key=lambda each: each.name):
+        if sample.name != named:
+            named = sample.name
+            kind = 'counter' if named.endswith('_total') else 'gauge'
+            lines.append(f'# TYPE {named} {kind}')
+        labels = ','.join(
+            f'{key}="{_escape(value)}"'
+            for key, value in sorted(sample.labels.items())
+        )
+        lines.append(f'{named}{{{labels}}} {sample.value:g}')
+    return '\n'.join(lines) + '\n'
+
+
+def _escape(value: str) -> str:
+    escaped = value.replace('\\', r'\\').replace('"', r'\"')
+    return escaped.replace('\n', r'\n')
--- /dev/null
+++ b/rudderrock/coordination/_operators.py
@@ -0,0 +1,158 @@
+"""The operators' side of the table: edits that are never misreported.
+
+An edit is one compare-and-swap of the whole table. When its reply is lost,
+the same swap is tried again: either it succeeds, or the conflict shows the
+table as it is, in which the edit's own id stands if it took effect.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.coordination import _follow as follow
+
+_FIRST_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 1.0
+_TOO_LARGE = f'the table would have more than {state.MAX_TABLE_BYTES} bytes'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditAccepted:
+    """The edit took effect, as this revision."""
+
+    edit: state.Edit
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditLost:
+    """Another edit of the row came first; nothing was changed."""
+
+    current: state.TeamRow | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditInvalid:
+    """The row fails its checks; nothing was changed."""
+
+    problems: state.Problems
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EditUncertain:
+    """The service did not answer in time; the edit may have taken effect.
+
+    Trying again with the same edit id is safe and settles it.
+    """
+
+    detail: str
+
+
+EditOutcome = EditAccepted | EditLost | EditInvalid | EditUncertain
+
+
+class TableEditor:
+    """Reads and edits the table for an operator.
+
+    Parameters: `kv` is the key-value service; `source` makes edit ids,
+    which must not repeat, so outside tests it is the system's.
+    """
+
+    def __init__(
+        self,
+        kv: transport.KvPort,
+        clock: state.Clock,
+        source: random.Random,
+    ):
+        self._kv = kv
+        self._clock = clock
+        self._source = source
+
+    async def read(
+        self,
+    ) -> result.Result[state.Table, str]:
+        """Read the table as the service has it now."""
+        entry = await self._kv.get(follow.TABLE_KEY)
+        return entry.map_err(lambda err: err.detail).and_then(_decode)
+
+    def make_edit_id(self) -> state.EditId:
+        """Return a new edit id."""
+        return state.EditId(f'{self._source.getrandbits(96):024x}')
+
+    async def edit(
+        self, change: state.Change, timeout_s: float
+    ) -> EditOutcome:
+        """Apply one change; tell truthfully what became of it."""
+        problems = _check_change(change)
+        if problems:
+            return EditInvalid(problems)
+        end = self._clock.now() + timeout_s
+        pause_s = _FIRST_PAUSE_S
+        entry: protocol.Entry | None = None
+        while True:
+            if entry is None:
+                read = await self._kv.get(follow.TABLE_KEY)
+                entry = read.ok()
+            if entry is not None:
+                settled = await self._try(change, entry)
+                if not isinstance(settled, protocol.Entry | None):
+                    return settled
+                entry = settled
+                if entry is not None:
+                    continue
+            if self._clock.now() + pause_s >= end:
+                return EditUncertain('the key-value service is silent')
+            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.0))
+            pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
+
+    async def _try(
+        self, change: state.Change, entry: protocol.Entry
+    ) -> EditOutcome | protocol.Entry | None:
+        """Try one swap; return the outcome, a newer entry, or None."""
+        decoded = _decode(entry)
+        if decoded.is_err():
+            problem = state.Problem('table', decoded.unwrap_err())
+            return EditInvalid((problem,))
+        table = decoded.unwrap()
+        earlier = table.find_edit(change.edit_id)
+        if earlier is not None:
+            return EditAccepted(earlier)
+        applied = state.apply_change(table, change, self._clock.wall())
+        if applied.is_err():
+            return EditLost(applied.unwrap_err().current)
+        value = protocol.encode(applied.unwrap())
+        if len(value) > state.MAX_TABLE_BYTES:
+            return EditInvalid((state.Problem('table', _TOO_LARGE),))
+        swapped = await self._kv.swap(
+            protocol.SwapRequest(
+                key=follow.TABLE_KEY, value=value, expected=entry.version
+            )
+        )
+        match swapped:
+            case result.Ok(_):
+                return EditAccepted(applied.unwrap().history[-1])
+            case result.Err(transport.KvConflict(current)):
+                return current
+        return None
+
+
+def _decode(entry: protocol.Entry) -> result.Result[state.Table, str]:
+    if entry.value is None:
+        return result.Ok(state.Table())
+    return protocol.decode(state.Table, entry.value)
+
+
+def _check_change(change: state.Change) -> state.Problems:
+    if change.row is None:
+        return ()
+    checked = state.make_checked(state.TeamRow, dataclasses.asdict(change.row))
+    if checked.is_err():
+        return checked.unwrap_err()
+    if change.row.team != change.team:
+        message = f'must be {change.team!r}; {change.row.team!r} was given'
+        return (state.Problem('team', message),)
+    return ()
--- /dev/null
+++ b/rudderrock/coordination/_query.py
@@ -0,0 +1,622 @@
+"""One query from its pinned index version to its answer.
+
+A query pins one version and accepts answers of that version only, whoever
+brings them. One task sees the query through: it sends a request for every
+shard, hedges those that are late, retries what failed safely, and counts
+coverage from the answers it accepted.
+"""
+
+import asyncio
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock.coordination import _attempt as attempts
+from rudderrock.coordination import _budget as budgets
+from rudderrock.coordination import _dispatch as dispatch
+from rudderrock.coordination import _latency as latency
+
+_MAX_RESTARTS = 2
+_UNKNOWN_HEDGE_DELAY_S = 0.05
+_SERVABLE_MEMORY_S = 0.05
+# No restart at another version with less than this part of the time left.
+_RESTART_TIME_FRACTION = 0.2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class _ShardCall:
+    """The state of one shard within one query."""
+
+    service: dispatch.Service
+    hedge_delay_s: float
+    in_flight: list[attempts.Attempt] = dataclasses.field(default_factory=list)
+    failed: set[state.UpstreamId] = dataclasses.field(default_factory=set)
+    lacking: set[state.UpstreamId] = dataclasses.field(default_factory=set)
+    tries: int = 0
+    hedged: bool = False
+    miss: protocol.MissReason | None = None
+    answer: protocol.ShardAnswer | None = None
+
+    @property
+    def is_over(self) -> bool:
+        return self.answer is not None or self.miss is not None
+
+
+class _Due(typing.NamedTuple):
+    """A time at which a shard wants to be looked at again."""
+
+    when: float
+    order: int
+    call: _ShardCall
+    retry: protocol.MissReason | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class QueryTicket:
+    """An admitted query: who asks, what, and until when.
+
+    `deadline` and `soft_deadline` are in loop time.
+    """
+
+    query_id: state.QueryId
+    row: state.TeamRow
+    query: protocol.Query
+    deadline: float
+    soft_deadline: float
+
+
+@dataclasses.dataclass(slots=True)
+class QueryCounters:
+    """Counts over the life of a host, for its metrics.
+
+    `first`, `hedges` and `retries` are requests sent to upstreams;
+    `shards` is what was asked for. Extra load is what was sent beyond it.
+    """
+
+    shards: int = 0
+    first: int = 0
+    hedges: int = 0
+    retries: int = 0
+    hedge_wins: int = 0
+    hedges_denied: int = 0
+    retries_denied: int = 0
+    restarts: int = 0
+
+    @property
+    def extra_load(self) -> float:
+        """Return extra requests as a part of those asked for."""
+        return (self.hedges + self.retries) / max(1, self.shards)
+
+
+class TeamBudgets:
+    """The retry budget of each team, beside that of each service."""
+
+    def __init__(self, settings: state.RetrySettings):
+        self._settings = settings
+        self._budgets: dict[state.TeamId, budgets.Budget] = {}
+
+    def find(self, team: state.TeamId) -> budgets.Budget:
+        """Return a team's budget."""
+        budget = self._budgets.get(team)
+        if budget is None:
+            budget = budgets.Budget(
+                self._settings.budget, self._settings.burst
+            )
+            self._budgets[team] = budget
+        return budget
+
+
+class QueryRunner:
+    """Runs admitted queries against the services of one host."""
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        settings: state.Settings,
+        clock: state.Clock,
+        source: random.Random,
+        ring: state.EventRing,
+    ):
+        self.counters = QueryCounters()
+        self._dispatcher = dispatcher
+        self._settings = settings
+        self._clock = clock
+        self._source = source
+        self._ring = ring
+        self._teams = TeamBudgets(settings.retries)
+        self._hedges = budgets.Budget(
+            settings.hedging.budget, settings.hedging.host_burst
+        )
+        self._servable: dict[state.CollectionId, tuple[float, dict]] = {}
+        self._pooled: dict[state.CollectionId, latency.LatencyWindow] = {}
+
+    async def run(
+        self, ticket: QueryTicket, collection: state.Collection
+    ) -> protocol.Answered:
+        """Ask every shard and return the result with its true coverage.
+
+        When the pinned version turns out to be gone from a shard and
+        another one is served, the query starts again there, from nothing.
+        """
+        given_up: set[state.IndexVersion] = set()
+        placement = self.choose_placement(collection, given_up)
+        for _ in range(_MAX_RESTARTS):
+            gathering = _Gathering(self, ticket, placement)
+            gone = await gathering.run(may_restart=True)
+            if not gone:
+                return gathering.make_answer()
+            given_up.add(placement.version)
+            # The layout may have moved on while the query ran.
+            current = self._dispatcher.find_collection(collection.collection)
+            if current is None or not self._has_time(ticket):
+                return gathering.make_answer()
+            better = self.choose_placement(current, given_up)
+            if better is None:
+                return gathering.make_answer()
+            self._note_restart(ticket, placement, better)
+            placement = better
+        gathering = _Gathering(self, ticket, placement)
+        await gathering.run(may_restart=False)
+        return gathering.make_answer()
+
+    def choose_placement(
+        self,
+        collection: state.Collection,
+        given_up: set[state.IndexVersion],
+    ) -> state.Placement | None:
+        """Return the version that most shards can serve, newest of equals."""
+        servable = self._count_servable(collection)
+        candidates = [
+            placement
+            for placement in collection.placements
+            if placement.version not in given_up
+        ]
+        if not candidates:
+            return None
+        return max(
+            candidates,
+            key=lambda each: (servable[each.version], each.version),
+        )
+
+    def find_pooled(
+        self, collection: state.CollectionId
+    ) -> latency.LatencyWindow:
+        """Return the latency of all of a collection's services together.
+
+        It stands in for that of a service that has had few requests yet.
+        """
+        pooled = self._pooled.get(collection)
+        if pooled is None:
+            pooled = latency.LatencyWindow(self._clock, refresh_s=0.2)
+            self._pooled[collection] = pooled
+        return pooled
+
+    def _count_servable(
+        self, collection: state.Collection
+    ) -> dict[state.IndexVersion, float]:
+        """Return the part of the shards that can serve each version."""
+        now = self._clock.now()
+        known = self._servable.get(collection.collection)
+        if known is not None and known[0] > now:
+            versions = {each.version for each in collection.placements}
+            if versions == set(known[1]):
+                return known[1]
+        servable = {
+            placement.version: self._measure(placement)
+            for placement in collection.placements
+        }
+        fresh = (now + _SERVABLE_MEMORY_S, servable)
+        self._servable[collection.collection] = fresh
+        return servable
+
+    def _measure(self, placement: state.Placement) -> float:
+        able = sum(
+            self._dispatcher.can_serve(shard, placement.version)
+            for shard in placement.shards
+        )
+        return able / max(1, len(placement.shards))
+
+    def _has_time(self, ticket: QueryTicket) -> bool:
+        left = ticket.deadline - self._clock.now()
+        return left > _RESTART_TIME_FRACTION * ticket.row.deadline_s
+
+    def _note_restart(
+        self,
+        ticket: QueryTicket,
+        old: state.Placement,
+        new: state.Placement,
+    ) -> None:
+        self.counters.restarts += 1
+        self._servable.clear()
+        self._ring.record(
+            state.EventKind.VERSION_RESTART,
+            team=state.TeamId(ticket.row.team),
+            query=ticket.query_id,
+            detail=f'{old.version} to {new.version}',
+        )
+
+
+class _Gathering:
+    """One pass of one query over all shards of one version."""
+
+    def __init__(
+        self,
+        runner: QueryRunner,
+        ticket: QueryTicket,
+        placement: state.Placement,
+    ):
+        self._runner = runner
+        self._ticket = ticket
+        self._placement = placement
+        self._clock = runner._clock
+        self._dispatcher = runner._dispatcher
+        self._settings = runner._settings
+        self._counters = runner.counters
+        self._pooled = runner.find_pooled(ticket.query.collection)
+        self._mailbox = attempts.Mailbox(asyncio.get_running_loop())
+        self._order = itertools.count()
+        self._due: list[_Due] = []
+        self._calls: dict[state.ShardId, _ShardCall] = {}
+        self._open = 0
+        self._gone = False
+        self._wall_deadline = (
+            self._clock.wall() + ticket.deadline - self._clock.now()
+        )
+
+    async def run(self, may_restart: bool) -> bool:
+        """Gather until done; tell whether the version turned out gone."""
+        try:
+            self._start()
+            while self._open and not (self._gone and may_restart):
+                until = self._get_next_time()
+                if self._clock.has_reached(self._get_end()):
+                    break
+                for attempt, reply in await self._mailbox.take(until):
+                    self._handle(attempt, reply)
+                self._look_at_due()
+        except asyncio.CancelledError:
+            self._cancel_all()
+            raise
+        if self._gone and may_restart:
+            self._cancel_all()
+            return True
+        self._finish()
+        return False
+
+    def make_answer(self) -> protocol.Answered:
+        """Merge what was accepted, and count coverage from just that."""
+        accepted = [
+            call.answer for call in self._calls.values() if call.answer
+        ]
+        missing = {
+            shard: call.miss
+            for shard, call in self._calls.items()
+            if call.answer is None
+        }
+        hits = itertools.chain.from_iterable(
+            answer.hits for answer in accepted
+        )
+        best = heapq.nsmallest(
+            self._ticket.query.limit,
+            hits,
+            key=lambda hit: (-hit.score, hit.id),
+        )
+        return protocol.Answered(
+            query=self._ticket.query_id,
+            version=self._placement.version,
+            coverage=protocol.Coverage(
+                shards=len(self._calls),
+                answered=len(accepted),
+                missing=missing,
+            ),
+            hits=best,
+        )
+
+    def _start(self) -> None:
+        team = self._runner._teams.find(self._ticket.row.team)
+        for shard in self._placement.shards:
+            service = self._dispatcher.find_service(shard)
+            delay_s = self._get_hedge_delay_s(service)
+            call = _ShardCall(service=service, hedge_delay_s=delay_s)
+            self._calls[shard] = call
+            self._open += 1
+            self._counters.shards += 1
+            service.hedges.earn()
+            self._runner._hedges.earn()
+            service.retries.earn()
+            team.earn()
+            self._send_first(call)
+
+    def _send_first(self, call: _ShardCall) -> None:
+        if not call.service.is_reachable:
+            self._miss(call, protocol.MissReason.LOST)
+            return
+        attempt = self._make_attempt(call, attempts.AttemptKind.FIRST)
+        self._counters.first += 1
+        self._dispatcher.submit(call.service, attempt)
+        if self._settings.hedging.enabled:
+            self._look_later(call, call.hedge_delay_s)
+
+    def _get_hedge_delay_s(self, service: dispatch.Service) -> float:
+        hedging = self._settings.hedging
+        observed = service.latency.get_percentile(hedging.percentile)
+        if observed is None:
+            observed = self._pooled.get_percentile(hedging.percentile)
+        if observed is None:
+            return max(_UNKNOWN_HEDGE_DELAY_S, hedging.min_delay_s)
+        return max(observed, hedging.min_delay_s)
+
+    def _get_end(self) -> float:
+        """Return the time at which the answer is given with what there is."""
+        row = self._ticket.row
+        if row.coverage_policy is state.CoveragePolicy.WAIT:
+            return self._ticket.deadline
+        done = sum(call.answer is not None for call in self._calls.values())
+        if done >= row.coverage * len(self._calls):
+            return self._ticket.soft_deadline
+        return self._ticket.deadline
+
+    def _get_next_time(self) -> float:
+        end = self._get_end()
+        return min(end, self._due[0].when) if self._due else end
+
+    def _make_attempt(
+        self,
+        call: _ShardCall,
+        kind: attempts.AttemptKind,
+        avoid: frozenset[state.UpstreamId] = frozenset(),
+    ) -> attempts.Attempt:
+        number = next(self._order)
+        request = protocol.ShardRequest(
+            request_id=state.RequestId(f'{self._ticket.query_id}.{number}'),
+            shard=call.service.shard,
+            version=self._placement.version,
+            body=self._ticket.query.body,
+            limit=self._ticket.query.limit,
+            deadline=self._wall_deadline,
+        )
+        attempt = attempts.Attempt(
+            request=request,
+            row=self._ticket.row,
+            kind=kind,
+            deadline=self._ticket.deadline,
+            grace_s=self._settings.routing.exchange_grace_s,
+            mailbox=self._mailbox,
+            avoid=avoid,
+        )
+        call.in_flight.append(attempt)
+        call.tries += 1
+        return attempt
+
+    def _look_later(
+        self,
+        call: _ShardCall,
+        delay_s: float,
+        retry: protocol.MissReason | None = None,
+    ) -> None:
+        self._look_at(call, self._clock.now() + delay_s, retry)
+
+    def _look_at(
+        self,
+        call: _ShardCall,
+        when: float,
+        retry: protocol.MissReason | None = None,
+    ) -> None:
+        due = _Due(when, next(self._order), call, retry)
+        heapq.heappush(self._due, due)
+
+    def _look_at_due(self) -> None:
+        while self._due and self._clock.has_reached(self._due[0].when):
+            due = heapq.heappop(self._due)
+            if due.call.is_over:
+                continue
+            if due.retry is not None:
+                self._retry(due.call, due.retry)
+            else:
+                self._consider_hedge(due.call)
+
+    def _consider_hedge(self, call: _ShardCall) -> None:
+        """Send a second request if the first is late and it may help."""
+        if call.hedged or len(call.in_flight) != 1:
+            return
+        first = call.in_flight[0]
+        if first.sent_at is None:
+            # It waits for a slot; a second request would only wait too.
+            self._look_later(call, call.hedge_delay_s)
+            return
+        late_at = first.sent_at + call.hedge_delay_s
+        if not self._clock.has_reached(late_at):
+            self._look_at(call, late_at)
+            return
+        self._hedge(call, first)
+
+    def _hedge(self, call: _ShardCall, first: attempts.Attempt) -> None:
+        service = call.service
+        service.note_late(True)
+        call.hedged = True
+        paused = service.late > self._settings.hedging.pause_above
+        affordable = (
+            service.hedges.can_spend() and self._runner._hedges.can_spend()
+        )
+        if paused or not affordable:
+            self._counters.hedges_denied += 1
+            return
+        avoid = frozenset({first.upstream, *call.failed, *call.lacking})
+        hedge = self._make_attempt(call, attempts.AttemptKind.HEDGE, avoid)
+        if not self._dispatcher.try_now(service, hedge):
+            call.in_flight.remove(hedge)
+            return
+        service.hedges.spend()
+        self._runner._hedges.spend()
+        self._counters.hedges += 1
+        self._record(state.EventKind.HEDGE, hedge)
+
+    def _handle(
+        self, attempt: attempts.Attempt, reply: protocol.ShardReply
+    ) -> None:
+        call = self._calls[attempt.request.shard]
+        if attempt in call.in_flight:
+            call.in_flight.remove(attempt)
+        if call.is_over:
+            return
+        match reply:
+            case protocol.ShardAnswer():
+                self._accept(call, attempt, reply)
+            case protocol.ShardRejected():
+                self._handle_rejection(call, attempt, reply)
+            case protocol.ShardLost():
+                call.failed.add(attempt.upstream)
+                self._retry_unless_hedged(call, protocol.MissReason.LOST)
+            case protocol.ShardTimeout():
+                self._retry_unless_hedged(call, protocol.MissReason.TIMEOUT)
+
+    def _accept(
+        self,
+        call: _ShardCall,
+        attempt: attempts.Attempt,
+        answer: protocol.ShardAnswer,
+    ) -> None:
+        elapsed = self._clock.now() - attempt.sent_at
+        if not call.service.latency.is_filled:
+            self._pooled.record(elapsed)
+        if not call.hedged:
+            call.service.note_answer(elapsed, call.hedge_delay_s)
+        elif attempt.kind is attempts.AttemptKind.HEDGE:
+            self._counters.hedge_wins += 1
+            # The first one took at least as long; leaving it out would
+            # let the percentile sink under its own hedges.
+            first_sent = min(
+                (each.sent_at for each in call.in_flight if each.sent_at),
+                default=attempt.sent_at,
+            )
+            call.service.latency.record(self._clock.now() - first_sent)
+        else:
+            call.service.latency.record(elapsed)
+        call.answer = answer
+        self._close(call)
+
+    def _handle_rejection(
+        self,
+        call: _ShardCall,
+        attempt: attempts.Attempt,
+        rejected: protocol.ShardRejected,
+    ) -> None:
+        match rejected.kind:
+            case protocol.RejectionKind.VERSION:
+                call.lacking.add(attempt.upstream)
+                self._retry_unless_hedged(call, protocol.MissReason.VERSION)
+            case protocol.RejectionKind.LEAVING:
+                call.failed.add(attempt.upstream)
+                self._retry_unless_hedged(call, protocol.MissReason.LOST)
+            case protocol.RejectionKind.SHED:
+                call.failed.add(attempt.upstream)
+                self._retry_unless_hedged(
+                    call, protocol.MissReason.SHED, rejected.retry_after_s
+                )
+            case protocol.RejectionKind.EXPIRED:
+                self._miss(call, protocol.MissReason.TIMEOUT)
+            case protocol.RejectionKind.REFUSED:
+                self._miss(call, protocol.MissReason.REFUSED)
+
+    def _retry_unless_hedged(
+        self,
+        call: _ShardCall,
+        reason: protocol.MissReason,
+        retry_after_s: float = 0.0,
+    ) -> None:
+        """Try another replica now, or the same ones after a pause."""
+        if call.in_flight:
+            return
+        if self._has_untried(call):
+            self._retry(call, reason)
+            return
+        if len(call.lacking) == len(call.service.links):
+            self._gone = True
+            self._miss(call, protocol.MissReason.VERSION)
+            return
+        pause_s = max(retry_after_s, self._get_backoff_s(call))
+        if self._clock.now() + pause_s >= self._ticket.deadline:
+            self._miss(call, reason)
+            return
+        call.failed.clear()
+        self._look_later(call, pause_s, reason)
+
+    def _has_untried(self, call: _ShardCall) -> bool:
+        tried = call.failed | call.lacking
+        return any(
+            link.upstream.upstream not in tried and link.is_reachable
+            for link in call.service.links
+        )
+
+    def _get_backoff_s(self, call: _ShardCall) -> float:
+        """Return a pause that doubles with each try, with full jitter."""
+        longest = self._settings.retries.backoff_s * 2**call.tries
+        return self._runner._source.uniform(0.5, 1.0) * longest
+
+    def _retry(self, call: _ShardCall, reason: protocol.MissReason) -> None:
+        team = self._runner._teams.find(self._ticket.row.team)
+        retries = self._settings.retries
+        allowed = retries.enabled and call.tries < retries.max_attempts
+        if not (allowed and call.service.is_reachable):
+            self._miss(call, reason)
+            return
+        if not budgets.spend_all((call.service.retries, team)):
+            self._counters.retries_denied += 1
+            self._miss(call, reason)
+            return
+        self._counters.retries += 1
+        avoid = frozenset(call.failed | call.lacking)
+        attempt = self._make_attempt(call, attempts.AttemptKind.RETRY, avoid)
+        self._dispatcher.submit(call.service, attempt)
+        self._record(state.EventKind.RETRY, attempt, reason.value)
+
+    def _record(
+        self,
+        kind: state.EventKind,
+        attempt: attempts.Attempt,
+        detail: str = '',
+    ) -> None:
+        self._runner._ring.record(
+            kind,
+            team=state.TeamId(self._ticket.row.team),
+            query=self._ticket.query_id,
+            upstream=attempt.upstream,
+            detail=f'{attempt.request.shard} {detail}'.rstrip(),
+        )
+
+    def _miss(self, call: _ShardCall, reason: protocol.MissReason) -> None:
+        call.miss = reason
+        self._close(call)
+
+    def _close(self, call: _ShardCall) -> None:
+        self._open -= 1
+        for attempt in call.in_flight:
+            attempt.cancel()
+        call.in_flight.clear()
+
+    def _cancel_all(self) -> None:
+        """Give up all that is under way, and tell the upstreams."""
+        for call in self._calls.values():
+            for attempt in call.in_flight:
+                attempt.cancel()
+
+    def _finish(self) -> None:
+        """Give up what is still open, with its reason."""
+        at_deadline = self._clock.has_reached(self._ticket.deadline)
+        for call in self._calls.values():
+            if call.is_over:
+                continue
+            if at_deadline:
+                call.miss = protocol.MissReason.TIMEOUT
+            else:
+                call.miss = protocol.MissReason.EARLY
+            for attempt in call.in_flight:
+                # At the deadline the upstreams stop by themselves.
+                if at_deadline:
+                    attempt.detach()
+                else:
+                    attempt.cancel()
--- /dev/null
+++ b/rudderrock/coordination/_shares.py
@@ -0,0 +1,101 @@
+"""How much of a team's tier-wide limit one host may use.
+
+A part of each limit is split evenly, the rest by the demand that hosts
+state to one another. A host uses for itself what it has stated, not what
+it sees this instant, so that all hosts divide by the same numbers as soon
+as they have heard one another.
+"""
+
+import collections
+
+from rudderrock import protocol
+from rudderrock import state
+
+_MIN_RATE = 0.01
+
+
+class ShareBook:
+    """Demand of teams at this host and, as stated, at its peers.
+
+    Parameters: `host` is this host's id, `settings` the split.
+    """
+
+    def __init__(
+        self,
+        host: state.HostId,
+        settings: state.ShareSettings,
+        clock: state.Clock,
+    ):
+        self._host = host
+        self._settings = settings
+        self._clock = clock
+        self._asked: collections.Counter[state.TeamId] = collections.Counter()
+        self._rates: dict[state.TeamId, float] = {}
+        self._stated: dict[state.HostId, protocol.Demand] = {}
+        self._count = 0
+        self._stated_at = clock.now()
+        self._hosts = 1
+
+    def note(self, team: state.TeamId, cost: int) -> None:
+        """Take note of shard requests asked for, also if refused."""
+        self._asked[team] += cost
+
+    def set_hosts(self, hosts: set[state.HostId]) -> None:
+        """Set which hosts share the limits, this one among them."""
+        self._hosts = max(1, len(hosts))
+        for host in set(self._stated) - hosts - {self._host}:
+            del self._stated[host]
+
+    def state_demand(self) -> protocol.Demand:
+        """Average what was asked since the last statement, and state it."""
+        now = self._clock.now()
+        passed = now - self._stated_at
+        if passed > 0:
+            weight = min(1.0, passed / self._settings.demand_window_s)
+            for team in set(self._rates) | set(self._asked):
+                rate = self._rates.get(team, 0.0)
+                rate += weight * (self._asked[team] / passed - rate)
+                self._rates[team] = rate
+            self._asked.clear()
+            self._stated_at = now
+        self._rates = {
+            team: rate
+            for team, rate in self._rates.items()
+            if rate >= _MIN_RATE
+        }
+        self._count += 1
+        demand = protocol.Demand(
+            host=self._host, count=self._count, rates=self._get_top_rates()
+        )
+        self._stated[self._host] = demand
+        return demand
+
+    def hear(self, demand: protocol.Demand) -> None:
+        """Take note of what a peer states, directly or through others."""
+        if demand.host == self._host:
+            return
+        known = self._stated.get(demand.host)
+        if known is None or known.count < demand.count:
+            self._stated[demand.host] = demand
+
+    def list_demands(self) -> list[protocol.Demand]:
+        """Return the latest statement of every host heard of."""
+        return list(self._stated.values())
+
+    def get_fraction(self, team: state.TeamId) -> float:
+        """Return the part of a team's limit that this host may use."""
+        floor = self._settings.floor / self._hosts
+        total = sum(
+            demand.rates.get(team, 0.0) for demand in self._stated.values()
+        )
+        own = self._stated.get(self._host)
+        mine = own.rates.get(team, 0.0) if own else 0.0
+        if total <= 0.0:
+            return 1.0 / self._hosts
+        return floor + (1.0 - self._settings.floor) * mine / total
+
+    def _get_top_rates(self) -> dict[state.TeamId, float]:
+        """Return the largest demands, as many as a message may carry."""
+        top = sorted(self._rates.items(), key=lambda each: -each[1])
+        limited = top[: protocol.MAX_DEMANDS]
+        return {team: round(rate, 2) for team, rate in limited}
--- /dev/null
+++ b/rudderrock/frontend/_control.py
@@ -0,0 +1,204 @@
+"""The HTTP application for peers and operators."""
+
+import dataclasses
+import hmac
+
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from rudderrock import coordination
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock.frontend import _body as body
+from rudderrock.frontend import _callers as callers
+
+STATUS_PATH = '/v1/status'
+EVENTS_PATH = '/v1/events'
+METRICS_PATH = '/metrics'
+METRICS_JSON_PATH = '/metrics.json'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Secrets:
+    """What peers and operators show; never logged."""
+
+    peer: str = dataclasses.field(repr=False)
+    operator: str = dataclasses.field(repr=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HostStatus:
+    """What a host tells operators of itself.
+
+    `table_age_s` is how long ago the table was confirmed to be the
+    latest, in seconds; None if it never was.
+    """
+
+    host: state.HostId
+    zone: state.ZoneId
+    state: coordination.HostState
+    isolated: bool
+    table_revision: state.Revision
+    table_age_s: float | None
+    layout_revision: state.Revision
+    in_flight: int
+    members: list[protocol.Member]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EventsRequest:
+    """Ask for a host's events later than a stamp."""
+
+    since: state.Stamp = state.Stamp()
+
+
+def make_control_app(
+    host: coordination.EntryHost, secrets: Secrets
+) -> applications.Starlette:
+    """Make what peers and operators of one host talk to."""
+
+    def for_peer(handle, cls):
+        async def endpoint(request: requests.Request) -> responses.Response:
+            shown = request.headers.get(protocol.SECRET_HEADER, '')
+            if not hmac.compare_digest(shown.encode(), secrets.peer.encode()):
+                return _deny('peer secret')
+            return await _answer(request, handle, cls)
+
+        return endpoint
+
+    def for_operator(handle, cls=None):
+        async def endpoint(request: requests.Request) -> responses.Response:
+            shown = body.read_token(request) or ''
+            known = secrets.operator.encode()
+            if not hmac.compare_digest(shown.encode(), known):
+                return _deny('operator secret')
+            if cls is None:
+                return await handle(request)
+            return await _answer(request, handle, cls)
+
+        return endpoint
+
+    async def _answer(request, handle, cls) -> responses.Response:
+        content = await body.read_body(request, _LIMITS)
+        message = content.and_then(lambda data: body.decode_body(cls, data))
+        if message.is_err():
+            return body.make_response(message.unwrap_err())
+        return body.make_json(await handle(message.unwrap()))
+
+    async def probe(message: protocol.Probe) -> protocol.ProbeReply:
+        return await host.membership.answer_probe(message)
+
+    async def table(message: protocol.TableRequest) -> protocol.TableReply:
+        later = host.table_in_force.revision > message.revision
+        return protocol.TableReply(
+            table=host.table_in_force if later else None
+        )
+
+    async def events(message: EventsRequest) -> list[state.Event]:
+        return host.ring.list_since(message.since)
+
+    async def status(request: requests.Request) -> responses.Response:
+        return body.make_json(make_status(host))
+
+    async def metrics(request: requests.Request) -> responses.Response:
+        text = coordination.format_prometheus(list_samples(host))
+        return responses.PlainTextResponse(
+            text, media_type='text/plain; version=0.0.4'
+        )
+
+    async def metrics_json(request: requests.Request) -> responses.Response:
+        return body.make_json(list_samples(host))
+
+    return applications.Starlette(
+        routes=[
+            routing.Route(
+                protocol.PROBE_PATH,
+                for_peer(probe, protocol.Probe),
+                methods=['POST'],
+            ),
+            routing.Route(
+                protocol.TABLE_PATH,
+                for_peer(table, protocol.TableRequest),
+                methods=['POST'],
+            ),
+            routing.Route(
+                EVENTS_PATH,
+                for_operator(events, EventsRequest),
+                methods=['POST'],
+            ),
+            routing.Route(
+                STATUS_PATH, for_operator(status), methods=['POST', 'GET']
+            ),
+            routing.Route(METRICS_PATH, for_operator(metrics)),
+            routing.Route(METRICS_JSON_PATH, for_operator(metrics_json)),
+            *callers.make_health_routes(host),
+        ]
+    )
+
+
+# Peers' messages are bounded by the protocol; a table may be 1 MB.
+_LIMITS = state.IntakeSettings(max_body_bytes=2**20)
+
+
+def make_status(host: coordination.EntryHost) -> HostStatus:
+    """Return what a host tells operators of itself."""
+    age_s = host.table.get_age_s()
+    return HostStatus(
+        host=state.HostId(host.settings.host.id),
+        zone=state.ZoneId(host.settings.host.zone),
+        state=host.lifecycle.state,
+        isolated=host.is_isolated,
+        table_revision=host.table.revision,
+        table_age_s=None if age_s == float('inf') else age_s,
+        layout_revision=host.layout.revision,
+        in_flight=host.gate.in_flight,
+        members=host.membership.list_members(),
+    )
+
+
+def list_samples(
+    host: coordination.EntryHost,
+) -> list[coordination.Sample]:
+    """Return all figures of a host."""
+    counters = host.runner.counters
+    plain = {
+        'rudderrock_upstream_first_total': counters.first,
+        'rudderrock_upstream_hedges_total': counters.hedges,
+        'rudderrock_upstream_hedge_wins_total': counters.hedge_wins,
+        'rudderrock_upstream_hedges_denied_total': counters.hedges_denied,
+        'rudderrock_upstream_retries_total': counters.retries,
+        'rudderrock_upstream_retries_denied_total': counters.retries_denied,
+        'rudderrock_version_restarts_total': counters.restarts,
+        'rudderrock_extra_load_ratio': counters.extra_load,
+        'rudderrock_shard_requests_in_flight': host.gate.in_flight,
+        'rudderrock_table_revision': host.table.revision,
+        'rudderrock_table_age_seconds': min(host.table.get_age_s(), 1e9),
+        'rudderrock_layout_revision': host.layout.revision,
+        'rudderrock_members': len(host.membership.list_members()),
+        'rudderrock_ready': int(host.lifecycle.is_ready),
+        'rudderrock_isolated': int(host.is_isolated),
+    }
+    samples = [
+        coordination.Sample(name=name, value=value, labels={})
+        for name, value in plain.items()
+    ]
+    for link in host.dispatcher.list_links():
+        samples.append(
+            coordination.Sample(
+                name='rudderrock_upstream_up',
+                value=int(link.is_reachable),
+                labels={'upstream': str(link.upstream.upstream)},
+            )
+        )
+    return samples + host.metrics.list_samples()
+
+
+def _deny(what: str) -> responses.Response:
+    return body.make_response(
+        protocol.Refused(
+            reason=protocol.RefusalReason.UNAUTHENTICATED,
+            detail=f'the {what} is missing or wrong',
+        )
+    )
--- /dev/null
+++ b/rudderrock/programs/_logs.py
@@ -0,0 +1,49 @@
+"""Structured logs: one JSON object a line, through absl.logging."""
+
+import logging as standard_logging
+
+from absl import flags
+from absl import logging
+
+from rudderrock import protocol
+from rudderrock import state
+
+# What happens for every request goes to the debug level.
+_FREQUENT = frozenset(
+    {
+        state.EventKind.ANSWERED,
+        state.EventKind.HEDGE,
+        state.EventKind.RETRY,
+        state.EventKind.CLAIM,
+    }
+)
+_LOUD = frozenset(
+    {
+        state.EventKind.TABLE_REJECTED,
+        state.EventKind.LAYOUT_REJECTED,
+        state.EventKind.KV_DOWN,
+        state.EventKind.LEASE_LAPSED,
+    }
+)
+
+
+def set_up_logs(level: str) -> None:
+    """Log to standard error from a level on: debug, info, warning, error."""
+    # absl warns before its own flags are parsed; defopt parses ours.
+    flags.FLAGS.mark_as_parsed()
+    logging.use_absl_handler()
+    # uvicorn reports as errors the waiting watches that a stop ends.
+    standard_logging.getLogger('uvicorn').setLevel(standard_logging.CRITICAL)
+    logging.set_verbosity(level)
+    logging.set_stderrthreshold(level)
+
+
+def log_event(event: state.Event) -> None:
+    """Write one event of the time line to the log."""
+    if event.kind in _FREQUENT:
+        if logging.vlog_is_on(1):
+            logging.debug('%s', protocol.encode(event).decode())
+    elif event.kind in _LOUD:
+        logging.warning('%s', protocol.encode(event).decode())
+    else:
+        logging.info('%s', protocol.encode(event).decode())
--- /dev/null
+++ b/rudderrock/programs/_secrets.py
@@ -0,0 +1,45 @@
+"""Secrets from a file or the environment."""
+
+import os
+import pathlib
+
+import result
+
+from rudderrock import frontend
+from rudderrock import state
+
+_ENV = 'env:'
+_MIN_LENGTH = 16
+
+
+def read_secrets(
+    settings: state.SecretSettings,
+) -> result.Result[frontend.Secrets, str]:
+    """Read the secrets that the settings point to."""
+    peer = read_secret(settings.peer)
+    operator = read_secret(settings.operator)
+    for each in (peer, operator):
+        if each.is_err():
+            return each
+    return result.Ok(
+        frontend.Secrets(peer=peer.unwrap(), operator=operator.unwrap())
+    )
+
+
+def read_secret(place: str) -> result.Result[str, str]:
+    """Read one secret from `env:NAME` or from a file's path."""
+    if place.startswith(_ENV):
+        name = place.removeprefix(_ENV)
+        secret = os.environ.get(name, '')
+        what = f'environment variable {name}'
+    else:
+        what = f'file {place}'
+        try:
+            secret = pathlib.Path(place).read_text().strip()
+        except OSError as exc:
+            return result.Err(f'{what}: {exc.strerror}')
+    if len(secret) < _MIN_LENGTH:
+        return result.Err(
+            f'{what} must hold a secret of at least {_MIN_LENGTH} characters'
+        )
+    return result.Ok(secret)
--- /dev/null
+++ b/rudderrock/programs/_serving.py
@@ -0,0 +1,88 @@
+"""Running one entry host with its servers inside the running loop."""
+
+import asyncio
+import contextlib
+import secrets as system_secrets
+import time
+
+import result
+
+from rudderrock import coordination
+from rudderrock import frontend
+from rudderrock import root
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.programs import _logs as logs
+
+
+def make_system_clock() -> state.Clock:
+    """Return a clock of the running loop that tells the real wall time."""
+    loop = asyncio.get_running_loop()
+    return state.Clock(loop, time.time() - loop.time())
+
+
+@contextlib.asynccontextmanager
+async def open_host(settings: state.Settings, secrets: frontend.Secrets):
+    """Serve one host while the context lasts; yields the host.
+
+    Yields a result: an error where an address cannot be bound.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        callers = transport.bind(settings.host.callers)
+        if callers.is_err():
+            yield callers
+            return
+        stack.callback(callers.unwrap().close)
+        control = transport.bind(settings.host.control)
+        if control.is_err():
+            yield control
+            return
+        stack.callback(control.unwrap().close)
+        host = _make_host(settings, secrets, stack)
+        limits = transport.HeadLimits(
+            timeout_s=settings.intake.head_timeout_s,
+            max_bytes=settings.intake.max_header_bytes,
+        )
+        await stack.enter_async_context(
+            transport.serve(
+                frontend.make_control_app(host, secrets),
+                control.unwrap(),
+                limits=limits,
+            )
+        )
+        await stack.enter_async_context(
+            transport.serve(
+                frontend.make_caller_app(host),
+                callers.unwrap(),
+                limits=limits,
+                max_connections=settings.intake.max_connections,
+            )
+        )
+        yield result.Ok(host)
+
+
+def _make_host(
+    settings: state.Settings,
+    secrets: frontend.Secrets,
+    stack: contextlib.AsyncExitStack,
+) -> coordination.EntryHost:
+    platform = settings.platform
+    kv = transport.HttpKvPort(platform.kv, platform.timeout_s)
+    stack.push_async_callback(kv.close)
+    host_list = None
+    if platform.host_list is not None:
+        host_list = transport.HttpHostListPort(
+            platform.host_list, platform.timeout_s
+        )
+    ports = root.Ports(
+        kv=kv,
+        upstreams=transport.HttpUpstreamPort(
+            settings.routing.connect_timeout_s
+        ),
+        peers=transport.HttpPeerPort(secrets.peer),
+        host_list=host_list,
+    )
+    seed = settings.host.seed or system_secrets.randbits(32)
+    return root.make_host(
+        settings, ports, make_system_clock(), seed, logs.log_event
+    )
--- /dev/null
+++ b/rudderrock/programs/demo.py
@@ -0,0 +1,341 @@
+"""A demonstration of the whole tier in one process, over loopback.
+
+Stand-ins of a deployment, three entry hosts and a burst of callers run in
+one loop and talk over real sockets. Things go wrong on purpose, and at the
+end it prints what the callers saw and what happened.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import random
+import tomllib
+
+import defopt
+from hdrh import histogram
+import msgspec
+import result
+
+from rudderrock import coordination
+from rudderrock import frontend
+from rudderrock import protocol
+from rudderrock import standins
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.programs import _caller as caller
+from rudderrock.programs import _logs as logs
+from rudderrock.programs import _serving as serving
+
+_SECRETS = frontend.Secrets(
+    peer='demo peer secret', operator='demo operator secret'
+)
+_DEPLOYMENT = """
+name = "cumbre-andina"
+hosts = 3
+groups = [
+    { collection = "front_desk", services = 20, service_s = 0.004 },
+    { collection = "billing", services = 30, service_s = 0.004 },
+]
+[network.regions]
+sierra = ["sierra-1"]
+costa = ["costa-1"]
+austro = ["austro-1"]
+"""
+_TEAMS = {
+    'front-desk': {'weight': 4.0, 'priority': 1, 'deadline_s': 2.0},
+    'billing-run': {'weight': 1.0, 'priority': 6, 'deadline_s': 2.0},
+    'kiosk-app': {'weight': 2.0, 'priority': 3, 'deadline_s': 2.0},
+}
+_COLLECTIONS = {
+    'front-desk': 'front_desk',
+    'billing-run': 'billing',
+    'kiosk-app': 'front_desk',
+}
+_QUERIES_PER_TEAM = 30
+_GAP_S = 0.2
+_EDIT_TIMEOUT_S = 5.0
+_PERCENTILES = (50.0, 90.0, 99.0)
+_MICROS = 1_000_000
+_SHOWN_KINDS = frozenset(state.EventKind) - {
+    state.EventKind.ANSWERED,
+    state.EventKind.HEDGE,
+    state.EventKind.RETRY,
+    state.EventKind.PEER_STATE,
+}
+_MAX_SHOWN = 60
+
+
+@dataclasses.dataclass(slots=True)
+class _Tally:
+    """What the callers of one team saw."""
+
+    outcomes: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    shards: int = 0
+    answered: int = 0
+    latency: histogram.HdrHistogram = dataclasses.field(
+        default_factory=lambda: histogram.HdrHistogram(1, 60 * _MICROS, 2)
+    )
+
+
+class _Demo:
+    """The demo under way."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack):
+        self._stack = stack
+        self._clock = serving.make_system_clock()
+        self._source = random.SystemRandom()
+        self._hosts: list[coordination.EntryHost] = []
+        self._runs: list[asyncio.Task] = []
+        self._tokens: dict[str, str] = {}
+        self._tallies = {team: _Tally() for team in _TEAMS}
+        self._standins: standins.LoopbackStandins | None = None
+        self._editor: coordination.TableEditor | None = None
+
+    async def run(self) -> None:
+        """Play all scenes and print what was seen."""
+        await self._start()
+        print('1. a burst of queries from three teams, all well')
+        await self._burst()
+        print('2. one shard straggles: its first replica is 20 times slower')
+        models = list(self._standins.models.values())
+        models[0].faults.slow_factor = 20.0
+        await self._burst()
+        models[0].faults.slow_factor = 1.0
+        print('3. an operator doubles the weight of kiosk-app')
+        await self._edit('kiosk-app', weight=4.0)
+        print('4. an upstream leaves while queries run')
+        models[5].faults.leaving = True
+        await self._burst()
+        print('5. host-3 is stopped as planned while queries run')
+        stopping = asyncio.create_task(self._hosts[2].stop())
+        await self._burst()
+        await stopping
+        await self._runs[2]
+        self._report()
+
+    async def _start(self) -> None:
+        raw = tomllib.loads(_DEPLOYMENT)
+        deployment = state.make_checked(standins.Deployment, raw).unwrap()
+        self._standins = await self._stack.enter_async_context(
+            standins.serve_standins(
+                deployment, self._clock, state.make_random(1, 'demo')
+            )
+        )
+        kv = self._standins.kv
+        self._editor = coordination.TableEditor(kv, self._clock, self._source)
+        for team, fields in _TEAMS.items():
+            await self._add_team(team, fields)
+        layout = self._standins.layout
+        await standins.publish(kv, coordination.LAYOUT_KEY, layout)
+        zones = deployment.network.list_zones()
+        for number, zone in enumerate(zones, 1):
+            await self._start_host(f'host-{number}', zone)
+        while not all(each.lifecycle.is_ready for each in self._hosts):
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(1.0)
+        print(
+            f'{len(self._hosts)} entry hosts in {len(zones)} zones, '
+            f'{len(layout.upstreams)} upstreams of 50 services, '
+            f'{len(_TEAMS)} teams'
+        )
+
+    async def _add_team(self, team: str, fields: dict) -> None:
+        token = state.make_token(state.TeamId(team), self._source)
+        self._tokens[team] = token
+        hashed = state.hash_token(token, self._source)
+        row = state.TeamRow(team=team, token_hashes=(hashed,), **fields)
+        await self._change(team, None, row)
+
+    async def _edit(self, team: str, **fields) -> None:
+        table = (await self._editor.read()).unwrap()
+        base = table.rows[team]
+        row = dataclasses.replace(base, **fields)
+        edit = await self._change(team, base, row)
+        began = self._clock.now()
+        while any(host.table.revision < edit.revision for host in self._hosts):
+            await asyncio.sleep(0.001)
+        passed = self._clock.now() - began
+        print(
+            f'   revision {edit.revision} in force on all hosts after '
+            f'{passed * 1000:.0f} ms'
+        )
+
+    async def _change(
+        self,
+        team: str,
+        base: state.TeamRow | None,
+        row: state.TeamRow,
+    ) -> state.Edit:
+        change = state.Change(
+            edit_id=self._editor.make_edit_id(),
+            author='demo',
+            team=state.TeamId(team),
+            base=base,
+            row=row,
+        )
+        outcome = await self._editor.edit(change, _EDIT_TIMEOUT_S)
+        match outcome:
+            case coordination.EditAccepted(edit):
+                return edit
+        raise RuntimeError(f'the edit was not accepted: {outcome}')
+
+    async def _start_host(self, name: str, zone: state.ZoneId) -> None:
+        settings = state.Settings(
+            host=state.HostSettings(
+                id=name,
+                zone=zone,
+                callers=_find_free_address(),
+                control=_find_free_address(),
+            ),
+            platform=state.PlatformSettings(
+                kv=self._standins.kv_address,
+                host_list=self._standins.host_list_address,
+            ),
+        )
+        context = serving.open_host(settings, _SECRETS)
+        opened = await self._stack.enter_async_context(context)
+        host = opened.unwrap()
+        self._hosts.append(host)
+        self._standins.host_list.hosts.append(
+            transport.ListedHost(
+                host=state.HostId(name),
+                zone=zone,
+                control=settings.host.control,
+            )
+        )
+        task = asyncio.create_task(host.run())
+        self._runs.append(task)
+        self._stack.push_async_callback(_end, task)
+
+    async def _burst(self) -> None:
+        await asyncio.gather(*(self._call_all(team) for team in _TEAMS))
+
+    async def _call_all(self, team: str) -> None:
+        """Send a team's queries at a steady rate, whatever comes back."""
+        async with contextlib.AsyncExitStack() as stack:
+            clients = []
+            for host in self._hosts:
+                address = host.settings.host.callers
+                client = caller.CallerClient(address, self._tokens[team])
+                stack.push_async_callback(client.close)
+                clients.append(client)
+            async with asyncio.TaskGroup() as group:
+                for number in range(_QUERIES_PER_TEAM):
+                    group.create_task(self._call(team, clients, number))
+                    await asyncio.sleep(_GAP_S)
+
+    async def _call(
+        self,
+        team: str,
+        clients: list[caller.CallerClient],
+        number: int,
+    ) -> None:
+        """Ask one of the hosts that say they are ready, as a balancer."""
+        ready = [
+            client
+            for client, host in zip(clients, self._hosts, strict=True)
+            if host.lifecycle.is_ready
+        ]
+        query = protocol.Query(
+            collection=state.CollectionId(_COLLECTIONS[team]),
+            body=msgspec.Raw(b'{"name":"member"}'),
+        )
+        began = self._clock.now()
+        replied = await ready[number % len(ready)].query(query)
+        tally = self._tallies[team]
+        match replied:
+            case result.Ok(transport.RawReply(status=200, body=body)):
+                answer = protocol.decode(protocol.Answered, body).unwrap()
+                tally.outcomes['answered'] += 1
+                tally.shards += answer.coverage.shards
+                tally.answered += answer.coverage.answered
+                micros = round((self._clock.now() - began) * _MICROS)
+                tally.latency.record_value(micros)
+            case result.Ok(reply):
+                tally.outcomes[f'status {reply.status}'] += 1
+            case result.Err(failed):
+                tally.outcomes[failed.detail] += 1
+
+    def _report(self) -> None:
+        print('\nwhat the callers saw')
+        print(f'{"team":<12} {"p50 ms":>7} {"p90":>7} {"p99":>7}  coverage')
+        for team, tally in self._tallies.items():
+            read = tally.latency.get_value_at_percentile
+            figures = ' '.join(
+                f'{read(percentile) / 1000:7.1f}'
+                for percentile in _PERCENTILES
+            )
+            coverage = 100 * tally.answered / max(1, tally.shards)
+            outcomes = ', '.join(
+                f'{count} {name}' for name, count in tally.outcomes.items()
+            )
+            print(f'{team:<12} {figures}  {coverage:.2f} %  {outcomes}')
+        counters = [host.runner.counters for host in self._hosts]
+        shards = sum(each.shards for each in counters)
+        extra = sum(each.hedges + each.retries for each in counters)
+        print(
+            f'extra upstream load: {100 * extra / shards:.2f} % of {shards} '
+            'shard requests'
+        )
+        self._print_time_line()
+
+    def _print_time_line(self) -> None:
+        events = [
+            event
+            for host in self._hosts
+            for event in host.ring.list_since(state.Stamp())
+        ]
+        events = [each for each in events if each.kind in _SHOWN_KINDS]
+        events.sort(key=lambda each: (each.stamp, each.host))
+        first = events[0].stamp.wall
+        shown = [each for each in events if _is_telling(each)]
+        print(f'\ntime line ({len(shown)} of {len(events)} events)')
+        for event in shown[:_MAX_SHOWN]:
+            upstream = f'{event.upstream} ' if event.upstream else ''
+            print(
+                f'{event.stamp.wall - first:8.3f} s  {event.host:<7} '
+                f'{event.kind.value:<15} {upstream}{event.detail}'
+            )
+
+
+def _is_telling(event: state.Event) -> bool:
+    """Leave out that each of a hundred upstreams was connected to."""
+    return not event.detail.startswith('up: connected')
+
+
+def _find_free_address() -> str:
+    listener = transport.bind('127.0.0.1:0').unwrap()
+    address = transport.get_address(listener)
+    listener.close()
+    return address
+
+
+async def _end(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def _run() -> None:
+    async with contextlib.AsyncExitStack() as stack:
+        await _Demo(stack).run()
+
+
+def demo(*, log: str = 'error') -> None:
+    """Show the whole tier in one process, in under a minute.
+
+    :param log: the lowest level logged: debug, info, warning or error
+    """
+    logs.set_up_logs(log)
+    asyncio.run(_run())
+
+
+def main() -> None:
+    """Run the program."""
+    defopt.run(demo)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/rudderrock/protocol/_problems.py
@@ -0,0 +1,123 @@
+"""Outcomes as HTTP: status, headers and problem details (RFC 9457)."""
+
+import dataclasses
+import enum
+import math
+
+from rudderrock import state
+from rudderrock.protocol import _caller as caller
+from rudderrock.protocol import _codec as codec
+
+JSON_TYPE = 'application/json'
+PROBLEM_TYPE = 'application/problem+json'
+_TYPE_PREFIX = 'urn:rudderrock:problem:'
+_UNKNOWN_STATUS = 504
+
+_REFUSAL_STATUS = {
+    caller.RefusalReason.UNAUTHENTICATED: 401,
+    caller.RefusalReason.FORBIDDEN: 403,
+    caller.RefusalReason.MALFORMED: 400,
+    caller.RefusalReason.TOO_LARGE: 413,
+    caller.RefusalReason.TOO_SLOW: 408,
+    caller.RefusalReason.UNKNOWN_COLLECTION: 404,
+    caller.RefusalReason.RATE: 429,
+    caller.RefusalReason.CONCURRENCY: 429,
+    caller.RefusalReason.OVERLOAD: 503,
+    caller.RefusalReason.DEADLINE: 503,
+    caller.RefusalReason.DRAINING: 503,
+    caller.RefusalReason.NOT_READY: 503,
+    caller.RefusalReason.ISOLATED: 503,
+    caller.RefusalReason.KV_UNAVAILABLE: 503,
+    caller.RefusalReason.KEY_EXPIRED: 409,
+    caller.RefusalReason.KEY_REUSED: 422,
+    caller.RefusalReason.UPSTREAM: 503,
+}
+
+
+class Ran(enum.Enum):
+    """Whether a request that got no result ran."""
+
+    NOT_RUN = 'not_run'
+    UNKNOWN = 'unknown'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Problem:
+    """The body of a refusal, in the shape of RFC 9457.
+
+    `outcome` says whether the request ran; `retry_after_s` is in seconds.
+    """
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    outcome: Ran
+    instance: str | None = None
+    retry_after_s: float | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HttpReply:
+    """An outcome as it goes over HTTP."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+def make_http_reply(outcome: caller.Outcome) -> HttpReply:
+    """Return the HTTP form of an outcome."""
+    match outcome:
+        case caller.Answered() | caller.Recorded():
+            return HttpReply(
+                status=200,
+                headers={'content-type': JSON_TYPE},
+                body=codec.encode(outcome),
+            )
+        case caller.Refused():
+            return _make_problem_reply(_describe_refusal(outcome))
+        case caller.Unknown():
+            return _make_problem_reply(_describe_unknown(outcome))
+
+
+def _describe_refusal(refused: caller.Refused) -> Problem:
+    reason = refused.reason
+    return Problem(
+        type=_TYPE_PREFIX + reason.value,
+        title=reason.value.replace('_', ' ').capitalize(),
+        status=_REFUSAL_STATUS[reason],
+        detail=refused.detail,
+        outcome=Ran.NOT_RUN,
+        instance=_make_instance(refused.query),
+        retry_after_s=refused.retry_after_s,
+    )
+
+
+def _describe_unknown(unknown: caller.Unknown) -> Problem:
+    return Problem(
+        type=_TYPE_PREFIX + 'unknown',
+        title='May have run',
+        status=_UNKNOWN_STATUS,
+        detail=unknown.detail,
+        outcome=Ran.UNKNOWN,
+        instance=_make_instance(unknown.query),
+    )
+
+
+def _make_instance(query: state.QueryId | None) -> str | None:
+    return f'urn:rudderrock:query:{query}' if query else None
+
+
+def _make_problem_reply(problem: Problem) -> HttpReply:
+    headers = {'content-type': PROBLEM_TYPE}
+    if problem.retry_after_s is not None:
+        # RFC 9110 allows whole seconds only; the body has the exact time.
+        headers['retry-after'] = str(math.ceil(problem.retry_after_s))
+    if problem.status == 401:
+        headers['www-authenticate'] = 'Bearer'
+    return HttpReply(
+        status=problem.status,
+        headers=headers,
+        body=codec.encode(problem),
+    )
--- /dev/null
+++ b/rudderrock/root.py
@@ -0,0 +1,143 @@
+"""The composition root: where the parts of a host are wired together.
+
+Nothing else constructs a part that another part uses. Time comes from the
+running loop and randomness from one seed, both handed down from here.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from rudderrock import coordination
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ports:
+    """Everything outside a host."""
+
+    kv: transport.KvPort
+    upstreams: transport.UpstreamPort
+    peers: transport.PeerPort
+    host_list: transport.HostListPort | None = None
+
+
+def make_host(
+    settings: state.Settings,
+    ports: Ports,
+    clock: state.Clock,
+    seed: int,
+    sink: Callable[[state.Event], None] | None = None,
+) -> coordination.EntryHost:
+    """Wire one entry host; it does nothing before `run` is awaited.
+
+    Must be called with a running loop, which `clock` must read. `sink` is
+    given each event of the time line, for the log.
+    """
+    host_id = state.HostId(settings.host.id)
+    hybrid = state.HybridClock(clock)
+    ring = state.EventRing(host_id, hybrid, settings.host.event_capacity, sink)
+
+    def draw(name: str):
+        return state.make_random(seed, f'{host_id}/{name}')
+
+    book = coordination.ShareBook(host_id, settings.shares, clock)
+    dispatcher = coordination.Dispatcher(
+        state.ZoneId(settings.host.zone),
+        ports.upstreams,
+        settings,
+        clock,
+        draw('dispatch'),
+        ring,
+    )
+    runner = coordination.QueryRunner(
+        dispatcher, settings, clock, draw('query'), ring
+    )
+    gate = coordination.Admission(settings.admission, book, dispatcher, clock)
+    store = coordination.ClaimStore(ports.kv, settings.claims, clock)
+    command_runner = coordination.CommandRunner(
+        host_id, store, dispatcher, settings, clock, draw('claims'), ring
+    )
+
+    # The followers and the membership call back into the host, which is
+    # made last; so their callbacks look it up when they are called.
+    def on_table(table: state.Table) -> None:
+        host.apply_table(table)
+
+    def on_layout(layout: state.Layout) -> None:
+        host.apply_layout(layout)
+
+    table = coordination.KeyFollower(
+        ports.kv,
+        coordination.TABLE_KEY,
+        read=coordination.read_table,
+        get_revision=lambda value: value.revision,
+        apply=on_table,
+        kinds=(
+            state.EventKind.TABLE_IN_FORCE,
+            state.EventKind.TABLE_REJECTED,
+        ),
+        watch_s=settings.platform.watch_s,
+        clock=clock,
+        source=draw('table'),
+        ring=ring,
+    )
+    layout = coordination.KeyFollower(
+        ports.kv,
+        coordination.LAYOUT_KEY,
+        read=coordination.read_layout,
+        get_revision=lambda value: value.revision,
+        apply=on_layout,
+        kinds=(
+            state.EventKind.LAYOUT_IN_FORCE,
+            state.EventKind.LAYOUT_REJECTED,
+        ),
+        watch_s=settings.platform.watch_s,
+        clock=clock,
+        source=draw('layout'),
+        ring=ring,
+    )
+    me = protocol.Member(
+        host=host_id,
+        zone=state.ZoneId(settings.host.zone),
+        control=settings.host.control,
+        incarnation=coordination.make_incarnation(clock),
+        state=protocol.MemberState.ALIVE,
+    )
+    membership = coordination.Membership(
+        me,
+        ports.peers,
+        ports.host_list,
+        settings.membership,
+        book=book,
+        get_table=lambda: host.get_table_age(),
+        on_digest=lambda digest: host.on_digest(digest),
+        on_change=lambda: host.on_members(),
+        clock=clock,
+        hybrid=hybrid,
+        source=draw('members'),
+        ring=ring,
+    )
+    host = coordination.EntryHost(
+        settings,
+        clock=clock,
+        source=draw('host'),
+        ring=ring,
+        table=table,
+        layout=layout,
+        dispatcher=dispatcher,
+        runner=runner,
+        book=book,
+        gate=gate,
+        command_runner=command_runner,
+        membership=membership,
+        peers=ports.peers,
+    )
+    return host
+
+
+def make_clock(wall_offset: float) -> state.Clock:
+    """Return the clock of the running loop."""
+    return state.Clock(asyncio.get_running_loop(), wall_offset)
--- /dev/null
+++ b/rudderrock/standins/__init__.py
@@ -0,0 +1,63 @@
+"""Small stand-ins of the outside systems, for tests and the demo."""
+
+from rudderrock.standins._deployment import Deployment
+from rudderrock.standins._deployment import FIRST_VERSION
+from rudderrock.standins._deployment import Group
+from rudderrock.standins._deployment import make_layout
+from rudderrock.standins._deployment import make_models
+from rudderrock.standins._deployment import Network
+from rudderrock.standins._fleet import MemoryFleet
+from rudderrock.standins._fleet import run_fleet
+from rudderrock.standins._fleet import RunningHost
+from rudderrock.standins._hosts import make_host_list_app
+from rudderrock.standins._kv import KvFaults
+from rudderrock.standins._kv import make_kv_app
+from rudderrock.standins._kv import MemoryKv
+from rudderrock.standins._loopback import LoopbackStandins
+from rudderrock.standins._loopback import publish
+from rudderrock.standins._loopback import serve_standins
+from rudderrock.standins._memory import Handler
+from rudderrock.standins._memory import LinkFaults
+from rudderrock.standins._memory import MemoryConnection
+from rudderrock.standins._memory import MemoryHostList
+from rudderrock.standins._memory import MemoryPeerPort
+from rudderrock.standins._memory import MemoryPeers
+from rudderrock.standins._memory import MemoryUpstreamPort
+from rudderrock.standins._memory import PeerFaults
+from rudderrock.standins._upstream import DEFAULT_MAX_QUEUE
+from rudderrock.standins._upstream import make_upstream_app
+from rudderrock.standins._upstream import Run
+from rudderrock.standins._upstream import UpstreamFaults
+from rudderrock.standins._upstream import UpstreamModel
+
+__all__ = [
+    'DEFAULT_MAX_QUEUE',
+    'Deployment',
+    'FIRST_VERSION',
+    'Group',
+    'Handler',
+    'KvFaults',
+    'LinkFaults',
+    'LoopbackStandins',
+    'MemoryConnection',
+    'MemoryFleet',
+    'MemoryHostList',
+    'MemoryKv',
+    'MemoryPeerPort',
+    'MemoryPeers',
+    'MemoryUpstreamPort',
+    'Network',
+    'PeerFaults',
+    'Run',
+    'RunningHost',
+    'UpstreamFaults',
+    'UpstreamModel',
+    'make_host_list_app',
+    'make_kv_app',
+    'make_layout',
+    'make_models',
+    'make_upstream_app',
+    'publish',
+    'run_fleet',
+    'serve_standins',
+]
--- /dev/null
+++ b/rudderrock/standins/_deployment.py
@@ -0,0 +1,145 @@
+"""A description of the systems that a tier serves, and its stand-ins."""
+
+import dataclasses
+import random
+from typing import Annotated
+
+import pydantic
+
+from rudderrock import state
+from rudderrock.standins import _upstream as upstreams
+
+_Name = Annotated[str, pydantic.Field(pattern=r'^[a-z0-9][a-z0-9_-]{0,62}$')]
+_Count = Annotated[int, pydantic.Field(ge=1, le=100_000)]
+_Seconds = Annotated[float, pydantic.Field(ge=0, le=60)]
+
+FIRST_VERSION = state.IndexVersion(1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Group:
+    """Services of one shape that make up one collection.
+
+    Each of `services` has `servers` replicas of one shard, with `slots`
+    and `connections` each. `connect_s` is what a new connection takes,
+    `service_s` the median time of a request, both in seconds.
+    """
+
+    __pydantic_config__ = state.FORBID_UNKNOWN
+
+    collection: _Name
+    services: _Count
+    servers: _Count = 2
+    slots: _Count = 2
+    connections: _Count = 25
+    connect_s: _Seconds = 0.006
+    service_s: _Seconds = 0.004
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Network:
+    """Zones by region, and one-way latencies in seconds."""
+
+    __pydantic_config__ = state.FORBID_UNKNOWN
+
+    regions: dict[str, list[_Name]]
+    within_zone_s: _Seconds = 0.0001
+    between_zones_s: _Seconds = 0.0005
+    between_regions_s: _Seconds = 0.008
+    to_clients_s: _Seconds = 0.001
+
+    def list_zones(self) -> list[state.ZoneId]:
+        """Return all zones, region by region."""
+        return [
+            state.ZoneId(zone)
+            for zones in self.regions.values()
+            for zone in zones
+        ]
+
+    def get_latency_s(self, one: str, other: str) -> float:
+        """Return the one-way latency between two zones, in seconds."""
+        if one == other:
+            return self.within_zone_s
+        for zones in self.regions.values():
+            if one in zones and other in zones:
+                return self.between_zones_s
+        return self.between_regions_s
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """The systems behind a tier and the zones it runs in."""
+
+    __pydantic_config__ = state.FORBID_UNKNOWN
+
+    name: _Name
+    hosts: _Count
+    network: Network
+    groups: list[Group]
+
+
+def make_layout(
+    deployment: Deployment,
+    addresses: dict[state.UpstreamId, str] | None = None,
+) -> state.Layout:
+    """Return the index layout of a deployment at its first version.
+
+    The replicas of a service stand in different zones of one region each.
+    `addresses` gives `IP:port` of each upstream; without it an upstream's
+    id serves as its address, for ports in memory.
+    """
+    known = addresses or {}
+    layout_upstreams = {}
+    collections = {}
+    zones = deployment.network.list_zones()
+    for group in deployment.groups:
+        shards = {}
+        for service in range(group.services):
+            shard = state.ShardId(f'{group.collection}-{service}')
+            replicas = []
+            for server in range(group.servers):
+                upstream = state.UpstreamId(f'{shard}-{server}')
+                zone = zones[(service + server) % len(zones)]
+                layout_upstreams[upstream] = state.Upstream(
+                    upstream=upstream,
+                    address=known.get(upstream, str(upstream)),
+                    zone=zone,
+                    slots=group.slots,
+                    connections=group.connections,
+                )
+                replicas.append(upstream)
+            shards[shard] = tuple(replicas)
+        name = state.CollectionId(group.collection)
+        placement = state.Placement(version=FIRST_VERSION, shards=shards)
+        collections[name] = state.Collection(
+            collection=name, placements=(placement,)
+        )
+    return state.Layout(
+        revision=state.Revision(1),
+        upstreams=layout_upstreams,
+        collections=collections,
+    )
+
+
+def make_models(
+    deployment: Deployment,
+    layout: state.Layout,
+    clock: state.Clock,
+    source: random.Random,
+) -> dict[state.UpstreamId, upstreams.UpstreamModel]:
+    """Make the stand-in of every upstream of a layout."""
+    groups = {group.collection: group for group in deployment.groups}
+    models = {}
+    for name, collection in layout.collections.items():
+        group = groups[name]
+        for shard_upstreams in collection.placements[0].shards.values():
+            for upstream in shard_upstreams:
+                models[upstream] = upstreams.UpstreamModel(
+                    layout.upstreams[upstream],
+                    clock,
+                    random.Random(source.getrandbits(64)),
+                    versions={FIRST_VERSION},
+                    service_s=group.service_s,
+                    connect_s=group.connect_s,
+                )
+    return models
--- /dev/null
+++ b/rudderrock/standins/_fleet.py
@@ -0,0 +1,277 @@
+"""Several hosts and their stand-ins in one process, on virtual time."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+from typing import Any
+
+import result
+
+from rudderrock import coordination
+from rudderrock import protocol
+from rudderrock import root
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.standins import _deployment as deployments
+from rudderrock.standins import _kv as kvs
+from rudderrock.standins import _loopback as loopback
+from rudderrock.standins import _memory as memory
+from rudderrock.standins import _upstream as upstreams
+
+_READY_TIMEOUT_S = 30.0
+_READY_POLL_S = 0.01
+_EDIT_TIMEOUT_S = 10.0
+_PEER_LATENCY_S = 0.0005
+_BASE_PORT = 7000
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class RunningHost:
+    """One host of a fleet, its ports' faults and its task."""
+
+    host: coordination.EntryHost
+    upstream_port: memory.MemoryUpstreamPort
+    address: str
+    task: asyncio.Task
+
+
+class MemoryFleet:
+    """A deployment's stand-ins and the hosts in front of them.
+
+    Parameters: `deployment` describes the systems, `clock` reads the
+    running loop, `seed` fixes all randomness, `settings` are the parts of
+    the hosts' settings that differ from the defaults.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        clock: state.Clock,
+        seed: int,
+        settings: dict[str, Any] | None = None,
+    ):
+        self.deployment = deployment
+        self.clock = clock
+        self.kv = kvs.MemoryKv(clock)
+        self.host_list = memory.MemoryHostList()
+        self.layout = deployments.make_layout(deployment)
+        self.models = deployments.make_models(
+            deployment, self.layout, clock, state.make_random(seed, 'models')
+        )
+        self.peers = memory.MemoryPeers(
+            _PEER_LATENCY_S, state.make_random(seed, 'peers')
+        )
+        self.hosts: dict[str, RunningHost] = {}
+        self.tokens: dict[str, str] = {}
+        self.source = state.make_random(seed, 'fleet')
+        self.editor = coordination.TableEditor(
+            self.kv, clock, state.make_random(seed, 'editor')
+        )
+        self._seed = seed
+        self._settings = settings or {}
+        self._started = 0
+
+    async def start(self, hosts: int) -> None:
+        """Publish table and layout and start hosts, zone after zone."""
+        await self.publish_layout(self.layout)
+        table = state.Table(revision=state.Revision(1))
+        await loopback.publish(self.kv, coordination.TABLE_KEY, table)
+        zones = self.deployment.network.list_zones()
+        for number in range(hosts):
+            zone = zones[number % len(zones)]
+            self.start_host(f'h{number + 1}', zone)
+        await self.wait_until_ready()
+
+    async def publish_layout(self, layout: state.Layout) -> None:
+        """Replace the layout in the key-value service."""
+        self.layout = layout
+        await loopback.publish(self.kv, coordination.LAYOUT_KEY, layout)
+
+    async def change_layout(self, **changes: Any) -> None:
+        """Publish the layout with some of its fields replaced."""
+        revision = state.Revision(self.layout.revision + 1)
+        layout = dataclasses.replace(self.layout, revision=revision, **changes)
+        await self.publish_layout(layout)
+
+    async def set_row(self, team: str, **fields: Any) -> state.Edit:
+        """Set a team's row, making its token on first use."""
+        table = (await self.editor.read()).unwrap()
+        base = table.rows.get(team)
+        if team not in self.tokens:
+            self.tokens[team] = state.make_token(team, self.source)
+        hashed = state.hash_token(self.tokens[team], random.Random(0))
+        fields.setdefault('token_hashes', (hashed,))
+        known = dataclasses.asdict(base) if base else {'team': team}
+        row = state.make_checked(state.TeamRow, {**known, **fields})
+        change = state.Change(
+            edit_id=self.editor.make_edit_id(),
+            author='operator',
+            team=team,
+            base=base,
+            row=row.unwrap(),
+        )
+        outcome = await self.editor.edit(change, _EDIT_TIMEOUT_S)
+        match outcome:
+            case coordination.EditAccepted(edit):
+                return edit
+        raise AssertionError(f'edit not accepted: {outcome}')
+
+    def start_host(self, name: str, zone: state.ZoneId) -> RunningHost:
+        """Start one host; it becomes ready by itself."""
+        self._started += 1
+        address = f'127.0.0.1:{_BASE_PORT + self._started}'
+        settings = self._make_settings(name, zone, address)
+        draw = state.make_random(self._seed, f'port/{name}')
+        port = memory.MemoryUpstreamPort(
+            zone, self.models, self.deployment.network, draw
+        )
+        ports = root.Ports(
+            kv=self.kv,
+            upstreams=port,
+            peers=self.peers.make_port(address),
+            host_list=self.host_list,
+        )
+        host = root.make_host(
+            settings, ports, self.clock, self._seed + self._started
+        )
+        listed = transport.ListedHost(
+            host=state.HostId(name), zone=zone, control=address
+        )
+        self.host_list.hosts.append(listed)
+        self.peers.add(address, host)
+        task = asyncio.create_task(host.run())
+        running = RunningHost(host, port, address, task)
+        self.hosts[name] = running
+        return running
+
+    async def stop_host(self, name: str) -> None:
+        """Stop a host as planned."""
+        running = self.hosts[name]
+        await running.host.stop()
+        await running.task
+        self._unlist(name)
+
+    async def crash_host(self, name: str) -> None:
+        """End a host with no warning."""
+        running = self.hosts[name]
+        self.peers.remove(running.address)
+        running.task.cancel()
+        await asyncio.gather(running.task, return_exceptions=True)
+
+    def forget_host(self, name: str) -> None:
+        """Let the platform's list notice, at last, that a host is gone."""
+        self._unlist(name)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until all hosts serve and have connections everywhere."""
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while not all(map(self._is_ready, self.hosts.values())):
+                await asyncio.sleep(_READY_POLL_S)
+
+    async def wait_until_in_force(self, revision: state.Revision) -> float:
+        """Wait until every live host has a revision; return the seconds."""
+        began = self.clock.now()
+        async with asyncio.timeout(_READY_TIMEOUT_S):
+            while any(
+                running.host.table.revision < revision
+                for running in self.hosts.values()
+                if not running.task.done()
+            ):
+                await asyncio.sleep(_READY_POLL_S)
+        return self.clock.now() - began
+
+    async def query(
+        self, name: str, team: str, collection: str, body: str = '"q"'
+    ) -> protocol.Outcome:
+        """Send one query of a team to one host."""
+        host = self.hosts[name].host
+        known = host.authenticate(self.tokens.get(team))
+        match known:
+            case result.Err(refused):
+                return refused
+            case result.Ok(row):
+                decoded = protocol.decode(
+                    protocol.Query,
+                    b'{"collection":"%s","body":%s}'
+                    % (collection.encode(), body.encode()),
+                )
+                return await host.query(row, decoded.unwrap())
+
+    async def command(
+        self,
+        name: str,
+        team: str,
+        collection: str,
+        key: str,
+        routing_key: str = 'member-1',
+    ) -> protocol.Outcome:
+        """Send one non-idempotent request of a team to one host."""
+        host = self.hosts[name].host
+        row = host.authenticate(self.tokens[team]).unwrap()
+        decoded = protocol.decode(
+            protocol.Command,
+            b'{"collection":"%s","routing_key":"%s","body":"pass"}'
+            % (collection.encode(), routing_key.encode()),
+        )
+        return await host.command(row, decoded.unwrap(), key)
+
+    def make_key(self) -> str:
+        """Return a new idempotency key."""
+        unix = int(self.clock.wall())
+        return f'{unix:010d}-{self.source.getrandbits(64):016x}'
+
+    def list_runs(self) -> list[upstreams.Run]:
+        """Return all that upstreams have worked on, by their own record."""
+        return [run for model in self.models.values() for run in model.runs]
+
+    async def close(self) -> None:
+        """End all hosts."""
+        for name, running in self.hosts.items():
+            if not running.task.done():
+                await self.crash_host(name)
+
+    def _unlist(self, name: str) -> None:
+        self.host_list.hosts = [
+            each for each in self.host_list.hosts if each.host != name
+        ]
+
+    def _is_ready(self, running: RunningHost) -> bool:
+        if running.task.done():
+            return True
+        links = running.host.dispatcher.list_links()
+        connecting = coordination.UpstreamState.CONNECTING
+        connected = all(link.state is not connecting for link in links)
+        return running.host.lifecycle.is_ready and connected
+
+    def _make_settings(
+        self, name: str, zone: state.ZoneId, address: str
+    ) -> state.Settings:
+        raw = {
+            'host': {
+                'id': name,
+                'zone': zone,
+                'callers': address,
+                'control': address,
+            },
+            'platform': {'kv': '127.0.0.1:1'},
+            **self._settings,
+        }
+        return state.make_checked(state.Settings, raw).unwrap()
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(
+    deployment: deployments.Deployment,
+    hosts: int,
+    seed: int,
+    settings: dict[str, Any] | None = None,
+):
+    """Run a fleet while the context lasts, on the running loop."""
+    clock = state.Clock(asyncio.get_running_loop(), 1_700_000_000.0)
+    fleet = MemoryFleet(deployment, clock, seed, settings)
+    try:
+        await fleet.start(hosts)
+        yield fleet
+    finally:
+        await fleet.close()
--- /dev/null
+++ b/rudderrock/standins/_kv.py
@@ -0,0 +1,256 @@
+"""A stand-in of the platform's key-value service, with faults to order.
+
+`MemoryKv` is the service itself and fits the port directly; `make_kv_app`
+puts it behind HTTP. Faults are attributes that a scenario sets.
+"""
+
+import asyncio
+import dataclasses
+import itertools
+
+import result
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+
+
+@dataclasses.dataclass(slots=True)
+class KvFaults:
+    """What is wrong with the service just now.
+
+    `down` refuses every call. `delay_s` is added to each call, in seconds.
+    `lose_replies` lets that many writes take effect without a reply.
+    `drop_watches` keeps watches from noticing anything.
+    """
+
+    down: bool = False
+    delay_s: float = 0.0
+    lose_replies: int = 0
+    drop_watches: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Lease:
+    ttl_s: float
+    expires: float
+    keys: set[str] = dataclasses.field(default_factory=set)
+
+
+class MemoryKv:
+    """Keys with versions, compare-and-swap, leases and watches."""
+
+    def __init__(self, clock: state.Clock, latency_s: float = 0.001):
+        self.faults = KvFaults()
+        self.reads = 0
+        self.writes = 0
+        self._clock = clock
+        self._latency_s = latency_s
+        self._entries: dict[str, protocol.Entry] = {}
+        self._leases: dict[str, _Lease] = {}
+        self._ids = itertools.count(1)
+        self._versions = itertools.count(1)
+        self._changed = asyncio.Condition()
+
+    async def get(
+        self, key: str
+    ) -> result.Result[protocol.Entry, transport.KvUnavailable]:
+        """Read one key."""
+        self.reads += 1
+        if await self._fail():
+            return _unavailable()
+        return result.Ok(self._read(key))
+
+    async def swap(
+        self, request: protocol.SwapRequest
+    ) -> result.Result[
+        int,
+        transport.KvConflict | transport.KvUnavailable | transport.LeaseGone,
+    ]:
+        """Compare and swap one key; return its new version."""
+        self.writes += 1
+        if await self._fail():
+            return _unavailable()
+        current = self._read(request.key)
+        if current.version != request.expected:
+            return result.Err(transport.KvConflict(current))
+        if request.lease is not None:
+            lease = self._find_lease(request.lease)
+            if lease is None:
+                return result.Err(transport.LeaseGone())
+            lease.keys.add(request.key)
+        version = await self._write(request.key, request.value)
+        if self.faults.lose_replies > 0:
+            self.faults.lose_replies -= 1
+            return result.Err(transport.KvUnavailable('reply lost'))
+        return result.Ok(version)
+
+    async def watch(
+        self, key: str, after: int, timeout_s: float
+    ) -> result.Result[protocol.Entry, transport.KvUnavailable]:
+        """Wait for a version later than `after`, or the time to be over."""
+        self.reads += 1
+        if await self._fail():
+            return _unavailable()
+        try:
+            async with asyncio.timeout(timeout_s), self._changed:
+                await self._changed.wait_for(
+                    lambda: self._is_news(key, after) or self.faults.down
+                )
+        except TimeoutError:
+            pass
+        if self.faults.down:
+            return _unavailable()
+        if self.faults.drop_watches:
+            return result.Ok(protocol.Entry(value=None, version=after))
+        return result.Ok(self._read(key))
+
+    async def grant(
+        self, ttl_s: float
+    ) -> result.Result[str, transport.KvUnavailable]:
+        """Grant a lease; return its id."""
+        self.writes += 1
+        if await self._fail():
+            return _unavailable()
+        lease = f'lease-{next(self._ids)}'
+        self._leases[lease] = _Lease(ttl_s, self._clock.now() + ttl_s)
+        return result.Ok(lease)
+
+    async def renew(
+        self, lease: str
+    ) -> result.Result[None, transport.LeaseGone | transport.KvUnavailable]:
+        """Prolong a lease by its time to live."""
+        self.writes += 1
+        if await self._fail():
+            return _unavailable()
+        found = self._find_lease(lease)
+        if found is None:
+            return result.Err(transport.LeaseGone())
+        found.expires = self._clock.now() + found.ttl_s
+        return result.Ok(None)
+
+    async def revoke(
+        self, lease: str
+    ) -> result.Result[None, transport.LeaseGone | transport.KvUnavailable]:
+        """Take a lease back, and with it the keys that hang on it."""
+        self.writes += 1
+        if await self._fail():
+            return _unavailable()
+        if self._find_lease(lease) is None:
+            return result.Err(transport.LeaseGone())
+        await self._drop_lease(lease)
+        return result.Ok(None)
+
+    async def set_down(self, down: bool) -> None:
+        """Start or end an outage; waiting watches end with it."""
+        self.faults.down = down
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _fail(self) -> bool:
+        await asyncio.sleep(self._latency_s + self.faults.delay_s)
+        await self._expire_leases()
+        return self.faults.down
+
+    def _is_news(self, key: str, after: int) -> bool:
+        news = self._read(key).version > after
+        return news and not self.faults.drop_watches
+
+    def _read(self, key: str) -> protocol.Entry:
+        absent = protocol.Entry(value=None, version=protocol.ABSENT)
+        return self._entries.get(key, absent)
+
+    async def _write(self, key: str, value: bytes | None) -> int:
+        version = next(self._versions)
+        if value is None:
+            self._entries.pop(key, None)
+        else:
+            entry = protocol.Entry(value=value, version=version)
+            self._entries[key] = entry
+        async with self._changed:
+            self._changed.notify_all()
+        return version
+
+    def _find_lease(self, lease: str) -> _Lease | None:
+        return self._leases.get(lease)
+
+    async def _expire_leases(self) -> None:
+        now = self._clock.now()
+        for lease, found in list(self._leases.items()):
+            if found.expires <= now:
+                await self._drop_lease(lease)
+
+    async def _drop_lease(self, lease: str) -> None:
+        for key in self._leases.pop(lease).keys:
+            await self._write(key, None)
+
+
+def _unavailable() -> result.Err[transport.KvUnavailable]:
+    return result.Err(transport.KvUnavailable('service is down'))
+
+
+def make_kv_app(kv: MemoryKv) -> applications.Starlette:
+    """Put a key-value service behind HTTP."""
+
+    def post(path, cls, handle):
+        async def endpoint(request: requests.Request) -> responses.Response:
+            match protocol.decode(cls, await request.body()):
+                case result.Err(detail):
+                    return responses.PlainTextResponse(detail, 400)
+                case result.Ok(message):
+                    return _reply(await handle(message))
+
+        return routing.Route(path, endpoint, methods=['POST'])
+
+    async def swap(message: protocol.SwapRequest):
+        done = await kv.swap(message)
+        return done.map(lambda v: protocol.Entry(value=None, version=v))
+
+    async def grant(message: protocol.GrantRequest):
+        granted = await kv.grant(message.ttl_s)
+        return granted.map(lambda lease: protocol.Lease(lease=lease))
+
+    async def renew(message: protocol.Lease):
+        return (await kv.renew(message.lease)).map(lambda _: message)
+
+    async def revoke(message: protocol.Lease):
+        return (await kv.revoke(message.lease)).map(lambda _: message)
+
+    def get(message: protocol.GetRequest):
+        return kv.get(message.key)
+
+    def watch(message: protocol.WatchRequest):
+        return kv.watch(message.key, message.after, message.timeout_s)
+
+    return applications.Starlette(
+        routes=[
+            post(protocol.GET_PATH, protocol.GetRequest, get),
+            post(protocol.SWAP_PATH, protocol.SwapRequest, swap),
+            post(protocol.WATCH_PATH, protocol.WatchRequest, watch),
+            post(protocol.GRANT_PATH, protocol.GrantRequest, grant),
+            post(protocol.RENEW_PATH, protocol.Lease, renew),
+            post(protocol.REVOKE_PATH, protocol.Lease, revoke),
+        ]
+    )
+
+
+def _reply(outcome: result.Result) -> responses.Response:
+    match outcome:
+        case result.Ok(message):
+            return _json(200, message)
+        case result.Err(transport.KvConflict(current)):
+            return _json(409, current)
+        case result.Err(transport.LeaseGone()):
+            return responses.PlainTextResponse('lease gone', 410)
+        case result.Err(failure):
+            return responses.PlainTextResponse(failure.detail, 503)
+
+
+def _json(status: int, message: object) -> responses.Response:
+    return responses.Response(
+        protocol.encode(message), status, media_type='application/json'
+    )
--- /dev/null
+++ b/rudderrock/standins/_upstream.py
@@ -0,0 +1,260 @@
+"""A stand-in of an upstream: slots, a queue, stragglers, drains, records.
+
+`UpstreamModel` is the server itself. It is reached over HTTP by
+`make_upstream_app`, or in memory by `MemoryUpstreamPort`. It keeps its own
+record of what ran, against which a scenario checks every outcome.
+"""
+
+import asyncio
+import dataclasses
+import random
+
+import msgspec
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+
+from rudderrock import protocol
+from rudderrock import state
+
+DEFAULT_MAX_QUEUE = 64
+_HITS_PER_SHARD = 3
+_SILENCE_S = 3600.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class UpstreamFaults:
+    """What is wrong with an upstream just now.
+
+    `straggle` is the part of requests that take `straggle_factor` times as
+    long; `slow_factor` slows all. A `lost` one drops its connections and
+    takes none, a `hung` one takes them and never answers. `shed` is the
+    part refused. `false_load` is reported in place of the true load.
+    `cold_until` is the loop time up to which it is `cold_factor` slower.
+    """
+
+    straggle: float = 0.0
+    straggle_factor: float = 15.0
+    slow_factor: float = 1.0
+    shed: float = 0.0
+    lost: bool = False
+    hung: bool = False
+    leaving: bool = False
+    false_load: protocol.Load | None = None
+    cold_until: float = 0.0
+    cold_factor: float = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Run:
+    """One request that an upstream worked on."""
+
+    request: protocol.ShardRequest
+    started: float
+    finished: bool
+
+
+class UpstreamModel:
+    """One server of shards.
+
+    Parameters: `upstream` is its description in the layout; `versions`
+    what index versions it holds; `service_s` its median time for a request
+    in seconds, drawn log-normally with `spread`; `connect_s` what a new
+    connection takes; `max_queue` the requests it lets wait beyond its
+    slots.
+    """
+
+    def __init__(
+        self,
+        upstream: state.Upstream,
+        clock: state.Clock,
+        source: random.Random,
+        *,
+        versions: set[state.IndexVersion],
+        service_s: float = 0.004,
+        connect_s: float = 0.0,
+        spread: float = 0.25,
+        max_queue: int = DEFAULT_MAX_QUEUE,
+    ):
+        self.upstream = upstream
+        self.faults = UpstreamFaults()
+        self.versions = versions
+        self.connect_s = connect_s
+        self.runs: list[Run] = []
+        self.received = 0
+        self.open_connections = 0
+        self.peak_connections = 0
+        self._clock = clock
+        self._source = source
+        self._service_s = service_s
+        self._spread = spread
+        self._max_queue = max_queue
+        self._slots = asyncio.Semaphore(upstream.slots)
+        self._queued = 0
+        self._in_flight = 0
+
+    async def handle(
+        self, request: protocol.ShardRequest
+    ) -> protocol.ShardAnswer | protocol.ShardRejected:
+        """Work on one request, or say why not.
+
+        Cancelling this call is how a caller's cancellation arrives.
+        """
+        self.received += 1
+        rejection = self._reject(request)
+        if rejection is not None:
+            return rejection
+        self._queued += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._queued -= 1
+        try:
+            return await self._work(request)
+        finally:
+            self._slots.release()
+
+    def report_load(self) -> protocol.Load:
+        """Return the load that this upstream claims to have."""
+        if self.faults.false_load is not None:
+            return self.faults.false_load
+        return protocol.Load(
+            in_flight=self._in_flight,
+            queued=self._queued,
+            leaving=self.faults.leaving,
+        )
+
+    def connect(self) -> bool:
+        """Take one more connection if the limit allows it."""
+        if self.faults.lost:
+            return False
+        if self.open_connections >= self.upstream.connections:
+            return False
+        self.open_connections += 1
+        self.peak_connections = max(
+            self.peak_connections, self.open_connections
+        )
+        return True
+
+    def disconnect(self) -> None:
+        """Let one connection go."""
+        self.open_connections -= 1
+
+    def _reject(
+        self, request: protocol.ShardRequest
+    ) -> protocol.ShardRejected | None:
+        kinds = protocol.RejectionKind
+        if self.faults.leaving:
+            return _rejected(request, kinds.LEAVING)
+        if request.version not in self.versions:
+            return _rejected(request, kinds.VERSION)
+        if self._clock.wall() >= request.deadline:
+            return _rejected(request, kinds.EXPIRED)
+        full = self._queued >= self._max_queue
+        if full or self._source.random() < self.faults.shed:
+            return _rejected(request, kinds.SHED, retry_after_s=0.05)
+        return None
+
+    async def _work(
+        self, request: protocol.ShardRequest
+    ) -> protocol.ShardAnswer | protocol.ShardRejected:
+        if self._clock.wall() >= request.deadline:
+            return _rejected(request, protocol.RejectionKind.EXPIRED)
+        started = self._clock.now()
+        finished = False
+        self._in_flight += 1
+        try:
+            await asyncio.sleep(self._draw_service_s())
+            finished = True
+        finally:
+            self._in_flight -= 1
+            self.runs.append(Run(request, started, finished))
+        return self._answer(request)
+
+    def _draw_service_s(self) -> float:
+        faults = self.faults
+        service_s = self._service_s * faults.slow_factor
+        service_s *= self._source.lognormvariate(0.0, self._spread)
+        if self._source.random() < faults.straggle:
+            service_s *= faults.straggle_factor
+        if self._clock.now() < faults.cold_until:
+            service_s *= faults.cold_factor
+        return service_s
+
+    def _answer(self, request: protocol.ShardRequest) -> protocol.ShardAnswer:
+        hits = [
+            protocol.Hit(
+                id=f'{request.shard}-{request.version}-{number}',
+                score=round(self._source.random(), 6),
+                document=msgspec.Raw(
+                    b'{"shard":"%s","echo":%s}'
+                    % (request.shard.encode(), bytes(request.body))
+                ),
+            )
+            for number in range(_HITS_PER_SHARD)
+        ]
+        return protocol.ShardAnswer(
+            request_id=request.request_id,
+            shard=request.shard,
+            version=request.version,
+            hits=hits,
+            load=self.report_load(),
+        )
+
+
+def _rejected(
+    request: protocol.ShardRequest,
+    kind: protocol.RejectionKind,
+    retry_after_s: float = 0.0,
+) -> protocol.ShardRejected:
+    return protocol.ShardRejected(
+        request_id=request.request_id, kind=kind, retry_after_s=retry_after_s
+    )
+
+
+def make_upstream_app(model: UpstreamModel) -> applications.Starlette:
+    """Put an upstream behind HTTP; a closed connection cancels its work."""
+
+    async def shard(request: requests.Request) -> responses.Response:
+        decoded = protocol.decode(protocol.ShardRequest, await request.body())
+        if decoded.is_err():
+            return responses.PlainTextResponse(decoded.unwrap_err(), 400)
+        work = asyncio.create_task(model.handle(decoded.unwrap()))
+        gone = asyncio.create_task(_wait_for_disconnect(request))
+        await asyncio.wait((work, gone), return_when='FIRST_COMPLETED')
+        gone.cancel()
+        if not work.done():
+            work.cancel()
+            return responses.Response(status_code=499)
+        if model.faults.hung:
+            await asyncio.sleep(_SILENCE_S)
+        return _make_response(work.result())
+
+    async def load(request: requests.Request) -> responses.Response:
+        return responses.Response(
+            protocol.encode(model.report_load()), media_type='application/json'
+        )
+
+    return applications.Starlette(
+        routes=[
+            routing.Route(protocol.SHARD_PATH, shard, methods=['POST']),
+            routing.Route(protocol.LOAD_PATH, load, methods=['POST']),
+        ]
+    )
+
+
+async def _wait_for_disconnect(request: requests.Request) -> None:
+    while (await request.receive())['type'] != 'http.disconnect':
+        pass
+
+
+def _make_response(
+    reply: protocol.ShardAnswer | protocol.ShardRejected,
+) -> responses.Response:
+    status = 200
+    if isinstance(reply, protocol.ShardRejected):
+        status = protocol.REJECTION_STATUS[reply.kind]
+    return responses.Response(
+        protocol.encode(reply), status, media_type='application/json'
+    )
--- /dev/null
+++ b/rudderrock/state/__init__.py
@@ -0,0 +1,121 @@
+"""What a host knows: ids, settings, the table, the layout, events."""
+
+from rudderrock.state._clock import Clock
+from rudderrock.state._clock import make_random
+from rudderrock.state._constraints import FORBID_UNKNOWN
+from rudderrock.state._constraints import make_checked
+from rudderrock.state._constraints import Problem
+from rudderrock.state._constraints import Problems
+from rudderrock.state._events import Event
+from rudderrock.state._events import EventKind
+from rudderrock.state._events import EventRing
+from rudderrock.state._events import HybridClock
+from rudderrock.state._events import MAX_DRIFT_S
+from rudderrock.state._events import Stamp
+from rudderrock.state._ids import CollectionId
+from rudderrock.state._ids import EditId
+from rudderrock.state._ids import HostId
+from rudderrock.state._ids import IndexVersion
+from rudderrock.state._ids import NO_REVISION
+from rudderrock.state._ids import QueryId
+from rudderrock.state._ids import RequestId
+from rudderrock.state._ids import Revision
+from rudderrock.state._ids import ShardId
+from rudderrock.state._ids import TeamId
+from rudderrock.state._ids import UpstreamId
+from rudderrock.state._ids import ZoneId
+from rudderrock.state._layout import check_layout
+from rudderrock.state._layout import Collection
+from rudderrock.state._layout import Layout
+from rudderrock.state._layout import Placement
+from rudderrock.state._layout import Upstream
+from rudderrock.state._settings import AdmissionSettings
+from rudderrock.state._settings import ClaimSettings
+from rudderrock.state._settings import DrainSettings
+from rudderrock.state._settings import HedgeSettings
+from rudderrock.state._settings import HostSettings
+from rudderrock.state._settings import IntakeSettings
+from rudderrock.state._settings import MembershipSettings
+from rudderrock.state._settings import PlatformSettings
+from rudderrock.state._settings import read_settings
+from rudderrock.state._settings import read_toml
+from rudderrock.state._settings import RetrySettings
+from rudderrock.state._settings import RoutingSettings
+from rudderrock.state._settings import SecretSettings
+from rudderrock.state._settings import Settings
+from rudderrock.state._settings import ShareSettings
+from rudderrock.state._table import apply_change
+from rudderrock.state._table import Change
+from rudderrock.state._table import check_table
+from rudderrock.state._table import CoveragePolicy
+from rudderrock.state._table import Edit
+from rudderrock.state._table import HISTORY_LIMIT
+from rudderrock.state._table import MAX_TABLE_BYTES
+from rudderrock.state._table import RowMoved
+from rudderrock.state._table import Table
+from rudderrock.state._table import TeamRow
+from rudderrock.state._tokens import check_token
+from rudderrock.state._tokens import hash_token
+from rudderrock.state._tokens import make_token
+from rudderrock.state._tokens import split_token
+
+__all__ = [
+    'AdmissionSettings',
+    'Change',
+    'ClaimSettings',
+    'Clock',
+    'Collection',
+    'CollectionId',
+    'CoveragePolicy',
+    'DrainSettings',
+    'Edit',
+    'EditId',
+    'Event',
+    'EventKind',
+    'EventRing',
+    'FORBID_UNKNOWN',
+    'HISTORY_LIMIT',
+    'HedgeSettings',
+    'HostId',
+    'HostSettings',
+    'HybridClock',
+    'IndexVersion',
+    'IntakeSettings',
+    'Layout',
+    'MAX_DRIFT_S',
+    'MAX_TABLE_BYTES',
+    'MembershipSettings',
+    'NO_REVISION',
+    'Placement',
+    'PlatformSettings',
+    'Problem',
+    'Problems',
+    'QueryId',
+    'RequestId',
+    'RetrySettings',
+    'Revision',
+    'RoutingSettings',
+    'RowMoved',
+    'SecretSettings',
+    'Settings',
+    'ShardId',
+    'ShareSettings',
+    'Stamp',
+    'Table',
+    'TeamId',
+    'TeamRow',
+    'Upstream',
+    'UpstreamId',
+    'ZoneId',
+    'apply_change',
+    'check_layout',
+    'check_table',
+    'check_token',
+    'hash_token',
+    'make_checked',
+    'make_random',
+    'make_token',
+    'read_settings',
+    'read_toml',
+    'split_token',
+]
--- /dev/null
+++ b/rudderrock/transport/__init__.py
@@ -0,0 +1,65 @@
+"""Ports to all that is outside the process, and their HTTP clients."""
+
+from rudderrock.transport._kv import HttpKvPort
+from rudderrock.transport._owned import ExchangeFailed
+from rudderrock.transport._owned import OwnedConnection
+from rudderrock.transport._owned import RawReply
+from rudderrock.transport._peers import HOST_LIST_PATH
+from rudderrock.transport._peers import HttpHostListPort
+from rudderrock.transport._peers import HttpPeerPort
+from rudderrock.transport._peers import post_once
+from rudderrock.transport._ports import Abort
+from rudderrock.transport._ports import ConnectFailed
+from rudderrock.transport._ports import ExchangeTicket
+from rudderrock.transport._ports import HostListPort
+from rudderrock.transport._ports import KvConflict
+from rudderrock.transport._ports import KvPort
+from rudderrock.transport._ports import KvUnavailable
+from rudderrock.transport._ports import LeaseGone
+from rudderrock.transport._ports import ListedHost
+from rudderrock.transport._ports import PeerPort
+from rudderrock.transport._ports import PeerUnreachable
+from rudderrock.transport._ports import UpstreamConnection
+from rudderrock.transport._ports import UpstreamPort
+from rudderrock.transport._server import bind
+from rudderrock.transport._server import get_address
+from rudderrock.transport._server import HeadLimits
+from rudderrock.transport._server import HttpServer
+from rudderrock.transport._server import serve
+from rudderrock.transport._upstream import check_shard_reply
+from rudderrock.transport._upstream import HttpUpstreamConnection
+from rudderrock.transport._upstream import HttpUpstreamPort
+from rudderrock.transport._upstream import read_shard_reply
+
+__all__ = [
+    'Abort',
+    'ConnectFailed',
+    'ExchangeFailed',
+    'ExchangeTicket',
+    'HOST_LIST_PATH',
+    'HeadLimits',
+    'HostListPort',
+    'HttpHostListPort',
+    'HttpKvPort',
+    'HttpPeerPort',
+    'HttpServer',
+    'HttpUpstreamConnection',
+    'HttpUpstreamPort',
+    'KvConflict',
+    'KvPort',
+    'KvUnavailable',
+    'LeaseGone',
+    'ListedHost',
+    'OwnedConnection',
+    'PeerPort',
+    'PeerUnreachable',
+    'RawReply',
+    'UpstreamConnection',
+    'UpstreamPort',
+    'bind',
+    'check_shard_reply',
+    'get_address',
+    'post_once',
+    'read_shard_reply',
+    'serve',
+]
--- /dev/null
+++ b/rudderrock/transport/_peers.py
@@ -0,0 +1,117 @@
+"""Peers and the platform's host list over HTTP."""
+
+import asyncio
+from typing import Any
+
+import result
+
+from rudderrock import protocol
+from rudderrock.transport import _owned as owned
+from rudderrock.transport import _ports as ports
+
+HOST_LIST_PATH = '/v1/hosts'
+
+
+class HttpPeerPort:
+    """Sends messages to peers, over a new connection each.
+
+    Probes go to a different peer each period, so a kept connection would
+    be idle for a whole round of the fleet: 290 seconds at 580 hosts.
+
+    Parameters: `secret` is what peers show one another.
+    """
+
+    def __init__(self, secret: str):
+        self._headers = {protocol.SECRET_HEADER: secret}
+
+    async def probe(
+        self, address: str, message: protocol.Probe, timeout_s: float
+    ) -> result.Result[protocol.ProbeReply, ports.PeerUnreachable]:
+        """Send a probe and wait for its reply."""
+        return await self._send(
+            address,
+            protocol.PROBE_PATH,
+            message,
+            timeout_s,
+            protocol.ProbeReply,
+        )
+
+    async def fetch_table(
+        self,
+        address: str,
+        message: protocol.TableRequest,
+        timeout_s: float,
+    ) -> result.Result[protocol.TableReply, ports.PeerUnreachable]:
+        """Ask a peer for a later table."""
+        return await self._send(
+            address,
+            protocol.TABLE_PATH,
+            message,
+            timeout_s,
+            protocol.TableReply,
+        )
+
+    async def _send(
+        self,
+        address: str,
+        path: str,
+        message: Any,
+        timeout_s: float,
+        reply_cls: type,
+    ) -> result.Result[Any, ports.PeerUnreachable]:
+        return await post_once(
+            address, path, message, timeout_s, reply_cls, self._headers
+        )
+
+
+class HttpHostListPort:
+    """Reads the platform's list of live and leaving hosts."""
+
+    def __init__(self, address: str, timeout_s: float):
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def list_hosts(
+        self,
+    ) -> result.Result[list[ports.ListedHost], ports.PeerUnreachable]:
+        """Return the list as the platform has it now."""
+        return await post_once(
+            self._address,
+            HOST_LIST_PATH,
+            {},
+            self._timeout_s,
+            list[ports.ListedHost],
+        )
+
+
+async def post_once(
+    address: str,
+    path: str,
+    message: Any,
+    timeout_s: float,
+    reply_cls: Any,
+    headers: dict[str, str] | None = None,
+) -> result.Result[Any, ports.PeerUnreachable]:
+    """Send one message over a connection of its own and read its reply.
+
+    `timeout_s` bounds the whole exchange, in seconds.
+    """
+    connection = owned.OwnedConnection(
+        address, connect_timeout_s=timeout_s, headers=headers
+    )
+    try:
+        async with asyncio.timeout(timeout_s):
+            raw = await connection.post(path, protocol.encode(message))
+    except TimeoutError:
+        return result.Err(ports.PeerUnreachable('timed out'))
+    finally:
+        await connection.close()
+    match raw:
+        case result.Err(failed):
+            return result.Err(ports.PeerUnreachable(failed.detail))
+        case result.Ok(owned.RawReply(status=200, body=body)):
+            decoded = protocol.decode(reply_cls, body)
+            return decoded.map_err(ports.PeerUnreachable)
+        case result.Ok(reply):
+            detail = f'status {reply.status}: {reply.body[:200]!r}'
+            return result.Err(ports.PeerUnreachable(detail))
