--- /dev/null
+++ b/rudderrock/transport/_upstream.py
@@ -0,0 +1,104 @@
+"""Connections to upstreams over HTTP."""
+
+import asyncio
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock.transport import _owned as owned
+from rudderrock.transport import _ports as ports
+
+_REJECTIONS = frozenset(protocol.REJECTION_STATUS.values())
+
+
+class HttpUpstreamConnection:
+    """One kept HTTP connection to an upstream, owned by one task."""
+
+    def __init__(self, connection: owned.OwnedConnection):
+        self._connection = connection
+
+    async def exchange(
+        self, request: protocol.ShardRequest, ticket: ports.ExchangeTicket
+    ) -> protocol.ShardReply:
+        """Send a request and read its whole reply.
+
+        The ticket's holder may give up at any time, which closes the
+        connection and thereby tells the upstream.
+        """
+        body = protocol.encode(request)
+        try:
+            async with asyncio.timeout_at(ticket.until) as abort:
+                ticket.arm(abort)
+                raw = await self._connection.post(protocol.SHARD_PATH, body)
+        except TimeoutError:
+            return protocol.ShardTimeout()
+        match raw:
+            case result.Err(failed):
+                return protocol.ShardLost(True, failed.detail)
+            case result.Ok(reply):
+                return read_shard_reply(request, reply)
+
+    async def close(self) -> None:
+        """Close the connection; harmless if it is closed."""
+        await self._connection.close()
+
+
+def read_shard_reply(
+    request: protocol.ShardRequest, raw: owned.RawReply
+) -> protocol.ShardReply:
+    """Turn an HTTP reply into a typed one that belongs to this request.
+
+    A reply that does not echo the request's id, or answers for another
+    shard or version, counts as lost: it is somebody else's.
+    """
+    if raw.status == 200:
+        decoded = protocol.decode(protocol.ShardAnswer, raw.body)
+    elif raw.status in _REJECTIONS:
+        decoded = protocol.decode(protocol.ShardRejected, raw.body)
+    else:
+        return protocol.ShardLost(True, f'unexpected status {raw.status}')
+    match decoded:
+        case result.Err(detail):
+            return protocol.ShardLost(True, f'unreadable reply: {detail}')
+        case result.Ok(reply):
+            return check_shard_reply(request, reply)
+
+
+def check_shard_reply(
+    request: protocol.ShardRequest, reply: protocol.ShardReply
+) -> protocol.ShardReply:
+    """Return the reply if it is this request's, else that it was lost."""
+    match reply:
+        case protocol.ShardAnswer():
+            own = (request.request_id, request.shard, request.version)
+            if (reply.request_id, reply.shard, reply.version) != own:
+                return protocol.ShardLost(True, 'reply to another request')
+        case protocol.ShardRejected():
+            if reply.request_id != request.request_id:
+                return protocol.ShardLost(True, 'reply to another request')
+    return reply
+
+
+class HttpUpstreamPort:
+    """Makes HTTP connections to upstreams.
+
+    Parameters: `connect_timeout_s` bounds making one, in seconds.
+    """
+
+    def __init__(self, connect_timeout_s: float):
+        self._connect_timeout_s = connect_timeout_s
+
+    async def connect(
+        self, upstream: state.Upstream
+    ) -> result.Result[HttpUpstreamConnection, ports.ConnectFailed]:
+        """Open a connection that is ready for its first exchange."""
+        connection = owned.OwnedConnection(
+            upstream.address, connect_timeout_s=self._connect_timeout_s
+        )
+        opened = await connection.open()
+        match opened:
+            case result.Err(failed):
+                return result.Err(ports.ConnectFailed(failed.detail))
+            case result.Ok(_):
+                return result.Ok(HttpUpstreamConnection(connection))
