Hedge by a late point per collection instead of a percentile per service

A service gives one host some 180 samples in 30 s, and the 98th percentile of so few, 1 % of them stragglers, jumped between 7 and 41 ms.

Ruled out: lanes that are busy (no hedge had to wait) and the budget (22 denials in 9,080 requests).

Change: a stochastic approximation of the point that 2.2 % of requests exceed, pooled over a collection, above each upstream's own least latency. It needs only late or not, so censoring does not mislead it.

--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -29,7 +29,7 @@
 from rudderrock.coordination._host import describe_outcome
 from rudderrock.coordination._host import EntryHost
 from rudderrock.coordination._latency import FadingMean
-from rudderrock.coordination._latency import LatencyWindow
+from rudderrock.coordination._latency import LatePoint
 from rudderrock.coordination._lifecycle import HostState
 from rudderrock.coordination._lifecycle import Lifecycle
 from rudderrock.coordination._link import UpstreamLink
@@ -76,7 +76,7 @@
     'HostState',
     'KeyFollower',
     'LAYOUT_KEY',
-    'LatencyWindow',
+    'LatePoint',
     'Lifecycle',
     'Mailbox',
     'Membership',
--- a/rudderrock/coordination/_admission.py
+++ b/rudderrock/coordination/_admission.py
@@ -135,6 +135,8 @@
         self, row: state.TeamRow, deadline: float
     ) -> protocol.Refused | None:
         """Refuse what would still wait for slots at its deadline."""
+        if not self._settings.refuse_late:
+            return None
         left_s = deadline - self._clock.now()
         for service in self._dispatcher.list_waiting():
             queued = service.queue.count(state.TeamId(row.team))
--- a/rudderrock/coordination/_attempt.py
+++ b/rudderrock/coordination/_attempt.py
@@ -60,7 +60,8 @@
 
     `deadline` is in loop time. `sent_at` is the loop time at which a lane
     took it, None while it waits; an attempt that was given up before that
-    has certainly not run.
+    has certainly not run. `base_s` is the least latency of the upstream it
+    went to, in seconds: distance and bare work, without chance.
     """
 
     request: protocol.ShardRequest
@@ -72,6 +73,7 @@
     avoid: frozenset[state.UpstreamId] = frozenset()
     upstream: state.UpstreamId | None = None
     sent_at: float | None = None
+    base_s: float = 0.0
     given_up: bool = False
     abort: transport.Abort | None = None
 
--- a/rudderrock/coordination/_dispatch.py
+++ b/rudderrock/coordination/_dispatch.py
@@ -16,7 +16,6 @@
 from rudderrock.coordination import _attempt as attempts
 from rudderrock.coordination import _budget as budgets
 from rudderrock.coordination import _fair_queue as fair_queue
-from rudderrock.coordination import _latency as latency
 from rudderrock.coordination import _link as links
 
 _ZONE_PENALTY = 1.1
@@ -26,25 +25,23 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Service:
-    """One shard's replicas, queue, latency and budgets.
+    """One shard's replicas, queue and budgets.
 
     `late` is the moving fraction of requests that were not answered within
-    the hedge delay.
+    the hedge delay, `work_s` the moving mean of an exchange in seconds.
     """
 
     shard: state.ShardId
     links: list[links.UpstreamLink]
     queue: fair_queue.FairQueue[attempts.Attempt]
-    latency: latency.LatencyWindow
     hedges: budgets.Budget
     retries: budgets.Budget
     late: float = 0.0
     work_s: float = 0.0
 
-    def note_answer(self, elapsed: float, hedge_delay_s: float) -> None:
+    def note_answer(self, elapsed: float, late: bool) -> None:
         """Take note of an answer to a first attempt, in seconds."""
-        self.latency.record(elapsed)
-        self.note_late(elapsed > hedge_delay_s)
+        self.note_late(late)
         self.work_s += 0.1 * (elapsed - self.work_s)
 
     def note_late(self, late: bool) -> None:
@@ -197,6 +194,8 @@
             free = self._source.sample(free, 2)
         if not free:
             return None
+        if self._settings.routing.choice is state.ReplicaChoice.RANDOM:
+            return self._source.choice(free)
         return min(free, key=lambda link: self._score(link, now))
 
     def _score(self, link: links.UpstreamLink, now: float) -> float:
@@ -283,8 +282,7 @@
             return Service(
                 shard=shard,
                 links=replicas,
-                queue=fair_queue.FairQueue(),
-                latency=latency.LatencyWindow(self._clock),
+                queue=fair_queue.FairQueue(self._settings.admission.order),
                 hedges=budgets.Budget(hedging.budget, hedging.burst),
                 retries=budgets.Budget(retries.budget, retries.burst),
             )
--- a/rudderrock/coordination/_fair_queue.py
+++ b/rudderrock/coordination/_fair_queue.py
@@ -19,6 +19,7 @@
 # Lead of each step of priority, in requests of a team of weight 1.
 _LEAD_PER_STEP = 1.0
 _LOWEST_PRIORITY = 9
+_ONE_LINE = state.TeamId('')
 
 
 @dataclasses.dataclass(slots=True)
@@ -42,9 +43,13 @@
     """Requests waiting for one service, served by weight.
 
     Each request counts as one unit of cost, since each takes one slot.
+
+    Parameters: with `order` `FIFO` all teams share one line, as a
+    baseline to compare with.
     """
 
-    def __init__(self):
+    def __init__(self, order: state.QueueOrder = state.QueueOrder.FAIR):
+        self._order = order
         self._lanes: dict[state.TeamId, _Lane[T]] = {}
         self._virtual = 0.0
         self._length = 0
@@ -54,10 +59,11 @@
 
     def push(self, row: state.TeamRow, item: T) -> None:
         """Add one request of a team."""
-        lane = self._lanes.get(row.team)
+        team = self._get_line(row.team)
+        lane = self._lanes.get(team)
         if lane is None:
             lane = _Lane(row.weight, row.priority, self._virtual)
-            self._lanes[row.team] = lane
+            self._lanes[team] = lane
         # The row may have been edited since the team's last request.
         lane.weight = row.weight
         lane.priority = row.priority
@@ -82,7 +88,7 @@
 
     def count(self, team: state.TeamId) -> int:
         """Return how many requests of a team wait."""
-        lane = self._lanes.get(team)
+        lane = self._lanes.get(self._get_line(team))
         return len(lane.items) if lane else 0
 
     def get_share(self, row: state.TeamRow) -> float:
@@ -90,10 +96,13 @@
         others = sum(
             lane.weight
             for team, lane in self._lanes.items()
-            if lane.items and team != row.team
+            if lane.items and team != self._get_line(row.team)
         )
         return row.weight / (row.weight + others)
 
+    def _get_line(self, team: state.TeamId) -> state.TeamId:
+        return team if self._order is state.QueueOrder.FAIR else _ONE_LINE
+
     def _forget_idle(self) -> None:
         """Drop teams that owe nothing, so idle teams take no memory."""
         self._lanes = {
--- a/rudderrock/coordination/_latency.py
+++ b/rudderrock/coordination/_latency.py
@@ -1,83 +1,48 @@
-"""Latency as observed by this host: percentiles and a fading average."""
+"""Latency as observed by this host: when it is late, and its mean."""
 
 import math
 
-from hdrh import histogram
-
 from rudderrock import state
 
-_MICROS = 1_000_000
-_LOWEST = 1
-_HIGHEST = 60 * _MICROS
-_DIGITS = 2
-_MIN_SAMPLES = 50
+# Gain of one request on the late point, once settled and at first.
+_LATE_GAIN = 0.02
+_FIRST_GAIN = 3.0
 
 
-class LatencyWindow:
-    """Percentiles over the last one to two windows of time.
+class LatePoint:
+    """The latency that a given part of requests exceeds.
 
-    Two histograms take turns, so that old samples leave without keeping
-    each. Reading a percentile costs some 350 us, so it is read again only
-    after `refresh_s`, and a request costs one `record` of 3 us.
+    Found by stochastic approximation (Robbins and Monro, 1951) on its
+    logarithm: each request that is late raises it a little, each that is
+    not lowers it less. It needs only to know whether a request was late,
+    so it is not misled by requests whose true latency is never learned
+    because a hedge was faster. A histogram's high percentile is, and it
+    needs thousands of samples to hold still.
 
-    Parameters: `window_s` and `refresh_s` in seconds.
+    Parameters: `part` of the requests that shall be late, 0 to 1; `lowest`
+    and `highest` bound the point, in seconds, and it starts at `start`.
     """
 
     def __init__(
-        self,
-        clock: state.Clock,
-        window_s: float = 30.0,
-        refresh_s: float = 1.0,
+        self, part: float, *, start: float, lowest: float, highest: float
     ):
-        self._clock = clock
-        self._window_s = window_s
-        self._refresh_s = refresh_s
-        self._current = _make_histogram()
-        self._previous = _make_histogram()
-        self._rotated = clock.now()
-        self._cached: float | None = None
-        self._cached_at = -math.inf
-
-    def record(self, seconds: float) -> None:
-        """Add one observed latency."""
-        self._rotate()
-        self._current.record_value(max(_LOWEST, round(seconds * _MICROS)))
-
-    @property
-    def is_filled(self) -> bool:
-        """Tell whether percentiles are known, as of the last reading."""
-        return self._cached is not None
-
-    def get_percentile(self, percentile: float) -> float | None:
-        """Return a percentile in seconds, or None with too few samples.
-
-        One window serves one percentile; asking for another returns the
-        one that is cached.
-        """
-        now = self._clock.now()
-        if now - self._cached_at < self._refresh_s:
-            return self._cached
-        self._cached_at = now
-        self._rotate()
-        self._cached = self._read_percentile(percentile)
-        return self._cached
-
-    def _read_percentile(self, percentile: float) -> float | None:
-        fuller = max(
-            (self._previous, self._current),
-            key=lambda each: each.get_total_count(),
-        )
-        if fuller.get_total_count() < _MIN_SAMPLES:
-            return None
-        return fuller.get_value_at_percentile(percentile) / _MICROS
-
-    def _rotate(self) -> None:
-        now = self._clock.now()
-        if now - self._rotated < self._window_s:
-            return
-        self._rotated = now
-        self._previous = self._current
-        self._current = _make_histogram()
+        self._part = part
+        self._lowest = lowest
+        self._highest = highest
+        self._point = start
+        self._count = 0
+
+    def get(self) -> float:
+        """Return the point in seconds."""
+        return self._point
+
+    def note(self, late: bool) -> None:
+        """Take note of whether one request was later than the point."""
+        self._count += 1
+        gain = max(_LATE_GAIN, _FIRST_GAIN / math.sqrt(self._count))
+        step = (1.0 - self._part) if late else -self._part
+        point = self._point * math.exp(gain * step)
+        self._point = min(max(point, self._lowest), self._highest)
 
 
 class FadingMean:
@@ -109,7 +74,3 @@
         """Return the mean, faded by the time since the last sample."""
         idle = self._clock.now() - self._updated
         return self._mean * math.exp(-idle / self._fade_s)
-
-
-def _make_histogram() -> histogram.HdrHistogram:
-    return histogram.HdrHistogram(_LOWEST, _HIGHEST, _DIGITS)
--- a/rudderrock/coordination/_link.py
+++ b/rudderrock/coordination/_link.py
@@ -27,6 +27,8 @@
 # Latency above this many times the unloaded one means a queue up there.
 _QUEUE_SIGN = 2.0
 _UNLOADED_DRIFT = 1.0005
+# How fast the least latency follows a latency that has risen for good.
+_BASE_LEAK = 0.02
 # Failures that all fall into one stall of this process, or of the network,
 # say nothing of the upstream; a run of them must last at least this long.
 _MIN_FAILURE_SPAN_S = 0.25
@@ -79,6 +81,7 @@
         self._retiring = 0
         self._latency = latency.FadingMean(clock)
         self._unloaded = math.inf
+        self._base_s = 0.0
         self._limit = 1.0
         self._failures = 0
         self._ejections = 0
@@ -167,6 +170,7 @@
         """Give an attempt to an idle lane; `is_free` must hold."""
         attempt.upstream = self.upstream.upstream
         attempt.sent_at = self._clock.now()
+        attempt.base_s = self._base_s
         self.in_flight += 1
         self.sent += 1
         self._idle.pop().set_result(attempt)
@@ -312,6 +316,8 @@
         self._ejections = 0
         self._failing_since = math.inf
         self._latency.record(elapsed)
+        leaked = self._base_s + _BASE_LEAK * (elapsed - self._base_s)
+        self._base_s = min(elapsed, leaked) if self._base_s else elapsed
         self._hint = load
         if self.state is UpstreamState.EJECTED:
             self._set_state(UpstreamState.UP, 'answers again')
@@ -325,6 +331,8 @@
         The rule of TCP Vegas (Brakmo and Peterson, 1995): latency against
         the unloaded latency tells how many of ours wait at the upstream.
         """
+        if not self._settings.adapt:
+            return
         mean = self._latency.get()
         self._unloaded = min(self._unloaded * _UNLOADED_DRIFT, mean)
         queued = self._limit * (1.0 - self._unloaded / max(mean, 1e-9))
--- a/rudderrock/coordination/_query.py
+++ b/rudderrock/coordination/_query.py
@@ -21,7 +21,10 @@
 from rudderrock.coordination import _latency as latency
 
 _MAX_RESTARTS = 2
-_UNKNOWN_HEDGE_DELAY_S = 0.05
+_UNKNOWN_PATIENCE_S = 0.05
+_LONGEST_PATIENCE_S = 10.0
+# A late request whose other replicas are all busy is looked at again.
+_HEDGE_AGAIN_S = 0.002
 _SERVABLE_MEMORY_S = 0.05
 # No restart at another version with less than this part of the time left.
 _RESTART_TIME_FRACTION = 0.2
@@ -32,7 +35,6 @@
     """The state of one shard within one query."""
 
     service: dispatch.Service
-    hedge_delay_s: float
     in_flight: list[attempts.Attempt] = dataclasses.field(default_factory=list)
     failed: set[state.UpstreamId] = dataclasses.field(default_factory=set)
     lacking: set[state.UpstreamId] = dataclasses.field(default_factory=set)
@@ -83,6 +85,7 @@
     retries: int = 0
     hedge_wins: int = 0
     hedges_denied: int = 0
+    hedges_waiting: int = 0
     retries_denied: int = 0
     restarts: int = 0
 
@@ -132,7 +135,7 @@
             settings.hedging.budget, settings.hedging.host_burst
         )
         self._servable: dict[state.CollectionId, tuple[float, dict]] = {}
-        self._pooled: dict[state.CollectionId, latency.LatencyWindow] = {}
+        self._late_points: dict[state.CollectionId, latency.LatePoint] = {}
 
     async def run(
         self, ticket: QueryTicket, collection: state.Collection
@@ -182,18 +185,26 @@
             key=lambda each: (servable[each.version], each.version),
         )
 
-    def find_pooled(
+    def find_late_point(
         self, collection: state.CollectionId
-    ) -> latency.LatencyWindow:
-        """Return the latency of all of a collection's services together.
+    ) -> latency.LatePoint:
+        """Return what latency above the least makes a request late.
 
-        It stands in for that of a service that has had few requests yet.
+        One point for all services of a collection, because one service
+        alone gives a host few requests, while what makes them late is
+        alike for all. The least latency is each upstream's own.
         """
-        pooled = self._pooled.get(collection)
-        if pooled is None:
-            pooled = latency.LatencyWindow(self._clock, refresh_s=0.2)
-            self._pooled[collection] = pooled
-        return pooled
+        late_point = self._late_points.get(collection)
+        if late_point is None:
+            hedging = self._settings.hedging
+            late_point = latency.LatePoint(
+                1.0 - hedging.percentile / 100.0,
+                start=max(_UNKNOWN_PATIENCE_S, hedging.min_delay_s),
+                lowest=hedging.min_delay_s,
+                highest=_LONGEST_PATIENCE_S,
+            )
+            self._late_points[collection] = late_point
+        return late_point
 
     def _count_servable(
         self, collection: state.Collection
@@ -256,7 +267,8 @@
         self._dispatcher = runner._dispatcher
         self._settings = runner._settings
         self._counters = runner.counters
-        self._pooled = runner.find_pooled(ticket.query.collection)
+        self._late_point = runner.find_late_point(ticket.query.collection)
+        self._patience_s = self._late_point.get()
         self._mailbox = attempts.Mailbox(asyncio.get_running_loop())
         self._order = itertools.count()
         self._due: list[_Due] = []
@@ -320,8 +332,7 @@
         team = self._runner._teams.find(self._ticket.row.team)
         for shard in self._placement.shards:
             service = self._dispatcher.find_service(shard)
-            delay_s = self._get_hedge_delay_s(service)
-            call = _ShardCall(service=service, hedge_delay_s=delay_s)
+            call = _ShardCall(service=service)
             self._calls[shard] = call
             self._open += 1
             self._counters.shards += 1
@@ -339,16 +350,7 @@
         self._counters.first += 1
         self._dispatcher.submit(call.service, attempt)
         if self._settings.hedging.enabled:
-            self._look_later(call, call.hedge_delay_s)
-
-    def _get_hedge_delay_s(self, service: dispatch.Service) -> float:
-        hedging = self._settings.hedging
-        observed = service.latency.get_percentile(hedging.percentile)
-        if observed is None:
-            observed = self._pooled.get_percentile(hedging.percentile)
-        if observed is None:
-            return max(_UNKNOWN_HEDGE_DELAY_S, hedging.min_delay_s)
-        return max(observed, hedging.min_delay_s)
+            self._look_later(call, self._patience_s)
 
     def _get_end(self) -> float:
         """Return the time at which the answer is given with what there is."""
@@ -421,14 +423,14 @@
 
     def _consider_hedge(self, call: _ShardCall) -> None:
         """Send a second request if the first is late and it may help."""
-        if call.hedged or len(call.in_flight) != 1:
+        if len(call.in_flight) != 1:
             return
         first = call.in_flight[0]
         if first.sent_at is None:
             # It waits for a slot; a second request would only wait too.
-            self._look_later(call, call.hedge_delay_s)
+            self._look_later(call, self._patience_s)
             return
-        late_at = first.sent_at + call.hedge_delay_s
+        late_at = first.sent_at + first.base_s + self._patience_s
         if not self._clock.has_reached(late_at):
             self._look_at(call, late_at)
             return
@@ -436,8 +438,10 @@
 
     def _hedge(self, call: _ShardCall, first: attempts.Attempt) -> None:
         service = call.service
-        service.note_late(True)
-        call.hedged = True
+        if not call.hedged:
+            service.note_late(True)
+            self._late_point.note(True)
+            call.hedged = True
         paused = service.late > self._settings.hedging.pause_above
         affordable = (
             service.hedges.can_spend() and self._runner._hedges.can_spend()
@@ -449,6 +453,9 @@
         hedge = self._make_attempt(call, attempts.AttemptKind.HEDGE, avoid)
         if not self._dispatcher.try_now(service, hedge):
             call.in_flight.remove(hedge)
+            call.tries -= 1
+            self._counters.hedges_waiting += 1
+            self._look_later(call, _HEDGE_AGAIN_S)
             return
         service.hedges.spend()
         self._runner._hedges.spend()
@@ -481,21 +488,12 @@
         answer: protocol.ShardAnswer,
     ) -> None:
         elapsed = self._clock.now() - attempt.sent_at
-        if not call.service.latency.is_filled:
-            self._pooled.record(elapsed)
-        if not call.hedged:
-            call.service.note_answer(elapsed, call.hedge_delay_s)
-        elif attempt.kind is attempts.AttemptKind.HEDGE:
-            self._counters.hedge_wins += 1
-            # The first one took at least as long; leaving it out would
-            # let the percentile sink under its own hedges.
-            first_sent = min(
-                (each.sent_at for each in call.in_flight if each.sent_at),
-                default=attempt.sent_at,
-            )
-            call.service.latency.record(self._clock.now() - first_sent)
-        else:
-            call.service.latency.record(elapsed)
+        if attempt.kind is attempts.AttemptKind.HEDGE:
+            self._counters.hedge_wins += bool(call.in_flight)
+        elif not call.hedged:
+            late = elapsed > attempt.base_s + self._patience_s
+            call.service.note_answer(elapsed, late)
+            self._late_point.note(late)
         call.answer = answer
         self._close(call)
 
--- /dev/null
+++ b/rudderrock/experiments/__init__.py
@@ -0,0 +1,65 @@
+"""The load and experiment tool: plans, runs, reports, comparisons."""
+
+from rudderrock.experiments._faults import play
+from rudderrock.experiments._outcomes import Bin
+from rudderrock.experiments._outcomes import compare_results
+from rudderrock.experiments._outcomes import ExperimentResult
+from rudderrock.experiments._outcomes import format_result
+from rudderrock.experiments._outcomes import make_mark
+from rudderrock.experiments._outcomes import Mark
+from rudderrock.experiments._outcomes import PERCENTILES
+from rudderrock.experiments._outcomes import read_result
+from rudderrock.experiments._outcomes import TeamOutcome
+from rudderrock.experiments._outcomes import TeamRecorder
+from rudderrock.experiments._outcomes import write_result
+from rudderrock.experiments._plan import Burst
+from rudderrock.experiments._plan import Cold
+from rudderrock.experiments._plan import EVERYTHING
+from rudderrock.experiments._plan import FalseLoad
+from rudderrock.experiments._plan import Fault
+from rudderrock.experiments._plan import HostGone
+from rudderrock.experiments._plan import KvDown
+from rudderrock.experiments._plan import Leave
+from rudderrock.experiments._plan import Lose
+from rudderrock.experiments._plan import Plan
+from rudderrock.experiments._plan import read_plan
+from rudderrock.experiments._plan import Rollout
+from rudderrock.experiments._plan import Shed
+from rudderrock.experiments._plan import Slow
+from rudderrock.experiments._plan import Straggle
+from rudderrock.experiments._plan import TeamLoad
+from rudderrock.experiments._run import Driver
+from rudderrock.experiments._run import run_virtual
+
+__all__ = [
+    'Bin',
+    'Burst',
+    'Cold',
+    'Driver',
+    'EVERYTHING',
+    'ExperimentResult',
+    'FalseLoad',
+    'Fault',
+    'HostGone',
+    'KvDown',
+    'Leave',
+    'Lose',
+    'Mark',
+    'PERCENTILES',
+    'Plan',
+    'Rollout',
+    'Shed',
+    'Slow',
+    'Straggle',
+    'TeamLoad',
+    'TeamOutcome',
+    'TeamRecorder',
+    'compare_results',
+    'format_result',
+    'make_mark',
+    'play',
+    'read_plan',
+    'read_result',
+    'run_virtual',
+    'write_result',
+]
--- /dev/null
+++ b/rudderrock/experiments/_outcomes.py
@@ -0,0 +1,253 @@
+"""What an experiment saw, team by team and second by second."""
+
+import collections
+import dataclasses
+import pathlib
+
+from hdrh import histogram
+import result
+
+from rudderrock import protocol
+
+_MICROS = 1_000_000
+_HIGHEST = 120 * _MICROS
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Bin:
+    """One second of one team: counts, coverage and two percentiles.
+
+    Latencies are in seconds, counted from the time at which the query was
+    due, so that waiting is not hidden (no coordinated omission).
+    """
+
+    second: int
+    answered: int
+    refused: int
+    failed: int
+    shards: int
+    shards_answered: int
+    p50_s: float
+    p99_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TeamOutcome:
+    """One team over the whole experiment; latencies in seconds."""
+
+    team: str
+    asked: int
+    answered: int
+    refused: int
+    failed: int
+    complete: int
+    shards: int
+    shards_answered: int
+    latency_s: dict[str, float]
+    bins: list[Bin]
+
+    @property
+    def coverage(self) -> float:
+        """Return the part of shards that contributed to answers."""
+        return self.shards_answered / self.shards if self.shards else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Mark:
+    """A fault on the time axis, in seconds of the experiment."""
+
+    label: str
+    at: float
+    until: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExperimentResult:
+    """All that one run gave; the same seed gives the same figures.
+
+    `extra_load` is the upstream requests sent beyond one a shard, as a
+    part of the shards asked for. `connections` is the most that any
+    upstream had open, as a part of what it allows.
+    """
+
+    name: str
+    seed: int
+    seconds: float
+    hosts: int
+    teams: list[TeamOutcome]
+    extra_load: float
+    hedges: int
+    retries: int
+    shard_requests: int
+    connections: float
+    kv_reads: int
+    kv_writes: int
+    marks: list[Mark]
+
+    def find_team(self, team: str) -> TeamOutcome:
+        """Return one team's outcome."""
+        return next(each for each in self.teams if each.team == team)
+
+
+@dataclasses.dataclass(slots=True)
+class _BinCounts:
+    answered: int = 0
+    refused: int = 0
+    failed: int = 0
+    shards: int = 0
+    shards_answered: int = 0
+    times: list[float] = dataclasses.field(default_factory=list)
+
+
+class TeamRecorder:
+    """Counts one team's outcomes while an experiment runs."""
+
+    def __init__(self, team: str):
+        self.team = team
+        self._asked = 0
+        self._complete = 0
+        self._bins: collections.defaultdict[int, _BinCounts]
+        self._bins = collections.defaultdict(_BinCounts)
+        self._latency = histogram.HdrHistogram(1, _HIGHEST, 3)
+
+    def record(
+        self, due: float, seconds: float, outcome: protocol.Outcome | None
+    ) -> None:
+        """Count one outcome; None is a call that got no usable reply.
+
+        `due` is the time of the experiment at which it was to be sent,
+        `seconds` the time from then to its outcome.
+        """
+        counts = self._bins[int(due)]
+        self._asked += 1
+        match outcome:
+            case protocol.Answered(coverage=coverage):
+                counts.answered += 1
+                counts.shards += coverage.shards
+                counts.shards_answered += coverage.answered
+                self._complete += not coverage.missing
+                counts.times.append(seconds)
+                micros = min(max(1, round(seconds * _MICROS)), _HIGHEST)
+                self._latency.record_value(micros)
+            case protocol.Refused():
+                counts.refused += 1
+            case _:
+                counts.failed += 1
+
+    def make_outcome(self) -> TeamOutcome:
+        """Return what was counted."""
+        counted = self._bins.values()
+        read = self._latency.get_value_at_percentile
+        return TeamOutcome(
+            team=self.team,
+            asked=self._asked,
+            answered=sum(each.answered for each in counted),
+            refused=sum(each.refused for each in counted),
+            failed=sum(each.failed for each in counted),
+            complete=self._complete,
+            shards=sum(each.shards for each in counted),
+            shards_answered=sum(each.shards_answered for each in counted),
+            latency_s={
+                f'{percentile:g}': read(percentile) / _MICROS
+                for percentile in PERCENTILES
+            },
+            bins=[
+                _make_bin(second, counts)
+                for second, counts in sorted(self._bins.items())
+            ],
+        )
+
+
+def _make_bin(second: int, counts: _BinCounts) -> Bin:
+    times = sorted(counts.times)
+    return Bin(
+        second=second,
+        answered=counts.answered,
+        refused=counts.refused,
+        failed=counts.failed,
+        shards=counts.shards,
+        shards_answered=counts.shards_answered,
+        p50_s=times[len(times) // 2] if times else 0.0,
+        p99_s=times[int(len(times) * 0.99)] if times else 0.0,
+    )
+
+
+def write_result(path: pathlib.Path, outcome: ExperimentResult) -> None:
+    """Write a result file, as JSON."""
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_bytes(protocol.encode(outcome))
+
+
+def read_result(
+    path: pathlib.Path,
+) -> result.Result[ExperimentResult, str]:
+    """Read a result file."""
+    try:
+        data = path.read_bytes()
+    except OSError as exc:
+        return result.Err(f'{path}: {exc.strerror}')
+    decoded = protocol.decode(ExperimentResult, data)
+    return decoded.map_err(lambda detail: f'{path}: {detail}')
+
+
+def format_result(outcome: ExperimentResult) -> str:
+    """Return a result as text for people."""
+    lines = [
+        f'{outcome.name}: {outcome.hosts} hosts, {outcome.seconds:g} s, '
+        f'seed {outcome.seed}',
+        f'{"team":<14}{"asked":>8}{"answered":>9}{"refused":>8}{"failed":>7}'
+        f'{"coverage":>10}{"p50 ms":>8}{"p99 ms":>8}{"p99.9 ms":>9}',
+    ]
+    for team in outcome.teams:
+        latency = team.latency_s
+        lines.append(
+            f'{team.team:<14}{team.asked:>8}{team.answered:>9}'
+            f'{team.refused:>8}{team.failed:>7}{100 * team.coverage:>9.3f}%'
+            f'{latency["50"] * 1000:>8.1f}{latency["99"] * 1000:>8.1f}'
+            f'{latency["99.9"] * 1000:>9.1f}'
+        )
+    lines.append(
+        f'extra upstream load {100 * outcome.extra_load:.2f} % '
+        f'({outcome.hedges} hedges and {outcome.retries} retries on '
+        f'{outcome.shard_requests} shard requests), connections at most '
+        f'{100 * outcome.connections:.0f} % of what an upstream allows, '
+        f'key-value calls {outcome.kv_reads} reads, {outcome.kv_writes} '
+        'writes'
+    )
+    return '\n'.join(lines)
+
+
+def compare_results(one: ExperimentResult, other: ExperimentResult) -> str:
+    """Set two results side by side; ratios are the second to the first."""
+    lines = [f'{"":<28}{"first":>12}{"second":>12}{"ratio":>9}']
+
+    def add(name: str, first: float, second: float) -> None:
+        ratio = f'{second / first:9.3f}' if first else f'{"-":>9}'
+        lines.append(f'{name:<28}{first:>12.4g}{second:>12.4g}{ratio}')
+
+    known = {team.team for team in other.teams}
+    for team in one.teams:
+        if team.team not in known:
+            continue
+        match = other.find_team(team.team)
+        for percentile in team.latency_s:
+            add(
+                f'{team.team} p{percentile} ms',
+                team.latency_s[percentile] * 1000,
+                match.latency_s[percentile] * 1000,
+            )
+        add(
+            f'{team.team} coverage %',
+            100 * team.coverage,
+            100 * match.coverage,
+        )
+        add(f'{team.team} answered', team.answered, match.answered)
+        add(f'{team.team} refused', team.refused, match.refused)
+    add('extra load %', 100 * one.extra_load, 100 * other.extra_load)
+    return '\n'.join(lines)
+
+
+def make_mark(label: str, at: float, until: float | None, end: float) -> Mark:
+    """Return a mark; a fault without an end lasts to that of the run."""
+    return Mark(label=label, at=at, until=end if until is None else until)
--- /dev/null
+++ b/rudderrock/experiments/_run.py
@@ -0,0 +1,187 @@
+"""Running a plan on virtual time, with stand-ins at the ports."""
+
+import asyncio
+from collections.abc import Callable
+import random
+import warnings
+
+import async_solipsism
+
+from rudderrock import protocol
+from rudderrock import standins
+from rudderrock import state
+from rudderrock.experiments import _faults as faults
+from rudderrock.experiments import _outcomes as outcomes
+from rudderrock.experiments import _plan as plans
+
+_PROGRESS_STEP_S = 5.0
+
+
+class Driver:
+    """Sends one team's queries when they are due, whatever comes back.
+
+    Parameters: `ask` sends one query of the team and returns its outcome;
+    `now` reads the time; `source` draws the gaps of a Poisson process.
+    """
+
+    def __init__(
+        self,
+        load: plans.TeamLoad,
+        bursts: list[plans.Burst],
+        ask: Callable,
+        now: Callable[[], float],
+        source: random.Random,
+    ):
+        self.recorder = outcomes.TeamRecorder(load.team)
+        self._load = load
+        self._bursts = bursts
+        self._ask = ask
+        self._now = now
+        self._source = source
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self, start: float, warm_up_s: float, seconds: float):
+        """Send from `warm_up_s` before `start` until `seconds` after it."""
+        due = start - warm_up_s
+        while due < start + seconds:
+            await asyncio.sleep(max(0.0, due - self._now()))
+            task = asyncio.create_task(self._call(start, due))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            due += self._source.expovariate(self._get_rate(due - start))
+        await asyncio.gather(*self._tasks)
+
+    async def _call(self, start: float, due: float) -> None:
+        outcome = await self._ask()
+        if due >= start:
+            passed = self._now() - due
+            self.recorder.record(due - start, passed, outcome)
+
+    def _get_rate(self, second: float) -> float:
+        rate = self._load.rate
+        for burst in self._bursts:
+            over = burst.until is not None and second >= burst.until
+            if second >= burst.at and not over:
+                rate *= burst.factor
+        return rate
+
+
+def run_virtual(
+    plan: plans.Plan, report: Callable[[str], None] | None = None
+) -> outcomes.ExperimentResult:
+    """Run a plan on a loop of its own whose time is virtual.
+
+    `report` is given a line of progress now and then.
+    """
+    loop = async_solipsism.EventLoop()
+    with warnings.catch_warnings():
+        warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
+        try:
+            return loop.run_until_complete(_run(plan, report))
+        finally:
+            loop.close()
+
+
+async def _run(plan, report) -> outcomes.ExperimentResult:
+    hosts = plan.deployment.hosts
+    async with standins.run_fleet(
+        plan.deployment, hosts, plan.seed, plan.settings
+    ) as fleet:
+        for load in plan.teams:
+            edit = await fleet.set_row(load.team, **load.row)
+        await fleet.wait_until_in_force(edit.revision)
+        start = fleet.clock.now() + plan.warm_up_s
+        end = start + plan.seconds
+        drivers = [_make_driver(plan, fleet, load) for load in plan.teams]
+        async with asyncio.TaskGroup() as group:
+            extras = [
+                group.create_task(faults.play(fleet, fault, start, end))
+                for fault in plan.faults
+            ]
+            if report is not None:
+                extras.append(
+                    group.create_task(_report(fleet, start, end, report))
+                )
+            running = [
+                group.create_task(
+                    driver.run(start, plan.warm_up_s, plan.seconds)
+                )
+                for driver in drivers
+            ]
+            await asyncio.gather(*running)
+            for extra in extras:
+                extra.cancel()
+        return _make_result(plan, fleet, drivers)
+
+
+def _make_driver(
+    plan: plans.Plan, fleet: standins.MemoryFleet, load: plans.TeamLoad
+) -> Driver:
+    bursts = [
+        fault
+        for fault in plan.faults
+        if isinstance(fault, plans.Burst) and fault.team == load.team
+    ]
+    source = state.make_random(plan.seed, f'load/{load.team}')
+    to_clients_s = plan.deployment.network.to_clients_s
+
+    async def ask() -> protocol.Outcome | None:
+        host = _balance(fleet, source)
+        if host is None:
+            return None
+        await asyncio.sleep(to_clients_s)
+        outcome = await fleet.query(host, load.team, load.collection)
+        await asyncio.sleep(to_clients_s)
+        return outcome
+
+    return Driver(load, bursts, ask, fleet.clock.now, source)
+
+
+def _balance(fleet: standins.MemoryFleet, source: random.Random) -> str | None:
+    """Choose a host as the platform's balancer does: any that is ready."""
+    ready = [
+        name
+        for name, running in fleet.hosts.items()
+        if running.host.lifecycle.is_ready and not running.task.done()
+    ]
+    return source.choice(ready) if ready else None
+
+
+async def _report(fleet, start, end, report) -> None:
+    while True:
+        passed = fleet.clock.now() - start
+        report(f'{max(0.0, passed):.0f} of {end - start:.0f} s')
+        await asyncio.sleep(_PROGRESS_STEP_S)
+
+
+def _make_result(
+    plan: plans.Plan, fleet: standins.MemoryFleet, drivers: list[Driver]
+) -> outcomes.ExperimentResult:
+    counters = [
+        running.host.runner.counters for running in fleet.hosts.values()
+    ]
+    shards = sum(each.shards for each in counters)
+    hedges = sum(each.hedges for each in counters)
+    retries = sum(each.retries for each in counters)
+    connections = max(
+        model.peak_connections / model.upstream.connections
+        for model in fleet.models.values()
+    )
+    return outcomes.ExperimentResult(
+        name=plan.name,
+        seed=plan.seed,
+        seconds=plan.seconds,
+        hosts=plan.deployment.hosts,
+        teams=[driver.recorder.make_outcome() for driver in drivers],
+        extra_load=(hedges + retries) / max(1, shards),
+        hedges=hedges,
+        retries=retries,
+        shard_requests=shards,
+        connections=connections,
+        kv_reads=fleet.kv.reads,
+        kv_writes=fleet.kv.writes,
+        marks=[
+            outcomes.make_mark(fault.kind, fault.at, fault.until, plan.seconds)
+            for fault in plan.faults
+        ],
+    )
--- a/rudderrock/state/__init__.py
+++ b/rudderrock/state/__init__.py
@@ -37,8 +37,10 @@
 from rudderrock.state._settings import IntakeSettings
 from rudderrock.state._settings import MembershipSettings
 from rudderrock.state._settings import PlatformSettings
+from rudderrock.state._settings import QueueOrder
 from rudderrock.state._settings import read_settings
 from rudderrock.state._settings import read_toml
+from rudderrock.state._settings import ReplicaChoice
 from rudderrock.state._settings import RetrySettings
 from rudderrock.state._settings import RoutingSettings
 from rudderrock.state._settings import SecretSettings
@@ -91,6 +93,8 @@
     'Problem',
     'Problems',
     'QueryId',
+    'QueueOrder',
+    'ReplicaChoice',
     'RequestId',
     'RetrySettings',
     'Revision',
--- a/rudderrock/state/_settings.py
+++ b/rudderrock/state/_settings.py
@@ -1,6 +1,7 @@
 """Settings of the entry daemon, each with its unit, default and range."""
 
 import dataclasses
+import enum
 import pathlib
 import tomllib
 from typing import Annotated
@@ -83,10 +84,26 @@
     max_connections: _Count = 4096
 
 
+class ReplicaChoice(enum.Enum):
+    """How one of the free replicas is chosen."""
+
+    BEST_OF_TWO = 'best_of_two'
+    RANDOM = 'random'
+
+
+class QueueOrder(enum.Enum):
+    """In what order requests wait for a service."""
+
+    FAIR = 'fair'
+    FIFO = 'fifo'
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class RoutingSettings:
     """How a replica is chosen and how an upstream is treated.
 
+    `choice` is `best_of_two` or, as a baseline to compare with, `random`.
+    `adapt` lets the requests in flight to an upstream follow its latency.
     `max_lanes` bounds the connections of this host to one upstream, below
     its share of what the upstream allows. `eject_after` failures in a row
     take a replica out for `eject_s`, doubling up to `eject_max_s`.
@@ -97,6 +114,8 @@
 
     __pydantic_config__ = constraints.FORBID_UNKNOWN
 
+    choice: ReplicaChoice = ReplicaChoice.BEST_OF_TWO
+    adapt: bool = True
     max_lanes: Annotated[int, pydantic.Field(ge=1, le=256)] = 6
     connection_reserve: _Fraction = 0.1
     eject_after: _Count = 3
@@ -113,8 +132,9 @@
 class HedgeSettings:
     """When a second request is sent for a shard that is late.
 
-    The delay is the service's own latency at `percentile`, never below
-    `min_delay_s`. `budget` is the hedges allowed for each first request,
+    A request is late after what `percentile` of a collection's requests
+    take beyond their upstream's least latency, at least `min_delay_s`.
+    `budget` is the hedges allowed for each first request,
     `burst` how many a service may save up and `host_burst` all of them
     together. Hedging of a service pauses while more than `pause_above` of
     its recent requests are late.
@@ -123,7 +143,7 @@
     __pydantic_config__ = constraints.FORBID_UNKNOWN
 
     enabled: bool = True
-    percentile: Annotated[float, pydantic.Field(ge=50, le=99.99)] = 98.0
+    percentile: Annotated[float, pydantic.Field(ge=50, le=99.99)] = 97.8
     min_delay_s: _Seconds = 0.002
     budget: _Fraction = 0.025
     burst: Annotated[float, pydantic.Field(ge=1, le=10_000)] = 4.0
@@ -154,12 +174,16 @@
 
     `max_queued` bounds one team's queue at one service, in shard requests.
     `rate_burst_s` is how many seconds of its rate a team may use at once.
+    `order` is `fair` between teams or, as a baseline, `fifo`; with
+    `refuse_late` off nothing is refused for the time it would wait.
     """
 
     __pydantic_config__ = constraints.FORBID_UNKNOWN
 
     max_queued: _Count = 256
     rate_burst_s: _Seconds = 1.0
+    order: QueueOrder = QueueOrder.FAIR
+    refuse_late: bool = True
     max_shard_requests: _Count = 50_000
 
 
