Let a service save up 12 hedges instead of 4

Of 19 slow queries most had a hedge denied: a service earns 0.025 a request, and stragglers come in clumps, so a burst of 4 ran dry at a service while the host as a whole was at 2.0 % of the 2.5 % allowed.

Ruled out: hedges that straggle themselves (2 expected of 240) and lanes that are busy (none waited).

Change: burst 12 a service; the host's own burst of 20 and the ratio of 2.5 % still bound the whole.

Conclusion: the budget that protects upstreams is the host's; the service's is only there so that one service cannot spend it all.

--- a/rudderrock/state/_settings.py
+++ b/rudderrock/state/_settings.py
@@ -146,7 +146,7 @@
     percentile: Annotated[float, pydantic.Field(ge=50, le=99.99)] = 97.8
     min_delay_s: _Seconds = 0.002
     budget: _Fraction = 0.025
-    burst: Annotated[float, pydantic.Field(ge=1, le=10_000)] = 4.0
+    burst: Annotated[float, pydantic.Field(ge=1, le=10_000)] = 12.0
     host_burst: Annotated[float, pydantic.Field(ge=1, le=10_000)] = 20.0
     pause_above: _Fraction = 0.15
 
