Programs, experiments and reports; decisions mended by what they showed

Hedging of the service paused because one replica was late. Lateness is now counted for each replica and hedging pauses only if the others are late too; a request ten times later than late may be paid for as a retry. Attempts for a version that no replica has were queued and popped for ever. Such a shard is now given up at once, and upstreams' own word on the versions they hold is used as a hint when a version is chosen. The pause after a shed now grows until answers outnumber refusals. A request may now be expected to wait for half of its time only.

Also: the stand-ins, table, query and load programs, HTML reports, and progress that does not change a run's figures.

--- a/rudderrock/coordination/_admission.py
+++ b/rudderrock/coordination/_admission.py
@@ -140,12 +140,13 @@
         left_s = deadline - self._clock.now()
         for service in self._dispatcher.list_waiting():
             queued = service.queue.count(state.TeamId(row.team))
-            wait_s = service.estimate_wait_s(row) + service.work_s
-            if queued >= self._settings.max_queued or wait_s > left_s:
+            wait_s = service.estimate_wait_s(row)
+            allowed_s = left_s * self._settings.queue_fraction
+            if queued >= self._settings.max_queued or wait_s > allowed_s:
                 return protocol.Refused(
                     reason=protocol.RefusalReason.DEADLINE,
                     detail=f'would wait {wait_s:.3f} s for {service.shard} '
-                    f'and has {max(left_s, 0):.3f} s',
-                    retry_after_s=max(wait_s - left_s, _MIN_RETRY_AFTER_S),
+                    f'and may wait {max(allowed_s, 0):.3f} s',
+                    retry_after_s=max(wait_s - allowed_s, _MIN_RETRY_AFTER_S),
                 )
         return None
--- a/rudderrock/coordination/_attempt.py
+++ b/rudderrock/coordination/_attempt.py
@@ -1,6 +1,7 @@
 """One request to one upstream, and the mailbox its reply goes to."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -62,6 +63,7 @@
     took it, None while it waits; an attempt that was given up before that
     has certainly not run. `base_s` is the least latency of the upstream it
     went to, in seconds: distance and bare work, without chance.
+    `note_late` tells that upstream's link whether the attempt was late.
     """
 
     request: protocol.ShardRequest
@@ -74,6 +76,7 @@
     upstream: state.UpstreamId | None = None
     sent_at: float | None = None
     base_s: float = 0.0
+    note_late: Callable[[bool], None] | None = None
     given_up: bool = False
     abort: transport.Abort | None = None
 
--- a/rudderrock/coordination/_dispatch.py
+++ b/rudderrock/coordination/_dispatch.py
@@ -19,16 +19,15 @@
 from rudderrock.coordination import _link as links
 
 _ZONE_PENALTY = 1.1
-# Weight of one request in the moving fraction of late ones.
-_LATE_WEIGHT = 0.02
+# Weight of one answer in the moving mean of a service's exchanges.
+_WORK_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Service:
     """One shard's replicas, queue and budgets.
 
-    `late` is the moving fraction of requests that were not answered within
-    the hedge delay, `work_s` the moving mean of an exchange in seconds.
+    `work_s` is the moving mean of an exchange in seconds.
     """
 
     shard: state.ShardId
@@ -36,17 +35,32 @@
     queue: fair_queue.FairQueue[attempts.Attempt]
     hedges: budgets.Budget
     retries: budgets.Budget
-    late: float = 0.0
     work_s: float = 0.0
 
-    def note_answer(self, elapsed: float, late: bool) -> None:
-        """Take note of an answer to a first attempt, in seconds."""
-        self.note_late(late)
-        self.work_s += 0.1 * (elapsed - self.work_s)
+    def note_answer(self, elapsed: float) -> None:
+        """Take note of the time to an answer, in seconds."""
+        self.work_s += _WORK_WEIGHT * (elapsed - self.work_s)
 
-    def note_late(self, late: bool) -> None:
-        """Take note of whether a first attempt was late."""
-        self.late += _LATE_WEIGHT * (late - self.late)
+    def can_hedge(
+        self, avoid: frozenset[state.UpstreamId], pause_above: float
+    ) -> bool:
+        """Tell whether some other replica is not late itself.
+
+        Where all are, the service as a whole is slow, and more requests
+        would only make it slower.
+        """
+        return any(
+            link.is_reachable and link.late <= pause_above
+            for link in self.links
+            if link.upstream.upstream not in avoid
+        )
+
+    def can_serve(self, version: state.IndexVersion, now: float) -> bool:
+        """Tell whether some replica can be expected to have a version."""
+        return any(
+            link.is_reachable and not link.lacks(self.shard, version, now)
+            for link in self.links
+        )
 
     @property
     def is_reachable(self) -> bool:
@@ -136,13 +150,13 @@
         """Return the services at which requests wait."""
         return [each for each in self._services.values() if len(each.queue)]
 
-    def can_serve(
+    def seems_to_serve(
         self, shard: state.ShardId, version: state.IndexVersion
     ) -> bool:
-        """Tell whether some replica can be expected to have a version."""
+        """Tell whether some replica has a version by all signs."""
         now = self._clock.now()
         return any(
-            link.is_reachable and not link.lacks(shard, version, now)
+            link.is_reachable and not link.seems_to_lack(shard, version, now)
             for link in self._services[shard].links
         )
 
@@ -188,7 +202,12 @@
             and link.upstream.upstream not in attempt.avoid
             and not link.lacks(request.shard, request.version, now)
         ]
-        favoured = [link for link in able if link.is_favoured(now)]
+        favoured = [
+            link
+            for link in able
+            if link.is_favoured(now)
+            and not link.seems_to_lack(request.shard, request.version, now)
+        ]
         free = [link for link in favoured or able if link.is_free]
         if len(free) > 2:
             free = self._source.sample(free, 2)
@@ -221,11 +240,20 @@
             # The free lane is of a replica that it has to avoid.
             attempt.avoid = frozenset()
             link = self._choose(service, attempt)
-        if link is None:
-            service.queue.push(attempt.row, attempt)
-            return False
-        link.send(attempt)
-        return True
+        if link is not None:
+            link.send(attempt)
+            return True
+        if not service.can_serve(attempt.request.version, self._clock.now()):
+            # While it waited, the last replica has given up its version.
+            attempt.deliver(
+                protocol.ShardRejected(
+                    request_id=attempt.request.request_id,
+                    kind=protocol.RejectionKind.VERSION,
+                )
+            )
+            return True
+        service.queue.push(attempt.row, attempt)
+        return False
 
     def _add_link(self, upstream: state.Upstream) -> None:
         link = links.UpstreamLink(
--- a/rudderrock/coordination/_link.py
+++ b/rudderrock/coordination/_link.py
@@ -22,6 +22,8 @@
 _COLD_PENALTY = 3.0
 _HINT_PENALTY = 0.25
 _SHED_BACKOFF = 0.7
+_SHED_RECOVERY = 0.8
+_LONGEST_SHED_PAUSE_S = 5.0
 _MIN_LIMIT = 1.0
 _FIRST_RECONNECT_S = 0.02
 # Latency above this many times the unloaded one means a queue up there.
@@ -29,6 +31,8 @@
 _UNLOADED_DRIFT = 1.0005
 # How fast the least latency follows a latency that has risen for good.
 _BASE_LEAK = 0.02
+# Weight of one request in the moving fraction of late ones.
+_LATE_WEIGHT = 0.04
 # Failures that all fall into one stall of this process, or of the network,
 # say nothing of the upstream; a run of them must last at least this long.
 _MIN_FAILURE_SPAN_S = 0.25
@@ -70,6 +74,7 @@
         self.state = UpstreamState.CONNECTING
         self.in_flight = 0
         self.sent = 0
+        self.late = 0.0
         self._port = port
         self._settings = settings
         self._clock = clock
@@ -88,6 +93,7 @@
         self._ejected_until = -math.inf
         self._failing_since = math.inf
         self._shed_until = -math.inf
+        self._shed_pause_s = 0.0
         self._warm_at = -math.inf
         self._hint = protocol.Load()
         self._missing: dict[tuple[state.ShardId, int], float] = {}
@@ -148,6 +154,15 @@
         """Tell whether it lately said that it hasn't this version."""
         return self._missing.get((shard, version), -math.inf) > now
 
+    def seems_to_lack(
+        self, shard: state.ShardId, version: state.IndexVersion, now: float
+    ) -> bool:
+        """Tell the same, also by what it says of itself, as a hint."""
+        told = self._hint.versions
+        return bool(told and version not in told) or self.lacks(
+            shard, version, now
+        )
+
     def get_score(self, now: float) -> float:
         """Return the expected cost of sending it one more; less is better.
 
@@ -162,6 +177,10 @@
         waiting = self._hint.queued / max(1, self.upstream.slots)
         return score * (1.0 + _HINT_PENALTY * min(1.0, waiting))
 
+    def note_late(self, late: bool) -> None:
+        """Take note of whether a first attempt here was late."""
+        self.late += _LATE_WEIGHT * (late - self.late)
+
     def get_latency_s(self) -> float:
         """Return the mean time of an exchange, in seconds."""
         return self._latency.get()
@@ -171,6 +190,7 @@
         attempt.upstream = self.upstream.upstream
         attempt.sent_at = self._clock.now()
         attempt.base_s = self._base_s
+        attempt.note_late = self.note_late
         self.in_flight += 1
         self.sent += 1
         self._idle.pop().set_result(attempt)
@@ -319,6 +339,7 @@
         leaked = self._base_s + _BASE_LEAK * (elapsed - self._base_s)
         self._base_s = min(elapsed, leaked) if self._base_s else elapsed
         self._hint = load
+        self._shed_pause_s *= _SHED_RECOVERY
         if self.state is UpstreamState.EJECTED:
             self._set_state(UpstreamState.UP, 'answers again')
         if load.leaving:
@@ -345,7 +366,11 @@
 
     def _note_shed(self, retry_after_s: float) -> None:
         self._limit = max(_MIN_LIMIT, self._limit * _SHED_BACKOFF)
-        self._shed_until = self._clock.now() + retry_after_s
+        # Half of what it sheds must not become the steady state either, so
+        # the pause grows until answers outnumber refusals.
+        longer_s = max(retry_after_s, 2 * self._shed_pause_s)
+        self._shed_pause_s = min(longer_s, _LONGEST_SHED_PAUSE_S)
+        self._shed_until = self._clock.now() + self._shed_pause_s
 
     def _note_failure(self) -> None:
         now = self._clock.now()
--- a/rudderrock/coordination/_query.py
+++ b/rudderrock/coordination/_query.py
@@ -25,6 +25,9 @@
 _LONGEST_PATIENCE_S = 10.0
 # A late request whose other replicas are all busy is looked at again.
 _HEDGE_AGAIN_S = 0.002
+# A request this many times later than late is paid for as a retry if the
+# hedge budget is spent.
+_LOST_AFTER = 10.0
 _SERVABLE_MEMORY_S = 0.05
 # No restart at another version with less than this part of the time left.
 _RESTART_TIME_FRACTION = 0.2
@@ -226,7 +229,7 @@
 
     def _measure(self, placement: state.Placement) -> float:
         able = sum(
-            self._dispatcher.can_serve(shard, placement.version)
+            self._dispatcher.seems_to_serve(shard, placement.version)
             for shard in placement.shards
         )
         return able / max(1, len(placement.shards))
@@ -343,8 +346,7 @@
             self._send_first(call)
 
     def _send_first(self, call: _ShardCall) -> None:
-        if not call.service.is_reachable:
-            self._miss(call, protocol.MissReason.LOST)
+        if self._miss_if_unservable(call):
             return
         attempt = self._make_attempt(call, attempts.AttemptKind.FIRST)
         self._counters.first += 1
@@ -439,28 +441,58 @@
     def _hedge(self, call: _ShardCall, first: attempts.Attempt) -> None:
         service = call.service
         if not call.hedged:
-            service.note_late(True)
-            self._late_point.note(True)
+            self._note_late(first, True)
             call.hedged = True
-        paused = service.late > self._settings.hedging.pause_above
-        affordable = (
-            service.hedges.can_spend() and self._runner._hedges.can_spend()
-        )
-        if paused or not affordable:
+        avoid = frozenset({first.upstream, *call.failed, *call.lacking})
+        pause_above = self._settings.hedging.pause_above
+        if not service.can_hedge(avoid, pause_above):
             self._counters.hedges_denied += 1
+            self._look_later(call, self._patience_s)
             return
-        avoid = frozenset({first.upstream, *call.failed, *call.lacking})
-        hedge = self._make_attempt(call, attempts.AttemptKind.HEDGE, avoid)
-        if not self._dispatcher.try_now(service, hedge):
-            call.in_flight.remove(hedge)
-            call.tries -= 1
-            self._counters.hedges_waiting += 1
-            self._look_later(call, _HEDGE_AGAIN_S)
+        hedges = (service.hedges, self._runner._hedges)
+        if all(budget.can_spend() for budget in hedges):
+            if self._try_now(call, attempts.AttemptKind.HEDGE, avoid):
+                budgets.spend_all(hedges)
+                self._counters.hedges += 1
             return
-        service.hedges.spend()
-        self._runner._hedges.spend()
-        self._counters.hedges += 1
-        self._record(state.EventKind.HEDGE, hedge)
+        self._counters.hedges_denied += 1
+        # Silent for so long, it is no straggler but as good as lost.
+        lost_at = first.sent_at + first.base_s + _LOST_AFTER * self._patience_s
+        team = self._runner._teams.find(self._ticket.row.team)
+        retries = (service.retries, team)
+        if not self._clock.has_reached(lost_at) or not all(
+            budget.can_spend() for budget in retries
+        ):
+            self._look_later(call, self._patience_s)
+        elif self._try_now(call, attempts.AttemptKind.RETRY, avoid):
+            budgets.spend_all(retries)
+            self._counters.retries += 1
+
+    def _try_now(
+        self,
+        call: _ShardCall,
+        kind: attempts.AttemptKind,
+        avoid: frozenset[state.UpstreamId],
+    ) -> bool:
+        """Send one more attempt if a lane is free, else look again soon."""
+        attempt = self._make_attempt(call, kind, avoid)
+        if self._dispatcher.try_now(call.service, attempt):
+            events = {
+                attempts.AttemptKind.HEDGE: state.EventKind.HEDGE,
+                attempts.AttemptKind.RETRY: state.EventKind.RETRY,
+            }
+            self._record(events[kind], attempt)
+            return True
+        call.in_flight.remove(attempt)
+        call.tries -= 1
+        self._counters.hedges_waiting += 1
+        self._look_later(call, _HEDGE_AGAIN_S)
+        return False
+
+    def _note_late(self, attempt: attempts.Attempt, late: bool) -> None:
+        """Take note of whether a first attempt was late."""
+        self._late_point.note(late)
+        attempt.note_late(late)
 
     def _handle(
         self, attempt: attempts.Attempt, reply: protocol.ShardReply
@@ -492,8 +524,8 @@
             self._counters.hedge_wins += bool(call.in_flight)
         elif not call.hedged:
             late = elapsed > attempt.base_s + self._patience_s
-            call.service.note_answer(elapsed, late)
-            self._late_point.note(late)
+            call.service.note_answer(elapsed)
+            self._note_late(attempt, late)
         call.answer = answer
         self._close(call)
 
@@ -558,8 +590,9 @@
     def _retry(self, call: _ShardCall, reason: protocol.MissReason) -> None:
         team = self._runner._teams.find(self._ticket.row.team)
         retries = self._settings.retries
-        allowed = retries.enabled and call.tries < retries.max_attempts
-        if not (allowed and call.service.is_reachable):
+        if self._miss_if_unservable(call):
+            return
+        if not retries.enabled or call.tries >= retries.max_attempts:
             self._miss(call, reason)
             return
         if not budgets.spend_all((call.service.retries, team)):
@@ -586,6 +619,18 @@
             detail=f'{attempt.request.shard} {detail}'.rstrip(),
         )
 
+    def _miss_if_unservable(self, call: _ShardCall) -> bool:
+        """Give a shard up at once if no replica can serve the version."""
+        if not call.service.is_reachable:
+            self._miss(call, protocol.MissReason.LOST)
+            return True
+        now = self._clock.now()
+        if not call.service.can_serve(self._placement.version, now):
+            self._gone = True
+            self._miss(call, protocol.MissReason.VERSION)
+            return True
+        return False
+
     def _miss(self, call: _ShardCall, reason: protocol.MissReason) -> None:
         call.miss = reason
         self._close(call)
--- a/rudderrock/experiments/__init__.py
+++ b/rudderrock/experiments/__init__.py
@@ -28,6 +28,11 @@
 from rudderrock.experiments._plan import Slow
 from rudderrock.experiments._plan import Straggle
 from rudderrock.experiments._plan import TeamLoad
+from rudderrock.experiments._real import read_targets
+from rudderrock.experiments._real import run_real
+from rudderrock.experiments._real import Targets
+from rudderrock.experiments._report import make_report
+from rudderrock.experiments._report import write_report
 from rudderrock.experiments._run import Driver
 from rudderrock.experiments._run import run_virtual
 
@@ -51,15 +56,20 @@
     'Shed',
     'Slow',
     'Straggle',
+    'Targets',
     'TeamLoad',
     'TeamOutcome',
     'TeamRecorder',
     'compare_results',
     'format_result',
     'make_mark',
+    'make_report',
     'play',
     'read_plan',
     'read_result',
+    'read_targets',
+    'run_real',
     'run_virtual',
+    'write_report',
     'write_result',
 ]
--- a/rudderrock/experiments/_faults.py
+++ b/rudderrock/experiments/_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import fnmatch
+import itertools
 
 from rudderrock import protocol
 from rudderrock import standins
@@ -117,10 +118,13 @@
     await fleet.change_layout(
         collections={**fleet.layout.collections, name: both}
     )
+    # The first replica of every shard, then the second: at any time one
+    # version is held by some replica of all of them.
     models = [
         fleet.models[upstream]
-        for replicas in old.shards.values()
-        for upstream in replicas
+        for nth in itertools.zip_longest(*old.shards.values())
+        for upstream in nth
+        if upstream is not None
     ]
     step_s = (until - fleet.clock.now()) / len(models)
     retiring = []
--- a/rudderrock/experiments/_outcomes.py
+++ b/rudderrock/experiments/_outcomes.py
@@ -196,14 +196,16 @@
     lines = [
         f'{outcome.name}: {outcome.hosts} hosts, {outcome.seconds:g} s, '
         f'seed {outcome.seed}',
-        f'{"team":<14}{"asked":>8}{"answered":>9}{"refused":>8}{"failed":>7}'
+        f'{"team":<14}{"asked":>8}{"answered":>9}{"complete":>9}'
+        f'{"refused":>8}{"failed":>7}'
         f'{"coverage":>10}{"p50 ms":>8}{"p99 ms":>8}{"p99.9 ms":>9}',
     ]
     for team in outcome.teams:
         latency = team.latency_s
         lines.append(
             f'{team.team:<14}{team.asked:>8}{team.answered:>9}'
-            f'{team.refused:>8}{team.failed:>7}{100 * team.coverage:>9.3f}%'
+            f'{team.complete:>9}{team.refused:>8}{team.failed:>7}'
+            f'{100 * team.coverage:>9.3f}%'
             f'{latency["50"] * 1000:>8.1f}{latency["99"] * 1000:>8.1f}'
             f'{latency["99.9"] * 1000:>9.1f}'
         )
--- /dev/null
+++ b/rudderrock/experiments/_real.py
@@ -0,0 +1,142 @@
+"""Loading real hosts over HTTP with the same drivers."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import pathlib
+import random
+from typing import Annotated
+
+import msgspec
+import pydantic
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.experiments import _outcomes as outcomes
+from rudderrock.experiments import _plan as plans
+from rudderrock.experiments import _run as runs
+
+_PROGRESS_STEP_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Targets:
+    """Real hosts by their callers' addresses, and tokens by team."""
+
+    __pydantic_config__ = state.FORBID_UNKNOWN
+
+    hosts: Annotated[list[str], pydantic.Field(min_length=1)]
+    tokens: dict[str, str] = dataclasses.field(repr=False)
+
+
+def read_targets(path: pathlib.Path) -> result.Result[Targets, str]:
+    """Read and check a file of targets."""
+    read = state.read_toml(path)
+    if read.is_err():
+        return read
+    checked = state.make_checked(Targets, read.unwrap())
+    return checked.map_err(
+        lambda found: '\n'.join(f'{path}: {each}' for each in found)
+    )
+
+
+async def run_real(
+    plan: plans.Plan, targets: Targets, report: Callable[[str], None]
+) -> outcomes.ExperimentResult:
+    """Send a plan's load to real hosts; its faults are left out.
+
+    What only the hosts know, such as extra load, is 0 in the result; read
+    it from their metrics.
+    """
+    loop = asyncio.get_running_loop()
+    start = loop.time() + plan.warm_up_s
+    drivers = [
+        runs.Driver(
+            load,
+            [],
+            _make_ask(load, targets, plan.seed),
+            loop.time,
+            state.make_random(plan.seed, f'load/{load.team}'),
+        )
+        for load in plan.teams
+    ]
+    progress = asyncio.create_task(_report(loop, start, plan, report))
+    await asyncio.gather(
+        *(
+            driver.run(start, plan.warm_up_s, plan.seconds)
+            for driver in drivers
+        )
+    )
+    progress.cancel()
+    return outcomes.ExperimentResult(
+        name=plan.name,
+        seed=plan.seed,
+        seconds=plan.seconds,
+        hosts=len(targets.hosts),
+        teams=[driver.recorder.make_outcome() for driver in drivers],
+        extra_load=0.0,
+        hedges=0,
+        retries=0,
+        shard_requests=0,
+        connections=0.0,
+        kv_reads=0,
+        kv_writes=0,
+        marks=[],
+    )
+
+
+def _make_ask(load: plans.TeamLoad, targets: Targets, seed: int):
+    source = state.make_random(seed, f'targets/{load.team}')
+    idle: dict[str, list[transport.OwnedConnection]] = {
+        host: [] for host in targets.hosts
+    }
+    token = targets.tokens.get(load.team, '')
+    headers = {'authorization': f'Bearer {token}'}
+    query = protocol.Query(
+        collection=state.CollectionId(load.collection),
+        body=msgspec.Raw(b'"load"'),
+    )
+
+    async def ask() -> protocol.Outcome | None:
+        host = _choose(source, targets.hosts)
+        kept = idle[host]
+        if kept:
+            connection = kept.pop()
+        else:
+            connection = transport.OwnedConnection(host, headers=headers)
+        raw = await connection.post(
+            protocol.QUERY_PATH, protocol.encode(query)
+        )
+        kept.append(connection)
+        return _read_outcome(raw)
+
+    return ask
+
+
+def _choose(source: random.Random, hosts: list[str]) -> str:
+    return source.choice(hosts)
+
+
+def _read_outcome(
+    raw: result.Result[transport.RawReply, transport.ExchangeFailed],
+) -> protocol.Outcome | None:
+    match raw:
+        case result.Ok(transport.RawReply(status=200, body=body)):
+            return protocol.decode(protocol.Answered, body).ok()
+        case result.Ok(transport.RawReply(body=body)):
+            problem = protocol.decode(protocol.Problem, body).ok()
+            if problem and problem.outcome is protocol.Ran.NOT_RUN:
+                return protocol.Refused(
+                    reason=protocol.RefusalReason.OVERLOAD,
+                    detail=problem.detail,
+                )
+    return None
+
+
+async def _report(loop, start: float, plan: plans.Plan, report) -> None:
+    while True:
+        passed = max(0.0, loop.time() - start)
+        report(f'{passed:.0f} of {plan.seconds:g} s')
+        await asyncio.sleep(_PROGRESS_STEP_S)
--- a/rudderrock/experiments/_run.py
+++ b/rudderrock/experiments/_run.py
@@ -98,10 +98,10 @@
                 group.create_task(faults.play(fleet, fault, start, end))
                 for fault in plan.faults
             ]
-            if report is not None:
-                extras.append(
-                    group.create_task(_report(fleet, start, end, report))
-                )
+            # Also when nobody wants it: one task more or less changes the
+            # order of what falls on the same instant.
+            progress = _report(fleet, start, end, report or _ignore)
+            extras.append(group.create_task(progress))
             running = [
                 group.create_task(
                     driver.run(start, plan.warm_up_s, plan.seconds)
@@ -147,6 +147,10 @@
     return source.choice(ready) if ready else None
 
 
+def _ignore(line: str) -> None:
+    """Take no notice of progress."""
+
+
 async def _report(fleet, start, end, report) -> None:
     while True:
         passed = fleet.clock.now() - start
--- /dev/null
+++ b/rudderrock/programs/query.py
@@ -0,0 +1,161 @@
+"""A caller's client: one query or one command."""
+
+import asyncio
+import json
+import random
+
+import defopt
+import msgspec
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.programs import _caller as caller
+from rudderrock.programs import _exits as exits
+from rudderrock.programs import _secrets as secrets
+from rudderrock.programs import _serving as serving
+
+_TOKEN = 'env:RUDDERROCK_TOKEN'
+
+
+def ask(
+    host: str,
+    collection: str,
+    body: str = 'null',
+    *,
+    limit: int = 10,
+    deadline_s: float | None = None,
+    token: str = _TOKEN,
+    json_output: bool = False,
+) -> None:
+    """Send one query and print its answer.
+
+    Exits with 0 if it was answered, with 3 if it was refused and so did
+    not run, and with 5 if the host could not be reached.
+
+    :param host: callers' address of an entry host
+    :param collection: what to search
+    :param body: the query itself, as JSON
+    :param limit: how many hits are wanted
+    :param deadline_s: bound on the answer, in seconds
+    :param token: where the team's token is: env:NAME or a file
+    :param json_output: print JSON instead of text
+    """
+    query = protocol.Query(
+        collection=state.CollectionId(collection),
+        body=msgspec.Raw(_check_json(body)),
+        limit=limit,
+        deadline_s=deadline_s,
+    )
+
+    async def send(client: caller.CallerClient):
+        return await client.query(query)
+
+    reply = _send(host, token, send)
+    if json_output or reply.status != 200:
+        _finish(reply)
+        return
+    answer = protocol.decode(protocol.Answered, reply.body).unwrap()
+    coverage = answer.coverage
+    print(
+        f'{coverage.answered} of {coverage.shards} shards, index version '
+        f'{answer.version}, query {answer.query}'
+    )
+    for shard, reason in coverage.missing.items():
+        print(f'  missing {shard}: {reason.value}')
+    for hit in answer.hits:
+        print(f'  {hit.score:.6f}  {hit.id}  {bytes(hit.document).decode()}')
+
+
+def command(
+    host: str,
+    collection: str,
+    routing_key: str,
+    body: str = 'null',
+    *,
+    key: str = '',
+    token: str = _TOKEN,
+) -> None:
+    """Send one non-idempotent request, which runs at most once.
+
+    Prints the idempotency key first; use the same key to ask again. Exits
+    with 0 if it ran, with 3 if it certainly did not and with 4 if it may
+    have run.
+
+    :param host: callers' address of an entry host
+    :param collection: where it is to run
+    :param routing_key: what decides on the shard
+    :param body: the request itself, as JSON
+    :param key: idempotency key of an earlier try
+    :param token: where the team's token is: env:NAME or a file
+    """
+    message = protocol.Command(
+        collection=state.CollectionId(collection),
+        routing_key=routing_key,
+        body=msgspec.Raw(_check_json(body)),
+    )
+
+    async def send(client: caller.CallerClient):
+        own = key or _make_key()
+        print(f'idempotency key {own}')
+        return await client.command(message, own)
+
+    _finish(_send(host, token, send, sent=exits.Exit.UNKNOWN))
+
+
+def _make_key() -> str:
+    unix = int(serving.make_system_clock().wall())
+    return f'{unix:010d}-{random.SystemRandom().getrandbits(96):024x}'
+
+
+def _send(
+    host: str,
+    token: str,
+    send,
+    sent: exits.Exit = exits.Exit.UNAVAILABLE,
+) -> transport.RawReply:
+    read = secrets.read_secret(token)
+    if read.is_err():
+        exits.fail(read.unwrap_err(), exits.Exit.USAGE)
+
+    async def run():
+        client = caller.CallerClient(host, read.unwrap())
+        try:
+            return await send(client)
+        finally:
+            await client.close()
+
+    match asyncio.run(run()):
+        case result.Err(failed):
+            exits.fail(failed.detail, sent)
+        case result.Ok(reply):
+            return reply
+
+
+def _finish(reply: transport.RawReply) -> None:
+    print(reply.body.decode())
+    if reply.status == 200:
+        return
+    problem = protocol.decode(protocol.Problem, reply.body)
+    unknown = problem.is_err() or (
+        problem.unwrap().outcome is protocol.Ran.UNKNOWN
+    )
+    raise SystemExit(exits.Exit.UNKNOWN if unknown else exits.Exit.REFUSED)
+
+
+def _check_json(text: str) -> bytes:
+    try:
+        json.loads(text)
+    except json.JSONDecodeError as exc:
+        exits.fail(f'the body is not JSON: {exc}', exits.Exit.USAGE)
+    return text.encode()
+
+
+def main() -> None:
+    """Run the program."""
+    defopt.run({'ask': ask, 'command': command})
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/rudderrock/programs/table.py
@@ -0,0 +1,363 @@
+"""The operators' client of the table."""
+
+import asyncio
+from collections.abc import Coroutine
+import dataclasses
+import datetime
+import json
+import pathlib
+import random
+import tomllib
+from typing import Any
+
+import defopt
+import result
+
+from rudderrock import coordination
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.programs import _exits as exits
+from rudderrock.programs import _operator as operators
+from rudderrock.programs import _secrets as secrets
+from rudderrock.programs import _serving as serving
+
+_KV = '127.0.0.1:7100'
+_KV_TIMEOUT_S = 2.0
+_WAIT_POLL_S = 0.1
+_OPERATOR_SECRET = 'env:RUDDERROCK_OPERATOR_SECRET'
+_HIDDEN = ('token_hashes',)
+
+
+def show(team: str = '', *, kv: str = _KV, json_output: bool = False) -> None:
+    """Show the table, or one team's row.
+
+    :param team: the team; all if left out
+    :param kv: address of the key-value service
+    :param json_output: print JSON instead of text
+    """
+    table = _run(_read(kv))
+    rows = {
+        name: row for name, row in table.rows.items() if team in ('', name)
+    }
+    if team and not rows:
+        exits.fail(f'no team {team!r}', exits.Exit.REFUSED)
+    if json_output:
+        print(protocol.encode(rows).decode())
+        return
+    print(f'revision {table.revision}, {len(rows)} teams')
+    for name, row in sorted(rows.items()):
+        fields = _to_plain(row)
+        text = ' '.join(
+            f'{key}={json.dumps(value)}'
+            for key, value in fields.items()
+            if key not in ('team', *_HIDDEN)
+        )
+        print(f'{name}: {text} tokens={len(row.token_hashes)}')
+
+
+def set_field(
+    team: str,
+    *assignments: str,
+    kv: str = _KV,
+    author: str = '',
+    edit_id: str = '',
+) -> None:
+    """Set fields of a team's row, making the row if there is none.
+
+    :param team: the team
+    :param assignments: fields to set, as NAME=VALUE with a JSON value
+    :param kv: address of the key-value service
+    :param author: who makes the edit; the user's name if left out
+    :param edit_id: id of an earlier try of this same edit
+    """
+    fields = dict(_read_assignment(each) for each in assignments)
+
+    async def edit() -> coordination.EditOutcome:
+        async with _Editing(kv) as editing:
+            base = (await editing.read_table()).rows.get(team)
+            known = dataclasses.asdict(base) if base else {'team': team}
+            row = _check_row({**known, **fields})
+            return await editing.edit(team, base, row, author, edit_id)
+
+    _finish(_run(edit()))
+
+
+def remove(team: str, *, kv: str = _KV, author: str = '') -> None:
+    """Remove a team's row; its tokens stop working.
+
+    :param team: the team
+    :param kv: address of the key-value service
+    :param author: who makes the edit; the user's name if left out
+    """
+
+    async def edit() -> coordination.EditOutcome:
+        async with _Editing(kv) as editing:
+            base = (await editing.read_table()).rows.get(team)
+            if base is None:
+                exits.fail(f'no team {team!r}', exits.Exit.REFUSED)
+            return await editing.edit(team, base, None, author, '')
+
+    _finish(_run(edit()))
+
+
+def apply(path: pathlib.Path, *, kv: str = _KV, author: str = '') -> None:
+    """Set the rows that a TOML file has, each under `[teams.NAME]`.
+
+    All rows are checked before the first is set; rows that the file does
+    not name stay as they are.
+
+    :param path: the file
+    :param kv: address of the key-value service
+    :param author: who makes the edits; the user's name if left out
+    """
+    try:
+        raw = tomllib.loads(path.read_text()).get('teams', {})
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        exits.fail(f'{path}: {exc}', exits.Exit.USAGE)
+
+    async def edit_all() -> list[coordination.EditOutcome]:
+        async with _Editing(kv) as editing:
+            table = await editing.read_table()
+            rows = {
+                team: _check_row({**_get_fields(table, team), **fields})
+                for team, fields in raw.items()
+            }
+            outcomes = []
+            for team, row in rows.items():
+                base = table.rows.get(team)
+                if row != base:
+                    done = await editing.edit(team, base, row, author, '')
+                    outcomes.append(done)
+            return outcomes
+
+    outcomes = _run(edit_all())
+    if not outcomes:
+        print('nothing to change')
+    for outcome in outcomes:
+        _finish(outcome)
+
+
+def new_token(team: str, *, kv: str = _KV, author: str = '') -> None:
+    """Make a new token for a team and print it, this once.
+
+    The tokens that the team has keep working; set `token_hashes=[]` to
+    withdraw them all.
+
+    :param team: the team
+    :param kv: address of the key-value service
+    :param author: who makes the edit; the user's name if left out
+    """
+    source = random.SystemRandom()
+    token = state.make_token(state.TeamId(team), source)
+
+    async def edit() -> coordination.EditOutcome:
+        async with _Editing(kv) as editing:
+            base = (await editing.read_table()).rows.get(team)
+            row = base or _check_row({'team': team})
+            hashes = (*row.token_hashes, state.hash_token(token, source))
+            row = dataclasses.replace(row, token_hashes=hashes)
+            return await editing.edit(team, base, row, author, '')
+
+    outcome = _run(edit())
+    if isinstance(outcome, coordination.EditAccepted):
+        print(token)
+        return
+    _finish(outcome)
+
+
+def history(
+    *, kv: str = _KV, most: int = 20, json_output: bool = False
+) -> None:
+    """Show who changed what, the latest last.
+
+    :param kv: address of the key-value service
+    :param most: how many edits to show
+    :param json_output: print JSON instead of text
+    """
+    edits = _run(_read(kv)).history[-most:]
+    if json_output:
+        print(protocol.encode(edits).decode())
+        return
+    for edit in edits:
+        at = datetime.datetime.fromtimestamp(edit.at, datetime.UTC)
+        what = 'removed' if edit.row is None else 'set'
+        print(
+            f'{edit.revision:>6}  {at:%Y-%m-%d %H:%M:%S}Z  {edit.author:<12} '
+            f'{what} {edit.team}  ({edit.edit_id})'
+        )
+
+
+def wait(
+    revision: int,
+    host: str,
+    *,
+    timeout_s: float = 14.0,
+    operator: str = _OPERATOR_SECRET,
+) -> None:
+    """Wait until a revision is in force on every host.
+
+    Exits with 0 when it is, and with 5 if some host has not got it, or
+    cannot be asked, within the time; it names them.
+
+    :param revision: the revision
+    :param host: control address of any one host, which names the others
+    :param timeout_s: how long to wait, in seconds
+    :param operator: where the operators' secret is: env:NAME or a file
+    """
+    secret = secrets.read_secret(operator)
+    if secret.is_err():
+        exits.fail(secret.unwrap_err(), exits.Exit.USAGE)
+    client = operators.OperatorClient(secret.unwrap())
+    late = _run(_wait(client, revision, host, timeout_s))
+    if late:
+        text = ', '.join(late)
+        exits.fail(f'not in force on {text}', exits.Exit.UNAVAILABLE)
+    print(f'revision {revision} is in force on every host')
+
+
+async def _wait(
+    client: operators.OperatorClient,
+    revision: int,
+    host: str,
+    timeout_s: float,
+) -> list[str]:
+    """Return the hosts on which a revision is not in force in time."""
+    clock = serving.make_system_clock()
+    end = clock.now() + timeout_s
+    while True:
+        hosts = await client.find_hosts(host)
+        replies = await client.get_all_status(list(hosts.values()))
+        late = [
+            name
+            for name, address in hosts.items()
+            if replies[address] is None
+            or replies[address].table_revision < revision
+        ]
+        if not late or clock.now() >= end:
+            return late
+        await asyncio.sleep(_WAIT_POLL_S)
+
+
+class _Editing:
+    """The table's editor over one connection to the service."""
+
+    def __init__(self, kv: str):
+        self._kv = transport.HttpKvPort(kv, _KV_TIMEOUT_S)
+        self._editor: coordination.TableEditor | None = None
+
+    async def __aenter__(self) -> '_Editing':
+        self._editor = coordination.TableEditor(
+            self._kv, serving.make_system_clock(), random.SystemRandom()
+        )
+        return self
+
+    async def __aexit__(self, *exc_info) -> None:
+        await self._kv.close()
+
+    async def read_table(self) -> state.Table:
+        match await self._editor.read():
+            case result.Err(detail):
+                exits.fail(detail, exits.Exit.UNAVAILABLE)
+            case result.Ok(table):
+                return table
+
+    async def edit(
+        self,
+        team: str,
+        base: state.TeamRow | None,
+        row: state.TeamRow | None,
+        author: str,
+        edit_id: str,
+    ) -> coordination.EditOutcome:
+        change = state.Change(
+            edit_id=state.EditId(edit_id or self._editor.make_edit_id()),
+            author=author or _get_user(),
+            team=state.TeamId(team),
+            base=base,
+            row=row,
+        )
+        outcome = await self._editor.edit(change, _KV_TIMEOUT_S * 3)
+        if isinstance(outcome, coordination.EditUncertain):
+            exits.fail(
+                f'{outcome.detail}; it may have taken effect. Try again '
+                f'with --edit-id {change.edit_id}',
+                exits.Exit.UNKNOWN,
+            )
+        return outcome
+
+
+async def _read(kv: str) -> state.Table:
+    async with _Editing(kv) as editing:
+        return await editing.read_table()
+
+
+def _finish(outcome: coordination.EditOutcome) -> None:
+    match outcome:
+        case coordination.EditAccepted(edit):
+            print(f'accepted as revision {edit.revision}')
+        case coordination.EditLost(current):
+            plain = _to_plain(current) if current else 'no row'
+            exits.fail(
+                f'another edit came first; the row is now {plain}',
+                exits.Exit.REFUSED,
+            )
+        case coordination.EditInvalid(problems):
+            text = '\n'.join(str(each) for each in problems)
+            exits.fail(text, exits.Exit.USAGE)
+
+
+def _check_row(fields: dict[str, Any]) -> state.TeamRow:
+    match state.make_checked(state.TeamRow, fields):
+        case result.Err(problems):
+            text = '\n'.join(str(each) for each in problems)
+            exits.fail(text, exits.Exit.USAGE)
+        case result.Ok(row):
+            return row
+
+
+def _get_fields(table: state.Table, team: str) -> dict[str, Any]:
+    base = table.rows.get(state.TeamId(team))
+    return dataclasses.asdict(base) if base else {'team': team}
+
+
+def _read_assignment(text: str) -> tuple[str, Any]:
+    name, equals, value = text.partition('=')
+    if not equals:
+        exits.fail(f'{text!r} is not NAME=VALUE', exits.Exit.USAGE)
+    try:
+        return name, json.loads(value)
+    except json.JSONDecodeError:
+        return name, value
+
+
+def _to_plain(row: state.TeamRow) -> dict[str, Any]:
+    return json.loads(protocol.encode(row))
+
+
+def _get_user() -> str:
+    # The name is only a note in the history, not a proof of anything.
+    return pathlib.Path.home().name or 'operator'
+
+
+def _run(coroutine: Coroutine) -> Any:
+    return asyncio.run(coroutine)
+
+
+def main() -> None:
+    """Run the program."""
+    defopt.run(
+        {
+            'show': show,
+            'set': set_field,
+            'apply': apply,
+            'remove': remove,
+            'new-token': new_token,
+            'history': history,
+            'wait': wait,
+        }
+    )
+
+
+if __name__ == '__main__':
+    main()
--- a/rudderrock/protocol/_upstream.py
+++ b/rudderrock/protocol/_upstream.py
@@ -44,11 +44,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Load:
-    """What an upstream says of itself; it may lag or mislead."""
+    """What an upstream says of itself; it may lag or mislead.
+
+    `versions` are the index versions that it holds, or none if it does
+    not say.
+    """
 
     in_flight: int = 0
     queued: int = 0
     leaving: bool = False
+    versions: tuple[state.IndexVersion, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/rudderrock/standins/_fleet.py
+++ b/rudderrock/standins/_fleet.py
@@ -71,6 +71,7 @@
         self._seed = seed
         self._settings = settings or {}
         self._started = 0
+        self._crashed: set[str] = set()
 
     async def start(self, hosts: int) -> None:
         """Publish table and layout and start hosts, zone after zone."""
@@ -154,6 +155,7 @@
 
     async def crash_host(self, name: str) -> None:
         """End a host with no warning."""
+        self._crashed.add(name)
         running = self.hosts[name]
         self.peers.remove(running.address)
         running.task.cancel()
@@ -183,8 +185,11 @@
 
     async def query(
         self, name: str, team: str, collection: str, body: str = '"q"'
-    ) -> protocol.Outcome:
-        """Send one query of a team to one host."""
+    ) -> protocol.Outcome | None:
+        """Send one query of a team to one host.
+
+        Returns None if the host crashed before it had answered.
+        """
         host = self.hosts[name].host
         known = host.authenticate(self.tokens.get(team))
         match known:
@@ -196,7 +201,8 @@
                     b'{"collection":"%s","body":%s}'
                     % (collection.encode(), body.encode()),
                 )
-                return await host.query(row, decoded.unwrap())
+                outcome = await host.query(row, decoded.unwrap())
+                return None if name in self._crashed else outcome
 
     async def command(
         self,
--- a/rudderrock/standins/_upstream.py
+++ b/rudderrock/standins/_upstream.py
@@ -123,6 +123,7 @@
             in_flight=self._in_flight,
             queued=self._queued,
             leaving=self.faults.leaving,
+            versions=tuple(sorted(self.versions)),
         )
 
     def connect(self) -> bool:
--- a/rudderrock/state/_settings.py
+++ b/rudderrock/state/_settings.py
@@ -176,14 +176,17 @@
     `rate_burst_s` is how many seconds of its rate a team may use at once.
     `order` is `fair` between teams or, as a baseline, `fifo`; with
     `refuse_late` off nothing is refused for the time it would wait.
+    `queue_fraction` is the part of the time to its deadline that a request
+    may be expected to wait.
     """
 
     __pydantic_config__ = constraints.FORBID_UNKNOWN
 
     max_queued: _Count = 256
-    rate_burst_s: _Seconds = 1.0
+    rate_burst_s: _Seconds = 0.5
     order: QueueOrder = QueueOrder.FAIR
     refuse_late: bool = True
+    queue_fraction: _Fraction = 0.5
     max_shard_requests: _Count = 50_000
 
 
