Renew idle connections that an upstream has closed

Cause: run as separate processes, the first query after a few idle seconds got 0 of 20 shards, and a command ended as 'may have run'. The upstreams had closed connections that were made ahead of need and not used for 5 s, and a lane noticed only by failing an exchange, each failure counting as bytes that may have left.

Ruled out: deadlines (the wall clocks agree) and the message bodies (the same query answers in the one-process demo, which never idles that long).

Change: a connection tells whether it is usable (open, nothing unread on it); lanes renew unusable ones every 2 s, and one found unusable when work comes hands it to a new connection, nothing having been sent. Our own server counts a head's time from its first byte.

--- a/rudderrock/coordination/_link.py
+++ b/rudderrock/coordination/_link.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import enum
 import math
 import random
@@ -31,6 +32,8 @@
 _UNLOADED_DRIFT = 1.0005
 # How fast the least latency follows a latency that has risen for good.
 _BASE_LEAK = 0.02
+# How often idle lanes are looked at, in seconds.
+_TEND_PERIOD_S = 2.0
 # Weight of one request in the moving fraction of late ones.
 _LATE_WEIGHT = 0.04
 # Failures that all fall into one stall of this process, or of the network,
@@ -49,6 +52,14 @@
     CLOSED = 'closed'
 
 
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
+class _IdleLane:
+    """A lane that waits for work, and the connection it has ready."""
+
+    slot: asyncio.Future[attempts.Attempt | None]
+    connection: transport.UpstreamConnection
+
+
 _NO_NEW_WORK = frozenset({UpstreamState.LEAVING, UpstreamState.CLOSED})
 
 
@@ -81,7 +92,8 @@
         self._source = source
         self._ring = ring
         self._on_free = on_free
-        self._idle: list[asyncio.Future[attempts.Attempt]] = []
+        self._idle: list[_IdleLane] = []
+        self._tending: asyncio.Task | None = None
         self._lanes: list[asyncio.Task[None]] = []
         self._retiring = 0
         self._latency = latency.FadingMean(clock)
@@ -108,21 +120,24 @@
         for _ in range(surplus):
             self._retiring += 1
             if self._idle:
-                self._idle.pop().cancel()
+                self._idle.pop().slot.set_result(None)
         self._limit = min(max(self._limit, _MIN_LIMIT), max(count, 1))
 
     def start(self, lanes: int) -> None:
         """Open the first lanes, with room to use them all."""
         self._limit = float(lanes)
         self.set_lanes(lanes)
+        self._tending = asyncio.create_task(self._tend())
 
     async def close(self) -> None:
         """End all lanes now."""
         self.state = UpstreamState.CLOSED
-        lanes = list(self._lanes)
-        for lane in lanes:
-            lane.cancel()
-        await asyncio.gather(*lanes, return_exceptions=True)
+        tasks = list(self._lanes)
+        if self._tending is not None:
+            tasks.append(self._tending)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
     @property
     def is_free(self) -> bool:
@@ -193,7 +208,7 @@
         attempt.note_late = self.note_late
         self.in_flight += 1
         self.sent += 1
-        self._idle.pop().set_result(attempt)
+        self._idle.pop().slot.set_result(attempt)
 
     def mark_leaving(self, leaving: bool, source: str) -> None:
         """Take note that the upstream leaves, or is back."""
@@ -241,29 +256,57 @@
 
         Returns whether the lane is to retire instead of connecting again.
         """
-        while True:
+        while connection.is_usable:
             if self._retiring > 0:
                 self._retiring -= 1
                 return True
-            attempt = await self._take_attempt()
+            attempt = await self._take_attempt(connection)
             if attempt is None:
                 continue
-            if not await self._exchange(connection, attempt):
+            if not connection.is_usable:
+                await self._hand_back(attempt)
+            elif not await self._exchange(connection, attempt):
                 return False
+        return False
 
-    async def _take_attempt(self) -> attempts.Attempt | None:
-        """Wait for work; None when woken to retire."""
+    async def _take_attempt(
+        self, connection: transport.UpstreamConnection
+    ) -> attempts.Attempt | None:
+        """Wait for work; None when woken to look at lane and connection."""
         slot = asyncio.get_running_loop().create_future()
-        self._idle.append(slot)
+        idle = _IdleLane(slot, connection)
+        self._idle.append(idle)
         self._on_free(self)
         try:
             return await slot
-        except asyncio.CancelledError:
-            if slot in self._idle:
-                self._idle.remove(slot)
-            if asyncio.current_task().cancelling():
-                raise
-            return None
+        finally:
+            if idle in self._idle:
+                self._idle.remove(idle)
+
+    async def _hand_back(self, attempt: attempts.Attempt) -> None:
+        """Run an attempt over a new connection: this one was closed on us.
+
+        Nothing of the attempt has been sent, so this is safe for any.
+        """
+        connected = await self._port.connect(self.upstream)
+        match connected:
+            case result.Ok(connection):
+                try:
+                    await self._exchange(connection, attempt)
+                finally:
+                    await connection.close()
+            case result.Err(failed):
+                self.in_flight -= 1
+                attempt.deliver(protocol.ShardLost(False, failed.detail))
+
+    async def _tend(self) -> None:
+        """Let idle lanes renew connections that were closed on them."""
+        while True:
+            await asyncio.sleep(_TEND_PERIOD_S)
+            for idle in list(self._idle):
+                if not idle.connection.is_usable:
+                    self._idle.remove(idle)
+                    idle.slot.set_result(None)
 
     async def _exchange(
         self,
--- a/rudderrock/standins/_memory.py
+++ b/rudderrock/standins/_memory.py
@@ -39,6 +39,11 @@
         self._latency_s = latency_s
         self._open = True
 
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether an exchange may start on it."""
+        return self._open and not self._model.faults.lost
+
     async def exchange(
         self,
         request: protocol.ShardRequest,
--- a/rudderrock/transport/_owned.py
+++ b/rudderrock/transport/_owned.py
@@ -85,6 +85,21 @@
         connection.release()
         return result.Ok(None)
 
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether the connection is open and nothing is left on it.
+
+        Bytes that came without a request are the end of somebody else's
+        reply, or a server's farewell; either way it is not to be used.
+        """
+        socket = self._socket
+        if socket is None or socket.writer is None:
+            return False
+        reader = socket.reader
+        # StreamReader has no public way to ask this without reading.
+        unread = bool(reader._buffer)
+        return not (socket.writer.is_closing() or reader.at_eof() or unread)
+
     async def post(
         self, path: str, body: bytes
     ) -> result.Result[RawReply, ExchangeFailed]:
--- a/rudderrock/transport/_ports.py
+++ b/rudderrock/transport/_ports.py
@@ -92,6 +92,14 @@
 class UpstreamConnection(Protocol):
     """One connection to one upstream, owned by one task."""
 
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether an exchange may start on it.
+
+        Not if the other side has closed it, or has sent something that
+        nobody asked for.
+        """
+
     async def exchange(
         self, request: protocol.ShardRequest, ticket: ExchangeTicket
     ) -> protocol.ShardReply:
--- a/rudderrock/transport/_server.py
+++ b/rudderrock/transport/_server.py
@@ -28,8 +28,8 @@
 class HeadLimits:
     """Bounds on the head of a request, before any code of ours sees it.
 
-    `timeout_s` counts in seconds from the first byte, or from the start of
-    a new connection; `max_bytes` is the size of the head.
+    `timeout_s` counts in seconds from the first byte; `max_bytes` is the
+    size of the head.
     """
 
     timeout_s: float = 5.0
@@ -46,18 +46,29 @@
     class BoundedProtocol(httptools_impl.HttpToolsProtocol):
         """HTTP over one connection, closed if its head is slow or long."""
 
+        _idle_timer: asyncio.TimerHandle
+        _is_started = False
         _head_timer: asyncio.TimerHandle | None = None
         _head_bytes = 0
 
         def connection_made(self, transport: asyncio.Transport) -> None:
             super().connection_made(transport)
-            self._start_head()
+            # A connection made ahead of need may stay idle as long as one
+            # kept after use; uvicorn itself bounds only the latter.
+            self._idle_timer = self.loop.call_later(
+                _KEEP_ALIVE_S, self._close_idle
+            )
 
         def connection_lost(self, exc: Exception | None) -> None:
+            self._idle_timer.cancel()
             self._end_head()
             super().connection_lost(exc)
 
         def data_received(self, data: bytes) -> None:
+            self._idle_timer.cancel()
+            if not self._is_started:
+                self._is_started = True
+                self._start_head()
             if self._head_timer is not None:
                 self._head_bytes += len(data)
             super().data_received(data)
@@ -86,6 +97,10 @@
                 self._head_timer.cancel()
                 self._head_timer = None
 
+        def _close_idle(self) -> None:
+            if not self._is_started:
+                self.transport.close()
+
         def _refuse(self, reply: bytes) -> None:
             self._end_head()
             if not self.transport.is_closing():
--- a/rudderrock/transport/_upstream.py
+++ b/rudderrock/transport/_upstream.py
@@ -18,6 +18,11 @@
     def __init__(self, connection: owned.OwnedConnection):
         self._connection = connection
 
+    @property
+    def is_usable(self) -> bool:
+        """Tell whether an exchange may start on it."""
+        return self._connection.is_usable
+
     async def exchange(
         self, request: protocol.ShardRequest, ticket: ports.ExchangeTicket
     ) -> protocol.ShardReply:
