Prove over real sockets that answers are kept apart and strangers cost little

Cause: aiosonic's shared pool gives a cancelled request's answer to the next one. Two locks prevent it here, and neither had a test that fails without it.

Change: scenarios with an upstream that answers late or crosses its answers. With both locks off the crossing is seen, with either one alone it is not. Also bad tokens, malformed, oversized and slow requests, endless heads, and connections closed by the upstream while idle, each checked against the upstreams' own record of what ran.

Conclusion: both locks hold by themselves, and the check can fail.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,11 @@
-"""Each scenario gets its own virtual-time loop and its own exit stack."""
+"""Each scenario gets its own loop and its own exit stack.
 
+The loop's time is virtual, but for scenarios over real sockets.
+"""
+
+import asyncio
 import contextlib
+import logging
 import warnings
 
 import async_solipsism
@@ -8,10 +13,18 @@
 from features import bench
 
 
+def before_all(context):
+    """Leave out what uvicorn says of watches that a scenario's end cuts."""
+    logging.getLogger('uvicorn').setLevel(logging.CRITICAL)
+
+
 def before_scenario(context, scenario):
     """Make the loop and what the steps share."""
     warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
-    context.loop = async_solipsism.EventLoop()
+    if 'sockets' in scenario.effective_tags:
+        context.loop = asyncio.new_event_loop()
+    else:
+        context.loop = async_solipsism.EventLoop()
     context.stack = contextlib.AsyncExitStack()
     context.bench = bench.Bench(context.stack)
 
--- /dev/null
+++ b/features/sockets.feature
@@ -0,0 +1,76 @@
+@sockets
+Feature: Answers are kept apart over real connections
+
+  # The upstream here answers each request only when the next one comes, or
+  # a moment later: every answer to a cancelled request is late.
+
+  Scenario: without either lock a late answer reaches the next request
+    Given an upstream that answers late
+    And connections are kept after unfinished exchanges
+    And answers are not checked against their requests
+    When 20 requests are cancelled, each followed by another
+    Then some request got the answer of another
+
+  Scenario: closing the connection alone keeps answers apart
+    Given an upstream that answers late
+    And answers are not checked against their requests
+    When 20 requests are cancelled, each followed by another
+    Then no request got the answer of another
+
+  Scenario: checking the request's id alone keeps answers apart
+    Given an upstream that answers late
+    And connections are kept after unfinished exchanges
+    When 20 requests are cancelled, each followed by another
+    Then no request got the answer of another
+
+  Scenario: an upstream that crosses its answers is not believed
+    Given an upstream that crosses answers
+    When 20 requests are sent
+    Then no request got the answer of another
+
+Rule: Strangers and broken requests cost little and run nothing
+
+  Scenario Outline: a bad request is refused with the reason
+    Given a host over sockets before 3 services
+    When a caller sends a request that is <fault>
+    Then the reply has status <status> and says that nothing ran
+    And no upstream has run anything
+
+    Examples:
+      | fault               | status |
+      | without a token     | 401    |
+      | with a wrong token  | 401    |
+      | not JSON            | 400    |
+      | of a wrong type     | 400    |
+      | too large           | 413    |
+      | to no such place    | 400    |
+      | for no collection   | 404    |
+      | slow in its body    | 408    |
+
+  Scenario: a slow head is cut off
+    Given a host over sockets before 3 services
+    When a caller sends half a head and waits
+    Then the connection is closed with status 408
+
+  Scenario: a long head is cut off
+    Given a host over sockets before 3 services
+    When a caller sends a head without end
+    Then the connection is closed with status 431
+
+  Scenario: a query over sockets is answered whole
+    Given a host over sockets before 3 services
+    When a caller sends a good query
+    Then the reply covers all 3 shards
+
+  Scenario: connections that the upstreams closed while idle cost nothing
+    Given a host over sockets before 3 services
+    And the upstreams close all idle connections
+    When a caller sends a good query
+    Then the reply covers all 3 shards
+    And no request to an upstream was retried
+
+  Scenario: control endpoints want the right secret
+    Given a host over sockets before 3 services
+    When anyone reads the metrics without the operators' secret
+    Then the reply has status 401 and says that nothing ran
+    And with the secret they read "rudderrock_ready{} 1"
--- a/features/steps/common.py
+++ b/features/steps/common.py
@@ -117,7 +117,11 @@
 
 @then('no upstream has run anything')
 def check_nothing_ran(context):
-    assert context.bench.fleet.list_runs() == []
+    if context.bench.fleet is not None:
+        assert context.bench.fleet.list_runs() == []
+        return
+    runs = [model.runs for model in context.models.values()]
+    assert not any(runs), runs
 
 
 @then(r"every upstream's record agrees with what was reported")
--- a/rudderrock/programs/_serving.py
+++ b/rudderrock/programs/_serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import secrets as system_secrets
 import time
 
@@ -21,11 +22,21 @@
     return state.Clock(loop, time.time() - loop.time())
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ServedHost:
+    """A host, and the addresses at which it listens."""
+
+    host: coordination.EntryHost
+    callers: str
+    control: str
+
+
 @contextlib.asynccontextmanager
 async def open_host(settings: state.Settings, secrets: frontend.Secrets):
-    """Serve one host while the context lasts; yields the host.
+    """Serve one host while the context lasts.
 
-    Yields a result: an error where an address cannot be bound.
+    Yields a result: the served host, or an error where an address cannot
+    be bound. The host itself has still to be run.
     """
     async with contextlib.AsyncExitStack() as stack:
         callers = transport.bind(settings.host.callers)
@@ -43,14 +54,14 @@
             timeout_s=settings.intake.head_timeout_s,
             max_bytes=settings.intake.max_header_bytes,
         )
-        await stack.enter_async_context(
+        control_address = await stack.enter_async_context(
             transport.serve(
                 frontend.make_control_app(host, secrets),
                 control.unwrap(),
                 limits=limits,
             )
         )
-        await stack.enter_async_context(
+        caller_address = await stack.enter_async_context(
             transport.serve(
                 frontend.make_caller_app(host),
                 callers.unwrap(),
@@ -58,7 +69,11 @@
                 max_connections=settings.intake.max_connections,
             )
         )
-        yield result.Ok(host)
+        yield result.Ok(
+            ServedHost(
+                host=host, callers=caller_address, control=control_address
+            )
+        )
 
 
 def _make_host(
--- a/rudderrock/programs/demo.py
+++ b/rudderrock/programs/demo.py
@@ -197,7 +197,7 @@
         )
         context = serving.open_host(settings, _SECRETS)
         opened = await self._stack.enter_async_context(context)
-        host = opened.unwrap()
+        host = opened.unwrap().host
         self._hosts.append(host)
         self._standins.host_list.hosts.append(
             transport.ListedHost(
--- a/rudderrock/programs/entry.py
+++ b/rudderrock/programs/entry.py
@@ -42,7 +42,7 @@
     async with serving.open_host(settings, read) as opened:
         if opened.is_err():
             exits.fail(opened.unwrap_err(), exits.Exit.FAILED)
-        host = opened.unwrap()
+        host = opened.unwrap().host
         stopping: list[asyncio.Task] = []
 
         def on_signal() -> None:
--- a/rudderrock/standins/_loopback.py
+++ b/rudderrock/standins/_loopback.py
@@ -55,6 +55,8 @@
         stack.push_async_callback(_close_all, servers)
 
         kv = kvs.MemoryKv(clock)
+        # Ends the waiting watches, so that the servers can close at once.
+        stack.push_async_callback(kv.set_down, True)
         host_list = memory.MemoryHostList()
         draft = deployments.make_layout(deployment)
         models = deployments.make_models(deployment, draft, clock, source)
