--- a/features/bench.py
+++ b/features/bench.py
@@ -83,7 +83,11 @@
     ) -> None:
         """Send queries beside what the scenario does next."""
         load = self.ask_at_rate(team, rate, seconds, hosts)
-        self._load.append(asyncio.create_task(load))
+        self.keep_load(asyncio.create_task(load))
+
+    def keep_load(self, load: asyncio.Task) -> None:
+        """Keep load under way for `end_load` to wait for."""
+        self._load.append(load)
 
     async def end_load(self) -> None:
         """Wait until all load that was started has been answered."""
--- /dev/null
+++ b/features/steps/platform.py
@@ -0,0 +1,391 @@
+"""Steps on the table, the key-value service and the life of hosts."""
+
+import asyncio
+import dataclasses
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features.steps.common import run
+from rudderrock import coordination
+from rudderrock import protocol
+from rudderrock import state
+
+use_step_matcher('re')
+
+_EDIT_TIMEOUT_S = 10.0
+_POLL_S = 0.005
+
+
+def _names(text):
+    return [name.strip() for name in text.split(',')]
+
+
+def _list_running(context):
+    return [
+        running
+        for running in context.bench.fleet.hosts.values()
+        if not running.task.done()
+    ]
+
+
+@when(r'an operator sets "([^"]+)" of "([^"]+)" to (\d+)')
+def set_field(context, field, team, value):
+    fleet = context.bench.fleet
+    edit = fleet.set_row(team, **{field: int(value)})
+    context.edit = run(context, edit)
+
+
+@when('it is in force on every host')
+def wait_in_force(context):
+    fleet = context.bench.fleet
+    run(context, fleet.wait_until_in_force(context.edit.revision))
+
+
+@then(r'it is in force on every host within (\d+) seconds?')
+def check_in_force(context, seconds):
+    fleet = context.bench.fleet
+    passed = run(context, fleet.wait_until_in_force(context.edit.revision))
+    assert passed <= int(seconds), passed
+
+
+@when(
+    r'two operators set "([^"]+)" of "([^"]+)" to (\d+) and to (\d+) at once'
+)
+def race(context, field, team, one, other):
+    editor = context.bench.fleet.editor
+
+    async def edit(value):
+        base = (await editor.read()).unwrap().rows[team]
+        row = dataclasses.replace(base, **{field: float(value)})
+        change = state.Change(
+            edit_id=editor.make_edit_id(),
+            author=f'operator {value}',
+            team=team,
+            base=base,
+            row=row,
+        )
+        return await editor.edit(change, _EDIT_TIMEOUT_S)
+
+    async def edit_both():
+        return await asyncio.gather(edit(one), edit(other))
+
+    context.outcomes = run(context, edit_both())
+
+
+@then("one edit was accepted and the other saw the winner's row")
+def check_race(context):
+    accepted = [
+        each
+        for each in context.outcomes
+        if isinstance(each, coordination.EditAccepted)
+    ]
+    lost = [
+        each
+        for each in context.outcomes
+        if isinstance(each, coordination.EditLost)
+    ]
+    assert len(accepted) == len(lost) == 1, context.outcomes
+    assert lost[0].current == accepted[0].edit.row, lost
+    context.edit = accepted[0].edit
+
+
+@given(r'the next (\d+) replies of the key-value service to writes are lost')
+def lose_replies(context, count):
+    context.bench.fleet.kv.faults.lose_replies = int(count)
+
+
+@then('the edit stands once in the history')
+def check_once(context):
+    table = run(context, context.bench.fleet.editor.read()).unwrap()
+    same = [
+        edit for edit in table.history if edit.edit_id == context.edit.edit_id
+    ]
+    assert len(same) == 1, table.history
+    assert table.revision == context.edit.revision
+
+
+@given(r'hosts "([^"]+)" are cut off from the key-value service')
+def cut_from_kv(context, names):
+    for name in _names(names):
+        context.bench.fleet.hosts[name].kv.cut = True
+
+
+@when('the key-value service goes down as soon as one host has it')
+def down_after_first(context):
+    async def wait():
+        hosts = context.bench.fleet.hosts.values()
+        while all(
+            each.host.table.revision < context.edit.revision for each in hosts
+        ):
+            await asyncio.sleep(_POLL_S)
+        await context.bench.fleet.kv.set_down(True)
+
+    run(context, wait())
+
+
+@when('the key-value service goes down')
+def kv_down(context):
+    run(context, context.bench.fleet.kv.set_down(True))
+
+
+@when('the key-value service comes back')
+def kv_up(context):
+    run(context, context.bench.fleet.kv.set_down(False))
+
+
+@when(r'host "([^"]+)" is started')
+def start_host(context, name):
+    async def start():
+        fleet = context.bench.fleet
+        fleet.start_host(name, fleet.deployment.network.list_zones()[0])
+
+    run(context, start())
+
+
+@when('the table of the key-value service is put aside')
+def put_aside(context):
+    entry = run(context, context.bench.fleet.kv.get(coordination.TABLE_KEY))
+    context.aside = entry.unwrap().value
+
+
+@when('the table that was put aside is restored')
+def restore(context):
+    table = protocol.decode(state.Table, context.aside).unwrap()
+    kv = context.bench.fleet.kv
+    run(context, kv.put_unless_down(coordination.TABLE_KEY, table))
+
+
+@when(r'somebody writes a table with "([^"]+)" of "([^"]+)" at (\d+)')
+def write_bad_table(context, field, team, value):
+    fleet = context.bench.fleet
+    table = run(context, fleet.editor.read()).unwrap()
+    row = dataclasses.replace(table.rows[team], **{field: int(value)})
+    bad = dataclasses.replace(
+        table, revision=table.revision + 1, rows={**table.rows, team: row}
+    )
+    run(context, fleet.kv.put_unless_down(coordination.TABLE_KEY, bad))
+
+
+@then(r'"([^"]+)" of "([^"]+)" is (\d+) on every host')
+def check_field(context, field, team, value):
+    for running in _list_running(context):
+        row = running.host.rows[team]
+        assert getattr(row, field) == int(value), row
+
+
+def _list_kinds(running):
+    events = running.host.ring.list_since(state.Stamp())
+    return [event.kind.value for event in events]
+
+
+@then(r'every host has said "([^"]+)"')
+def check_all_said(context, kind):
+    for running in _list_running(context):
+        assert kind in _list_kinds(running), _list_kinds(running)
+
+
+@then(r'host "([^"]+)" has said "([^"]+)"')
+def check_said(context, name, kind):
+    kinds = _list_kinds(context.bench.fleet.hosts[name])
+    assert kind in kinds, kinds
+
+
+@when(r'host "([^"]+)" is cut off from everything')
+def cut_off(context, name):
+    context.bench.fleet.cut_off(name, True)
+
+
+@when(r'host "([^"]+)" is cut off from its peers')
+def cut_from_peers(context, name):
+    context.bench.fleet.cut_off(name, True)
+    context.bench.fleet.hosts[name].kv.cut = False
+
+
+@when(r'host "([^"]+)" is joined again')
+def join_again(context, name):
+    context.bench.fleet.cut_off(name, False)
+
+
+@when(r'host "([^"]+)" is paused')
+def pause(context, name):
+    context.bench.fleet.freeze(name, True)
+
+
+@when(r'host "([^"]+)" goes on')
+def go_on(context, name):
+    context.bench.fleet.freeze(name, False)
+
+
+@then(r'host "([^"]+)" does not believe in its lease')
+def check_no_lease(context, name):
+    assert not context.bench.fleet.hosts[name].host.lease.is_held
+
+
+@when(r'"([^"]+)" sends a command to host "([^"]+)"')
+def send_command(context, team, host):
+    context.key = context.bench.fleet.make_key()
+    send_same_command(context, team, host)
+
+
+@when(r'"([^"]+)" sends the same command to host "([^"]+)"')
+def send_same_command(context, team, host):
+    fleet = context.bench.fleet
+    command = fleet.command(host, team, 'members', context.key)
+    context.outcome = run(context, command)
+
+
+@then(r'the command is refused as "([^"]+)"')
+def check_command_refused(context, reason):
+    assert isinstance(context.outcome, protocol.Refused), context.outcome
+    assert context.outcome.reason.value == reason, context.outcome
+
+
+def _list_writes(context):
+    runs = context.bench.fleet.list_runs()
+    return [run for run in runs if run.request.write]
+
+
+@then('no command has run')
+def check_no_command(context):
+    assert not _list_writes(context)
+
+
+@then('the command ran once')
+def check_command_once(context):
+    assert isinstance(context.outcome, protocol.Recorded), context.outcome
+    assert len(_list_writes(context)) == 1
+
+
+@when(
+    r'"([^"]+)" asks (\d+) times a second for (\d+) seconds, '
+    r'as a balancer does'
+)
+def ask_balanced(context, team, rate, seconds):
+    """Send to the hosts that said they were ready a second ago."""
+    bench = context.bench
+
+    async def ask_all():
+        tasks = []
+        ready = list(bench.fleet.hosts)
+        for number in range(int(rate) * int(seconds)):
+            if number % int(rate) == 0:
+                seen, ready = ready, _list_ready(context)
+            host = seen[number % len(seen)]
+            tasks.append(asyncio.create_task(bench.ask(team, host)))
+            await asyncio.sleep(1.0 / int(rate))
+        await asyncio.gather(*tasks)
+
+    async def start():
+        bench.keep_load(asyncio.create_task(ask_all()))
+
+    run(context, start())
+
+
+def _list_ready(context):
+    return [
+        name
+        for name, running in context.bench.fleet.hosts.items()
+        if running.host.lifecycle.is_ready
+    ]
+
+
+@when(r'hosts "([^"]+)" are stopped as planned')
+def stop_hosts(context, names):
+    fleet = context.bench.fleet
+
+    async def stop_all():
+        await asyncio.gather(
+            *(fleet.stop_host(name) for name in _names(names))
+        )
+
+    run(context, stop_all())
+
+
+@then(r'hosts "([^"]+)" have ended')
+def check_ended(context, names):
+    for name in _names(names):
+        running = context.bench.fleet.hosts[name]
+        assert running.task.done() and running.task.exception() is None
+        stopped = coordination.HostState.STOPPED
+        assert running.host.lifecycle.state is stopped
+
+
+@when(r'host "([^"]+)" crashes')
+def crash(context, name):
+    run(context, context.bench.fleet.crash_host(name))
+
+
+@when(r'''the platform's list drops "([^"]+)"''')
+def drop_from_list(context, name):
+    context.bench.fleet.forget_host(name)
+
+
+@then(r'the others hold "([^"]+)" to have failed')
+def check_failed(context, name):
+    for running in _list_running(context):
+        states = {
+            member.host: member.state
+            for member in running.host.membership.list_members()
+        }
+        assert states[name] is protocol.MemberState.FAILED, states
+
+
+@then(r'the others share limits with (\d+) hosts')
+def check_sharing(context, count):
+    for running in _list_running(context):
+        sharing = running.host.membership.list_sharing()
+        assert len(sharing) == int(count), sharing
+
+
+@given(r'(\d+) percent of messages between hosts are lost')
+def lose_messages(context, percent):
+    context.bench.fleet.peers.faults.lose = int(percent) / 100
+
+
+@then('no host is held to have failed')
+def check_none_failed(context):
+    events = context.bench.list_events(state.EventKind.PEER_STATE)
+    failed = [each for each in events if each.detail.endswith('failed')]
+    assert events and not failed, failed
+
+
+@when(r'"([^"]+)" asks (\d+) times a second for (\d+) seconds at "([^"]+)"')
+def ask_at(context, team, rate, seconds, hosts):
+    load = context.bench.ask_at_rate(
+        team, float(rate), float(seconds), _names(hosts)
+    )
+    run(context, load)
+
+
+def _get_admitted(context, rate, seconds):
+    shards = sum(
+        seen.outcome.coverage.shards for seen in context.bench.list_answers()
+    )
+    return 100 * shards / (int(rate) * int(seconds))
+
+
+@then(
+    r'at most (\d+) percent of the rate (\d+) was admitted over (\d+) seconds'
+)
+def check_at_most(context, percent, rate, seconds):
+    admitted = _get_admitted(context, rate, seconds)
+    assert admitted <= int(percent), admitted
+
+
+@then(
+    r'at least (\d+) percent of the rate (\d+) was admitted over (\d+) seconds'
+)
+def check_at_least(context, percent, rate, seconds):
+    admitted = _get_admitted(context, rate, seconds)
+    assert admitted >= int(percent), admitted
+
+
+@then('no upstream ever had more connections than it allows')
+def check_connections(context):
+    for model in context.bench.fleet.models.values():
+        allowed = model.upstream.connections
+        assert 0 < model.peak_connections <= allowed, model.peak_connections
+        assert model.refused_connections == 0, model.refused_connections
--- /dev/null
+++ b/features/steps/schedules.py
@@ -0,0 +1,76 @@
+"""Steps that run random fault schedules and break locks on purpose."""
+
+import collections
+import dataclasses
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from rudderrock import coordination
+from rudderrock import experiments
+from rudderrock import transport
+
+use_step_matcher('re')
+
+
+@given('answers are accepted whosever they are')
+def accept_any(context):
+    def accept(request, reply):
+        return reply
+
+    patch = mock.patch.object(transport, 'check_shard_reply', accept)
+    context.stack.enter_context(patch)
+
+
+@given('commands are run without a claim')
+def claim_nothing(context):
+    async def claim(self, key, claim, until):
+        return coordination.Won()
+
+    patch = mock.patch.object(coordination.ClaimStore, 'claim', claim)
+    context.stack.enter_context(patch)
+
+
+@given('coverage counts what was asked for')
+def count_all(context):
+    run = coordination.QueryRunner.run
+
+    async def overstate(self, ticket, collection):
+        answer = await run(self, ticket, collection)
+        coverage = dataclasses.replace(
+            answer.coverage, answered=answer.coverage.shards, missing={}
+        )
+        return dataclasses.replace(answer, coverage=coverage)
+
+    patch = mock.patch.object(coordination.QueryRunner, 'run', overstate)
+    context.stack.enter_context(patch)
+
+
+@when(r'the schedules of seeds (\d+) to (\d+) are run')
+def run_schedules(context, first, last):
+    seeds = range(int(first), int(last) + 1)
+    context.schedules = [experiments.run_schedule(seed) for seed in seeds]
+
+
+@then('no promise was broken')
+def check_none_broken(context):
+    broken = {each.seed: each.broken for each in context.schedules}
+    broken = {seed: found for seed, found in broken.items() if found}
+    assert not broken, broken
+
+
+@then('some promise was broken')
+def check_some_broken(context):
+    assert any(each.broken for each in context.schedules)
+
+
+@then('answers, refusals, records and unknowns were all seen')
+def check_all_kinds(context):
+    outcomes = collections.Counter()
+    for each in context.schedules:
+        outcomes.update(each.outcomes)
+    wanted = {'Answered', 'Refused', 'Recorded', 'Unknown'}
+    assert wanted <= set(outcomes), outcomes
--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -30,10 +30,14 @@
 from rudderrock.coordination._host import EntryHost
 from rudderrock.coordination._latency import FadingMean
 from rudderrock.coordination._latency import LatePoint
+from rudderrock.coordination._leases import HOST_PREFIX
+from rudderrock.coordination._leases import HostLease
 from rudderrock.coordination._lifecycle import HostState
 from rudderrock.coordination._lifecycle import Lifecycle
 from rudderrock.coordination._link import UpstreamLink
 from rudderrock.coordination._link import UpstreamState
+from rudderrock.coordination._members import ConfigInForce
+from rudderrock.coordination._members import LeaseCheck
 from rudderrock.coordination._members import make_incarnation
 from rudderrock.coordination._members import Membership
 from rudderrock.coordination._metrics import format_prometheus
@@ -63,6 +67,7 @@
     'Claims',
     'CommandRunner',
     'CommandTicket',
+    'ConfigInForce',
     'Dispatcher',
     'EditAccepted',
     'EditInvalid',
@@ -72,11 +77,14 @@
     'EntryHost',
     'FadingMean',
     'FairQueue',
+    'HOST_PREFIX',
+    'HostLease',
     'HostMetrics',
     'HostState',
     'KeyFollower',
     'LAYOUT_KEY',
     'LatePoint',
+    'LeaseCheck',
     'Lifecycle',
     'Mailbox',
     'Membership',
--- a/rudderrock/coordination/_commands.py
+++ b/rudderrock/coordination/_commands.py
@@ -95,6 +95,10 @@
             case claims.Won():
                 return await self._run_claimed(ticket, collection, claim)
 
+    async def clean(self, index: int, hosts: int) -> None:
+        """Delete this host's part of the claims that are too old to use."""
+        await self._store.clean(index, hosts)
+
     async def close(self) -> None:
         """Give up what is not yet written."""
         await self._store.close()
--- a/rudderrock/coordination/_follow.py
+++ b/rudderrock/coordination/_follow.py
@@ -32,7 +32,8 @@
 
     Parameters: `read` turns bytes into a checked value or a reason;
     `get_revision` reads its revision; `apply` puts it in force; `kinds`
-    are the events for in force and rejected.
+    are the events for in force and rejected; `watch_s` is how long one watch
+    may wait, in seconds.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         """Follow the key until cancelled."""
         pause_s = _FIRST_PAUSE_S
         while True:
+            sent = self._clock.now()
             if self._version == protocol.ABSENT:
                 outcome = await self._kv.get(self._key)
             else:
@@ -79,7 +81,7 @@
             match outcome:
                 case result.Ok(entry):
                     self._note_up()
-                    self._take(entry)
+                    self._take(entry, sent)
                     pause_s = _FIRST_PAUSE_S
                     if entry.version != protocol.ABSENT:
                         continue
@@ -88,6 +90,17 @@
             await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.0))
             pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
 
+    async def check(self) -> None:
+        """Ask once, without waiting for news, whether there is any.
+
+        The watch under way proves only that the service could be reached
+        when it was sent.
+        """
+        sent = self._clock.now()
+        match await self._kv.watch(self._key, self._version, 0.0):
+            case result.Ok(entry):
+                self._take(entry, sent)
+
     async def wait_until_read(self) -> None:
         """Wait until a value is in force, from wherever it came."""
         await self._first_read.wait()
@@ -117,10 +130,16 @@
             return float('inf')
         return self._clock.now() - self.confirmed_at
 
-    def _take(self, entry: protocol.Entry) -> None:
-        self.heard_at = self._clock.now()
+    def _take(self, entry: protocol.Entry, sent: float) -> None:
+        """Take in a reply to a call that was sent at loop time `sent`.
+
+        It proves nothing later than that: after a pause of this process,
+        a reply that comes at once may have waited long.
+        """
+        self.heard_at = sent
+        age_s = self._clock.now() - sent
         if entry.version <= self._version or entry.value is None:
-            self.confirm(0.0)
+            self.confirm(age_s)
             return
         self._version = entry.version
         match self._read(entry.value):
@@ -128,7 +147,7 @@
                 self._ring.record(self._rejected, detail=reason)
             case result.Ok(value):
                 self.offer(value, 'key-value service')
-                self.confirm(0.0)
+                self.confirm(age_s)
 
     def _note_up(self) -> None:
         if not self.is_up:
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -14,6 +14,7 @@
 from rudderrock.coordination import _commands as commands
 from rudderrock.coordination import _dispatch as dispatch
 from rudderrock.coordination import _follow as follow
+from rudderrock.coordination import _leases as leases
 from rudderrock.coordination import _lifecycle as lifecycle
 from rudderrock.coordination import _members as members
 from rudderrock.coordination import _metrics as metrics
@@ -22,8 +23,9 @@
 
 _SPREAD_FANOUT = 3
 _DRAIN_POLL_S = 0.02
+_CHECKS_BEFORE_ALONE = 4
 _NOT_READY_RETRY_S = 1.0
-_TABLE_FETCH_TIMEOUT_S = 1.0
+_CONFIG_FETCH_TIMEOUT_S = 1.0
 
 
 class EntryHost:
@@ -44,6 +46,7 @@
         gate: admission.Admission,
         command_runner: commands.CommandRunner,
         membership: members.Membership,
+        lease: leases.HostLease,
         peers: transport.PeerPort,
     ):
         self.settings = settings
@@ -54,11 +57,13 @@
         self.runner = runner
         self.gate = gate
         self.membership = membership
+        self.lease = lease
         self.command_runner = command_runner
         self.lifecycle = lifecycle.Lifecycle(ring)
         self.metrics = metrics.HostMetrics(clock)
         self.rows: dict[state.TeamId, state.TeamRow] = {}
         self.table_in_force = state.Table()
+        self.layout_in_force = state.Layout()
         self._clock = clock
         self._source = source
         self._book = book
@@ -79,6 +84,9 @@
             group.create_task(self.table.run())
             group.create_task(self.layout.run())
             group.create_task(self.membership.run())
+            group.create_task(self.lease.run())
+            group.create_task(self._clean_claims())
+            group.create_task(self._keep_in_touch())
             group.create_task(self._state_demand())
             group.create_task(self._serve_when_ready())
             await self.lifecycle.wait_until_stopped()
@@ -128,7 +136,16 @@
         if self.lifecycle.state is lifecycle.HostState.STARTING:
             self.lifecycle.serve()
 
+    async def _clean_claims(self) -> None:
+        """Delete old claims, this host's part of them, now and then."""
+        while True:
+            await asyncio.sleep(self.settings.claims.epoch_s)
+            hosts = sorted(self.membership.list_sharing())
+            index = hosts.index(self.membership.me.host)
+            await self.command_runner.clean(index, len(hosts))
+
     async def _close(self) -> None:
+        await self.lease.close()
         await self.command_runner.close()
         await self.dispatcher.close()
 
@@ -146,21 +163,41 @@
 
     def apply_layout(self, layout: state.Layout) -> None:
         """Put a layout in force."""
+        self.layout_in_force = layout
         self.dispatcher.apply_layout(layout)
 
-    def get_table_age(self) -> tuple[state.Revision, float]:
-        """Return the revision in force and how long ago it was confirmed."""
-        return self.table.revision, self.table.get_age_s()
+    def get_config(self) -> members.ConfigInForce:
+        """Return what is in force, for digests."""
+        return members.ConfigInForce(
+            table_revision=self.table.revision,
+            table_age_s=self.table.get_age_s(),
+            layout_revision=self.layout.revision,
+        )
+
+    def answer_config(
+        self, request: protocol.ConfigRequest
+    ) -> protocol.ConfigReply:
+        """Give a peer what it has not yet got."""
+        table, layout = self.table_in_force, self.layout_in_force
+        new_table = table.revision > request.table_revision
+        new_layout = layout.revision > request.layout_revision
+        return protocol.ConfigReply(
+            table=table if new_table else None,
+            layout=layout if new_layout else None,
+        )
 
     def on_digest(self, digest: protocol.Digest) -> None:
-        """Compare a peer's table with our own, and fetch a later one."""
+        """Compare what a peer has in force with ours; fetch what is later."""
         if digest.table_revision == self.table.revision:
             self.table.confirm(digest.table_age_s)
-        elif digest.table_revision > self.table.revision:
-            if self._fetching is None or self._fetching.done():
-                self._fetching = asyncio.create_task(
-                    self._fetch_table(digest.sender)
-                )
+        later = (
+            digest.table_revision > self.table.revision
+            or digest.layout_revision > self.layout.revision
+        )
+        if later and (self._fetching is None or self._fetching.done()):
+            self._fetching = asyncio.create_task(
+                self._fetch_config(digest.sender)
+            )
 
     def on_members(self) -> None:
         """Divide limits and connections anew."""
@@ -168,16 +205,23 @@
         self._book.set_hosts(sharing)
         self.dispatcher.set_host_count(len(sharing))
 
-    async def _fetch_table(self, peer: protocol.Member) -> None:
-        request = protocol.TableRequest(revision=self.table.revision)
-        fetched = await self._peers.fetch_table(
-            peer.control, request, _TABLE_FETCH_TIMEOUT_S
+    async def _fetch_config(self, peer: protocol.Member) -> None:
+        request = protocol.ConfigRequest(
+            table_revision=self.table.revision,
+            layout_revision=self.layout.revision,
+        )
+        fetched = await self._peers.fetch_config(
+            peer.control, request, _CONFIG_FETCH_TIMEOUT_S
         )
-        match fetched:
-            case result.Ok(protocol.TableReply(table=state.Table() as table)):
-                problems = state.check_table(table)
-                if not problems:
-                    self.table.offer(table, f'peer {peer.host}')
+        if fetched.is_err():
+            return
+        reply = fetched.unwrap()
+        origin = f'peer {peer.host}'
+        # Layout first: a table may name collections that are new in it.
+        if reply.layout and not state.check_layout(reply.layout):
+            self.layout.offer(reply.layout, origin)
+        if reply.table and not state.check_table(reply.table):
+            self.table.offer(reply.table, origin)
 
     async def _state_demand(self) -> None:
         while True:
@@ -193,12 +237,26 @@
         """
         if self.membership.is_alone:
             return False
+        return self._get_silence_s() > self.settings.membership.isolation_s
+
+    def _get_silence_s(self) -> float:
+        """Return for how long nobody has been heard of, in seconds."""
         heard = max(
             self.table.heard_at or -math.inf,
             self.membership.heard_at or -math.inf,
         )
-        bound = self.settings.membership.isolation_s
-        return self._clock.now() - max(heard, self._started_at) > bound
+        return self._clock.now() - max(heard, self._started_at)
+
+    async def _keep_in_touch(self) -> None:
+        """Ask the key-value service when no peer has been heard of lately.
+
+        While peers answer, their word is enough, and costs it nothing.
+        """
+        pause_s = self.settings.membership.isolation_s / _CHECKS_BEFORE_ALONE
+        while True:
+            await asyncio.sleep(pause_s)
+            if self._get_silence_s() > pause_s:
+                await self.table.check()
 
     # Requests
 
--- /dev/null
+++ b/rudderrock/coordination/_leases.py
@@ -0,0 +1,137 @@
+"""This host's lease with the key-value service, and those of others.
+
+A lease is one of three signs that a host lives, beside the platform's list
+and the heartbeats between hosts. Nothing depends on it alone: while the
+service is down no lease can be renewed, and queries go on. A host that was
+paused past its lease finds out by its own clock, before anybody tells it.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import result
+
+from rudderrock import protocol
+from rudderrock import state
+from rudderrock import transport
+
+HOST_PREFIX = 'rudderrock/hosts/'
+
+_RENEWALS_A_LEASE = 3
+_RETRY_PAUSE_S = 1.0
+
+
+class HostLease:
+    """Holds a key named after this host for as long as the host lives.
+
+    Parameters: `member` is what the key says; `count_hosts` tells the size
+    of the fleet, with which the time to live grows, so that all hosts
+    together make no more calls than the settings allow.
+    """
+
+    def __init__(
+        self,
+        kv: transport.KvPort,
+        member: protocol.Member,
+        settings: state.MembershipSettings,
+        count_hosts: Callable[[], int],
+        clock: state.Clock,
+        source: random.Random,
+        ring: state.EventRing,
+    ):
+        self.renewals = 0
+        self._kv = kv
+        self._member = member
+        self._settings = settings
+        self._count_hosts = count_hosts
+        self._clock = clock
+        self._source = source
+        self._ring = ring
+        self._lease: str | None = None
+        self._ttl_s = settings.lease_s
+        self._held_until = clock.now()
+
+    @property
+    def is_held(self) -> bool:
+        """Tell whether the lease is held, by this host's own clock.
+
+        Counted from when its last renewal was sent, so a host never
+        believes in a lease longer than the service does.
+        """
+        return self._lease is not None and (
+            self._clock.now() < self._held_until
+        )
+
+    async def run(self) -> None:
+        """Get the lease and renew it until cancelled."""
+        while True:
+            if self._lease is not None and not self.is_held:
+                self._note_lapsed('not renewed in time')
+            if self._lease is None:
+                await self._acquire()
+            else:
+                await self._renew()
+            await asyncio.sleep(self._get_pause_s())
+
+    async def close(self) -> None:
+        """Hand the lease back, so that others need not wait for its end."""
+        lease, self._lease = self._lease, None
+        if lease is not None:
+            await self._kv.revoke(lease)
+
+    async def has_lease(
+        self, host: state.HostId
+    ) -> result.Result[bool, transport.KvUnavailable]:
+        """Tell whether the service knows another host to live."""
+        entry = await self._kv.get(HOST_PREFIX + host)
+        return entry.map(lambda found: found.value is not None)
+
+    def _get_pause_s(self) -> float:
+        if self._lease is None:
+            return _RETRY_PAUSE_S * self._source.uniform(0.5, 1.0)
+        jitter = self._source.uniform(0.8, 1.0)
+        return self._ttl_s / _RENEWALS_A_LEASE * jitter
+
+    async def _acquire(self) -> None:
+        fleet_s = self._count_hosts() / self._settings.lease_calls_per_s
+        self._ttl_s = max(self._settings.lease_s, fleet_s * _RENEWALS_A_LEASE)
+        sent = self._clock.now()
+        granted = await self._kv.grant(self._ttl_s)
+        if granted.is_err():
+            return
+        lease = granted.unwrap()
+        if await self._put_key(lease):
+            self._lease = lease
+            self._held_until = sent + self._ttl_s
+
+    async def _put_key(self, lease: str) -> bool:
+        """Hang this host's key on the lease, over what an earlier life left.
+
+        Returns False where the service gave no clear answer; the lease
+        then runs out by itself.
+        """
+        key = HOST_PREFIX + self._member.host
+        found = await self._kv.get(key)
+        if found.is_err():
+            return False
+        request = protocol.SwapRequest(
+            key=key,
+            value=protocol.encode(self._member),
+            expected=found.unwrap().version,
+            lease=lease,
+        )
+        return (await self._kv.swap(request)).is_ok()
+
+    async def _renew(self) -> None:
+        sent = self._clock.now()
+        self.renewals += 1
+        match await self._kv.renew(self._lease):
+            case result.Ok(_):
+                self._held_until = sent + self._ttl_s
+            case result.Err(transport.LeaseGone()):
+                self._note_lapsed('the service had dropped it')
+
+    def _note_lapsed(self, detail: str) -> None:
+        self._lease = None
+        self._ring.record(state.EventKind.LEASE_LAPSED, detail=detail)
--- a/rudderrock/coordination/_members.py
+++ b/rudderrock/coordination/_members.py
@@ -10,7 +10,9 @@
 """
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+import dataclasses
 import random
 
 import result
@@ -24,6 +26,11 @@
 _NEWS_REPEAT = 3
 _MILLIS = 1000
 _LIST_PERIODS = 10
+_LONGEST_AGE_S = 1e9
+
+LeaseCheck = Callable[
+    [state.HostId], Awaitable[result.Result[bool, transport.KvUnavailable]]
+]
 
 _SEVERITY = {
     protocol.MemberState.ALIVE: 0,
@@ -33,11 +40,21 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigInForce:
+    """The revisions in force, and the age of the table's confirmation."""
+
+    table_revision: state.Revision
+    table_age_s: float
+    layout_revision: state.Revision
+
+
 class Membership:
     """The members this host knows of, itself among them.
 
     Parameters: `me` is this host; `peers` and `host_list` are the ports;
-    `get_table` tells the revision in force and its age for digests;
+    `has_lease` asks the key-value service whether a host lives;
+    `get_config` tells for digests what is in force;
     `on_change` is called when the set of hosts has changed.
     """
 
@@ -49,7 +66,8 @@
         settings: state.MembershipSettings,
         *,
         book: shares.ShareBook,
-        get_table: Callable[[], tuple[state.Revision, float]],
+        has_lease: LeaseCheck,
+        get_config: Callable[[], ConfigInForce],
         on_digest: Callable[[protocol.Digest], None],
         on_change: Callable[[], None],
         clock: state.Clock,
@@ -64,7 +82,8 @@
         self._host_list = host_list
         self._settings = settings
         self._book = book
-        self._get_table = get_table
+        self._has_lease = has_lease
+        self._get_config = get_config
         self._on_digest = on_digest
         self._on_change = on_change
         self._clock = clock
@@ -111,7 +130,7 @@
             if periods % _LIST_PERIODS == 0:
                 await self._read_host_list()
             periods += 1
-            self._age_members()
+            await self._age_members()
             target = self._pick_target()
             if target is not None:
                 await self._probe(target)
@@ -134,7 +153,7 @@
 
     def make_digest(self) -> protocol.Digest:
         """Return what goes on the next message."""
-        revision, age_s = self._get_table()
+        config = self._get_config()
         demands = self._book.list_demands()
         if len(demands) > protocol.MAX_NEWS:
             own = [each for each in demands if each.host == self.me.host]
@@ -142,15 +161,21 @@
         return protocol.Digest(
             sender=self.me,
             stamp=self._hybrid.tick(),
-            table_revision=revision,
-            table_age_s=min(age_s, 1e9),
+            table_revision=config.table_revision,
+            table_age_s=min(config.table_age_s, _LONGEST_AGE_S),
+            layout_revision=config.layout_revision,
             news=self._pick_news(),
             demands=demands,
         )
 
-    def hear(self, digest: protocol.Digest) -> None:
-        """Take in a peer's digest."""
-        self.heard_at = self._clock.now()
+    def hear(self, digest: protocol.Digest, at: float | None = None) -> None:
+        """Take in a peer's digest.
+
+        `at` is the loop time since which it is known to be true, for a
+        reply the time its probe was sent.
+        """
+        if at is not None:
+            self.heard_at = max(at, self.heard_at or at)
         self._hybrid.hear(digest.stamp)
         for demand in digest.demands:
             self._book.hear(demand)
@@ -233,25 +258,30 @@
             )
         )
 
-    def _age_members(self) -> None:
+    async def _age_members(self) -> None:
         """Let suspects fail, and forget those that are gone for long."""
-        now = self._clock.now()
-        settings = self._settings
         for member in list(self._members.values()):
-            since_s = now - self._changed_at[member.host]
+            since_s = self._clock.now() - self._changed_at[member.host]
             match member.state:
                 case protocol.MemberState.SUSPECT:
-                    if since_s >= settings.suspect_s:
+                    if since_s >= self._settings.suspect_s:
                         self._change_state(member, protocol.MemberState.FAILED)
                 case protocol.MemberState.FAILED:
-                    if since_s >= settings.forget_s and self._may_forget(
-                        member.host
-                    ):
-                        self._forget(member.host)
+                    if since_s >= self._settings.forget_s:
+                        await self._forget_if_gone(member)
+
+    async def _forget_if_gone(self, member: protocol.Member) -> None:
+        """Forget a host that is silent, unlisted and without a lease.
 
-    def _may_forget(self, host: state.HostId) -> bool:
-        """Tell whether the platform agrees that a host is gone."""
-        return self._list_read and host not in self._listed
+        Until all three agree it may be serving where we cannot see it, and
+        goes on holding its part of limits and connections.
+        """
+        if not self._list_read or member.host in self._listed:
+            return
+        match await self._has_lease(member.host):
+            case result.Ok(False):
+                if self._members.get(member.host) is member:
+                    self._forget(member.host)
 
     def _pick_target(self) -> protocol.Member | None:
         """Return the next peer of a shuffled round over all of them."""
@@ -301,10 +331,11 @@
         if target is not None:
             timeout_s *= 2
         probe = protocol.Probe(digest=self.make_digest(), target=target)
+        sent = self._clock.now()
         reply = await self._peers.probe(address.control, probe, timeout_s)
         match reply:
             case result.Ok(answer):
-                self.hear(answer.digest)
+                self.hear(answer.digest, sent)
                 return answer.reached
         return False
 
--- a/rudderrock/experiments/__init__.py
+++ b/rudderrock/experiments/__init__.py
@@ -35,10 +35,15 @@
 from rudderrock.experiments._report import write_report
 from rudderrock.experiments._run import Driver
 from rudderrock.experiments._run import run_virtual
+from rudderrock.experiments._schedules import Call
+from rudderrock.experiments._schedules import list_broken
+from rudderrock.experiments._schedules import run_schedule
+from rudderrock.experiments._schedules import ScheduleResult
 
 __all__ = [
     'Bin',
     'Burst',
+    'Call',
     'Cold',
     'Driver',
     'EVERYTHING',
@@ -53,6 +58,7 @@
     'PERCENTILES',
     'Plan',
     'Rollout',
+    'ScheduleResult',
     'Shed',
     'Slow',
     'Straggle',
@@ -62,6 +68,7 @@
     'TeamRecorder',
     'compare_results',
     'format_result',
+    'list_broken',
     'make_mark',
     'make_report',
     'play',
@@ -69,6 +76,7 @@
     'read_result',
     'read_targets',
     'run_real',
+    'run_schedule',
     'run_virtual',
     'write_report',
     'write_result',
--- /dev/null
+++ b/rudderrock/experiments/_schedules.py
@@ -0,0 +1,372 @@
+"""Random schedules of faults, and what must hold under each of them.
+
+A schedule is drawn from a seed: hosts, load, and faults of upstreams, of
+the ways to them, of the key-value service and of hosts, at any moment,
+together or twice. Every call carries a marker of its own, so that what the
+upstreams record as run can be set against what each caller was told.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import random
+import warnings
+
+import async_solipsism
+
+from rudderrock import coordination
+from rudderrock import protocol
+from rudderrock import standins
+from rudderrock import state
+
+_SERVICES = 4
+_TEAM = 'desk'
+_COLLECTION = 'members'
+_LENGTH_S = 4.0
+_QUERIES = 60
+_COMMANDS = 20
+_KEYS = 8
+_FAULTS = 8
+_SETTLE_S = 3.0
+_DEADLINE_S = 0.5
+_DEPLOYMENT = standins.Deployment(
+    name='schedule',
+    hosts=3,
+    network=standins.Network(
+        regions={'north': ['north-1'], 'south': ['south-1']},
+        between_regions_s=0.002,
+    ),
+    groups=[
+        standins.Group(
+            collection=_COLLECTION, services=_SERVICES, connections=12
+        )
+    ],
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """One call and what its caller was told; None if nothing."""
+
+    marker: str
+    key: str | None
+    outcome: protocol.Outcome | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScheduleResult:
+    """One schedule: how calls ended, and every promise that was broken."""
+
+    seed: int
+    outcomes: dict[str, int]
+    faults: list[str]
+    broken: list[str]
+
+
+def run_schedule(seed: int) -> ScheduleResult:
+    """Run the schedule of a seed on virtual time and check it."""
+    loop = async_solipsism.EventLoop()
+    with warnings.catch_warnings():
+        warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
+        try:
+            return loop.run_until_complete(_run(seed))
+        finally:
+            loop.close()
+
+
+class _Schedule:
+    """One schedule under way."""
+
+    def __init__(self, fleet: standins.MemoryFleet, seed: int):
+        self.fleet = fleet
+        self.calls: list[Call] = []
+        self.faults: list[str] = []
+        self._source = state.make_random(seed, 'schedule')
+        self._keys: list[str] = []
+
+    async def run(self) -> None:
+        """Play load and faults side by side, then let all end."""
+        source = self._source
+        self._keys = [self.fleet.make_key() for _ in range(_KEYS)]
+        async with asyncio.TaskGroup() as group:
+            for number in range(_QUERIES):
+                at = source.uniform(0, _LENGTH_S)
+                group.create_task(self._query(at, f'q{number}'))
+            for number in range(_COMMANDS):
+                at = source.uniform(0, _LENGTH_S)
+                key = source.choice(self._keys)
+                group.create_task(self._command(at, key))
+            for _ in range(source.randint(1, _FAULTS)):
+                at = source.uniform(0, _LENGTH_S)
+                length = source.uniform(0.05, 1.5)
+                kind = source.choice(_KINDS)
+                draw = random.Random(source.getrandbits(64))
+                group.create_task(self._fault(kind, at, length, draw))
+        await asyncio.sleep(_SETTLE_S)
+
+    async def _query(self, at: float, marker: str) -> None:
+        await asyncio.sleep(at)
+        host = self._pick_host()
+        outcome = None
+        if host is not None:
+            outcome = await self.fleet.query(
+                host, _TEAM, _COLLECTION, json.dumps(marker)
+            )
+        self.calls.append(Call(marker, None, outcome))
+
+    async def _command(self, at: float, key: str) -> None:
+        await asyncio.sleep(at)
+        host = self._pick_host()
+        outcome = None
+        if host is not None:
+            outcome = await self.fleet.command(
+                host, _TEAM, _COLLECTION, key, json.dumps(key)
+            )
+        self.calls.append(Call(key, key, outcome))
+
+    def _pick_host(self) -> str | None:
+        running = [
+            name
+            for name, each in self.fleet.hosts.items()
+            if not each.task.done()
+        ]
+        return self._source.choice(running) if running else None
+
+    async def _fault(
+        self, kind: str, at: float, length: float, draw: random.Random
+    ) -> None:
+        await asyncio.sleep(at)
+        self.faults.append(f'{kind} at {at:.2f} for {length:.2f} s')
+        await _KIND_PLAYERS[kind](self.fleet, length, draw)
+
+
+async def _break_upstream(fleet, length, draw, **faults) -> None:
+    model = draw.choice(list(fleet.models.values()))
+    whole = {name: getattr(model.faults, name) for name in faults}
+    for name, value in faults.items():
+        setattr(model.faults, name, value)
+    await asyncio.sleep(length)
+    for name, value in whole.items():
+        setattr(model.faults, name, value)
+
+
+async def _lose(fleet, length, draw):
+    await _break_upstream(fleet, length, draw, lost=True)
+
+
+async def _hang(fleet, length, draw):
+    await _break_upstream(fleet, length, draw, hung=True)
+
+
+async def _shed(fleet, length, draw):
+    await _break_upstream(fleet, length, draw, shed=draw.uniform(0.1, 1))
+
+
+async def _slow(fleet, length, draw):
+    factor = draw.uniform(2, 60)
+    await _break_upstream(fleet, length, draw, slow_factor=factor)
+
+
+async def _leave(fleet, length, draw):
+    await _break_upstream(fleet, length, draw, leaving=True)
+
+
+async def _straggle(fleet, length, draw):
+    for model in fleet.models.values():
+        model.faults.straggle = draw.uniform(0, 0.3)
+    await asyncio.sleep(length)
+    for model in fleet.models.values():
+        model.faults.straggle = 0.0
+
+
+async def _break_links(fleet, length, draw):
+    running = draw.choice(list(fleet.hosts.values()))
+    faults = running.upstream_port.faults
+    faults.lose = draw.uniform(0, 0.5)
+    faults.cross = draw.uniform(0, 0.5)
+    faults.delay_s = draw.uniform(0, 0.1)
+    await asyncio.sleep(length)
+    faults.lose = faults.cross = faults.delay_s = 0.0
+
+
+async def _kv_down(fleet, length, draw):
+    await fleet.kv.set_down(True)
+    await asyncio.sleep(length)
+    await fleet.kv.set_down(False)
+
+
+async def _kv_slow(fleet, length, draw):
+    fleet.kv.faults.delay_s = draw.uniform(0.01, 0.6)
+    await asyncio.sleep(length)
+    fleet.kv.faults.delay_s = 0.0
+
+
+async def _kv_loses_replies(fleet, length, draw):
+    fleet.kv.faults.lose_replies += draw.randint(1, 4)
+
+
+async def _freeze(fleet, length, draw):
+    """Let what one host is told arrive late, as after a pause."""
+    running = draw.choice(list(fleet.hosts.values()))
+    running.kv.freeze(True)
+    running.upstream_port.freeze(True)
+    await asyncio.sleep(length)
+    running.kv.freeze(False)
+    running.upstream_port.freeze(False)
+
+
+async def _crash(fleet, length, draw):
+    name = draw.choice(list(fleet.hosts))
+    if not fleet.hosts[name].task.done():
+        await fleet.crash_host(name)
+
+
+async def _stop(fleet, length, draw):
+    name = draw.choice(list(fleet.hosts))
+    if not fleet.hosts[name].task.done():
+        stopping = fleet.stop_host(name)
+        await asyncio.gather(stopping, return_exceptions=True)
+
+
+async def _roll_out(fleet, length, draw):
+    """Bring a new version to upstreams in any order, and take the old."""
+    name = state.CollectionId(_COLLECTION)
+    old = fleet.layout.collections[name].placements[-1]
+    new = state.Placement(
+        version=state.IndexVersion(old.version + 1), shards=old.shards
+    )
+    await _publish(fleet, name, (old, new))
+    models = list(fleet.models.values())
+    draw.shuffle(models)
+    for model in models:
+        model.versions = {old.version, new.version}
+        await asyncio.sleep(length / len(models) / 2)
+    draw.shuffle(models)
+    for model in models:
+        model.versions = {new.version}
+        await asyncio.sleep(length / len(models) / 2)
+
+
+async def _publish(fleet, name, placements) -> None:
+    collection = state.Collection(collection=name, placements=placements)
+    collections_now = {**fleet.layout.collections, name: collection}
+    revision = state.Revision(fleet.layout.revision + 1)
+    fleet.layout = dataclasses.replace(
+        fleet.layout, revision=revision, collections=collections_now
+    )
+    # An outage may refuse it; the hosts then learn of the version late.
+    await fleet.kv.put_unless_down(coordination.LAYOUT_KEY, fleet.layout)
+
+
+_KIND_PLAYERS = {
+    'lose': _lose,
+    'hang': _hang,
+    'shed': _shed,
+    'slow': _slow,
+    'leave': _leave,
+    'straggle': _straggle,
+    'links': _break_links,
+    'kv_down': _kv_down,
+    'kv_slow': _kv_slow,
+    'kv_loses_replies': _kv_loses_replies,
+    'freeze': _freeze,
+    'crash': _crash,
+    'stop': _stop,
+    'rollout': _roll_out,
+}
+_KINDS = sorted(_KIND_PLAYERS)
+
+
+async def _run(seed: int) -> ScheduleResult:
+    settings = {'drain': {'balancer_lag_s': 0.2, 'bound_s': 2.0}}
+    async with standins.run_fleet(_DEPLOYMENT, 3, seed, settings) as fleet:
+        edit = await fleet.set_row(
+            _TEAM, may_write=True, deadline_s=_DEADLINE_S
+        )
+        await fleet.wait_until_in_force(edit.revision)
+        schedule = _Schedule(fleet, seed)
+        await schedule.run()
+        counted = collections.Counter(
+            type(call.outcome).__name__ for call in schedule.calls
+        )
+        return ScheduleResult(
+            seed=seed,
+            outcomes=dict(counted),
+            faults=schedule.faults,
+            broken=list_broken(schedule.calls, fleet.list_runs()),
+        )
+
+
+def list_broken(calls: list[Call], runs: list[standins.Run]) -> list[str]:
+    """List every promise that outcomes and records show as broken."""
+    by_marker: dict[str, list[standins.Run]] = {}
+    for run in runs:
+        marker = json.loads(bytes(run.request.body))
+        by_marker.setdefault(marker, []).append(run)
+    broken = []
+    for call in calls:
+        own = by_marker.get(call.marker, [])
+        match call.outcome:
+            case protocol.Answered():
+                broken += _check_answer(call, call.outcome, own)
+            case protocol.Refused() if call.key is None and own:
+                broken.append(f'{call.marker}: refused, yet it ran')
+    by_key: dict[str, list[Call]] = {}
+    for call in calls:
+        if call.key is not None:
+            by_key.setdefault(call.key, []).append(call)
+    for key, repeats in by_key.items():
+        broken += _check_command(key, repeats, by_marker.get(key, []))
+    return broken
+
+
+def _check_answer(
+    call: Call, answer: protocol.Answered, own: list[standins.Run]
+) -> list[str]:
+    broken = []
+    coverage = answer.coverage
+    finished = {
+        run.request.shard
+        for run in own
+        if run.finished and run.request.version == answer.version
+    }
+    if len(coverage.missing) + coverage.answered != coverage.shards:
+        broken.append(f'{call.marker}: coverage does not add up')
+    if coverage.shards != _SERVICES:
+        broken.append(f'{call.marker}: {coverage.shards} shards counted')
+    if len(finished - set(coverage.missing)) < coverage.answered:
+        broken.append(f'{call.marker}: counts shards that did not answer')
+    for hit in answer.hits:
+        document = json.loads(bytes(hit.document))
+        if document['echo'] != call.marker:
+            broken.append(f'{call.marker}: has a hit of {document["echo"]}')
+        if document['shard'] in coverage.missing:
+            broken.append(f'{call.marker}: has a hit of a missing shard')
+        if hit.id.split('-')[-2] != str(answer.version):
+            broken.append(f'{call.marker}: mixes versions')
+    return broken
+
+
+def _check_command(
+    key: str, repeats: list[Call], own: list[standins.Run]
+) -> list[str]:
+    broken = []
+    outcomes = [call.outcome for call in repeats]
+    recorded = [each for each in outcomes if _is_recorded(each)]
+    if len(own) > 1:
+        broken.append(f'{key}: ran {len(own)} times')
+    if recorded and not any(run.finished for run in own):
+        broken.append(f'{key}: recorded, yet it did not run')
+    if sum(not each.repeat for each in recorded) > 1:
+        broken.append(f'{key}: two calls say that they ran it')
+    if len({tuple(hit.id for hit in each.hits) for each in recorded}) > 1:
+        broken.append(f'{key}: recorded with different results')
+    refused = all(isinstance(each, protocol.Refused) for each in outcomes)
+    if refused and own:
+        broken.append(f'{key}: refused by all, yet it ran')
+    return broken
+
+
+def _is_recorded(outcome: protocol.Outcome | None) -> bool:
+    return isinstance(outcome, protocol.Recorded)
--- a/rudderrock/frontend/_control.py
+++ b/rudderrock/frontend/_control.py
@@ -90,11 +90,10 @@
     async def probe(message: protocol.Probe) -> protocol.ProbeReply:
         return await host.membership.answer_probe(message)
 
-    async def table(message: protocol.TableRequest) -> protocol.TableReply:
-        later = host.table_in_force.revision > message.revision
-        return protocol.TableReply(
-            table=host.table_in_force if later else None
-        )
+    async def config(
+        message: protocol.ConfigRequest,
+    ) -> protocol.ConfigReply:
+        return host.answer_config(message)
 
     async def events(message: EventsRequest) -> list[state.Event]:
         return host.ring.list_since(message.since)
@@ -119,8 +118,8 @@
                 methods=['POST'],
             ),
             routing.Route(
-                protocol.TABLE_PATH,
-                for_peer(table, protocol.TableRequest),
+                protocol.CONFIG_PATH,
+                for_peer(config, protocol.ConfigRequest),
                 methods=['POST'],
             ),
             routing.Route(
--- a/rudderrock/programs/load.py
+++ b/rudderrock/programs/load.py
@@ -1,6 +1,7 @@
 """The load and experiment tool."""
 
 import asyncio
+import collections
 import dataclasses
 import pathlib
 import sys
@@ -66,6 +67,27 @@
     print(experiments.compare_results(first, second))
 
 
+def fuzz(*, count: int = 1000, first_seed: int = 1) -> None:
+    """Run random fault schedules and check every promise under each.
+
+    Exits with 1 if any promise was broken, and names the seeds.
+
+    :param count: how many schedules to run
+    :param first_seed: seed of the first; the others follow it
+    """
+    broken = 0
+    outcomes: collections.Counter[str] = collections.Counter()
+    for seed in range(first_seed, first_seed + count):
+        done = experiments.run_schedule(seed)
+        outcomes.update(done.outcomes)
+        if done.broken:
+            broken += 1
+            print(f'seed {seed}: {done.broken}; faults {done.faults}')
+    print(f'{count} schedules, {broken} with a broken promise, {outcomes}')
+    if broken:
+        raise SystemExit(exits.Exit.FAILED)
+
+
 def _expect(read: result.Result):
     match read:
         case result.Err(message):
@@ -76,7 +98,7 @@
 
 def main() -> None:
     """Run the program."""
-    defopt.run({'run': run, 'compare': compare})
+    defopt.run({'run': run, 'compare': compare, 'fuzz': fuzz})
 
 
 if __name__ == '__main__':
--- a/rudderrock/protocol/__init__.py
+++ b/rudderrock/protocol/__init__.py
@@ -29,6 +29,9 @@
 from rudderrock.protocol._kv import SwapRequest
 from rudderrock.protocol._kv import WATCH_PATH
 from rudderrock.protocol._kv import WatchRequest
+from rudderrock.protocol._peers import CONFIG_PATH
+from rudderrock.protocol._peers import ConfigReply
+from rudderrock.protocol._peers import ConfigRequest
 from rudderrock.protocol._peers import Demand
 from rudderrock.protocol._peers import Digest
 from rudderrock.protocol._peers import MAX_DEMANDS
@@ -39,9 +42,6 @@
 from rudderrock.protocol._peers import PROBE_PATH
 from rudderrock.protocol._peers import ProbeReply
 from rudderrock.protocol._peers import SECRET_HEADER
-from rudderrock.protocol._peers import TABLE_PATH
-from rudderrock.protocol._peers import TableReply
-from rudderrock.protocol._peers import TableRequest
 from rudderrock.protocol._problems import HttpReply
 from rudderrock.protocol._problems import JSON_TYPE
 from rudderrock.protocol._problems import make_http_reply
@@ -65,7 +65,10 @@
     'ABSENT',
     'Answered',
     'COMMAND_PATH',
+    'CONFIG_PATH',
     'Command',
+    'ConfigReply',
+    'ConfigRequest',
     'Coverage',
     'Demand',
     'Digest',
@@ -113,9 +116,6 @@
     'ShardRequest',
     'ShardTimeout',
     'SwapRequest',
-    'TABLE_PATH',
-    'TableReply',
-    'TableRequest',
     'Unknown',
     'WATCH_PATH',
     'WatchRequest',
--- a/rudderrock/protocol/_peers.py
+++ b/rudderrock/protocol/_peers.py
@@ -11,7 +11,7 @@
 from rudderrock import state
 
 PROBE_PATH = '/v1/peer/probe'
-TABLE_PATH = '/v1/peer/table'
+CONFIG_PATH = '/v1/peer/config'
 SECRET_HEADER = 'x-rudderrock-peer'
 
 # Members and demand entries in one digest; a digest stays under 8 KB.
@@ -68,6 +68,7 @@
     stamp: state.Stamp
     table_revision: state.Revision
     table_age_s: float
+    layout_revision: state.Revision
     news: list[Member]
     demands: list[Demand]
 
@@ -89,14 +90,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TableRequest:
-    """Send me your table if it is later than this revision."""
+class ConfigRequest:
+    """Send me your table and layout where they are later than these."""
 
-    revision: state.Revision
+    table_revision: state.Revision
+    layout_revision: state.Revision
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TableReply:
-    """The sender's table, or None if it is no later."""
+class ConfigReply:
+    """The sender's table and layout, each None if it is no later."""
 
     table: state.Table | None
+    layout: state.Layout | None
--- a/rudderrock/root.py
+++ b/rudderrock/root.py
@@ -106,13 +106,23 @@
         incarnation=coordination.make_incarnation(clock),
         state=protocol.MemberState.ALIVE,
     )
+    lease = coordination.HostLease(
+        ports.kv,
+        me,
+        settings.membership,
+        lambda: len(membership.list_sharing()),
+        clock,
+        draw('lease'),
+        ring,
+    )
     membership = coordination.Membership(
         me,
         ports.peers,
         ports.host_list,
         settings.membership,
         book=book,
-        get_table=lambda: host.get_table_age(),
+        has_lease=lease.has_lease,
+        get_config=lambda: host.get_config(),
         on_digest=lambda digest: host.on_digest(digest),
         on_change=lambda: host.on_members(),
         clock=clock,
@@ -133,6 +143,7 @@
         gate=gate,
         command_runner=command_runner,
         membership=membership,
+        lease=lease,
         peers=ports.peers,
     )
     return host
--- a/rudderrock/standins/__init__.py
+++ b/rudderrock/standins/__init__.py
@@ -17,6 +17,7 @@
 from rudderrock.standins._loopback import publish
 from rudderrock.standins._loopback import serve_standins
 from rudderrock.standins._memory import Handler
+from rudderrock.standins._memory import HostKv
 from rudderrock.standins._memory import LinkFaults
 from rudderrock.standins._memory import MemoryConnection
 from rudderrock.standins._memory import MemoryHostList
@@ -36,6 +37,7 @@
     'FIRST_VERSION',
     'Group',
     'Handler',
+    'HostKv',
     'KvFaults',
     'LinkFaults',
     'LoopbackStandins',
--- a/rudderrock/standins/_fleet.py
+++ b/rudderrock/standins/_fleet.py
@@ -32,6 +32,7 @@
 
     host: coordination.EntryHost
     upstream_port: memory.MemoryUpstreamPort
+    kv: memory.HostKv
     address: str
     task: asyncio.Task
 
@@ -127,8 +128,9 @@
         port = memory.MemoryUpstreamPort(
             zone, self.models, self.deployment.network, draw
         )
+        kv = memory.HostKv(self.kv)
         ports = root.Ports(
-            kv=self.kv,
+            kv=kv,
             upstreams=port,
             peers=self.peers.make_port(address),
             host_list=self.host_list,
@@ -142,7 +144,7 @@
         self.host_list.hosts.append(listed)
         self.peers.add(address, host)
         task = asyncio.create_task(host.run())
-        running = RunningHost(host, port, address, task)
+        running = RunningHost(host, port, kv, address, task)
         self.hosts[name] = running
         return running
 
@@ -161,6 +163,27 @@
         running.task.cancel()
         await asyncio.gather(running.task, return_exceptions=True)
 
+    def cut_off(self, name: str, cut: bool) -> None:
+        """Cut a host off from the key-value service and from all peers."""
+        running = self.hosts[name]
+        running.kv.cut = cut
+        for other in self.hosts.values():
+            pair = frozenset({running.address, other.address})
+            if cut and other is not running:
+                self.peers.faults.cut.add(pair)
+            else:
+                self.peers.faults.cut.discard(pair)
+
+    def freeze(self, name: str, frozen: bool) -> None:
+        """Pause a host: what it is told arrives only after the pause."""
+        running = self.hosts[name]
+        running.kv.freeze(frozen)
+        running.upstream_port.freeze(frozen)
+        if frozen:
+            self.peers.faults.paused.add(running.address)
+        else:
+            self.peers.faults.paused.discard(running.address)
+
     def forget_host(self, name: str) -> None:
         """Let the platform's list notice, at last, that a host is gone."""
         self._unlist(name)
@@ -210,17 +233,21 @@
         team: str,
         collection: str,
         key: str,
-        routing_key: str = 'member-1',
-    ) -> protocol.Outcome:
-        """Send one non-idempotent request of a team to one host."""
+        body: str = '"pass"',
+    ) -> protocol.Outcome | None:
+        """Send one non-idempotent request of a team to one host.
+
+        Returns None if the host crashed before it had answered.
+        """
         host = self.hosts[name].host
         row = host.authenticate(self.tokens[team]).unwrap()
         decoded = protocol.decode(
             protocol.Command,
-            b'{"collection":"%s","routing_key":"%s","body":"pass"}'
-            % (collection.encode(), routing_key.encode()),
+            b'{"collection":"%s","routing_key":"member-1","body":%s}'
+            % (collection.encode(), body.encode()),
         )
-        return await host.command(row, decoded.unwrap(), key)
+        outcome = await host.command(row, decoded.unwrap(), key)
+        return None if name in self._crashed else outcome
 
     def make_key(self) -> str:
         """Return a new idempotency key."""
--- a/rudderrock/standins/_kv.py
+++ b/rudderrock/standins/_kv.py
@@ -151,6 +151,11 @@
         async with self._changed:
             self._changed.notify_all()
 
+    async def put_unless_down(self, key: str, value: object) -> None:
+        """Write a key past all callers, as an operator of the platform."""
+        if not self.faults.down:
+            await self._write(key, protocol.encode(value))
+
     async def _fail(self) -> bool:
         await asyncio.sleep(self._latency_s + self.faults.delay_s)
         await self._expire_leases()
--- a/rudderrock/standins/_memory.py
+++ b/rudderrock/standins/_memory.py
@@ -15,6 +15,7 @@
 from rudderrock.standins import _upstream as upstreams
 
 _SILENCE_S = 3600.0
+_CUT_TIMEOUT_S = 0.5
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -67,6 +68,7 @@
         self, request: protocol.ShardRequest
     ) -> protocol.ShardReply:
         faults = self._port.faults
+        await self._port.wait_while_frozen()
         await asyncio.sleep(self._latency_s)
         if self._port.draw() < faults.lose / 2:
             return protocol.ShardLost(True, 'lost on the way there')
@@ -76,6 +78,7 @@
         if self._model.faults.hung:
             await asyncio.sleep(_SILENCE_S)
         await asyncio.sleep(self._latency_s + faults.delay_s)
+        await self._port.wait_while_frozen()
         if self._port.draw() < faults.lose / 2:
             return protocol.ShardLost(True, 'lost on the way back')
         if self._port.draw() < faults.cross:
@@ -102,6 +105,19 @@
         self._network = network
         self._source = source
         self._held: protocol.ShardReply | None = None
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def freeze(self, frozen: bool) -> None:
+        """Let replies that come wait, as for a process that is paused."""
+        if frozen:
+            self._running.clear()
+        else:
+            self._running.set()
+
+    async def wait_while_frozen(self) -> None:
+        """Wait until the host runs."""
+        await self._running.wait()
 
     async def connect(
         self, upstream: state.Upstream
@@ -195,18 +211,16 @@
 
         return await self._call(address, message, timeout_s, ask)
 
-    async def fetch_table(
+    async def fetch_config(
         self,
         address: str,
-        message: protocol.TableRequest,
+        message: protocol.ConfigRequest,
         timeout_s: float,
-    ) -> result.Result[protocol.TableReply, transport.PeerUnreachable]:
-        """Ask a peer for a later table."""
+    ) -> result.Result[protocol.ConfigReply, transport.PeerUnreachable]:
+        """Ask a peer for a later table and layout."""
 
-        async def ask(host) -> protocol.TableReply:
-            later = host.table_in_force.revision > message.revision
-            table = host.table_in_force if later else None
-            return protocol.TableReply(table=table)
+        async def ask(host) -> protocol.ConfigReply:
+            return host.answer_config(message)
 
         return await self._call(address, message, timeout_s, ask)
 
@@ -227,6 +241,62 @@
             return result.Err(transport.PeerUnreachable('timed out'))
 
 
+class HostKv:
+    """One host's way to the key-value service, which can be cut or frozen.
+
+    While it is frozen, what the service has answered does not arrive, as
+    with a process that is paused.
+    """
+
+    def __init__(self, kv: transport.KvPort):
+        self.cut = False
+        self._kv = kv
+        self._running = asyncio.Event()
+        self._running.set()
+
+    def freeze(self, frozen: bool) -> None:
+        """Start or end a freeze."""
+        if frozen:
+            self._running.clear()
+        else:
+            self._running.set()
+
+    async def get(self, key: str):
+        """Read one key."""
+        return await self._pass(self._kv.get, key)
+
+    async def swap(self, request: protocol.SwapRequest):
+        """Compare and swap one key; return its new version."""
+        return await self._pass(self._kv.swap, request)
+
+    async def watch(self, key: str, after: int, timeout_s: float):
+        """Wait for a version later than `after`, or the time to be over."""
+        return await self._pass(self._kv.watch, key, after, timeout_s)
+
+    async def grant(self, ttl_s: float):
+        """Ask for a lease; return its id."""
+        return await self._pass(self._kv.grant, ttl_s)
+
+    async def renew(self, lease: str):
+        """Prolong a lease by its time to live."""
+        return await self._pass(self._kv.renew, lease)
+
+    async def revoke(self, lease: str):
+        """Give a lease back."""
+        return await self._pass(self._kv.revoke, lease)
+
+    async def _pass(self, call, *arguments):
+        await self._running.wait()
+        if self.cut:
+            await asyncio.sleep(_CUT_TIMEOUT_S)
+            return result.Err(transport.KvUnavailable('cut off'))
+        outcome = await call(*arguments)
+        await self._running.wait()
+        if self.cut:
+            return result.Err(transport.KvUnavailable('cut off'))
+        return outcome
+
+
 class MemoryHostList:
     """The platform's list of live and leaving hosts; set it by hand."""
 
--- a/rudderrock/standins/_upstream.py
+++ b/rudderrock/standins/_upstream.py
@@ -85,6 +85,7 @@
         self.received = 0
         self.open_connections = 0
         self.peak_connections = 0
+        self.refused_connections = 0
         self._clock = clock
         self._source = source
         self._service_s = service_s
@@ -131,6 +132,7 @@
         if self.faults.lost:
             return False
         if self.open_connections >= self.upstream.connections:
+            self.refused_connections += 1
             return False
         self.open_connections += 1
         self.peak_connections = max(
--- a/rudderrock/transport/_peers.py
+++ b/rudderrock/transport/_peers.py
@@ -36,19 +36,19 @@
             protocol.ProbeReply,
         )
 
-    async def fetch_table(
+    async def fetch_config(
         self,
         address: str,
-        message: protocol.TableRequest,
+        message: protocol.ConfigRequest,
         timeout_s: float,
-    ) -> result.Result[protocol.TableReply, ports.PeerUnreachable]:
-        """Ask a peer for a later table."""
+    ) -> result.Result[protocol.ConfigReply, ports.PeerUnreachable]:
+        """Ask a peer for a later table and layout."""
         return await self._send(
             address,
-            protocol.TABLE_PATH,
+            protocol.CONFIG_PATH,
             message,
             timeout_s,
-            protocol.TableReply,
+            protocol.ConfigReply,
         )
 
     async def _send(
--- a/rudderrock/transport/_ports.py
+++ b/rudderrock/transport/_ports.py
@@ -143,13 +143,13 @@
     ) -> result.Result[protocol.ProbeReply, PeerUnreachable]:
         """Send a probe and wait for its reply."""
 
-    async def fetch_table(
+    async def fetch_config(
         self,
         address: str,
-        message: protocol.TableRequest,
+        message: protocol.ConfigRequest,
         timeout_s: float,
-    ) -> result.Result[protocol.TableReply, PeerUnreachable]:
-        """Ask a peer for a later table."""
+    ) -> result.Result[protocol.ConfigReply, PeerUnreachable]:
+        """Ask a peer for a later table and layout."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
