Kill, freeze and stop entry hosts that are processes of their own

Cause: planned stops, crashes and pauses were shown on virtual time only.

Change: a scenario with four entry processes under queries and commands with repeated keys: one is killed, one frozen for 10 s and thawed, one stopped as planned, one started again while the key-value service is down. Each outcome is set against the upstreams' own records by the check that the random schedules use.

--- /dev/null
+++ b/features/steps/processes.py
@@ -0,0 +1,344 @@
+"""Steps with entry hosts as processes of their own."""
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+import msgspec
+import result
+
+from features.steps.common import run
+from rudderrock import coordination
+from rudderrock import experiments
+from rudderrock import protocol
+from rudderrock import standins
+from rudderrock import state
+from rudderrock import transport
+from rudderrock.programs import _caller as caller
+from rudderrock.programs import _operator as operators
+from rudderrock.programs import _serving as serving
+
+use_step_matcher('re')
+
+_OPERATOR = 'operator secret of this scenario'
+_SERVICES = 6
+_QUERY_GAP_S = 0.02
+_READY_TRIES = 600
+_CALL_TIMEOUT_S = 5.0
+_LOAD_TAIL_S = 3.0
+
+
+class _Processes:
+    """Entry hosts under test, and the calls that were made to them."""
+
+    def __init__(self, folder: pathlib.Path):
+        self.folder = folder
+        self.served = None
+        self.running = {}
+        self.callers = {}
+        self.controls = {}
+        self.calls = []
+        self.cut = []
+        self.stopping = set()
+        self.token = ''
+        self.source = random.Random(5)
+        self.load = None
+
+    async def open(self, stack, hosts):
+        deployment = standins.Deployment(
+            name='processes',
+            hosts=hosts,
+            network=standins.Network(regions={'north': ['north-1']}),
+            groups=[
+                standins.Group(
+                    collection='members',
+                    services=_SERVICES,
+                    service_s=0.001,
+                )
+            ],
+        )
+        self.served = await stack.enter_async_context(
+            standins.serve_standins(
+                deployment, serving.make_system_clock(), random.Random(1)
+            )
+        )
+        kv = self.served.kv
+        await standins.publish(kv, coordination.LAYOUT_KEY, self.served.layout)
+        self.token = state.make_token('desk', self.source)
+        hashed = state.hash_token(self.token, self.source)
+        row = state.TeamRow(
+            team='desk',
+            token_hashes=(hashed,),
+            may_write=True,
+            deadline_s=2.0,
+        )
+        table = state.Table(revision=1, rows={'desk': row})
+        await standins.publish(kv, coordination.TABLE_KEY, table)
+        stack.push_async_callback(self._end_all)
+        for number in range(1, hosts + 1):
+            self.callers[number] = _find_free_address()
+            self.controls[number] = _find_free_address()
+            self.served.host_list.hosts.append(
+                transport.ListedHost(
+                    host=f'h{number}',
+                    zone='north-1',
+                    control=self.controls[number],
+                )
+            )
+            await self.start(number)
+        for number in range(1, hosts + 1):
+            await self.wait_until_ready(number)
+
+    async def start(self, number):
+        path = self.folder / f'h{number}.toml'
+        path.write_text(
+            f'[host]\nid = "h{number}"\nzone = "north-1"\n'
+            f'callers = "{self.callers[number]}"\n'
+            f'control = "{self.controls[number]}"\n'
+            f'[platform]\nkv = "{self.served.kv_address}"\n'
+            f'host_list = "{self.served.host_list_address}"\n'
+            '[drain]\nbalancer_lag_s = 0.5\n'
+        )
+        secrets = {
+            'RUDDERROCK_PEER_SECRET': 'peer secret of this scenario',
+            'RUDDERROCK_OPERATOR_SECRET': _OPERATOR,
+        }
+        self.running[number] = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'rudderrock.programs.entry',
+            str(path),
+            '--log',
+            'error',
+            env={**os.environ, **secrets},
+        )
+
+    async def wait_until_ready(self, number):
+        client = operators.OperatorClient(_OPERATOR)
+        for _ in range(_READY_TRIES):
+            status = await client.get_status(self.controls[number])
+            match status:
+                case result.Ok(known):
+                    if known.state is coordination.HostState.SERVING:
+                        return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f'host {number} never became ready')
+
+    async def send_all(self, seconds):
+        """Send queries and commands, with repeats, to every host."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        keys = []
+        async with asyncio.TaskGroup() as group:
+            number = 0
+            while loop.time() < end:
+                number += 1
+                host = 1 + number % len(self.callers)
+                if host in self.stopping:
+                    # As a balancer that has seen the host's readiness fall.
+                    continue
+                if number % 5 == 0:
+                    if not keys or self.source.random() < 0.5:
+                        keys.append(self._make_key())
+                    key = self.source.choice(keys)
+                    group.create_task(self._command(host, key))
+                else:
+                    group.create_task(self._query(host, f'q{number}'))
+                await asyncio.sleep(_QUERY_GAP_S)
+
+    def _make_key(self):
+        unix = int(serving.make_system_clock().wall())
+        return f'{unix:010d}-{self.source.getrandbits(64):016x}'
+
+    async def _query(self, host, marker):
+        query = protocol.Query(
+            collection='members', body=msgspec.Raw(json.dumps(marker).encode())
+        )
+        await self._call(
+            host, marker, None, lambda client: client.query(query)
+        )
+
+    async def _command(self, host, key):
+        command = protocol.Command(
+            collection='members',
+            routing_key='member-1',
+            body=msgspec.Raw(json.dumps(key).encode()),
+        )
+        await self._call(
+            host, key, key, lambda client: client.command(command, key)
+        )
+
+    async def _call(self, host, marker, key, send):
+        client = caller.CallerClient(self.callers[host], self.token)
+        raw = result.Err(None)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_CALL_TIMEOUT_S):
+                raw = await send(client)
+        await client.close()
+        outcome = _read_outcome(raw)
+        if outcome is None:
+            self.cut.append(host)
+        self.calls.append(experiments.Call(marker, key, outcome))
+
+    async def _end_all(self):
+        for process in self.running.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+
+
+def _find_free_address():
+    listener = transport.bind('127.0.0.1:0').unwrap()
+    address = transport.get_address(listener)
+    listener.close()
+    return address
+
+
+def _read_outcome(raw):
+    match raw:
+        case result.Ok(transport.RawReply(status=200, body=body)):
+            answered = protocol.decode(protocol.Answered, body)
+            return answered.ok() or (
+                protocol.decode(protocol.Recorded, body).unwrap()
+            )
+        case result.Ok(transport.RawReply(body=body)):
+            problem = protocol.decode(protocol.Problem, body).unwrap()
+            if problem.outcome is protocol.Ran.NOT_RUN:
+                return protocol.Refused(
+                    reason=protocol.RefusalReason.UPSTREAM,
+                    detail=problem.detail,
+                )
+            return protocol.Unknown(query='', detail=problem.detail)
+    return None
+
+
+@given(r'(\d+) entry hosts as processes before 6 services')
+def start_processes(context, hosts):
+    folder = context.stack.enter_context(contextlib.ExitStack())
+    path = folder.enter_context(tempfile.TemporaryDirectory())
+    context.processes = _Processes(pathlib.Path(path))
+    run(context, context.processes.open(context.stack, int(hosts)))
+
+
+@when('callers send queries and commands to all of them')
+def start_load(context):
+    async def start():
+        load = context.processes.send_all(14.0 + _LOAD_TAIL_S)
+        context.processes.load = asyncio.create_task(load)
+        await asyncio.sleep(1.0)
+
+    run(context, start())
+
+
+@when(r'host (\d+) is killed')
+def kill_host(context, number):
+    async def kill():
+        process = context.processes.running[int(number)]
+        process.send_signal(signal.SIGKILL)
+        await process.wait()
+
+    run(context, kill())
+
+
+@when(r'host (\d+) is frozen for (\d+) seconds')
+def freeze_host(context, number, seconds):
+    async def freeze():
+        process = context.processes.running[int(number)]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(int(seconds))
+        process.send_signal(signal.SIGCONT)
+
+    run(context, freeze())
+
+
+@when(r'host (\d+) is told to stop')
+def stop_host(context, number):
+    async def stop():
+        processes = context.processes
+        processes.cut.clear()
+        processes.running[int(number)].send_signal(signal.SIGTERM)
+        processes.stopping.add(int(number))
+        await processes.running[int(number)].wait()
+
+    run(context, stop())
+
+
+@when('the callers are done')
+def end_load(context):
+    run(context, context.processes.load)
+
+
+@then("every answer tells the truth, by the upstreams' records")
+def check_truth(context):
+    processes = context.processes
+    runs = [
+        each
+        for model in processes.served.models.values()
+        for each in model.runs
+    ]
+    broken = experiments.list_broken(processes.calls, runs, _SERVICES)
+    assert not broken, broken
+    kinds = [type(call.outcome).__name__ for call in processes.calls]
+    assert kinds.count('Answered') > 50, kinds
+    context.runs = runs
+
+
+@then('no command ran twice, and none that was refused ran')
+def check_commands(context):
+    """What `list_broken` has checked; here, that there was any to check."""
+    recorded = [
+        call
+        for call in context.processes.calls
+        if isinstance(call.outcome, protocol.Recorded)
+    ]
+    assert len(recorded) > 10, len(recorded)
+    assert any(call.outcome.repeat for call in recorded)
+
+
+@then(r'host (\d+) has exited with code 0 and cut nothing')
+def check_exit(context, number):
+    processes = context.processes
+    assert processes.running[int(number)].returncode == 0
+    assert int(number) not in processes.cut, processes.cut
+
+
+@then(r'host (\d+) answers again')
+def check_answers(context, number):
+    processes = context.processes
+    run(context, processes.wait_until_ready(int(number)))
+    run(context, _ask_until_answered(processes, int(number)))
+
+
+async def _ask_until_answered(processes, number):
+    for _ in range(_READY_TRIES):
+        await processes._query(number, 'again')
+        outcome = processes.calls[-1].outcome
+        if isinstance(outcome, protocol.Answered):
+            assert outcome.coverage.fraction == 1.0, outcome
+            return
+        await asyncio.sleep(0.05)
+    raise AssertionError(outcome)
+
+
+@when(r'the key-value service is down and host (\d+) is started again')
+def restart_in_outage(context, number):
+    async def restart():
+        await context.processes.served.kv.set_down(True)
+        await context.processes.start(int(number))
+
+    run(context, restart())
+
+
+@then(r'host (\d+) answers, with what its peers gave it')
+def check_restarted(context, number):
+    check_answers(context, number)
--- a/rudderrock/experiments/_schedules.py
+++ b/rudderrock/experiments/_schedules.py
@@ -306,8 +306,13 @@
         )
 
 
-def list_broken(calls: list[Call], runs: list[standins.Run]) -> list[str]:
-    """List every promise that outcomes and records show as broken."""
+def list_broken(
+    calls: list[Call], runs: list[standins.Run], shards: int = _SERVICES
+) -> list[str]:
+    """List every promise that outcomes and records show as broken.
+
+    `shards` is how many the collection has.
+    """
     by_marker: dict[str, list[standins.Run]] = {}
     for run in runs:
         marker = json.loads(bytes(run.request.body))
@@ -317,7 +322,7 @@
         own = by_marker.get(call.marker, [])
         match call.outcome:
             case protocol.Answered():
-                broken += _check_answer(call, call.outcome, own)
+                broken += _check_answer(call, call.outcome, own, shards)
             case protocol.Refused() if call.key is None and own:
                 broken.append(f'{call.marker}: refused, yet it ran')
     by_key: dict[str, list[Call]] = {}
@@ -330,7 +335,10 @@
 
 
 def _check_answer(
-    call: Call, answer: protocol.Answered, own: list[standins.Run]
+    call: Call,
+    answer: protocol.Answered,
+    own: list[standins.Run],
+    shards: int,
 ) -> list[str]:
     broken = []
     coverage = answer.coverage
@@ -341,7 +349,7 @@
     }
     if len(coverage.missing) + coverage.answered != coverage.shards:
         broken.append(f'{call.marker}: coverage does not add up')
-    if coverage.shards != _SERVICES:
+    if coverage.shards != shards:
         broken.append(f'{call.marker}: {coverage.shards} shards counted')
     if len(finished - set(coverage.missing)) < coverage.answered:
         broken.append(f'{call.marker}: counts shards that did not answer')
