Confirm the table by reading it, in turns; random schedules of edits

Cause: schedules of edits and faults between hosts (added here) broke a promise in 4 of the first 40: with watches that miss a change, an edit was in force only when the watch's 30 s were over. A watch that ends without news also counted as proof that the revision was the latest.

Ruled out: the peers (they had the same revision, nobody knew a later one).

Change: only a reading confirms a revision. When none has for 4 s, one host reads and its confirmation goes round with the digests; the others take their turns only if it does not. While the service is silent the pauses grow.

--- a/features/steps/schedules.py
+++ b/features/steps/schedules.py
@@ -49,6 +49,29 @@
     context.stack.enter_context(patch)
 
 
+@given('hosts now and then put the first table they had in force again')
+def go_back(context):
+    apply_table = coordination.EntryHost.apply_table
+    seen = collections.defaultdict(list)
+
+    def apply_some_old(self, table):
+        seen[self].append(table)
+        old = len(seen[self]) % 5 == 0
+        apply_table(self, seen[self][0] if old else table)
+
+    patch = mock.patch.object(
+        coordination.EntryHost, 'apply_table', apply_some_old
+    )
+    context.stack.enter_context(patch)
+
+
+@when(r'the table schedules of seeds (\d+) to (\d+) are run')
+def run_table_schedules(context, first, last):
+    seeds = range(int(first), int(last) + 1)
+    run = experiments.run_table_schedule
+    context.schedules = [run(seed) for seed in seeds]
+
+
 @when(r'the schedules of seeds (\d+) to (\d+) are run')
 def run_schedules(context, first, last):
     seeds = range(int(first), int(last) + 1)
--- a/rudderrock/coordination/_follow.py
+++ b/rudderrock/coordination/_follow.py
@@ -90,16 +90,20 @@
             await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.0))
             pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
 
-    async def check(self) -> None:
-        """Ask once, without waiting for news, whether there is any.
+    async def check(self) -> bool:
+        """Read the key, whatever the watch says; tell whether it answered.
 
-        The watch under way proves only that the service could be reached
-        when it was sent.
+        A watch may miss what happens, so only a reading confirms that a
+        revision is the latest; and the watch under way proves only that
+        the service could be reached when it was sent.
         """
         sent = self._clock.now()
-        match await self._kv.watch(self._key, self._version, 0.0):
+        match await self._kv.get(self._key):
             case result.Ok(entry):
                 self._take(entry, sent)
+                self.confirm(self._clock.now() - sent)
+                return True
+        return False
 
     async def wait_until_read(self) -> None:
         """Wait until a value is in force, from wherever it came."""
@@ -136,10 +140,8 @@
         It proves nothing later than that: after a pause of this process,
         a reply that comes at once may have waited long.
         """
-        self.heard_at = sent
-        age_s = self._clock.now() - sent
+        self.heard_at = max(sent, self.heard_at or sent)
         if entry.version <= self._version or entry.value is None:
-            self.confirm(age_s)
             return
         self._version = entry.version
         match self._read(entry.value):
@@ -147,7 +149,7 @@
                 self._ring.record(self._rejected, detail=reason)
             case result.Ok(value):
                 self.offer(value, 'key-value service')
-                self.confirm(age_s)
+                self.confirm(self._clock.now() - sent)
 
     def _note_up(self) -> None:
         if not self.is_up:
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -7,6 +7,7 @@
 import random
 
 import result
+import xxhash
 
 from rudderrock import protocol
 from rudderrock import state
@@ -25,6 +26,10 @@
 _SPREAD_FANOUT = 3
 _DRAIN_POLL_S = 0.02
 _CHECKS_BEFORE_ALONE = 4
+_LONGEST_CHECK_PAUSE_S = 8.0
+# The order in which hosts read the table anew changes this often.
+_TURN_EPOCH_S = 60.0
+_LAST_TURN = 6
 _NOT_READY_RETRY_S = 1.0
 _CONFIG_FETCH_TIMEOUT_S = 1.0
 
@@ -264,15 +269,38 @@
         return self._clock.now() - max(heard, self._started_at)
 
     async def _keep_in_touch(self) -> None:
-        """Ask the key-value service when no peer has been heard of lately.
+        """Read the table when its revision has not been confirmed lately.
 
-        While peers answer, their word is enough, and costs it nothing.
+        One host's reading confirms it for all, since its age goes round
+        with the digests. Hosts take turns, the next one being due if the
+        first has not read, so the readings do not grow with the fleet. A
+        host that hears no peer reads by itself, lest it count as isolated.
+        While the service is silent the pauses grow.
         """
-        pause_s = self.settings.membership.isolation_s / _CHECKS_BEFORE_ALONE
+        shortest_s = (
+            self.settings.membership.isolation_s / _CHECKS_BEFORE_ALONE
+        )
+        pause_s = shortest_s
         while True:
-            await asyncio.sleep(pause_s)
-            if self._get_silence_s() > pause_s:
-                await self.table.check()
+            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.0))
+            due_s = self.settings.platform.recheck_s * (1 + self._get_turn())
+            old = self.table.get_age_s() > due_s
+            if not old and self._get_silence_s() <= shortest_s:
+                continue
+            if await self.table.check():
+                pause_s = shortest_s
+            else:
+                pause_s = min(2 * pause_s, _LONGEST_CHECK_PAUSE_S)
+
+    def _get_turn(self) -> int:
+        """Return how many hosts are to read the table before this one."""
+        epoch = int(self._clock.wall() // _TURN_EPOCH_S)
+        own = _hash_turn(self.membership.me.host, epoch)
+        before = sum(
+            _hash_turn(member.host, epoch) < own
+            for member in self.membership.list_live()
+        )
+        return min(before, _LAST_TURN)
 
     # Requests
 
@@ -444,6 +472,10 @@
         self.ring.record(kind, team=team, query=query_id, detail=detail)
 
 
+def _hash_turn(host: state.HostId, epoch: int) -> int:
+    return xxhash.xxh64_intdigest(host.encode(), epoch)
+
+
 def describe_outcome(
     outcome: protocol.Outcome,
 ) -> tuple[state.EventKind, str]:
--- a/rudderrock/experiments/__init__.py
+++ b/rudderrock/experiments/__init__.py
@@ -34,11 +34,14 @@
 from rudderrock.experiments._report import make_report
 from rudderrock.experiments._report import write_report
 from rudderrock.experiments._run import Driver
+from rudderrock.experiments._run import run_on_virtual_time
 from rudderrock.experiments._run import run_virtual
 from rudderrock.experiments._schedules import Call
 from rudderrock.experiments._schedules import list_broken
 from rudderrock.experiments._schedules import run_schedule
 from rudderrock.experiments._schedules import ScheduleResult
+from rudderrock.experiments._table_schedules import run_table_schedule
+from rudderrock.experiments._table_schedules import TableScheduleResult
 
 __all__ = [
     'Bin',
@@ -62,6 +65,7 @@
     'Shed',
     'Slow',
     'Straggle',
+    'TableScheduleResult',
     'Targets',
     'TeamLoad',
     'TeamOutcome',
@@ -75,8 +79,10 @@
     'read_plan',
     'read_result',
     'read_targets',
+    'run_on_virtual_time',
     'run_real',
     'run_schedule',
+    'run_table_schedule',
     'run_virtual',
     'write_report',
     'write_result',
--- a/rudderrock/experiments/_run.py
+++ b/rudderrock/experiments/_run.py
@@ -2,7 +2,9 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import random
+from typing import Any
 import warnings
 
 import async_solipsism
@@ -73,11 +75,25 @@
 
     `report` is given a line of progress now and then.
     """
+    return run_on_virtual_time(_run(plan, report))
+
+
+def run_on_virtual_time(
+    coroutine: Coroutine, crashes: list[str] | None = None
+) -> Any:
+    """Run a coroutine on a loop of its own whose time is virtual.
+
+    `crashes` is given the exceptions that tasks died of unexpectedly.
+    """
     loop = async_solipsism.EventLoop()
+    if crashes is not None:
+        loop.set_exception_handler(
+            lambda _, found: crashes.append(repr(found.get('exception')))
+        )
     with warnings.catch_warnings():
         warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
         try:
-            return loop.run_until_complete(_run(plan, report))
+            return loop.run_until_complete(coroutine)
         finally:
             loop.close()
 
--- a/rudderrock/experiments/_schedules.py
+++ b/rudderrock/experiments/_schedules.py
@@ -12,14 +12,12 @@
 import gc
 import json
 import random
-import warnings
-
-import async_solipsism
 
 from rudderrock import coordination
 from rudderrock import protocol
 from rudderrock import standins
 from rudderrock import state
+from rudderrock.experiments import _run as runs
 
 _SERVICES = 4
 _TEAM = 'desk'
@@ -67,17 +65,8 @@
 
 def run_schedule(seed: int) -> ScheduleResult:
     """Run the schedule of a seed on virtual time and check it."""
-    loop = async_solipsism.EventLoop()
     crashes: list[str] = []
-    loop.set_exception_handler(
-        lambda _, found: crashes.append(repr(found.get('exception')))
-    )
-    with warnings.catch_warnings():
-        warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
-        try:
-            done = loop.run_until_complete(_run(seed))
-        finally:
-            loop.close()
+    done = runs.run_on_virtual_time(_run(seed), crashes)
     # A task that died of an exception nobody expected breaks a promise too.
     gc.collect()
     return dataclasses.replace(done, broken=done.broken + crashes)
@@ -307,14 +296,15 @@
 
 
 def list_broken(
-    calls: list[Call], runs: list[standins.Run], shards: int = _SERVICES
+    calls: list[Call], records: list[standins.Run], shards: int = _SERVICES
 ) -> list[str]:
     """List every promise that outcomes and records show as broken.
 
-    `shards` is how many the collection has.
+    `records` are of all upstreams; `shards` is how many the collection
+    has.
     """
     by_marker: dict[str, list[standins.Run]] = {}
-    for run in runs:
+    for run in records:
         marker = json.loads(bytes(run.request.body))
         by_marker.setdefault(marker, []).append(run)
     broken = []
--- /dev/null
+++ b/rudderrock/experiments/_table_schedules.py
@@ -0,0 +1,250 @@
+"""Random schedules of edits and faults between hosts.
+
+Operators edit rows, sometimes the same one at the same moment, while hosts
+crash, start, freeze or are cut off, messages are lost, and the key-value
+service goes down, slows or loses replies. Checked are: no host ever goes
+back; what was reported accepted stands once in the history and what was
+reported lost does not; and when all is well again, every host has the last
+accepted edit in force.
+"""
+
+import asyncio
+import dataclasses
+import gc
+import random
+
+from rudderrock import coordination
+from rudderrock import standins
+from rudderrock import state
+from rudderrock.experiments import _run as runs
+
+_HOSTS = 4
+_TEAMS = ('desk', 'kiosk', 'billing')
+_LENGTH_S = 12.0
+_EDITS = 14
+_FAULTS = 7
+_EDIT_TIMEOUT_S = 3.0
+_SETTLE_S = 14.0
+_DEPLOYMENT = standins.Deployment(
+    name='table',
+    hosts=_HOSTS,
+    network=standins.Network(regions={'north': ['north-1', 'north-2']}),
+    groups=[standins.Group(collection='members', services=1)],
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableScheduleResult:
+    """One schedule: how its edits ended, and every promise broken."""
+
+    seed: int
+    outcomes: list[str]
+    faults: list[str]
+    broken: list[str]
+
+
+def run_table_schedule(seed: int) -> TableScheduleResult:
+    """Run the table schedule of a seed on virtual time and check it."""
+    crashes: list[str] = []
+    done = runs.run_on_virtual_time(_run(seed), crashes)
+    gc.collect()
+    return dataclasses.replace(done, broken=done.broken + crashes)
+
+
+class _TableSchedule:
+    """One schedule under way."""
+
+    def __init__(self, fleet: standins.MemoryFleet, seed: int):
+        self.fleet = fleet
+        self.outcomes: list[tuple[state.Change, coordination.EditOutcome]] = []
+        self.faults: list[str] = []
+        self.reverts: list[str] = []
+        self._source = state.make_random(seed, 'table schedule')
+        self._started = 0
+
+    async def run(self) -> None:
+        """Play edits and faults, then mend everything and wait."""
+        source = self._source
+        async with asyncio.TaskGroup() as group:
+            watch = group.create_task(self._watch_revisions())
+            playing = []
+            for _ in range(_EDITS):
+                at = source.uniform(0, _LENGTH_S)
+                team = source.choice(_TEAMS)
+                playing.append(group.create_task(self._edit(at, team)))
+            for _ in range(source.randint(1, _FAULTS)):
+                at = source.uniform(0, _LENGTH_S)
+                kind = source.choice(sorted(_PLAYERS))
+                length = source.uniform(0.1, 5.0)
+                draw = random.Random(source.getrandbits(64))
+                fault = self._fault(kind, at, length, draw)
+                playing.append(group.create_task(fault))
+            await asyncio.gather(*playing)
+            await asyncio.sleep(_SETTLE_S)
+            watch.cancel()
+
+    async def _edit(self, at: float, team: str) -> None:
+        await asyncio.sleep(at)
+        editor = self.fleet.editor
+        read = await editor.read()
+        if read.is_err():
+            return
+        base = read.unwrap().rows.get(team)
+        row = state.TeamRow(
+            team=team, weight=round(self._source.uniform(1, 100), 3)
+        )
+        change = state.Change(
+            edit_id=editor.make_edit_id(),
+            author='operator',
+            team=team,
+            base=base,
+            row=row,
+        )
+        outcome = await editor.edit(change, _EDIT_TIMEOUT_S)
+        self.outcomes.append((change, outcome))
+
+    async def _fault(
+        self, kind: str, at: float, length: float, draw: random.Random
+    ) -> None:
+        await asyncio.sleep(at)
+        self.faults.append(f'{kind} at {at:.1f} for {length:.1f} s')
+        await _PLAYERS[kind](self.fleet, length, draw)
+
+    async def _watch_revisions(self) -> None:
+        """Look at every host all the time; none may ever go back."""
+        latest: dict[str, int] = {}
+        while True:
+            for name, running in self.fleet.hosts.items():
+                revision = running.host.table_in_force.revision
+                if revision < latest.get(name, 0):
+                    self.reverts.append(f'{name} went back to {revision}')
+                latest[name] = revision
+            await asyncio.sleep(0.01)
+
+
+def _pick(fleet, draw) -> str | None:
+    running = [
+        name for name, each in fleet.hosts.items() if not each.task.done()
+    ]
+    return draw.choice(running) if len(running) > 1 else None
+
+
+async def _crash(fleet, length, draw):
+    name = _pick(fleet, draw)
+    if name is not None:
+        await fleet.crash_host(name)
+        await asyncio.sleep(length)
+        fleet.forget_host(name)
+
+
+async def _start(fleet, length, draw):
+    name = f'new-{draw.getrandbits(32):08x}'
+    fleet.start_host(name, fleet.deployment.network.list_zones()[0])
+
+
+async def _freeze(fleet, length, draw):
+    name = _pick(fleet, draw)
+    if name is not None:
+        fleet.freeze(name, True)
+        await asyncio.sleep(2 * length)
+        fleet.freeze(name, False)
+
+
+async def _cut_off(fleet, length, draw):
+    name = _pick(fleet, draw)
+    if name is not None:
+        fleet.cut_off(name, True)
+        await asyncio.sleep(2 * length)
+        fleet.cut_off(name, False)
+
+
+async def _lose_messages(fleet, length, draw):
+    fleet.peers.faults.lose = draw.uniform(0.05, 0.6)
+    await asyncio.sleep(length)
+    fleet.peers.faults.lose = 0.0
+
+
+async def _kv_down(fleet, length, draw):
+    await fleet.kv.set_down(True)
+    await asyncio.sleep(length)
+    await fleet.kv.set_down(False)
+
+
+async def _kv_slow(fleet, length, draw):
+    fleet.kv.faults.delay_s = draw.uniform(0.05, 1.0)
+    await asyncio.sleep(length)
+    fleet.kv.faults.delay_s = 0.0
+
+
+async def _kv_loses_replies(fleet, length, draw):
+    fleet.kv.faults.lose_replies += draw.randint(1, 4)
+
+
+async def _kv_drops_watches(fleet, length, draw):
+    fleet.kv.faults.drop_watches = True
+    await asyncio.sleep(length)
+    fleet.kv.faults.drop_watches = False
+
+
+_PLAYERS = {
+    'crash': _crash,
+    'start': _start,
+    'freeze': _freeze,
+    'cut_off': _cut_off,
+    'lose_messages': _lose_messages,
+    'kv_down': _kv_down,
+    'kv_slow': _kv_slow,
+    'kv_loses_replies': _kv_loses_replies,
+    'kv_drops_watches': _kv_drops_watches,
+}
+
+
+async def _run(seed: int) -> TableScheduleResult:
+    async with standins.run_fleet(_DEPLOYMENT, _HOSTS, seed) as fleet:
+        schedule = _TableSchedule(fleet, seed)
+        await schedule.run()
+        table = (await fleet.editor.read()).unwrap()
+        broken = schedule.reverts
+        broken += _check_edits(schedule.outcomes, table)
+        broken += _check_in_force(fleet, table)
+        return TableScheduleResult(
+            seed=seed,
+            outcomes=[
+                type(outcome).__name__ for _, outcome in schedule.outcomes
+            ],
+            faults=schedule.faults,
+            broken=broken,
+        )
+
+
+def _check_edits(
+    outcomes: list[tuple[state.Change, coordination.EditOutcome]],
+    table: state.Table,
+) -> list[str]:
+    """Set what each operator was told against the history."""
+    broken = []
+    for change, outcome in outcomes:
+        times = sum(edit.edit_id == change.edit_id for edit in table.history)
+        match outcome:
+            case coordination.EditAccepted() if times != 1:
+                broken.append(f'accepted, yet it stands {times} times')
+            case coordination.EditLost() if times:
+                broken.append('lost, yet it stands')
+            case coordination.EditUncertain() if times > 1:
+                broken.append(f'uncertain, and it stands {times} times')
+    revisions = [edit.revision for edit in table.history]
+    if revisions != sorted(set(revisions)):
+        broken.append(f'revisions are out of order: {revisions}')
+    return broken
+
+
+def _check_in_force(
+    fleet: standins.MemoryFleet, table: state.Table
+) -> list[str]:
+    """Check that every host that lives has the last table in force."""
+    return [
+        f'{name} has revision {running.host.table_in_force.revision} of '
+        f'{table.revision} in force'
+        for name, running in fleet.hosts.items()
+        if not running.task.done() and running.host.table_in_force != table
+    ]
--- a/rudderrock/programs/load.py
+++ b/rudderrock/programs/load.py
@@ -67,18 +67,24 @@
     print(experiments.compare_results(first, second))
 
 
-def fuzz(*, count: int = 1000, first_seed: int = 1) -> None:
+def fuzz(
+    *, count: int = 1000, first_seed: int = 1, table: bool = False
+) -> None:
     """Run random fault schedules and check every promise under each.
 
     Exits with 1 if any promise was broken, and names the seeds.
 
     :param count: how many schedules to run
     :param first_seed: seed of the first; the others follow it
+    :param table: schedules of edits between hosts instead of requests
     """
+    run_one = experiments.run_schedule
+    if table:
+        run_one = experiments.run_table_schedule
     broken = 0
     outcomes: collections.Counter[str] = collections.Counter()
     for seed in range(first_seed, first_seed + count):
-        done = experiments.run_schedule(seed)
+        done = run_one(seed)
         outcomes.update(done.outcomes)
         if done.broken:
             broken += 1
--- a/rudderrock/state/_settings.py
+++ b/rudderrock/state/_settings.py
@@ -46,7 +46,8 @@
 
     `kv` is the key-value service, `host_list` the list of live and leaving
     hosts; `timeout_s` bounds one call to either, `watch_s` one waiting
-    watch.
+    watch. The table is read anew when no host has confirmed it for
+    `recheck_s`, since a watch may miss a change.
     """
 
     __pydantic_config__ = constraints.FORBID_UNKNOWN
@@ -55,6 +56,7 @@
     host_list: _Address | None = None
     timeout_s: _Seconds = 1.0
     watch_s: _Seconds = 30.0
+    recheck_s: _Seconds = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
