Split the query's code by job: budgets, versions, agenda, gathering

Change: extra requests (budgets, late points, counters), the choice of a version, the agenda of what to look at again, and the gathering itself are modules of their own; the parts of a host that every query uses are handed over as one data class. No behaviour changes.

--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -20,12 +20,18 @@
 from rudderrock.coordination._dispatch import Dispatcher
 from rudderrock.coordination._dispatch import is_not_run
 from rudderrock.coordination._dispatch import Service
+from rudderrock.coordination._extra import ExtraRequests
+from rudderrock.coordination._extra import QueryCounters
+from rudderrock.coordination._extra import UNKNOWN_PATIENCE_S
 from rudderrock.coordination._fair_queue import FairQueue
 from rudderrock.coordination._follow import KeyFollower
 from rudderrock.coordination._follow import LAYOUT_KEY
 from rudderrock.coordination._follow import read_layout
 from rudderrock.coordination._follow import read_table
 from rudderrock.coordination._follow import TABLE_KEY
+from rudderrock.coordination._gather import Gathering
+from rudderrock.coordination._gather import GatherParts
+from rudderrock.coordination._gather import QueryTicket
 from rudderrock.coordination._host import describe_outcome
 from rudderrock.coordination._host import EntryHost
 from rudderrock.coordination._latency import FadingMean
@@ -50,14 +56,16 @@
 from rudderrock.coordination._operators import EditOutcome
 from rudderrock.coordination._operators import EditUncertain
 from rudderrock.coordination._operators import TableEditor
-from rudderrock.coordination._query import QueryCounters
 from rudderrock.coordination._query import QueryRunner
-from rudderrock.coordination._query import QueryTicket
-from rudderrock.coordination._query import TeamBudgets
+from rudderrock.coordination._shard_call import Agenda
+from rudderrock.coordination._shard_call import Due
+from rudderrock.coordination._shard_call import ShardCall
 from rudderrock.coordination._shares import ShareBook
+from rudderrock.coordination._versions import VersionChooser
 
 __all__ = [
     'Admission',
+    'Agenda',
     'Attempt',
     'AttemptKind',
     'Budget',
@@ -69,14 +77,18 @@
     'CommandTicket',
     'ConfigInForce',
     'Dispatcher',
+    'Due',
     'EditAccepted',
     'EditInvalid',
     'EditLost',
     'EditOutcome',
     'EditUncertain',
     'EntryHost',
+    'ExtraRequests',
     'FadingMean',
     'FairQueue',
+    'GatherParts',
+    'Gathering',
     'HOST_PREFIX',
     'HostLease',
     'HostMetrics',
@@ -95,14 +107,16 @@
     'RateLimit',
     'Sample',
     'Service',
+    'ShardCall',
     'ShareBook',
     'TABLE_KEY',
     'TableEditor',
     'Taken',
-    'TeamBudgets',
     'TeamMetrics',
+    'UNKNOWN_PATIENCE_S',
     'UpstreamLink',
     'UpstreamState',
+    'VersionChooser',
     'Won',
     'describe_outcome',
     'format_prometheus',
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -16,6 +16,7 @@
 from rudderrock.coordination import _commands as commands
 from rudderrock.coordination import _dispatch as dispatch
 from rudderrock.coordination import _follow as follow
+from rudderrock.coordination import _gather as gather
 from rudderrock.coordination import _leases as leases
 from rudderrock.coordination import _lifecycle as lifecycle
 from rudderrock.coordination import _members as members
@@ -380,7 +381,7 @@
         admitted = self.gate.admit(row, cost, deadline)
         if admitted.is_err():
             return admitted.unwrap_err()
-        ticket = queries.QueryTicket(
+        ticket = gather.QueryTicket(
             query_id=query_id,
             row=row,
             query=query,
--- a/rudderrock/root.py
+++ b/rudderrock/root.py
@@ -53,7 +53,14 @@
         ring,
     )
     runner = coordination.QueryRunner(
-        dispatcher, settings, clock, draw('query'), ring
+        coordination.GatherParts(
+            dispatcher=dispatcher,
+            extra=coordination.ExtraRequests(settings),
+            settings=settings,
+            clock=clock,
+            source=draw('query'),
+            ring=ring,
+        )
     )
     gate = coordination.Admission(settings.admission, book, dispatcher, clock)
     store = coordination.ClaimStore(ports.kv, settings.claims, clock)
