Take what is in force out of the host's class

Cause: coordination/_host.py had 518 lines and three jobs: requests, the host's life, and the table and layout in force.

Change: the configuration (followers, freshness, fetching, spreading, isolation) is a class of its own, wired by the root. No behaviour changes.

Conclusion: the host is 359 lines, of requests and of its life.

--- a/benchmarks/shard_request.py
+++ b/benchmarks/shard_request.py
@@ -128,7 +128,7 @@
     while not host.lifecycle.is_ready:
         await asyncio.sleep(0.05)
     await asyncio.sleep(1.0)
-    row = host.rows['desk']
+    row = host.config.rows['desk']
     query = protocol.Query(collection='members', body=msgspec.Raw(b'"q"'))
     began = time.process_time()
     for _ in range(queries):
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -118,7 +118,8 @@
     async def wait():
         hosts = context.bench.fleet.hosts.values()
         while all(
-            each.host.table.revision < context.edit.revision for each in hosts
+            each.host.config.table.revision < context.edit.revision
+            for each in hosts
         ):
             await asyncio.sleep(_POLL_S)
         await context.bench.fleet.kv.set_down(True)
@@ -172,7 +173,7 @@
 @then(r'"([^"]+)" of "([^"]+)" is (\d+) on every host')
 def check_field(context, field, team, value):
     for running in _list_running(context):
-        row = running.host.rows[team]
+        row = running.host.config.rows[team]
         assert getattr(row, field) == int(value), row
 
 
--- a/features/steps/schedules.py
+++ b/features/steps/schedules.py
@@ -51,7 +51,7 @@
 
 @given('hosts now and then put the first table they had in force again')
 def go_back(context):
-    apply_table = coordination.EntryHost.apply_table
+    apply_table = coordination.Configuration.apply_table
     seen = collections.defaultdict(list)
 
     def apply_some_old(self, table):
@@ -60,7 +60,7 @@
         apply_table(self, seen[self][0] if old else table)
 
     patch = mock.patch.object(
-        coordination.EntryHost, 'apply_table', apply_some_old
+        coordination.Configuration, 'apply_table', apply_some_old
     )
     context.stack.enter_context(patch)
 
--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -17,6 +17,8 @@
 from rudderrock.coordination._claims import Won
 from rudderrock.coordination._commands import CommandRunner
 from rudderrock.coordination._commands import CommandTicket
+from rudderrock.coordination._config import Configuration
+from rudderrock.coordination._config import SPREAD_FANOUT
 from rudderrock.coordination._dispatch import Dispatcher
 from rudderrock.coordination._dispatch import is_not_run
 from rudderrock.coordination._dispatch import Service
@@ -76,6 +78,7 @@
     'CommandRunner',
     'CommandTicket',
     'ConfigInForce',
+    'Configuration',
     'Dispatcher',
     'Due',
     'EditAccepted',
@@ -105,6 +108,7 @@
     'QueryRunner',
     'QueryTicket',
     'RateLimit',
+    'SPREAD_FANOUT',
     'Sample',
     'Service',
     'ShardCall',
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -1,21 +1,17 @@
 """One entry host: what it does with a request, and its own life."""
 
 import asyncio
-from collections.abc import Coroutine
 import contextlib
-import math
 import random
 
 import result
-import xxhash
 
 from rudderrock import protocol
 from rudderrock import state
-from rudderrock import transport
 from rudderrock.coordination import _admission as admission
 from rudderrock.coordination import _commands as commands
+from rudderrock.coordination import _config as configs
 from rudderrock.coordination import _dispatch as dispatch
-from rudderrock.coordination import _follow as follow
 from rudderrock.coordination import _gather as gather
 from rudderrock.coordination import _leases as leases
 from rudderrock.coordination import _lifecycle as lifecycle
@@ -24,15 +20,8 @@
 from rudderrock.coordination import _query as queries
 from rudderrock.coordination import _shares as shares
 
-_SPREAD_FANOUT = 3
 _DRAIN_POLL_S = 0.02
-_CHECKS_BEFORE_ALONE = 4
-_LONGEST_CHECK_PAUSE_S = 8.0
-# The order in which hosts read the table anew changes this often.
-_TURN_EPOCH_S = 60.0
-_LAST_TURN = 6
 _NOT_READY_RETRY_S = 1.0
-_CONFIG_FETCH_TIMEOUT_S = 1.0
 
 
 class EntryHost:
@@ -45,8 +34,7 @@
         clock: state.Clock,
         source: random.Random,
         ring: state.EventRing,
-        table: follow.KeyFollower[state.Table],
-        layout: follow.KeyFollower[state.Layout],
+        config: configs.Configuration,
         dispatcher: dispatch.Dispatcher,
         runner: queries.QueryRunner,
         book: shares.ShareBook,
@@ -54,12 +42,10 @@
         command_runner: commands.CommandRunner,
         membership: members.Membership,
         lease: leases.HostLease,
-        peers: transport.PeerPort,
     ):
         self.settings = settings
         self.ring = ring
-        self.table = table
-        self.layout = layout
+        self.config = config
         self.dispatcher = dispatcher
         self.runner = runner
         self.gate = gate
@@ -68,19 +54,11 @@
         self.command_runner = command_runner
         self.lifecycle = lifecycle.Lifecycle(ring)
         self.metrics = metrics.HostMetrics(clock)
-        self.rows: dict[state.TeamId, state.TeamRow] = {}
-        self.table_in_force = state.Table()
-        self.layout_in_force = state.Layout()
         self._clock = clock
         self._source = source
         self._book = book
-        self._peers = peers
         self._hurry = asyncio.Event()
-        self._fetching: asyncio.Task | None = None
-        self._spreading: asyncio.Task | None = None
-        self._side_tasks: set[asyncio.Task] = set()
         self._active: set[asyncio.Task] = set()
-        self._started_at = clock.now()
 
     # Life
 
@@ -89,12 +67,12 @@
         async with contextlib.AsyncExitStack() as stack:
             stack.push_async_callback(self._close)
             group = await stack.enter_async_context(_task_group())
-            group.create_task(self.table.run())
-            group.create_task(self.layout.run())
+            group.create_task(self.config.table.run())
+            group.create_task(self.config.layout.run())
             group.create_task(self.membership.run())
             group.create_task(self.lease.run())
             group.create_task(self._clean_claims())
-            group.create_task(self._keep_in_touch())
+            group.create_task(self.config.keep_in_touch())
             group.create_task(self._state_demand())
             group.create_task(self._serve_when_ready())
             await self.lifecycle.wait_until_stopped()
@@ -112,7 +90,7 @@
         ):
             self.lifecycle.leave()
             self.membership.announce_leaving()
-            await self.membership.spread(_SPREAD_FANOUT)
+            await self.membership.spread(configs.SPREAD_FANOUT)
             await self._wait_unless_hurried(self.settings.drain.balancer_lag_s)
             self.lifecycle.drain()
             end = self._clock.now() + self.settings.drain.bound_s
@@ -139,8 +117,7 @@
                 await self._hurry.wait()
 
     async def _serve_when_ready(self) -> None:
-        await self.table.wait_until_read()
-        await self.layout.wait_until_read()
+        await self.config.wait_until_read()
         if self.lifecycle.state is lifecycle.HostState.STARTING:
             self.lifecycle.serve()
 
@@ -152,74 +129,13 @@
             index = hosts.index(self.membership.me.host)
             await self.command_runner.clean(index, len(hosts))
 
-    def _start_side_task(self, coroutine: Coroutine) -> asyncio.Task:
-        """Start a short task that ends with this host at the latest."""
-        task = asyncio.create_task(coroutine)
-        self._side_tasks.add(task)
-        task.add_done_callback(self._side_tasks.discard)
-        return task
-
     async def _close(self) -> None:
-        side_tasks = list(self._side_tasks)
-        for task in side_tasks:
-            task.cancel()
-        await asyncio.gather(*side_tasks, return_exceptions=True)
+        await self.config.close()
         await self.lease.close()
         await self.command_runner.close()
         await self.dispatcher.close()
 
-    # What is in force
-
-    def apply_table(self, table: state.Table) -> None:
-        """Put a table in force, and tell peers of it."""
-        self.rows = table.rows
-        self.table_in_force = table
-        self.gate.forget_teams(table.rows)
-        if self._spreading is None or self._spreading.done():
-            self._spreading = self._start_side_task(
-                self.membership.spread(_SPREAD_FANOUT)
-            )
-
-    def apply_layout(self, layout: state.Layout) -> None:
-        """Put a layout in force."""
-        self.layout_in_force = layout
-        self.dispatcher.apply_layout(layout)
-
-    def get_config(self) -> members.ConfigInForce:
-        """Return what is in force, for digests."""
-        return members.ConfigInForce(
-            table_revision=self.table.revision,
-            table_age_s=self.table.get_age_s(),
-            layout_revision=self.layout.revision,
-        )
-
-    def answer_config(
-        self, request: protocol.ConfigRequest
-    ) -> protocol.ConfigReply:
-        """Give a peer what it has not yet got."""
-        table, layout = self.table_in_force, self.layout_in_force
-        new_table = table.revision > request.table_revision
-        new_layout = layout.revision > request.layout_revision
-        return protocol.ConfigReply(
-            table=table if new_table else None,
-            layout=layout if new_layout else None,
-        )
-
-    def on_digest(self, digest: protocol.Digest) -> None:
-        """Compare what a peer has in force with ours; fetch what is later."""
-        if digest.table_revision == self.table.revision:
-            self.table.confirm(digest.table_age_s)
-        later = (
-            digest.table_revision > self.table.revision
-            or digest.layout_revision > self.layout.revision
-        )
-        ended = self.lifecycle.state is lifecycle.HostState.STOPPED
-        if ended or not later:
-            return
-        if self._fetching is None or self._fetching.done():
-            self._fetching = self._start_side_task(
-                self._fetch_config(digest.sender)
-            )
+    # Shares
 
     def on_members(self) -> None:
         """Divide limits and connections anew."""
@@ -227,82 +143,11 @@
         self._book.set_hosts(sharing)
         self.dispatcher.set_host_count(len(sharing))
 
-    async def _fetch_config(self, peer: protocol.Member) -> None:
-        request = protocol.ConfigRequest(
-            table_revision=self.table.revision,
-            layout_revision=self.layout.revision,
-        )
-        fetched = await self._peers.fetch_config(
-            peer.control, request, _CONFIG_FETCH_TIMEOUT_S
-        )
-        if fetched.is_err():
-            return
-        reply = fetched.unwrap()
-        origin = f'peer {peer.host}'
-        # Layout first: a table may name collections that are new in it.
-        if reply.layout and not state.check_layout(reply.layout):
-            self.layout.offer(reply.layout, origin)
-        if reply.table and not state.check_table(reply.table):
-            self.table.offer(reply.table, origin)
-
     async def _state_demand(self) -> None:
         while True:
             self._book.state_demand()
             await asyncio.sleep(self.settings.membership.period_s)
 
-    @property
-    def is_isolated(self) -> bool:
-        """Tell whether this host may be serving a table long replaced.
-
-        So it is when neither the key-value service nor any peer has been
-        heard of for `isolation_s`.
-        """
-        if self.membership.is_alone:
-            return False
-        return self._get_silence_s() > self.settings.membership.isolation_s
-
-    def _get_silence_s(self) -> float:
-        """Return for how long nobody has been heard of, in seconds."""
-        heard = max(
-            self.table.heard_at or -math.inf,
-            self.membership.heard_at or -math.inf,
-        )
-        return self._clock.now() - max(heard, self._started_at)
-
-    async def _keep_in_touch(self) -> None:
-        """Read the table when its revision has not been confirmed lately.
-
-        One host's reading confirms it for all, since its age goes round
-        with the digests. Hosts take turns, the next one being due if the
-        first has not read, so the readings do not grow with the fleet. A
-        host that hears no peer reads by itself, lest it count as isolated.
-        While the service is silent the pauses grow.
-        """
-        shortest_s = (
-            self.settings.membership.isolation_s / _CHECKS_BEFORE_ALONE
-        )
-        pause_s = shortest_s
-        while True:
-            await asyncio.sleep(pause_s * self._source.uniform(0.5, 1.0))
-            due_s = self.settings.platform.recheck_s * (1 + self._get_turn())
-            old = self.table.get_age_s() > due_s
-            if not old and self._get_silence_s() <= shortest_s:
-                continue
-            if await self.table.check():
-                pause_s = shortest_s
-            else:
-                pause_s = min(2 * pause_s, _LONGEST_CHECK_PAUSE_S)
-
-    def _get_turn(self) -> int:
-        """Return how many hosts are to read the table before this one."""
-        epoch = int(self._clock.wall() // _TURN_EPOCH_S)
-        own = _hash_turn(self.membership.me.host, epoch)
-        before = sum(
-            _hash_turn(member.host, epoch) < own
-            for member in self.membership.list_live()
-        )
-        return min(before, _LAST_TURN)
-
     # Requests
 
     def authenticate(
@@ -310,7 +155,7 @@
     ) -> result.Result[state.TeamRow, protocol.Refused]:
         """Return the row of the team that a token belongs to."""
         claimed = state.split_token(token or '')
-        row = self.rows.get(claimed.ok()) if claimed.is_ok() else None
+        row = self.config.rows.get(claimed.ok()) if claimed.is_ok() else None
         known = row.token_hashes if row else ()
         # Checked for unknown teams too: their absence takes no less time.
         if state.check_token(token or '', known or ('none$none',)) and row:
@@ -332,7 +177,7 @@
                 detail=f'this host is {self.lifecycle.state.value}',
                 retry_after_s=_NOT_READY_RETRY_S if starting else 0.0,
             )
-        if self.is_isolated:
+        if self.config.is_isolated:
             return protocol.Refused(
                 reason=protocol.RefusalReason.ISOLATED,
                 detail='this host hears neither the key-value service nor '
@@ -473,10 +318,6 @@
         self.ring.record(kind, team=team, query=query_id, detail=detail)
 
 
-def _hash_turn(host: state.HostId, epoch: int) -> int:
-    return xxhash.xxh64_intdigest(host.encode(), epoch)
-
-
 def describe_outcome(
     outcome: protocol.Outcome,
 ) -> tuple[state.EventKind, str]:
--- a/rudderrock/experiments/_run.py
+++ b/rudderrock/experiments/_run.py
@@ -88,7 +88,7 @@
     loop = async_solipsism.EventLoop()
     if crashes is not None:
         loop.set_exception_handler(
-            lambda _, found: crashes.append(repr(found.get('exception')))
+            lambda _, found: crashes.append(_describe_crash(found))
         )
     with warnings.catch_warnings():
         warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
@@ -98,6 +98,12 @@
             loop.close()
 
 
+def _describe_crash(found: dict[str, Any]) -> str:
+    exception = found.get('exception')
+    task = found.get('task') or found.get('future')
+    return f'{found.get("message")}: {exception!r} in {task!r}'
+
+
 async def _run(plan, report) -> outcomes.ExperimentResult:
     hosts = plan.deployment.hosts
     async with standins.run_fleet(
--- a/rudderrock/experiments/_table_schedules.py
+++ b/rudderrock/experiments/_table_schedules.py
@@ -115,7 +115,7 @@
         latest: dict[str, int] = {}
         while True:
             for name, running in self.fleet.hosts.items():
-                revision = running.host.table_in_force.revision
+                revision = running.host.config.table_in_force.revision
                 if revision < latest.get(name, 0):
                     self.reverts.append(f'{name} went back to {revision}')
                 latest[name] = revision
@@ -243,8 +243,9 @@
 ) -> list[str]:
     """Check that every host that lives has the last table in force."""
     return [
-        f'{name} has revision {running.host.table_in_force.revision} of '
-        f'{table.revision} in force'
+        f'{name} has {running.host.config.table_in_force.revision} in '
+        f'force, not {table.revision}'
         for name, running in fleet.hosts.items()
-        if not running.task.done() and running.host.table_in_force != table
+        if not running.task.done()
+        and running.host.config.table_in_force != table
     ]
--- a/rudderrock/frontend/_callers.py
+++ b/rudderrock/frontend/_callers.py
@@ -66,7 +66,7 @@
         if not host.lifecycle.is_ready:
             text = f'not ready: {host.lifecycle.state.value}\n'
             return responses.PlainTextResponse(text, 503)
-        if host.is_isolated:
+        if host.config.is_isolated:
             return responses.PlainTextResponse('not ready: isolated\n', 503)
         return responses.PlainTextResponse('ready\n')
 
--- a/rudderrock/frontend/_control.py
+++ b/rudderrock/frontend/_control.py
@@ -93,7 +93,7 @@
     async def config(
         message: protocol.ConfigRequest,
     ) -> protocol.ConfigReply:
-        return host.answer_config(message)
+        return host.config.answer_config(message)
 
     async def events(message: EventsRequest) -> list[state.Event]:
         return host.ring.list_since(message.since)
@@ -143,15 +143,15 @@
 
 def make_status(host: coordination.EntryHost) -> HostStatus:
     """Return what a host tells operators of itself."""
-    age_s = host.table.get_age_s()
+    age_s = host.config.table.get_age_s()
     return HostStatus(
         host=state.HostId(host.settings.host.id),
         zone=state.ZoneId(host.settings.host.zone),
         state=host.lifecycle.state,
-        isolated=host.is_isolated,
-        table_revision=host.table.revision,
+        isolated=host.config.is_isolated,
+        table_revision=host.config.table.revision,
         table_age_s=None if age_s == float('inf') else age_s,
-        layout_revision=host.layout.revision,
+        layout_revision=host.config.layout.revision,
         in_flight=host.gate.in_flight,
         members=host.membership.list_members(),
     )
@@ -172,12 +172,14 @@
         'rudderrock_version_restarts_total': counters.restarts,
         'rudderrock_extra_load_ratio': counters.extra_load,
         'rudderrock_shard_requests_in_flight': host.gate.in_flight,
-        'rudderrock_table_revision': host.table.revision,
-        'rudderrock_table_age_seconds': min(host.table.get_age_s(), 1e9),
-        'rudderrock_layout_revision': host.layout.revision,
+        'rudderrock_table_revision': host.config.table.revision,
+        'rudderrock_table_age_seconds': min(
+            host.config.table.get_age_s(), 1e9
+        ),
+        'rudderrock_layout_revision': host.config.layout.revision,
         'rudderrock_members': len(host.membership.list_members()),
         'rudderrock_ready': int(host.lifecycle.is_ready),
-        'rudderrock_isolated': int(host.is_isolated),
+        'rudderrock_isolated': int(host.config.is_isolated),
     }
     samples = [
         coordination.Sample(name=name, value=value, labels={})
--- a/rudderrock/programs/demo.py
+++ b/rudderrock/programs/demo.py
@@ -155,7 +155,9 @@
         row = dataclasses.replace(base, **fields)
         edit = await self._change(team, base, row)
         began = self._clock.now()
-        while any(host.table.revision < edit.revision for host in self._hosts):
+        while any(
+            host.config.table.revision < edit.revision for host in self._hosts
+        ):
             await asyncio.sleep(0.001)
         passed = self._clock.now() - began
         print(
--- a/rudderrock/root.py
+++ b/rudderrock/root.py
@@ -68,13 +68,13 @@
         host_id, store, dispatcher, settings, clock, draw('claims'), ring
     )
 
-    # The followers and the membership call back into the host, which is
-    # made last; so their callbacks look it up when they are called.
+    # The followers and the membership call back into parts that are made
+    # after them; so their callbacks look these up when they are called.
     def on_table(table: state.Table) -> None:
-        host.apply_table(table)
+        config.apply_table(table)
 
     def on_layout(layout: state.Layout) -> None:
-        host.apply_layout(layout)
+        config.apply_layout(layout)
 
     table = coordination.KeyFollower(
         ports.kv,
@@ -129,21 +129,31 @@
         settings.membership,
         book=book,
         has_lease=lease.has_lease,
-        get_config=lambda: host.get_config(),
-        on_digest=lambda digest: host.on_digest(digest),
+        get_config=lambda: config.get_config(),
+        on_digest=lambda digest: config.on_digest(digest),
         on_change=lambda: host.on_members(),
         clock=clock,
         hybrid=hybrid,
         source=draw('members'),
         ring=ring,
     )
-    host = coordination.EntryHost(
+    config = coordination.Configuration(
         settings,
+        table=table,
+        layout=layout,
+        membership=membership,
+        dispatcher=dispatcher,
+        gate=gate,
+        peers=ports.peers,
         clock=clock,
         source=draw('host'),
+    )
+    host = coordination.EntryHost(
+        settings,
+        clock=clock,
+        source=draw('query ids'),
         ring=ring,
-        table=table,
-        layout=layout,
+        config=config,
         dispatcher=dispatcher,
         runner=runner,
         book=book,
@@ -151,7 +161,6 @@
         command_runner=command_runner,
         membership=membership,
         lease=lease,
-        peers=ports.peers,
     )
     return host
 
--- a/rudderrock/standins/_fleet.py
+++ b/rudderrock/standins/_fleet.py
@@ -199,7 +199,7 @@
         began = self.clock.now()
         async with asyncio.timeout(_READY_TIMEOUT_S):
             while any(
-                running.host.table.revision < revision
+                running.host.config.table.revision < revision
                 for running in self.hosts.values()
                 if not running.task.done()
             ):
--- a/rudderrock/standins/_memory.py
+++ b/rudderrock/standins/_memory.py
@@ -220,7 +220,7 @@
         """Ask a peer for a later table and layout."""
 
         async def ask(host) -> protocol.ConfigReply:
-            return host.answer_config(message)
+            return host.config.answer_config(message)
 
         return await self._call(address, message, timeout_s, ask)
 
