Close every part of a host even if its closing is cancelled

A host that was cancelled a second time while it waited for its lease to be handed back went no further in its list of things to close.

Change: each part is closed by a callback of its own on the exit stack.

Conclusion: an exit stack owns each thing, not one function all of them.

--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -65,7 +65,12 @@
     async def run(self) -> None:
         """Serve until a planned stop has ended."""
         async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(self._close)
+            # Each by itself, so that all are closed even if this task is
+            # cancelled again while one of them is waited for.
+            stack.push_async_callback(self.dispatcher.close)
+            stack.push_async_callback(self.command_runner.close)
+            stack.push_async_callback(self.lease.close)
+            stack.push_async_callback(self.config.close)
             group = await stack.enter_async_context(_task_group())
             group.create_task(self.config.table.run())
             group.create_task(self.config.layout.run())
@@ -129,12 +134,6 @@
             index = hosts.index(self.membership.me.host)
             await self.command_runner.clean(index, len(hosts))
 
-    async def _close(self) -> None:
-        await self.config.close()
-        await self.lease.close()
-        await self.command_runner.close()
-        await self.dispatcher.close()
-
     # Shares
 
     def on_members(self) -> None:
