An upstream that said it leaves is used again after its restart

Ruled out: ending it at a reconnect alone, since a leaving upstream may still take connections and would be given work.

Change: what the layout says and what the upstream says are kept apart; one that left by its own word and then could not be connected to has left, and starts cold when it is back.

--- a/features/query.feature
+++ b/features/query.feature
@@ -82,3 +82,16 @@
     And the load ends
     Then upstream "members-3-0" has received nothing since
     And every answer covers all shards
+
+  Scenario: an upstream that said it leaves gets work again after a restart
+    Given 1 host before 2 services
+    And the team "desk"
+    And the upstream "members-1-0" says that it leaves
+    When "desk" asks 40 times a second for 1 seconds
+    And the record of upstream "members-1-0" is noted
+    And "desk" asks 40 times a second for 3 seconds
+    Then upstream "members-1-0" has received nothing since
+    When the upstream "members-1-0" is restarted
+    And "desk" asks 40 times a second for 10 seconds
+    Then upstream "members-1-0" has received work since
+    And every answer covers all shards
--- a/features/steps/upstreams.py
+++ b/features/steps/upstreams.py
@@ -1,5 +1,7 @@
 """Steps that break and mend upstreams, and read their records."""
 
+import asyncio
+
 from behave import given
 from behave import then
 from behave import use_step_matcher
@@ -9,6 +11,8 @@
 
 use_step_matcher('re')
 
+_RESTART_S = 5.0
+
 
 def _list_replicas(context, shard):
     return [
@@ -47,6 +51,25 @@
         model.faults.slow_factor = float(factor)
 
 
+@given(r'the upstream "([^"]+)" says that it leaves')
+def say_leaving(context, upstream):
+    context.bench.fleet.models[upstream].faults.leaving = True
+
+
+@when(r'the upstream "([^"]+)" is restarted')
+def restart(context, upstream):
+    """Let it be gone for a while, and come back as new."""
+    faults = context.bench.fleet.models[upstream].faults
+
+    async def be_gone():
+        faults.lost = True
+        await asyncio.sleep(_RESTART_S)
+        faults.lost = False
+        faults.leaving = False
+
+    run(context, be_gone())
+
+
 @when(r'the layout says that upstream "([^"]+)" leaves')
 def set_leaving(context, upstream):
     leaving = context.bench.fleet.layout.leaving | {upstream}
@@ -59,6 +82,12 @@
     context.bench.notes[upstream] = received
 
 
+@then(r'upstream "([^"]+)" has received work since')
+def check_new_work(context, upstream):
+    received = context.bench.fleet.models[upstream].received
+    assert received > context.bench.notes[upstream], received
+
+
 @then(r'upstream "([^"]+)" has received nothing since')
 def check_no_new_work(context, upstream):
     received = context.bench.fleet.models[upstream].received
--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -34,6 +34,8 @@
 from rudderrock.coordination._gather import Gathering
 from rudderrock.coordination._gather import GatherParts
 from rudderrock.coordination._gather import QueryTicket
+from rudderrock.coordination._health import MIN_LIMIT
+from rudderrock.coordination._health import UpstreamHealth
 from rudderrock.coordination._host import describe_outcome
 from rudderrock.coordination._host import EntryHost
 from rudderrock.coordination._latency import FadingMean
@@ -101,6 +103,7 @@
     'LatePoint',
     'LeaseCheck',
     'Lifecycle',
+    'MIN_LIMIT',
     'Mailbox',
     'Membership',
     'NotCommitted',
@@ -118,6 +121,7 @@
     'Taken',
     'TeamMetrics',
     'UNKNOWN_PATIENCE_S',
+    'UpstreamHealth',
     'UpstreamLink',
     'UpstreamState',
     'VersionChooser',
--- a/rudderrock/coordination/_dispatch.py
+++ b/rudderrock/coordination/_dispatch.py
@@ -50,7 +50,7 @@
         would only make it slower.
         """
         return any(
-            link.is_reachable and link.late <= pause_above
+            link.is_reachable and link.health.late <= pause_above
             for link in self.links
             if link.upstream.upstream not in avoid
         )
@@ -58,7 +58,8 @@
     def can_serve(self, version: state.IndexVersion, now: float) -> bool:
         """Tell whether some replica can be expected to have a version."""
         return any(
-            link.is_reachable and not link.lacks(self.shard, version, now)
+            link.is_reachable
+            and not link.health.lacks(self.shard, version, now)
             for link in self.links
         )
 
@@ -121,7 +122,7 @@
         for upstream in set(self._links) - set(layout.upstreams):
             self._drop_link(upstream)
         for upstream, link in self._links.items():
-            link.mark_leaving(upstream in layout.leaving, 'layout')
+            link.apply_layout(upstream in layout.leaving)
         self._rebuild_services()
 
     def set_host_count(self, hosts: int) -> None:
@@ -156,7 +157,8 @@
         """Tell whether some replica has a version by all signs."""
         now = self._clock.now()
         return any(
-            link.is_reachable and not link.seems_to_lack(shard, version, now)
+            link.is_reachable
+            and not link.health.seems_to_lack(shard, version, now)
             for link in self._services[shard].links
         )
 
@@ -200,13 +202,15 @@
             for link in service.links
             if link.takes_new_work
             and link.upstream.upstream not in attempt.avoid
-            and not link.lacks(request.shard, request.version, now)
+            and not link.health.lacks(request.shard, request.version, now)
         ]
         favoured = [
             link
             for link in able
-            if link.is_favoured(now)
-            and not link.seems_to_lack(request.shard, request.version, now)
+            if link.health.is_favoured(now)
+            and not link.health.seems_to_lack(
+                request.shard, request.version, now
+            )
         ]
         free = [link for link in favoured or able if link.is_free]
         if len(free) > 2:
@@ -215,13 +219,13 @@
             return None
         if self._settings.routing.choice is state.ReplicaChoice.RANDOM:
             return self._source.choice(free)
-        return min(free, key=lambda link: self._score(link, now))
+        return min(free, key=lambda link: self._get_cost(link, now))
 
-    def _score(self, link: links.UpstreamLink, now: float) -> float:
-        score = link.get_score(now)
+    def _get_cost(self, link: links.UpstreamLink, now: float) -> float:
+        cost = link.get_cost(now)
         if link.upstream.zone != self._zone:
-            score *= _ZONE_PENALTY
-        return score
+            cost *= _ZONE_PENALTY
+        return cost
 
     def _on_free(self, link: links.UpstreamLink) -> None:
         """Give a lane that became idle to who waits for it."""
