Let parts of limits grow slowly; probe twice before asking others

A team that began to ask for three times its limit at seven hosts at once got 2.44 times the limit in the first second: each host saw its own demand before it heard of the others' and took nearly all. And with 5 % of messages lost a host was held suspect 129 times an hour and host at 7 hosts, 323 times at 20.

Ruled out: the token buckets' burst alone (0.5 of the 2.44).

Change: a host's part of a limit falls at once and grows by 5 % of the limit a second; a silent peer is probed a second time before others are asked.

--- /dev/null
+++ b/benchmarks/hosts.py
@@ -0,0 +1,151 @@
+"""False suspicion under loss, and how far limits are overshot.
+
+On virtual time, so the figures repeat exactly. A limit's overshoot is what
+all hosts admitted in the worst second, and over all, against the limit; the
+team asks for three times its limit throughout.
+"""
+
+import asyncio
+import warnings
+
+import async_solipsism
+
+from rudderrock import protocol
+from rudderrock import standins
+from rudderrock import state
+
+_LOSSES = (0.01, 0.05, 0.1, 0.2)
+_WATCH_S = 600.0
+_LIMIT = 200.0
+_ASK_FACTOR = 3.0
+_RUN_S = 60.0
+_EVENT_AT_S = 20.0
+
+
+def _make_deployment(hosts: int) -> standins.Deployment:
+    return standins.Deployment(
+        name='hosts',
+        hosts=hosts,
+        network=standins.Network(regions={'north': ['north-1', 'north-2']}),
+        groups=[
+            standins.Group(
+                collection='members',
+                services=1,
+                servers=4,
+                slots=16,
+                connections=400,
+                service_s=0.001,
+            )
+        ],
+    )
+
+
+def _run(coroutine):
+    loop = async_solipsism.EventLoop()
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+async def _count_suspicions(hosts: int, loss: float) -> tuple[int, int]:
+    """Return how often some host held another suspect, or failed."""
+    async with standins.run_fleet(_make_deployment(hosts), hosts, 1) as fleet:
+        fleet.peers.faults.lose = loss
+        await asyncio.sleep(_WATCH_S)
+        kinds = {'suspect': 0, 'failed': 0}
+        for running in fleet.hosts.values():
+            for event in running.host.ring.list_since(state.Stamp()):
+                word = event.detail.rpartition(' ')[2]
+                if event.kind is state.EventKind.PEER_STATE and word in kinds:
+                    kinds[word] += 1
+        return kinds['suspect'], kinds['failed']
+
+
+def measure_suspicion() -> None:
+    """False suspicions by the part of messages lost."""
+    for hosts in (7, 20):
+        for loss in _LOSSES:
+            suspected, failed = _run(_count_suspicions(hosts, loss))
+            hours = hosts * _WATCH_S / 3600
+            print(
+                f'{hosts:>3} hosts, {100 * loss:2.0f} % lost: '
+                f'{suspected / hours:7.1f} times suspect and '
+                f'{failed / hours:5.1f} failed, an hour and host'
+            )
+
+
+async def _ask(fleet, admitted: list[float], pick) -> None:
+    """Ask for three times the limit, noting when each was admitted."""
+    gap_s = 1.0 / (_LIMIT * _ASK_FACTOR)
+    tasks = []
+
+    async def ask(host: str) -> None:
+        began = fleet.clock.now()
+        outcome = await fleet.query(host, 'desk', 'members')
+        if isinstance(outcome, protocol.Answered):
+            admitted.append(began)
+
+    for number in range(round(_RUN_S / gap_s)):
+        tasks.append(asyncio.create_task(ask(pick(number))))
+        await asyncio.sleep(gap_s)
+    await asyncio.gather(*tasks)
+
+
+async def _overshoot(hosts: int, event: str) -> tuple[float, float]:
+    """Return admitted to limit, in the worst second and over all."""
+    async with standins.run_fleet(_make_deployment(hosts), hosts, 1) as fleet:
+        edit = await fleet.set_row('desk', rate=_LIMIT, deadline_s=1.0)
+        await fleet.wait_until_in_force(edit.revision)
+        await asyncio.sleep(3.0)
+        admitted: list[float] = []
+        start = fleet.clock.now()
+        moved = start + _EVENT_AT_S
+
+        def pick(number: int) -> str:
+            after = fleet.clock.now() >= moved
+            if event == 'skew moves':
+                return 'h2' if after else 'h1'
+            live = hosts - 1 if event == 'host crashes' and after else hosts
+            return f'h{1 + number % live}'
+
+        load = asyncio.create_task(_ask(fleet, admitted, pick))
+        await asyncio.sleep(_EVENT_AT_S)
+        if event == 'host crashes':
+            await fleet.crash_host(f'h{hosts}')
+        elif event == 'hosts part':
+            _part(fleet, hosts)
+        await load
+        seconds = [int(at - start) for at in admitted]
+        worst = max(seconds.count(each) for each in set(seconds))
+        return worst / _LIMIT, len(admitted) / (_LIMIT * _RUN_S)
+
+
+def _part(fleet: standins.MemoryFleet, hosts: int) -> None:
+    """Let one half of the hosts hear nothing of the other."""
+    addresses = [running.address for running in fleet.hosts.values()]
+    for one in addresses[: hosts // 2]:
+        for other in addresses[hosts // 2 :]:
+            fleet.peers.faults.cut.add(frozenset({one, other}))
+
+
+def measure_limits() -> None:
+    """Overshoot of a limit by what happens to the hosts."""
+    for hosts in (3, 7):
+        for event in ('nothing', 'skew moves', 'host crashes', 'hosts part'):
+            worst, overall = _run(_overshoot(hosts, event))
+            print(
+                f'{hosts} hosts, {event:<13}: {worst:.2f} times the limit in '
+                f'the worst second, {overall:.2f} over all'
+            )
+
+
+def main() -> None:
+    """Measure both."""
+    warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
+    measure_suspicion()
+    measure_limits()
+
+
+if __name__ == '__main__':
+    main()
--- a/rudderrock/coordination/_members.py
+++ b/rudderrock/coordination/_members.py
@@ -26,6 +26,7 @@
 _NEWS_REPEAT = 3
 _MILLIS = 1000
 _LIST_PERIODS = 10
+_OWN_TRIES = 2
 _LONGEST_AGE_S = 1e9
 
 LeaseCheck = Callable[
@@ -293,8 +294,11 @@
 
     async def _probe(self, target: protocol.Member) -> None:
         """Probe a peer, with the help of others if it is silent."""
-        if await self._send_probe(target):
-            return
+        # Twice by ourselves: one lost message is far likelier than a lost
+        # host, and asking others costs them four messages each.
+        for _ in range(_OWN_TRIES):
+            if await self._send_probe(target):
+                return
         if await self._ask_others(target):
             return
         known = self._members.get(target.host)
--- a/rudderrock/coordination/_shares.py
+++ b/rudderrock/coordination/_shares.py
@@ -13,6 +13,7 @@
 from rudderrock import state
 
 _MIN_RATE = 0.01
+_SPARE_FRACTIONS = 64
 _STATEMENT_MEMORY_S = 60.0
 
 
@@ -34,6 +35,7 @@
         self._asked: collections.Counter[state.TeamId] = collections.Counter()
         self._rates: dict[state.TeamId, float] = {}
         self._stated: dict[state.HostId, protocol.Demand] = {}
+        self._fractions: dict[state.TeamId, tuple[float, float]] = {}
         self._heard_at: dict[state.HostId, float] = {}
         self._count = 0
         self._stated_at = clock.now()
@@ -66,6 +68,12 @@
             for team, rate in self._rates.items()
             if rate >= _MIN_RATE
         }
+        if len(self._fractions) > 2 * len(self._rates) + _SPARE_FRACTIONS:
+            self._fractions = {
+                team: known
+                for team, known in self._fractions.items()
+                if team in self._rates
+            }
         self._count += 1
         self._forget_old(now)
         demand = protocol.Demand(
@@ -113,8 +121,24 @@
         own = self._stated.get(self._host)
         mine = own.rates.get(team, 0.0) if own else 0.0
         if total <= 0.0:
-            return 1.0 / self._hosts
-        return floor + (1.0 - self._settings.floor) * mine / total
+            return self._approach(team, 1.0 / self._hosts)
+        part = (1.0 - self._settings.floor) * mine / total
+        return self._approach(team, floor + part)
+
+    def _approach(self, team: state.TeamId, target: float) -> float:
+        """Return the fraction now, on its way to where it is to be.
+
+        It falls at once and grows slowly. When a team starts to ask at
+        many hosts at once, each of them sees its own demand before it
+        hears of the others', and would take all of the limit.
+        """
+        now = self._clock.now()
+        even = 1.0 / self._hosts
+        fraction, at = self._fractions.get(team, (even, now))
+        grown = fraction + self._settings.growth_per_s * (now - at)
+        fraction = min(target, max(grown, min(even, target)))
+        self._fractions[team] = (fraction, now)
+        return fraction
 
     def _forget_old(self, now: float) -> None:
         """Drop statements that have not been renewed for long."""
--- a/rudderrock/state/_settings.py
+++ b/rudderrock/state/_settings.py
@@ -219,13 +219,16 @@
 
     `floor` is the part split evenly, so that a host that sees the first
     request of a team can serve it; the rest follows observed demand,
-    averaged over `demand_window_s`.
+    averaged over `demand_window_s`. A host's part falls at once, but grows
+    by no more than `growth_per_s` of the limit a second, so that hosts
+    hear of one another's demand before they use it.
     """
 
     __pydantic_config__ = constraints.FORBID_UNKNOWN
 
     floor: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.2
     demand_window_s: _Seconds = 5.0
+    growth_per_s: Annotated[float, pydantic.Field(gt=0, le=10)] = 0.05
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
