--- /dev/null
+++ b/benchmarks/commands.py
@@ -0,0 +1,88 @@
+"""What commands cost the key-value service, and how long they take.
+
+On virtual time: hosts in front of one shard, callers that issue passes at a
+steady rate, one in ten of them repeated at another host. The service takes
+1 ms a call.
+"""
+
+import asyncio
+import warnings
+
+import async_solipsism
+
+from rudderrock import protocol
+from rudderrock import standins
+
+_SECONDS = 20.0
+_REPEAT_EACH = 10
+_RATES = (10, 50, 200, 400)
+
+
+def _make_deployment(hosts: int) -> standins.Deployment:
+    return standins.Deployment(
+        name='commands',
+        hosts=hosts,
+        network=standins.Network(regions={'north': ['north-1']}),
+        groups=[
+            standins.Group(
+                collection='members',
+                services=4,
+                servers=2,
+                slots=16,
+                connections=400,
+                service_s=0.002,
+            )
+        ],
+    )
+
+
+async def _measure(hosts: int, rate: int) -> None:
+    async with standins.run_fleet(_make_deployment(hosts), hosts, 1) as fleet:
+        edit = await fleet.set_row('desk', may_write=True, rate=1e6)
+        await fleet.wait_until_in_force(edit.revision)
+        times = []
+        outcomes = []
+
+        async def send(number: int, key: str) -> None:
+            began = fleet.clock.now()
+            host = f'h{1 + number % hosts}'
+            outcome = await fleet.command(host, 'desk', 'members', key)
+            outcomes.append(outcome)
+            times.append(fleet.clock.now() - began)
+
+        writes, reads = fleet.kv.writes, fleet.kv.reads
+        tasks = []
+        key = fleet.make_key()
+        for number in range(round(rate * _SECONDS)):
+            if number % _REPEAT_EACH:
+                key = fleet.make_key()
+            tasks.append(asyncio.create_task(send(number, key)))
+            await asyncio.sleep(1.0 / rate)
+        await asyncio.gather(*tasks)
+        recorded = sum(
+            isinstance(outcome, protocol.Recorded) for outcome in outcomes
+        )
+        times.sort()
+        print(
+            f'{hosts} hosts, {rate:>4} commands/s: '
+            f'{(fleet.kv.writes - writes) / _SECONDS:6.1f} writes/s '
+            f'{(fleet.kv.reads - reads) / _SECONDS:5.1f} reads/s, median '
+            f'{1000 * times[len(times) // 2]:5.1f} ms, 99 % '
+            f'{1000 * times[int(len(times) * 0.99)]:6.1f} ms, {recorded} of '
+            f'{len(outcomes)} recorded',
+            flush=True,
+        )
+
+
+def main() -> None:
+    """Measure each rate at three and at seven hosts."""
+    warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
+    for hosts in (3, 7):
+        for rate in _RATES:
+            loop = async_solipsism.EventLoop()
+            loop.run_until_complete(_measure(hosts, rate))
+            loop.close()
+
+
+if __name__ == '__main__':
+    main()
--- a/rudderrock/experiments/__init__.py
+++ b/rudderrock/experiments/__init__.py
@@ -5,6 +5,7 @@
 from rudderrock.experiments._outcomes import compare_results
 from rudderrock.experiments._outcomes import ExperimentResult
 from rudderrock.experiments._outcomes import format_result
+from rudderrock.experiments._outcomes import Inside
 from rudderrock.experiments._outcomes import make_mark
 from rudderrock.experiments._outcomes import Mark
 from rudderrock.experiments._outcomes import PERCENTILES
@@ -61,6 +62,7 @@
     'FalseLoad',
     'Fault',
     'HostGone',
+    'Inside',
     'KvDown',
     'Leave',
     'Lose',
--- a/rudderrock/experiments/_outcomes.py
+++ b/rudderrock/experiments/_outcomes.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 import pathlib
 
 from hdrh import histogram
@@ -64,19 +65,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class ExperimentResult:
-    """All that one run gave; the same seed gives the same figures.
+class Inside:
+    """What only the hosts and the stand-ins of a run know.
 
     `extra_load` is the upstream requests sent beyond one a shard, as a
     part of the shards asked for. `connections` is the most that any
     upstream had open, as a part of what it allows.
     """
 
-    name: str
-    seed: int
-    seconds: float
-    hosts: int
-    teams: list[TeamOutcome]
     extra_load: float
     hedges: int
     retries: int
@@ -84,8 +80,37 @@
     connections: float
     kv_reads: int
     kv_writes: int
+
+    def __str__(self) -> str:
+        return (
+            f'extra upstream load {100 * self.extra_load:.2f} % '
+            f'({self.hedges} hedges and {self.retries} retries on '
+            f'{self.shard_requests} shard requests), connections at most '
+            f'{100 * self.connections:.0f} % of what an upstream allows, '
+            f'key-value calls {self.kv_reads} reads, {self.kv_writes} writes'
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExperimentResult:
+    """All that one run gave; the same seed gives the same figures.
+
+    `inside` is None for a run against real hosts; their metrics have it.
+    """
+
+    name: str
+    seed: int
+    seconds: float
+    hosts: int
+    teams: list[TeamOutcome]
+    inside: Inside | None
     marks: list[Mark]
 
+    @property
+    def extra_load(self) -> float:
+        """Return the extra load, or NaN where it is not known."""
+        return self.inside.extra_load if self.inside else math.nan
+
     def find_team(self, team: str) -> TeamOutcome:
         """Return one team's outcome."""
         return next(each for each in self.teams if each.team == team)
@@ -212,14 +237,8 @@
             f'{latency["50"] * 1000:>8.1f}{latency["99"] * 1000:>8.1f}'
             f'{latency["99.9"] * 1000:>9.1f}'
         )
-    lines.append(
-        f'extra upstream load {100 * outcome.extra_load:.2f} % '
-        f'({outcome.hedges} hedges and {outcome.retries} retries on '
-        f'{outcome.shard_requests} shard requests), connections at most '
-        f'{100 * outcome.connections:.0f} % of what an upstream allows, '
-        f'key-value calls {outcome.kv_reads} reads, {outcome.kv_writes} '
-        'writes'
-    )
+    if outcome.inside is not None:
+        lines.append(str(outcome.inside))
     return '\n'.join(lines)
 
 
--- a/rudderrock/experiments/_real.py
+++ b/rudderrock/experiments/_real.py
@@ -47,8 +47,7 @@
 ) -> outcomes.ExperimentResult:
     """Send a plan's load to real hosts; its faults are left out.
 
-    What only the hosts know, such as extra load, is 0 in the result; read
-    it from their metrics.
+    What only the hosts know, such as extra load, is in their metrics.
     """
     loop = asyncio.get_running_loop()
     start = loop.time() + plan.warm_up_s
@@ -76,13 +75,7 @@
         seconds=plan.seconds,
         hosts=len(targets.hosts),
         teams=[driver.recorder.make_outcome() for driver in drivers],
-        extra_load=0.0,
-        hedges=0,
-        retries=0,
-        shard_requests=0,
-        connections=0.0,
-        kv_reads=0,
-        kv_writes=0,
+        inside=None,
         marks=[],
     )
 
--- a/rudderrock/experiments/_report.py
+++ b/rudderrock/experiments/_report.py
@@ -44,10 +44,8 @@
         '<!doctype html><html lang="en"><meta charset="utf-8">'
         f'<title>{title}</title><style>{_STYLE}</style><h1>{title}</h1>'
         f'<p>{outcome.hosts} hosts, {outcome.seconds:g} s, seed '
-        f'{outcome.seed}. Extra upstream load '
-        f'{100 * outcome.extra_load:.2f} % ({outcome.hedges} hedges, '
-        f'{outcome.retries} retries on {outcome.shard_requests} shard '
-        f'requests). Grey bands are faults.</p>{_make_table(outcome)}'
+        f'{outcome.seed}; {outcome.inside or "run against real hosts"}. '
+        f'Grey bands are faults.</p>{_make_table(outcome)}'
         + ''.join(plots)
         + '</html>'
     )
--- a/rudderrock/experiments/_run.py
+++ b/rudderrock/experiments/_run.py
@@ -201,13 +201,15 @@
         seconds=plan.seconds,
         hosts=plan.deployment.hosts,
         teams=[driver.recorder.make_outcome() for driver in drivers],
-        extra_load=(hedges + retries) / max(1, shards),
-        hedges=hedges,
-        retries=retries,
-        shard_requests=shards,
-        connections=connections,
-        kv_reads=fleet.kv.reads,
-        kv_writes=fleet.kv.writes,
+        inside=outcomes.Inside(
+            extra_load=(hedges + retries) / max(1, shards),
+            hedges=hedges,
+            retries=retries,
+            shard_requests=shards,
+            connections=connections,
+            kv_reads=fleet.kv.reads,
+            kv_writes=fleet.kv.writes,
+        ),
         marks=[
             outcomes.make_mark(fault.kind, fault.at, fault.until, plan.seconds)
             for fault in plan.faults
--- a/rudderrock/programs/query.py
+++ b/rudderrock/programs/query.py
@@ -1,7 +1,6 @@
 """A caller's client: one query or one command."""
 
 import asyncio
-import json
 import random
 
 import defopt
@@ -27,7 +26,7 @@
     limit: int = 10,
     deadline_s: float | None = None,
     token: str = _TOKEN,
-    json_output: bool = False,
+    json: bool = False,
 ) -> None:
     """Send one query and print its answer.
 
@@ -40,7 +39,7 @@
     :param limit: how many hits are wanted
     :param deadline_s: bound on the answer, in seconds
     :param token: where the team's token is: env:NAME or a file
-    :param json_output: print JSON instead of text
+    :param json: print JSON instead of text
     """
     query = protocol.Query(
         collection=state.CollectionId(collection),
@@ -53,7 +52,7 @@
         return await client.query(query)
 
     reply = _send(host, token, send)
-    if json_output or reply.status != 200:
+    if json or reply.status != 200:
         _finish(reply)
         return
     answer = protocol.decode(protocol.Answered, reply.body).unwrap()
@@ -146,8 +145,8 @@
 
 def _check_json(text: str) -> bytes:
     try:
-        json.loads(text)
-    except json.JSONDecodeError as exc:
+        msgspec.json.decode(text)
+    except msgspec.DecodeError as exc:
         exits.fail(f'the body is not JSON: {exc}', exits.Exit.USAGE)
     return text.encode()
 
--- a/rudderrock/programs/table.py
+++ b/rudderrock/programs/table.py
@@ -4,13 +4,13 @@
 from collections.abc import Coroutine
 import dataclasses
 import datetime
-import json
 import pathlib
 import random
 import tomllib
 from typing import Any
 
 import defopt
+import msgspec
 import result
 
 from rudderrock import coordination
@@ -29,12 +29,12 @@
 _HIDDEN = ('token_hashes',)
 
 
-def show(team: str = '', *, kv: str = _KV, json_output: bool = False) -> None:
+def show(team: str = '', *, kv: str = _KV, json: bool = False) -> None:
     """Show the table, or one team's row.
 
     :param team: the team; all if left out
     :param kv: address of the key-value service
-    :param json_output: print JSON instead of text
+    :param json: print JSON instead of text
     """
     table = _run(_read(kv))
     rows = {
@@ -42,14 +42,14 @@
     }
     if team and not rows:
         exits.fail(f'no team {team!r}', exits.Exit.REFUSED)
-    if json_output:
+    if json:
         print(protocol.encode(rows).decode())
         return
     print(f'revision {table.revision}, {len(rows)} teams')
     for name, row in sorted(rows.items()):
         fields = _to_plain(row)
         text = ' '.join(
-            f'{key}={json.dumps(value)}'
+            f'{key}={protocol.encode(value).decode()}'
             for key, value in fields.items()
             if key not in ('team', *_HIDDEN)
         )
@@ -166,17 +166,15 @@
     _finish(outcome)
 
 
-def history(
-    *, kv: str = _KV, most: int = 20, json_output: bool = False
-) -> None:
+def history(*, kv: str = _KV, most: int = 20, json: bool = False) -> None:
     """Show who changed what, the latest last.
 
     :param kv: address of the key-value service
     :param most: how many edits to show
-    :param json_output: print JSON instead of text
+    :param json: print JSON instead of text
     """
     edits = _run(_read(kv)).history[-most:]
-    if json_output:
+    if json:
         print(protocol.encode(edits).decode())
         return
     for edit in edits:
@@ -326,13 +324,13 @@
     if not equals:
         exits.fail(f'{text!r} is not NAME=VALUE', exits.Exit.USAGE)
     try:
-        return name, json.loads(value)
-    except json.JSONDecodeError:
+        return name, msgspec.json.decode(value)
+    except msgspec.DecodeError:
         return name, value
 
 
 def _to_plain(row: state.TeamRow) -> dict[str, Any]:
-    return json.loads(protocol.encode(row))
+    return msgspec.json.decode(protocol.encode(row))
 
 
 def _get_user() -> str:
--- a/rudderrock/programs/timeline.py
+++ b/rudderrock/programs/timeline.py
@@ -49,7 +49,7 @@
     upstream: str = '',
     kinds: list[state.EventKind] = [],  # noqa: B006
     follow: bool = False,
-    json_output: bool = False,
+    json: bool = False,
     html: pathlib.Path | None = None,
     operator: str = _OPERATOR_SECRET,
 ) -> None:
@@ -64,7 +64,7 @@
     :param upstream: only events of this upstream
     :param kinds: only events of these kinds
     :param follow: go on showing events as they come
-    :param json_output: print one JSON object a line instead of text
+    :param json: print one JSON object a line instead of text
     :param html: write one HTML page here instead of printing
     :param operator: where the operators' secret is: env:NAME or a file
     """
@@ -76,9 +76,7 @@
         team=team, query=query, upstream=upstream, kinds=frozenset(kinds)
     )
     try:
-        silent = asyncio.run(
-            _show(client, host, chosen, follow, json_output, html)
-        )
+        silent = asyncio.run(_show(client, host, chosen, follow, json, html))
     except KeyboardInterrupt:
         return
     if silent:
@@ -133,7 +131,7 @@
     host: str,
     chosen: Filter,
     follow: bool,
-    json_output: bool,
+    json: bool,
     page: pathlib.Path | None,
 ) -> list[str]:
     collector = Collector(client, host)
@@ -144,18 +142,18 @@
             exits.fail('no event passes the filter', exits.Exit.REFUSED)
         page.write_text(pages.make_page(events))
         return silent
-    _print(events, json_output)
+    _print(events, json)
     while follow:
         await asyncio.sleep(_FOLLOW_PAUSE_S)
         await collector.collect()
         ready = collector.take(_SETTLE_S)
-        _print([each for each in ready if chosen.passes(each)], json_output)
+        _print([each for each in ready if chosen.passes(each)], json)
     return silent
 
 
-def _print(events: list[state.Event], json_output: bool) -> None:
+def _print(events: list[state.Event], json: bool) -> None:
     for event in events:
-        if json_output:
+        if json:
             print(protocol.encode(event).decode())
         else:
             print(pages.format_event(event))
