Pace claims and write them in groups

With 16 partitions and a writer that starts at once, a group was nearly always one claim, and recording the outcome cost another.

Ruled out: fewer partitions alone (a value of 300 s would pass 1 MB at 200 commands a second, and rewriting it cost the processor more than the rest).

Change: partitions of one second of key time; 150 writes a second for all hosts together, shared by membership; a reading before each write instead of writes that fail; outcomes are recorded with the next claims and not waited for. Old claims are deleted every 30 s, writers with nothing to do dropped.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -174,3 +174,34 @@
     When host "h1" is paused
     And host "h1" is cancelled, and again while it closes
     Then no upstream has a connection open
+
+  Scenario: a key that has aged out is refused, and its claim is gone
+    Given 3 hosts before 2 services with settings
+      | setting               | value |
+      | claims.retention_s    | 20    |
+      | claims.clean_period_s | 5     |
+    And the team "desk" with
+      | field     | value |
+      | may_write | true  |
+    When "desk" sends a command to host "h1"
+    Then the command ran once
+    And claims are kept
+    When "desk" sends the same command to host "h2"
+    Then the command ran once
+    When 90 seconds pass
+    Then no claims are kept
+    When "desk" sends the same command to host "h3"
+    Then the command is refused as "key_expired"
+    And the command ran once in all
+
+  Scenario: commands are written in groups, below the rate allowed
+    Given 3 hosts before 2 services with settings
+      | setting              | value |
+      | claims.writes_per_s  | 30    |
+    And the team "desk" with
+      | field      | value |
+      | may_write  | true  |
+      | deadline_s | 5     |
+    When "desk" sends 100 commands a second for 5 seconds to all hosts
+    Then all of the 500 commands ran once
+    And the key-value service got at most 40 writes a second
--- a/rudderrock/coordination/_claims.py
+++ b/rudderrock/coordination/_claims.py
@@ -7,8 +7,11 @@
 """
 
 import asyncio
+from collections.abc import Callable
+import contextlib
 import dataclasses
 import enum
+import math
 import re
 
 import result
@@ -17,13 +20,16 @@
 from rudderrock import protocol
 from rudderrock import state
 from rudderrock import transport
+from rudderrock.coordination import _budget as budgets
 
 _PREFIX = 'rudderrock/claims'
 _KEY_PATTERN = re.compile(r'^(\d{10})-[A-Za-z0-9_-]{8,64}$')
 _FIRST_PAUSE_S = 0.01
 _LONGEST_PAUSE_S = 0.5
-_CLEAN_EPOCHS = 3
-_MAX_VALUE_BYTES = 900_000
+_MOST_IDLE = 64
+# Writes that a host may make at once after a quiet time.
+_PACE_BURST = 4.0
+_SHORTEST_WAIT_S = 0.001
 
 
 class ClaimState(enum.Enum):
@@ -100,19 +106,30 @@
     """The one writer of one value of claims at this host."""
 
     def __init__(
-        self, key: str, kv: transport.KvPort, settings: state.ClaimSettings
+        self,
+        key: str,
+        kv: transport.KvPort,
+        settings: state.ClaimSettings,
+        pace: budgets.RateLimit,
     ):
         self._key = key
         self._kv = kv
         self._settings = settings
+        self._pace = pace
         self._waiting: list[_Operation] = []
         self._entry: protocol.Entry | None = None
         self._task: asyncio.Task | None = None
-        self.writes = 0
+        self._urgent = asyncio.Event()
+
+    def submit(self, operation: _Operation, urgent: bool) -> None:
+        """Add a change; the writer starts if it is idle.
 
-    def submit(self, operation: _Operation) -> None:
-        """Add a change; the writer starts if it is idle."""
+        One that is not urgent waits for an urgent one to go with, up to
+        the time that the settings allow.
+        """
         self._waiting.append(operation)
+        if urgent:
+            self._urgent.set()
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._write_all())
 
@@ -136,11 +153,12 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _write_all(self) -> None:
-        await asyncio.sleep(self._settings.group_delay_s)
         pause_s = _FIRST_PAUSE_S
         while self._waiting:
+            await self._wait_for_turn()
             group = [each for each in self._waiting if not each.done.done()]
             self._waiting = []
+            self._urgent.clear()
             if await self._write_group(group):
                 pause_s = _FIRST_PAUSE_S
                 continue
@@ -148,11 +166,25 @@
             # again settles it: either it succeeds, or the conflict shows
             # our own nonces.
             self._waiting = group + self._waiting
+            self._urgent.set()
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, _LONGEST_PAUSE_S)
 
+    async def _wait_for_turn(self) -> None:
+        """Let a group gather: until one is urgent, and for the pace."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._settings.record_delay_s):
+                await self._urgent.wait()
+        await asyncio.sleep(self._settings.group_delay_s)
+        while (wait_s := self._pace.get_wait_s(1.0)) > 0:
+            await asyncio.sleep(max(wait_s, _SHORTEST_WAIT_S))
+        self._pace.take(1.0)
+
     async def _write_group(self, group: list[_Operation]) -> bool:
         """Write a group by one swap; False if the service is silent."""
+        # Another host may have written meanwhile. A reading is cheaper
+        # than a write that fails, and far more of them are allowed.
+        self._entry = None
         while group:
             if self._entry is None:
                 read = await self.read()
@@ -179,7 +211,6 @@
         return True
 
     async def _swap(self, claims: Claims):
-        self.writes += 1
         return await self._kv.swap(
             protocol.SwapRequest(
                 key=self._key,
@@ -192,8 +223,8 @@
 class ClaimStore:
     """Claims keys for this host.
 
-    Parameters: `kv` is the key-value service, `settings` give retention
-    and partitions.
+    Parameters: `kv` is the key-value service, `settings` give retention,
+    partitions and pace; `count_hosts` tells how many hosts share the pace.
     """
 
     def __init__(
@@ -201,7 +232,12 @@
         kv: transport.KvPort,
         settings: state.ClaimSettings,
         clock: state.Clock,
+        count_hosts: Callable[[], int],
     ):
+        self._count_hosts = count_hosts
+        self._pace = budgets.RateLimit(
+            clock, settings.writes_per_s, _PACE_BURST
+        )
         self._kv = kv
         self._settings = settings
         self._clock = clock
@@ -239,22 +275,26 @@
         self, key: str, claim: Claim, until: float
     ) -> Won | Taken | NotCommitted:
         """Claim a key, waiting up to loop time `until`."""
-        return await self._change(key, claim.nonce, claim, until)
+        done = self._submit(key, claim.nonce, claim, urgent=True)
+        try:
+            async with asyncio.timeout_at(until):
+                return await done
+        except TimeoutError:
+            return NotCommitted('no word from the key-value service in time')
 
-    async def finish(
-        self, key: str, claim: Claim, until: float
-    ) -> Won | Taken | NotCommitted:
-        """Record the outcome of a claimed key."""
-        return await self._change(key, claim.nonce, claim, until)
+    def finish(self, key: str, claim: Claim) -> None:
+        """Record the outcome of a claimed key, with the next claims.
+
+        Should the host be lost before that, a repeat is told "unknown".
+        """
+        self._submit(key, claim.nonce, claim, urgent=False)
 
     def release(self, key: str, claim: Claim) -> None:
         """Take a claim back, whenever the service can be reached again.
 
         Only for a request that certainly did not run.
         """
-        done = asyncio.get_running_loop().create_future()
-        operation = _Operation(key, claim.nonce, None, done)
-        self._find_partition(key).submit(operation)
+        self._submit(key, claim.nonce, None, urgent=False)
 
     async def read(
         self, key: str
@@ -270,11 +310,13 @@
         `index` of `hosts`. Doing it twice, or by two hosts, is harmless.
         """
         settings = self._settings
-        oldest = self._clock.wall() - settings.retention_s
-        last = int(oldest // settings.epoch_s) - 2
-        for epoch in range(last, last - _CLEAN_EPOCHS, -1):
+        kept_s = settings.retention_s + settings.max_skew_s
+        last = int((self._clock.wall() - kept_s) // settings.epoch_s) - 1
+        # Twice the time since the last cleaning, in case that was missed.
+        count = math.ceil(2 * settings.clean_period_s / settings.epoch_s)
+        for epoch in range(last, last - count, -1):
             for number in range(settings.partitions):
-                if number % hosts == index:
+                if (epoch + number) % hosts == index:
                     await self._delete(f'{_PREFIX}/{epoch}/{number}')
 
     async def close(self) -> None:
@@ -282,24 +324,17 @@
         for partition in self._partitions.values():
             await partition.close()
 
-    def count_writes(self) -> int:
-        """Return the swaps sent so far."""
-        return sum(each.writes for each in self._partitions.values())
-
-    async def _change(
-        self, key: str, nonce: str, claim: Claim | None, until: float
-    ) -> Won | Taken | NotCommitted:
+    def _submit(
+        self, key: str, nonce: str, claim: Claim | None, urgent: bool
+    ) -> asyncio.Future[Won | Taken]:
+        rate = self._settings.writes_per_s / max(1, self._count_hosts())
+        self._pace.set_rate(rate, _PACE_BURST)
         done = asyncio.get_running_loop().create_future()
         operation = _Operation(key, nonce, claim, done)
-        self._find_partition(key).submit(operation)
-        try:
-            async with asyncio.timeout_at(until):
-                return await done
-        except TimeoutError:
-            return NotCommitted('no word from the key-value service in time')
+        self._find_partition(key).submit(operation, urgent)
+        return done
 
     async def _delete(self, key: str) -> None:
-        self._partitions.pop(key, None)
         entry = await self._kv.get(key)
         match entry:
             case result.Ok(protocol.Entry(value=bytes(), version=version)):
@@ -316,10 +351,21 @@
         name = f'{_PREFIX}/{epoch}/{number}'
         partition = self._partitions.get(name)
         if partition is None:
-            partition = _Partition(name, self._kv, self._settings)
+            self._forget_idle()
+            partition = _Partition(name, self._kv, self._settings, self._pace)
             self._partitions[name] = partition
         return partition
 
+    def _forget_idle(self) -> None:
+        """Drop writers that have nothing to do; each reads anew anyway."""
+        if len(self._partitions) < _MOST_IDLE:
+            return
+        self._partitions = {
+            name: partition
+            for name, partition in self._partitions.items()
+            if not partition.is_idle
+        }
+
 
 def make_fingerprint(command: protocol.Command) -> str:
     """Return a hash of what a command asks for."""
--- a/rudderrock/coordination/_commands.py
+++ b/rudderrock/coordination/_commands.py
@@ -26,7 +26,6 @@
 _FIRST_POLL_S = 0.05
 # Part of the time to the deadline that claiming may use.
 _CLAIM_TIME_FRACTION = 0.5
-_RECORD_BOUND_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -185,7 +184,7 @@
                     query=ticket.query_id,
                 )
             case protocol.ShardAnswer(hits=hits):
-                await self._record(ticket, claim, hits)
+                self._record(ticket, claim, hits)
                 return protocol.Recorded(
                     query=ticket.query_id,
                     key=ticket.key,
@@ -196,7 +195,7 @@
             query=ticket.query_id, detail='the upstream gave no answer'
         )
 
-    async def _record(
+    def _record(
         self,
         ticket: CommandTicket,
         claim: claims.Claim,
@@ -205,8 +204,7 @@
         done = dataclasses.replace(
             claim, state=claims.ClaimState.DONE, hits=hits
         )
-        until = max(ticket.deadline, self._clock.now() + _RECORD_BOUND_S)
-        await self._store.finish(ticket.claim_key, done, until)
+        self._store.finish(ticket.claim_key, done)
 
     async def _send(
         self, ticket: CommandTicket, collection: state.Collection
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -129,7 +129,7 @@
     async def _clean_claims(self) -> None:
         """Delete old claims, this host's part of them, now and then."""
         while True:
-            await asyncio.sleep(self.settings.claims.epoch_s)
+            await asyncio.sleep(self.settings.claims.clean_period_s)
             hosts = sorted(self.membership.list_sharing())
             index = hosts.index(self.membership.me.host)
             await self.command_runner.clean(index, len(hosts))
--- a/rudderrock/root.py
+++ b/rudderrock/root.py
@@ -63,7 +63,12 @@
         )
     )
     gate = coordination.Admission(settings.admission, book, dispatcher, clock)
-    store = coordination.ClaimStore(ports.kv, settings.claims, clock)
+    store = coordination.ClaimStore(
+        ports.kv,
+        settings.claims,
+        clock,
+        lambda: len(membership.list_sharing()),
+    )
     command_runner = coordination.CommandRunner(
         host_id, store, dispatcher, settings, clock, draw('claims'), ring
     )
--- a/rudderrock/standins/_kv.py
+++ b/rudderrock/standins/_kv.py
@@ -151,6 +151,10 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def count_keys(self, prefix: str) -> int:
+        """Return how many keys begin with a prefix."""
+        return sum(key.startswith(prefix) for key in self._entries)
+
     async def put_unless_down(self, key: str, value: object) -> None:
         """Write a key past all callers, as an operator of the platform."""
         if not self.faults.down:
--- a/rudderrock/state/_settings.py
+++ b/rudderrock/state/_settings.py
@@ -236,13 +236,21 @@
     """How non-idempotent requests are claimed before they run.
 
     Keys older than `retention_s` are refused. Claims are kept in
-    `partitions` values for each `epoch_s` of key time.
+    `partitions` values for each `epoch_s` of key time. All hosts together
+    make `writes_per_s` writes; what comes faster is written in groups.
+    Outcomes are recorded with the next claims, after `record_delay_s` at
+    the latest. Old claims are deleted every `clean_period_s`. A value is
+    rewritten whole, so epochs are short: at 400 commands a second one has
+    some 200 claims.
     """
 
     __pydantic_config__ = constraints.FORBID_UNKNOWN
 
-    partitions: Annotated[int, pydantic.Field(ge=1, le=4096)] = 16
-    epoch_s: _Seconds = 300.0
+    partitions: Annotated[int, pydantic.Field(ge=1, le=4096)] = 2
+    writes_per_s: Annotated[float, pydantic.Field(gt=0, le=100_000)] = 150.0
+    record_delay_s: _Seconds = 0.1
+    epoch_s: _Seconds = 1.0
+    clean_period_s: _Seconds = 30.0
     retention_s: _Seconds = 1800.0
     max_skew_s: _Seconds = 30.0
     group_delay_s: _Seconds = 0.005
