--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -8,12 +8,11 @@
 import heapq
 import time
 import tracemalloc
-import warnings
 
-import async_solipsism
 import msgspec
 
 from rudderrock import coordination
+from rudderrock import experiments
 from rudderrock import protocol
 from rudderrock import standins
 from rudderrock import state
@@ -32,14 +31,6 @@
     )
 
 
-def _run(coroutine):
-    loop = async_solipsism.EventLoop()
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
 def _fit(points: list[tuple[float, float]]) -> float:
     """Return the slope of the least-squares line through points."""
     count = len(points)
@@ -66,7 +57,7 @@
 def measure_fan_out() -> None:
     """Processor time a query by the number of shards it goes to."""
     points = [
-        (services, _run(_time_queries(services)))
+        (services, experiments.run_on_virtual_time(_time_queries(services)))
         for services in (20, 200, 800, 1700)
     ]
     for services, seconds in points:
@@ -90,7 +81,7 @@
 def measure_links() -> None:
     """Memory of a host by the number of upstreams, stand-ins included."""
     points = [
-        (2 * services, _run(_hold_fleet(services)))
+        (2 * services, experiments.run_on_virtual_time(_hold_fleet(services)))
         for services in (10, 100, 400)
     ]
     for upstreams, held in points:
@@ -173,7 +164,7 @@
     """Time and size of a probe by the size of the fleet."""
     points = []
     for hosts in (7, 60, 200, 580):
-        seconds, size = _run(_time_probes(hosts))
+        seconds, size = experiments.run_on_virtual_time(_time_probes(hosts))
         points.append((hosts, seconds))
         print(
             f'probe in a fleet of {hosts:>4}: {seconds * 1e6:7.0f} us to '
@@ -219,7 +210,6 @@
 
 def main() -> None:
     """Measure all slopes."""
-    warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
     # As the daemon runs.
     serving.tune_collector()
     measure_fan_out()
--- a/benchmarks/commands.py
+++ b/benchmarks/commands.py
@@ -6,10 +6,8 @@
 """
 
 import asyncio
-import warnings
-
-import async_solipsism
 
+from rudderrock import experiments
 from rudderrock import protocol
 from rudderrock import standins
 
@@ -76,12 +74,9 @@
 
 def main() -> None:
     """Measure each rate at three and at seven hosts."""
-    warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
     for hosts in (3, 7):
         for rate in _RATES:
-            loop = async_solipsism.EventLoop()
-            loop.run_until_complete(_measure(hosts, rate))
-            loop.close()
+            experiments.run_on_virtual_time(_measure(hosts, rate))
 
 
 if __name__ == '__main__':
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -9,10 +9,8 @@
 import asyncio
 import time
 import tracemalloc
-import warnings
-
-import async_solipsism
 
+from rudderrock import experiments
 from rudderrock import standins
 from rudderrock import state
 
@@ -74,20 +72,14 @@
     return held
 
 
-def _run(coroutine):
-    loop = async_solipsism.EventLoop()
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
 def main() -> None:
     """Measure each size of fleet."""
-    warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
     for hosts in _SIZES:
-        _run(_measure(hosts))
-    few, many = _run(_measure_memory(3)), _run(_measure_memory(23))
+        experiments.run_on_virtual_time(_measure(hosts))
+    few, many = (
+        experiments.run_on_virtual_time(_measure_memory(3)),
+        experiments.run_on_virtual_time(_measure_memory(23)),
+    )
     print(f'memory: {(many - few) / 20 / 1000:.0f} KB more for each host')
     row = state.TeamRow(team='t', token_hashes=('x' * 97,))
     print(f'a row of the table: about {len(repr(row))} characters')
--- a/benchmarks/hosts.py
+++ b/benchmarks/hosts.py
@@ -6,10 +6,8 @@
 """
 
 import asyncio
-import warnings
-
-import async_solipsism
 
+from rudderrock import experiments
 from rudderrock import protocol
 from rudderrock import standins
 from rudderrock import state
@@ -40,14 +38,6 @@
     )
 
 
-def _run(coroutine):
-    loop = async_solipsism.EventLoop()
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        loop.close()
-
-
 async def _count_suspicions(hosts: int, loss: float) -> tuple[int, int]:
     """Return how often some host held another suspect, or failed."""
     async with standins.run_fleet(_make_deployment(hosts), hosts, 1) as fleet:
@@ -66,7 +56,9 @@
     """False suspicions by the part of messages lost."""
     for hosts in (7, 20):
         for loss in _LOSSES:
-            suspected, failed = _run(_count_suspicions(hosts, loss))
+            suspected, failed = experiments.run_on_virtual_time(
+                _count_suspicions(hosts, loss)
+            )
             hours = hosts * _WATCH_S / 3600
             print(
                 f'{hosts:>3} hosts, {100 * loss:2.0f} % lost: '
@@ -133,7 +125,9 @@
     """Overshoot of a limit by what happens to the hosts."""
     for hosts in (3, 7):
         for event in ('nothing', 'skew moves', 'host crashes', 'hosts part'):
-            worst, overall = _run(_overshoot(hosts, event))
+            worst, overall = experiments.run_on_virtual_time(
+                _overshoot(hosts, event)
+            )
             print(
                 f'{hosts} hosts, {event:<13}: {worst:.2f} times the limit in '
                 f'the worst second, {overall:.2f} over all'
@@ -142,7 +136,6 @@
 
 def main() -> None:
     """Measure both."""
-    warnings.simplefilter('ignore', async_solipsism.ResolutionWarning)
     measure_suspicion()
     measure_limits()
 
--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -33,7 +33,6 @@
 from rudderrock.coordination._follow import TABLE_KEY
 from rudderrock.coordination._gather import Gathering
 from rudderrock.coordination._gather import GatherParts
-from rudderrock.coordination._gather import QueryTicket
 from rudderrock.coordination._health import MIN_LIMIT
 from rudderrock.coordination._health import UpstreamHealth
 from rudderrock.coordination._host import describe_outcome
@@ -50,6 +49,7 @@
 from rudderrock.coordination._members import LeaseCheck
 from rudderrock.coordination._members import make_incarnation
 from rudderrock.coordination._members import Membership
+from rudderrock.coordination._merge import make_answer
 from rudderrock.coordination._metrics import format_prometheus
 from rudderrock.coordination._metrics import HostMetrics
 from rudderrock.coordination._metrics import Sample
@@ -65,6 +65,7 @@
 from rudderrock.coordination._shard_call import Due
 from rudderrock.coordination._shard_call import ShardCall
 from rudderrock.coordination._shares import ShareBook
+from rudderrock.coordination._ticket import QueryTicket
 from rudderrock.coordination._versions import VersionChooser
 
 __all__ = [
@@ -129,6 +130,7 @@
     'describe_outcome',
     'format_prometheus',
     'is_not_run',
+    'make_answer',
     'make_fingerprint',
     'make_incarnation',
     'read_layout',
--- a/rudderrock/coordination/_gather.py
+++ b/rudderrock/coordination/_gather.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import dataclasses
-import heapq
 import itertools
 import random
 
@@ -16,7 +15,9 @@
 from rudderrock.coordination import _attempt as attempts
 from rudderrock.coordination import _dispatch as dispatch
 from rudderrock.coordination import _extra as extras
+from rudderrock.coordination import _merge as merge
 from rudderrock.coordination import _shard_call as calls
+from rudderrock.coordination import _ticket as tickets
 
 # A late request whose other replicas are all busy is looked at again.
 _HEDGE_AGAIN_S = 0.002
@@ -29,20 +30,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class QueryTicket:
-    """An admitted query: who asks, what, and until when.
-
-    `deadline` and `soft_deadline` are in loop time.
-    """
-
-    query_id: state.QueryId
-    row: state.TeamRow
-    query: protocol.Query
-    deadline: float
-    soft_deadline: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GatherParts:
     """The parts of a host that every query uses."""
@@ -61,7 +48,7 @@
     def __init__(
         self,
         parts: GatherParts,
-        ticket: QueryTicket,
+        ticket: tickets.QueryTicket,
         placement: state.Placement,
     ):
         self._parts = parts
@@ -108,31 +95,11 @@
 
     def make_answer(self) -> protocol.Answered:
         """Merge what was accepted, and count coverage from just that."""
-        accepted = [
-            call.answer for call in self._calls.values() if call.answer
-        ]
-        missing = {
-            shard: call.miss
-            for shard, call in self._calls.items()
-            if call.answer is None
-        }
-        hits = itertools.chain.from_iterable(
-            answer.hits for answer in accepted
-        )
-        best = heapq.nsmallest(
+        return merge.make_answer(
+            self._ticket.query_id,
+            self._placement.version,
+            self._calls,
             self._ticket.query.limit,
-            hits,
-            key=lambda hit: (-hit.score, hit.id),
-        )
-        return protocol.Answered(
-            query=self._ticket.query_id,
-            version=self._placement.version,
-            coverage=protocol.Coverage(
-                shards=len(self._calls),
-                answered=len(accepted),
-                missing=missing,
-            ),
-            hits=best,
         )
 
     def _start(self) -> None:
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -12,13 +12,13 @@
 from rudderrock.coordination import _commands as commands
 from rudderrock.coordination import _config as configs
 from rudderrock.coordination import _dispatch as dispatch
-from rudderrock.coordination import _gather as gather
 from rudderrock.coordination import _leases as leases
 from rudderrock.coordination import _lifecycle as lifecycle
 from rudderrock.coordination import _members as members
 from rudderrock.coordination import _metrics as metrics
 from rudderrock.coordination import _query as queries
 from rudderrock.coordination import _shares as shares
+from rudderrock.coordination import _ticket as tickets
 
 _DRAIN_POLL_S = 0.02
 _NOT_READY_RETRY_S = 1.0
@@ -225,7 +225,7 @@
         admitted = self.gate.admit(row, cost, deadline)
         if admitted.is_err():
             return admitted.unwrap_err()
-        ticket = gather.QueryTicket(
+        ticket = tickets.QueryTicket(
             query_id=query_id,
             row=row,
             query=query,
--- a/rudderrock/coordination/_query.py
+++ b/rudderrock/coordination/_query.py
@@ -4,6 +4,7 @@
 from rudderrock import state
 from rudderrock.coordination import _extra as extras
 from rudderrock.coordination import _gather as gather
+from rudderrock.coordination import _ticket as tickets
 from rudderrock.coordination import _versions as versions
 
 _MAX_RESTARTS = 2
@@ -25,7 +26,7 @@
         return self._parts.extra.counters
 
     async def run(
-        self, ticket: gather.QueryTicket, collection: state.Collection
+        self, ticket: tickets.QueryTicket, collection: state.Collection
     ) -> protocol.Answered:
         """Ask every shard and return the result with its true coverage.
 
@@ -55,13 +56,13 @@
         await gathering.run(may_restart=False)
         return gathering.make_answer()
 
-    def _has_time(self, ticket: gather.QueryTicket) -> bool:
+    def _has_time(self, ticket: tickets.QueryTicket) -> bool:
         left = ticket.deadline - self._clock.now()
         return left > _RESTART_TIME_FRACTION * ticket.row.deadline_s
 
     def _note_restart(
         self,
-        ticket: gather.QueryTicket,
+        ticket: tickets.QueryTicket,
         old: state.Placement,
         new: state.Placement,
     ) -> None:
--- a/rudderrock/programs/timeline.py
+++ b/rudderrock/programs/timeline.py
@@ -47,7 +47,7 @@
     team: str = '',
     query: str = '',
     upstream: str = '',
-    kinds: list[state.EventKind] = [],  # noqa: B006
+    kinds: list[state.EventKind] = [],
     follow: bool = False,
     json: bool = False,
     html: pathlib.Path | None = None,
