Show that a repartition under running queries costs no coverage

Change: a scenario in which a collection of 4 shards becomes one of 7 on the same upstreams under 40 queries a second.

--- a/features/query.feature
+++ b/features/query.feature
@@ -95,3 +95,14 @@
     And "desk" asks 40 times a second for 10 seconds
     Then upstream "members-1-0" has received work since
     And every answer covers all shards
+
+  Scenario: data is repartitioned while queries run
+    Given 3 hosts before 4 services
+    And the team "desk"
+    When "desk" asks 40 times a second for 12 seconds, meanwhile
+    And 2 seconds pass
+    And the collection is repartitioned from 4 to 7 shards over 6 seconds
+    And the load ends
+    Then every answer covers all shards
+    And answers had 4 shards at version 1 and 7 at version 2, and no others
+    And every upstream's record agrees with what was reported
--- a/features/steps/upstreams.py
+++ b/features/steps/upstreams.py
@@ -8,6 +8,7 @@
 from behave import when
 
 from features.steps.common import run
+from rudderrock import state
 
 use_step_matcher('re')
 
@@ -82,6 +83,59 @@
     context.bench.notes[upstream] = received
 
 
+@when(
+    r'the collection is repartitioned from 4 to (\d+) shards '
+    r'over (\d+) seconds'
+)
+def repartition(context, shards, seconds):
+    """Load new shards beside the old ones, then retire the old ones."""
+    fleet = context.bench.fleet
+    models = list(fleet.models.values())
+    names = list(fleet.models)
+    old = fleet.layout.collections['members'].placements[0]
+    new = state.Placement(
+        version=state.IndexVersion(2),
+        shards={
+            state.ShardId(f'part-{number}'): (
+                names[number % len(names)],
+                names[(number + 3) % len(names)],
+            )
+            for number in range(int(shards))
+        },
+    )
+
+    async def publish(*placements):
+        collection = state.Collection(
+            collection='members', placements=placements
+        )
+        await fleet.change_layout(collections={'members': collection})
+
+    async def move():
+        await publish(old, new)
+        step_s = int(seconds) / len(models) / 2
+        for model in models:
+            model.versions = {old.version, new.version}
+            await asyncio.sleep(step_s)
+        for model in models:
+            model.versions = {new.version}
+            await asyncio.sleep(step_s)
+        await publish(new)
+
+    run(context, move())
+
+
+@then(
+    r'answers had (\d+) shards at version 1 and (\d+) at version 2, '
+    r'and no others'
+)
+def check_partitions(context, before, after):
+    seen = {
+        (each.outcome.version, each.outcome.coverage.shards)
+        for each in context.bench.list_answers()
+    }
+    assert seen == {(1, int(before)), (2, int(after))}, seen
+
+
 @then(r'upstream "([^"]+)" has received work since')
 def check_new_work(context, upstream):
     received = context.bench.fleet.models[upstream].received
