--- a/rudderrock/coordination/_commands.py
+++ b/rudderrock/coordination/_commands.py
@@ -24,6 +24,8 @@
 _RETRY_AFTER_S = 0.2
 _KV_RETRY_AFTER_S = 1.0
 _FIRST_POLL_S = 0.05
+# Of a result larger than this only that it ran is recorded.
+_MAX_RECORDED_BYTES = 2048
 # Part of the time to the deadline that claiming may use.
 _CLAIM_TIME_FRACTION = 0.5
 
@@ -201,8 +203,12 @@
         claim: claims.Claim,
         hits: list[protocol.Hit],
     ) -> None:
+        kept = hits
+        if len(protocol.encode(hits)) > _MAX_RECORDED_BYTES:
+            # That it ran is what must last; a value holds 1 MB in all.
+            kept = []
         done = dataclasses.replace(
-            claim, state=claims.ClaimState.DONE, hits=hits
+            claim, state=claims.ClaimState.DONE, hits=kept
         )
         self._store.finish(ticket.claim_key, done)
 
