Remove what the last reading found dead or done twice

Cause: a reading of the whole change. Nothing called make_clock, give_back, find_placement and five counters; waiting for a disconnect stood in the frontend and in the stand-ins; both schedules ended with the same lines; a team's fraction was worked out twice for each request; and an early team's answers were counted anew on every wake, which grows with the square of the shards.

Change: the dead code is gone, the doubled code has one place each, the fraction is worked out once, and answers are counted as they are accepted.

--- a/rudderrock/coordination/_admission.py
+++ b/rudderrock/coordination/_admission.py
@@ -55,9 +55,10 @@
         """
         team = state.TeamId(row.team)
         self._book.note(team, cost)
-        gate = self._find_gate(row)
+        fraction = self._book.get_fraction(team)
+        gate = self._find_gate(row, fraction)
         refused = (
-            self._check_concurrency(row, gate, cost)
+            self._check_concurrency(row.concurrency * fraction, gate, cost)
             or self._check_host(cost)
             or self._check_rate(gate, cost)
             or self._check_queues(row, deadline)
@@ -85,9 +86,9 @@
             if team not in rows and not gate.in_flight:
                 del self._gates[team]
 
-    def _find_gate(self, row: state.TeamRow) -> _Gate:
+    def _find_gate(self, row: state.TeamRow, fraction: float) -> _Gate:
         team = state.TeamId(row.team)
-        rate = row.rate * self._book.get_fraction(team)
+        rate = row.rate * fraction
         burst = max(1.0, rate * self._settings.rate_burst_s)
         gate = self._gates.get(team)
         if gate is None:
@@ -98,10 +99,8 @@
         return gate
 
     def _check_concurrency(
-        self, row: state.TeamRow, gate: _Gate, cost: int
+        self, limit: float, gate: _Gate, cost: int
     ) -> protocol.Refused | None:
-        fraction = self._book.get_fraction(state.TeamId(row.team))
-        limit = row.concurrency * fraction
         # One query must pass however wide it is, or it never could.
         if gate.in_flight == 0 or gate.in_flight + cost <= limit:
             return None
--- a/rudderrock/coordination/_budget.py
+++ b/rudderrock/coordination/_budget.py
@@ -35,10 +35,6 @@
         """Take tokens; `get_wait_s` must have returned 0."""
         self._tokens -= cost
 
-    def give_back(self, cost: float) -> None:
-        """Return tokens of work that was not done after all."""
-        self._tokens = min(self._burst, self._tokens + cost)
-
     def _refill(self) -> None:
         now = self._clock.now()
         gained = (now - self._filled) * self._rate
--- a/rudderrock/coordination/_gather.py
+++ b/rudderrock/coordination/_gather.py
@@ -67,6 +67,7 @@
         self._numbers = itertools.count()
         self._calls: dict[state.ShardId, calls.ShardCall] = {}
         self._open = 0
+        self._answered = 0
         self._gone = False
         self._wall_deadline = (
             self._clock.wall() + ticket.deadline - self._clock.now()
@@ -125,8 +126,7 @@
         row = self._ticket.row
         if row.coverage_policy is state.CoveragePolicy.WAIT:
             return self._ticket.deadline
-        done = sum(call.answer is not None for call in self._calls.values())
-        if done >= row.coverage * len(self._calls):
+        if self._answered >= row.coverage * len(self._calls):
             return self._ticket.soft_deadline
         return self._ticket.deadline
 
@@ -280,6 +280,7 @@
             call.service.note_answer(elapsed)
             self._note_late(attempt, late)
         call.answer = answer
+        self._answered += 1
         self._close(call)
 
     def _handle_rejection(
--- a/rudderrock/coordination/_leases.py
+++ b/rudderrock/coordination/_leases.py
@@ -40,7 +40,6 @@
         source: random.Random,
         ring: state.EventRing,
     ):
-        self.renewals = 0
         self._kv = kv
         self._member = member
         self._settings = settings
@@ -125,7 +124,6 @@
 
     async def _renew(self) -> None:
         sent = self._clock.now()
-        self.renewals += 1
         match await self._kv.renew(self._lease):
             case result.Ok(_):
                 self._held_until = sent + self._ttl_s
--- a/rudderrock/coordination/_link.py
+++ b/rudderrock/coordination/_link.py
@@ -68,7 +68,6 @@
         self.upstream = upstream
         self.state = UpstreamState.CONNECTING
         self.in_flight = 0
-        self.sent = 0
         self.health = health.UpstreamHealth(settings, clock)
         self._port = port
         self._settings = settings
@@ -145,7 +144,6 @@
         attempt.base_s = self.health.base_s
         attempt.note_late = self.health.note_late
         self.in_flight += 1
-        self.sent += 1
         self._idle.pop().slot.set_result(attempt)
 
     def apply_layout(self, leaving: bool) -> None:
--- a/rudderrock/coordination/_members.py
+++ b/rudderrock/coordination/_members.py
@@ -78,7 +78,6 @@
     ):
         self.me = me
         self.heard_at: float | None = None
-        self.probes_sent = 0
         self._peers = peers
         self._host_list = host_list
         self._settings = settings
@@ -326,7 +325,6 @@
         target: protocol.Member | None = None,
     ) -> bool:
         """Send one probe; tell whether the one probed was reached."""
-        self.probes_sent += 1
         timeout_s = self._settings.probe_timeout_s
         if target is not None:
             timeout_s *= 2
--- a/rudderrock/experiments/__init__.py
+++ b/rudderrock/experiments/__init__.py
@@ -42,6 +42,7 @@
 from rudderrock.experiments._report import write_report
 from rudderrock.experiments._run import Driver
 from rudderrock.experiments._run import run_on_virtual_time
+from rudderrock.experiments._run import run_to_the_last_task
 from rudderrock.experiments._run import run_virtual
 from rudderrock.experiments._schedules import Call
 from rudderrock.experiments._schedules import list_broken
@@ -95,6 +96,7 @@
     'run_real',
     'run_schedule',
     'run_table_schedule',
+    'run_to_the_last_task',
     'run_virtual',
     'slow_kv_down',
     'take_kv_down',
--- a/rudderrock/experiments/_run.py
+++ b/rudderrock/experiments/_run.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
+import gc
 import random
 from typing import Any
 import warnings
@@ -100,6 +101,18 @@
             loop.close()
 
 
+def run_to_the_last_task(coroutine: Coroutine) -> tuple[Any, list[str]]:
+    """Run a coroutine, and return also what its tasks died of.
+
+    A task that died of an exception nobody expected breaks a promise too,
+    and some are noticed only when the collector finds them.
+    """
+    crashes: list[str] = []
+    done = run_on_virtual_time(coroutine, crashes)
+    gc.collect()
+    return done, crashes
+
+
 def _describe_crash(found: dict[str, Any]) -> str:
     exception = found.get('exception')
     task = found.get('task') or found.get('future')
--- a/rudderrock/experiments/_schedules.py
+++ b/rudderrock/experiments/_schedules.py
@@ -9,7 +9,6 @@
 import asyncio
 import collections
 import dataclasses
-import gc
 import json
 
 from rudderrock import coordination
@@ -65,10 +64,7 @@
 
 def run_schedule(seed: int) -> ScheduleResult:
     """Run the schedule of a seed on virtual time and check it."""
-    crashes: list[str] = []
-    done = runs.run_on_virtual_time(_run(seed), crashes)
-    # A task that died of an exception nobody expected breaks a promise too.
-    gc.collect()
+    done, crashes = runs.run_to_the_last_task(_run(seed))
     return dataclasses.replace(done, broken=done.broken + crashes)
 
 
--- a/rudderrock/experiments/_table_schedules.py
+++ b/rudderrock/experiments/_table_schedules.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import dataclasses
-import gc
 
 from rudderrock import coordination
 from rudderrock import standins
@@ -45,9 +44,7 @@
 
 def run_table_schedule(seed: int) -> TableScheduleResult:
     """Run the table schedule of a seed on virtual time and check it."""
-    crashes: list[str] = []
-    done = runs.run_on_virtual_time(_run(seed), crashes)
-    gc.collect()
+    done, crashes = runs.run_to_the_last_task(_run(seed))
     return dataclasses.replace(done, broken=done.broken + crashes)
 
 
--- a/rudderrock/frontend/_callers.py
+++ b/rudderrock/frontend/_callers.py
@@ -12,6 +12,7 @@
 from rudderrock import coordination
 from rudderrock import protocol
 from rudderrock import state
+from rudderrock import transport
 from rudderrock.frontend import _body as body
 
 LIVE_PATH = '/livez'
@@ -101,7 +102,7 @@
 ) -> responses.Response:
     """Answer when the work ends; cancel it if the caller goes away."""
     task = asyncio.ensure_future(work)
-    watch = asyncio.ensure_future(_wait_for_disconnect(request))
+    watch = asyncio.ensure_future(transport.wait_for_disconnect(request))
     try:
         await asyncio.wait((task, watch), return_when='FIRST_COMPLETED')
         if not task.done():
@@ -114,11 +115,6 @@
         watch.cancel()
 
 
-async def _wait_for_disconnect(request: requests.Request) -> None:
-    while (await request.receive())['type'] != 'http.disconnect':
-        pass
-
-
 async def _answer_unknown(
     request: requests.Request, exc: Exception
 ) -> responses.Response:
--- a/rudderrock/root.py
+++ b/rudderrock/root.py
@@ -4,7 +4,6 @@
 running loop and randomness from one seed, both handed down from here.
 """
 
-import asyncio
 from collections.abc import Callable
 import dataclasses
 
@@ -168,8 +167,3 @@
         lease=lease,
     )
     return host
-
-
-def make_clock(wall_offset: float) -> state.Clock:
-    """Return the clock of the running loop."""
-    return state.Clock(asyncio.get_running_loop(), wall_offset)
--- a/rudderrock/standins/_upstream.py
+++ b/rudderrock/standins/_upstream.py
@@ -17,6 +17,7 @@
 
 from rudderrock import protocol
 from rudderrock import state
+from rudderrock import transport
 
 DEFAULT_MAX_QUEUE = 64
 _HITS_PER_SHARD = 3
@@ -228,7 +229,7 @@
         if decoded.is_err():
             return responses.PlainTextResponse(decoded.unwrap_err(), 400)
         work = asyncio.create_task(model.handle(decoded.unwrap()))
-        gone = asyncio.create_task(_wait_for_disconnect(request))
+        gone = asyncio.create_task(transport.wait_for_disconnect(request))
         await asyncio.wait((work, gone), return_when='FIRST_COMPLETED')
         gone.cancel()
         if not work.done():
@@ -251,11 +252,6 @@
     )
 
 
-async def _wait_for_disconnect(request: requests.Request) -> None:
-    while (await request.receive())['type'] != 'http.disconnect':
-        pass
-
-
 def _make_response(
     reply: protocol.ShardAnswer | protocol.ShardRejected,
 ) -> responses.Response:
--- a/rudderrock/state/_layout.py
+++ b/rudderrock/state/_layout.py
@@ -36,13 +36,6 @@
     collection: ids.CollectionId
     placements: tuple[Placement, ...]
 
-    def find_placement(self, version: ids.IndexVersion) -> Placement | None:
-        """Return the placement of one version, if it is served."""
-        for placement in self.placements:
-            if placement.version == version:
-                return placement
-        return None
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Layout:
--- a/rudderrock/transport/__init__.py
+++ b/rudderrock/transport/__init__.py
@@ -26,6 +26,7 @@
 from rudderrock.transport._server import HeadLimits
 from rudderrock.transport._server import HttpServer
 from rudderrock.transport._server import serve
+from rudderrock.transport._server import wait_for_disconnect
 from rudderrock.transport._upstream import check_shard_reply
 from rudderrock.transport._upstream import HttpUpstreamConnection
 from rudderrock.transport._upstream import HttpUpstreamPort
@@ -62,4 +63,5 @@
     'post_once',
     'read_shard_reply',
     'serve',
+    'wait_for_disconnect',
 ]
--- a/rudderrock/transport/_kv.py
+++ b/rudderrock/transport/_kv.py
@@ -14,7 +14,6 @@
 # covers the way back.
 _WATCH_MARGIN_S = 2.0
 _CONFLICT = 409
-_GONE = 410
 
 
 class HttpKvPort:
@@ -28,7 +27,6 @@
         self._address = address
         self._timeout_s = timeout_s
         self._idle: list[owned.OwnedConnection] = []
-        self.calls = 0
 
     async def get(
         self, key: str
@@ -111,7 +109,6 @@
     async def _call(
         self, path: str, message: Any, bound: float
     ) -> result.Result[owned.RawReply, ports.KvUnavailable]:
-        self.calls += 1
         async with contextlib.AsyncExitStack() as stack:
             connection = self._take()
             stack.callback(self._idle.append, connection)
--- a/rudderrock/transport/_server.py
+++ b/rudderrock/transport/_server.py
@@ -7,6 +7,7 @@
 import socket
 
 import result
+from starlette import requests
 from starlette import types as asgi
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
@@ -208,3 +209,9 @@
         yield server.address
     finally:
         await server.close()
+
+
+async def wait_for_disconnect(request: requests.Request) -> None:
+    """Wait until whoever sent a request, read to its end, has gone."""
+    while (await request.receive())['type'] != 'http.disconnect':
+        pass
