--- a/rudderrock/coordination/__init__.py
+++ b/rudderrock/coordination/__init__.py
@@ -37,8 +37,6 @@
 from rudderrock.coordination._health import UpstreamHealth
 from rudderrock.coordination._host import describe_outcome
 from rudderrock.coordination._host import EntryHost
-from rudderrock.coordination._latency import FadingMean
-from rudderrock.coordination._latency import LatePoint
 from rudderrock.coordination._leases import HOST_PREFIX
 from rudderrock.coordination._leases import HostLease
 from rudderrock.coordination._lifecycle import HostState
@@ -91,7 +89,6 @@
     'EditUncertain',
     'EntryHost',
     'ExtraRequests',
-    'FadingMean',
     'FairQueue',
     'GatherParts',
     'Gathering',
@@ -101,7 +98,6 @@
     'HostState',
     'KeyFollower',
     'LAYOUT_KEY',
-    'LatePoint',
     'LeaseCheck',
     'Lifecycle',
     'MIN_LIMIT',
--- a/rudderrock/coordination/_extra.py
+++ b/rudderrock/coordination/_extra.py
@@ -5,7 +5,6 @@
 from rudderrock import state
 from rudderrock.coordination import _budget as budgets
 from rudderrock.coordination import _dispatch as dispatch
-from rudderrock.coordination import _latency as latency
 
 # What is not yet late while nothing is known, and the longest there can be.
 UNKNOWN_PATIENCE_S = 0.05
@@ -51,7 +50,7 @@
             settings.hedging.budget, settings.hedging.host_burst
         )
         self._teams: dict[state.TeamId, budgets.Budget] = {}
-        self._late_points: dict[state.CollectionId, latency.LatePoint] = {}
+        self._late_points: dict[state.CollectionId, state.LatePoint] = {}
 
     def earn(self, service: dispatch.Service, team: state.TeamId) -> None:
         """Note the first request for a shard, which earns for extra ones."""
@@ -82,7 +81,7 @@
 
     def find_late_point(
         self, collection: state.CollectionId
-    ) -> latency.LatePoint:
+    ) -> state.LatePoint:
         """Return what latency above the least makes a request late.
 
         One point for all services of a collection, because one service
@@ -92,7 +91,7 @@
         late_point = self._late_points.get(collection)
         if late_point is None:
             hedging = self._hedging
-            late_point = latency.LatePoint(
+            late_point = state.LatePoint(
                 1.0 - hedging.percentile / 100.0,
                 start=max(UNKNOWN_PATIENCE_S, hedging.min_delay_s),
                 lowest=hedging.min_delay_s,
--- a/rudderrock/coordination/_health.py
+++ b/rudderrock/coordination/_health.py
@@ -5,7 +5,6 @@
 
 from rudderrock import protocol
 from rudderrock import state
-from rudderrock.coordination import _latency as latency
 
 MIN_LIMIT = 1.0
 _COLD_PENALTY = 3.0
@@ -42,7 +41,7 @@
         self.base_s = 0.0
         self._settings = settings
         self._clock = clock
-        self._latency = latency.FadingMean(clock)
+        self._latency = state.FadingMean(clock)
         self._unloaded = math.inf
         self._failures = 0
         self._ejections = 0
--- /dev/null
+++ b/rudderrock/gateway/__init__.py
@@ -0,0 +1,121 @@
+"""Requests forwarded to upstreams: routes, retries, gathers, limits."""
+
+from rudderrock.gateway._budget import ExtraBudget
+from rudderrock.gateway._caller import HttpCaller
+from rudderrock.gateway._dialect import HeaderNames
+from rudderrock.gateway._directory import Directory
+from rudderrock.gateway._directory import DirectoryChange
+from rudderrock.gateway._directory import Endpoint
+from rudderrock.gateway._directory import Phase
+from rudderrock.gateway._forward import Outcome
+from rudderrock.gateway._forward import Result
+from rudderrock.gateway._gateway import Gateway
+from rudderrock.gateway._gateway import Parts
+from rudderrock.gateway._intake import Intake
+from rudderrock.gateway._link import Exchange
+from rudderrock.gateway._link import Link
+from rudderrock.gateway._link import Lost
+from rudderrock.gateway._log import EventLog
+from rudderrock.gateway._log import LogKind
+from rudderrock.gateway._log import PipeHandler
+from rudderrock.gateway._log import set_up_log
+from rudderrock.gateway._messages import drop_connection_headers
+from rudderrock.gateway._messages import Headers
+from rudderrock.gateway._messages import render_reply
+from rudderrock.gateway._messages import render_request
+from rudderrock.gateway._messages import Reply
+from rudderrock.gateway._messages import Request
+from rudderrock.gateway._metrics import GatewayMetrics
+from rudderrock.gateway._pool import Pool
+from rudderrock.gateway._process import GatewayProcess
+from rudderrock.gateway._process import ProcessState
+from rudderrock.gateway._pursuit import Counters
+from rudderrock.gateway._pursuit import judge_outcome
+from rudderrock.gateway._pursuit import Verdict
+from rudderrock.gateway._records import merge_records
+from rudderrock.gateway._replicas import Place
+from rudderrock.gateway._replicas import Replica
+from rudderrock.gateway._replicas import ReplicaBook
+from rudderrock.gateway._routing import IntakeLimits
+from rudderrock.gateway._routing import NO_VERSION
+from rudderrock.gateway._routing import Repeat
+from rudderrock.gateway._routing import Route
+from rudderrock.gateway._routing import RouteName
+from rudderrock.gateway._routing import RoutingTable
+from rudderrock.gateway._routing import Scatter
+from rudderrock.gateway._routing import Service
+from rudderrock.gateway._routing import ServiceName
+from rudderrock.gateway._routing import Share
+from rudderrock.gateway._routing import Single
+from rudderrock.gateway._routing import Split
+from rudderrock.gateway._routing import TableVersion
+from rudderrock.gateway._routing import Target
+from rudderrock.gateway._settings import GatewaySettings
+from rudderrock.gateway._sources import HistoryGone
+from rudderrock.gateway._sources import SourceFollower
+from rudderrock.gateway._sources import SourcePort
+from rudderrock.gateway._sources import TableHolder
+from rudderrock.gateway._sources import TableReading
+from rudderrock.gateway._sources import Unavailable
+from rudderrock.gateway._sources import UpstreamReading
+
+__all__ = [
+    'Counters',
+    'Directory',
+    'DirectoryChange',
+    'Endpoint',
+    'EventLog',
+    'Exchange',
+    'ExtraBudget',
+    'Gateway',
+    'GatewayMetrics',
+    'GatewayProcess',
+    'GatewaySettings',
+    'HeaderNames',
+    'Headers',
+    'HistoryGone',
+    'HttpCaller',
+    'Intake',
+    'IntakeLimits',
+    'Link',
+    'LogKind',
+    'Lost',
+    'NO_VERSION',
+    'Outcome',
+    'Parts',
+    'Phase',
+    'PipeHandler',
+    'Place',
+    'Pool',
+    'ProcessState',
+    'Repeat',
+    'Replica',
+    'ReplicaBook',
+    'Reply',
+    'Request',
+    'Result',
+    'Route',
+    'RouteName',
+    'RoutingTable',
+    'Scatter',
+    'Service',
+    'ServiceName',
+    'Share',
+    'Single',
+    'SourceFollower',
+    'SourcePort',
+    'Split',
+    'TableHolder',
+    'TableReading',
+    'TableVersion',
+    'Target',
+    'Unavailable',
+    'UpstreamReading',
+    'Verdict',
+    'drop_connection_headers',
+    'judge_outcome',
+    'merge_records',
+    'render_reply',
+    'render_request',
+    'set_up_log',
+]
--- /dev/null
+++ b/rudderrock/gateway/_forward.py
@@ -0,0 +1,271 @@
+"""Carrying one request of a caller to its end: to one service or to all."""
+
+import asyncio
+import collections
+import dataclasses
+import enum
+import math
+
+from rudderrock import state
+from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _pursuit as pursuit
+from rudderrock.gateway import _records as records
+from rudderrock.gateway import _routing as routing
+
+# The part of first attempts that shall be late, and so be hedged. Extra
+# requests are bounded by their budget; this keeps hedges well within it.
+LATE_PART = 0.06
+# Where the late point starts and how far it moves, as parts of the goal.
+LATE_START = 0.3
+LATE_LOWEST = 0.12
+LATE_HIGHEST = 0.4
+# An answer leaves this long before the goal or the end, in seconds, for
+# the way back to the caller.
+MARGIN_S = 0.012
+
+
+class Outcome(enum.Enum):
+    """How a request ended, for logs and metrics."""
+
+    ANSWERED = 'answered'
+    PARTIAL = 'partial'
+    UPSTREAM_FAILED = 'upstream_failed'
+    LOST = 'lost'
+    TIMED_OUT = 'timed_out'
+    NOT_RUN = 'not_run'
+    UNROUTED = 'unrouted'
+    INVALID = 'invalid'
+    NOT_READY = 'not_ready'
+    CALLER_LEFT = 'caller_left'
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """The reply to a caller and how it came about."""
+
+    reply: messages.Reply
+    outcome: Outcome
+    detail: str = ''
+    shards: int = 1
+    answered: int = 0
+    late: int = 0
+
+
+class LatePoints:
+    """For each route the latency beyond which an attempt counts as late."""
+
+    def __init__(self) -> None:
+        self._points: dict[routing.RouteName, state.LatePoint] = {}
+
+    def get(self, route: routing.Route) -> state.LatePoint:
+        """Return a route's late point."""
+        point = self._points.get(route.name)
+        if point is None:
+            point = state.LatePoint(
+                LATE_PART,
+                start=LATE_START * route.goal_s,
+                lowest=LATE_LOWEST * route.goal_s,
+                highest=LATE_HIGHEST * route.goal_s,
+            )
+            self._points[route.name] = point
+        return point
+
+
+class Forwarder:
+    """Sends one call to all its services and waits for the answers.
+
+    One future is awaited; outcomes and timers complete it.
+    """
+
+    def __init__(
+        self,
+        tools: pursuit.Tools,
+        call: pursuit.Call,
+        services: tuple[routing.ServiceName, ...],
+        point: state.LatePoint,
+        least: int,
+    ):
+        self._tools = tools
+        self._call = call
+        self._point = point
+        self._least = least
+        self._open = len(services)
+        self._failed = 0
+        self._finished: asyncio.Future[None] = tools.loop.create_future()
+        self.pursuits = [
+            pursuit.Pursuit(tools, call, service, self._on_settled)
+            for service in services
+        ]
+
+    async def run(self) -> None:
+        """Return when the answer is there, or nothing better will come."""
+        loop = self._tools.loop
+        call = self._call
+        goal = call.request.arrived + call.route.goal_s - MARGIN_S
+        timers = [
+            loop.call_at(loop.time() + call.late_s, self._hedge_late),
+            loop.call_at(min(goal, call.end), self._settle_for_enough),
+            loop.call_at(call.end, self._finish),
+        ]
+        try:
+            for each in self.pursuits:
+                each.start()
+            await self._finished
+        finally:
+            for timer in timers:
+                timer.cancel()
+            for each in self.pursuits:
+                if not each.settled:
+                    each.give_up()
+
+    def count_answers(self) -> int:
+        """Return how many services have answered."""
+        return sum(each.answer is not None for each in self.pursuits)
+
+    def _on_settled(self, settled: pursuit.Pursuit) -> None:
+        self._open -= 1
+        self._failed += settled.answer is None
+        if not settled.is_late:
+            self._point.note(False)
+        can_reach = len(self.pursuits) - self._failed >= self._least
+        if self._open == 0 or not can_reach:
+            self._finish()
+        elif self._is_past_goal():
+            self._settle_for_enough()
+
+    def _is_past_goal(self) -> bool:
+        call = self._call
+        goal = call.request.arrived + call.route.goal_s - MARGIN_S
+        return self._tools.loop.time() >= goal
+
+    def _settle_for_enough(self) -> None:
+        if self.count_answers() >= self._least:
+            self._finish()
+
+    def _hedge_late(self) -> None:
+        for each in self.pursuits:
+            if not each.settled:
+                self._point.note(True)
+                each.hedge()
+
+    def _finish(self) -> None:
+        if not self._finished.done():
+            self._finished.set_result(None)
+
+
+async def forward_to_one(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    service: routing.ServiceName,
+    point: state.LatePoint,
+) -> Result:
+    """Forward to one service and pass its answer on unchanged."""
+    forwarder = Forwarder(tools, call, (service,), point, 1)
+    await forwarder.run()
+    only = forwarder.pursuits[0]
+    late = int(only.is_late)
+    if only.answer is not None:
+        reply = _pass_on(only.answer)
+        return Result(reply, Outcome.ANSWERED, answered=1, late=late)
+    if only.failure is not None:
+        reply = _pass_on(only.failure)
+        return Result(reply, Outcome.UPSTREAM_FAILED, only.detail, late=late)
+    return _explain_failure([only], only.detail, late, call, tools)
+
+
+async def forward_to_all(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    scatter: routing.Scatter,
+    point: state.LatePoint,
+) -> Result:
+    """Forward to every shard and merge the records of the answers."""
+    total = len(scatter.shards)
+    least = max(1, math.ceil(total * scatter.min_coverage - 1e-9))
+    forwarder = Forwarder(tools, call, scatter.shards, point, least)
+    await forwarder.run()
+    answers = [
+        each.answer for each in forwarder.pursuits if each.answer is not None
+    ]
+    late = sum(each.is_late for each in forwarder.pursuits)
+    missing = [each for each in forwarder.pursuits if each.answer is None]
+    detail = _list_missing(missing)
+    if len(answers) < least:
+        failed = _explain_failure(
+            forwarder.pursuits, detail, late, call, tools
+        )
+        return dataclasses.replace(failed, shards=total, answered=len(answers))
+    stamps = [each.get_header(tools.names.stamp) for each in answers]
+    headers = [
+        (tools.names.request_id, call.request_id),
+        (tools.names.part_stamps, b', '.join(stamps)),
+        (tools.names.missing_parts, b'%d' % len(missing)),
+    ]
+    body = records.merge_records(
+        (each.body for each in answers), scatter.top_k
+    )
+    outcome = Outcome.PARTIAL if missing else Outcome.ANSWERED
+    return Result(
+        messages.Reply(200, headers, body),
+        outcome,
+        detail,
+        shards=total,
+        answered=len(answers),
+        late=late,
+    )
+
+
+def refuse(
+    tools_names, request_id: bytes, retry_after_s: float, outcome: Outcome
+) -> Result:
+    """Say that a request has not run and when to come back."""
+    headers = [
+        (tools_names.request_id, request_id),
+        (b'retry-after', b'%.2f' % retry_after_s),
+    ]
+    return Result(messages.Reply(503, headers), outcome)
+
+
+# How soon a caller may come back after a request that did not run, in
+# seconds: long enough for a passing shortage, well inside a deadline.
+RETRY_AFTER_S = 0.1
+
+
+def _explain_failure(
+    pursuits: list[pursuit.Pursuit],
+    detail: str,
+    late: int,
+    call: pursuit.Call,
+    tools: pursuit.Tools,
+) -> Result:
+    """Answer for what failed: 503 only if no upstream may have run it."""
+    reached = any(
+        each.answer is not None or each.may_have_run or each.was_cut
+        for each in pursuits
+    )
+    if not reached:
+        result = refuse(
+            tools.names, call.request_id, RETRY_AFTER_S, Outcome.NOT_RUN
+        )
+        result.detail = detail
+        result.late = late
+        return result
+    timed_out = tools.loop.time() >= call.end
+    outcome = Outcome.TIMED_OUT if timed_out else Outcome.LOST
+    headers = [(tools.names.request_id, call.request_id)]
+    reply = messages.Reply(504 if timed_out else 502, headers)
+    return Result(reply, outcome, detail, late=late)
+
+
+def _pass_on(reply: messages.Reply) -> messages.Reply:
+    headers = messages.drop_connection_headers(reply.headers)
+    return messages.Reply(reply.status, headers, reply.body)
+
+
+def _list_missing(missing: list[pursuit.Pursuit]) -> str:
+    reasons = collections.Counter(
+        each.detail or 'no answer in time' for each in missing
+    )
+    return '; '.join(
+        f'{count} x {reason}' for reason, count in reasons.most_common(3)
+    )
--- /dev/null
+++ b/rudderrock/gateway/_gateway.py
@@ -0,0 +1,273 @@
+"""The gateway of one host: from a caller's request to its reply."""
+
+import asyncio
+import collections
+import dataclasses
+import random
+
+from rudderrock import state
+from rudderrock.gateway import _budget as budget
+from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _forward as forward
+from rudderrock.gateway import _log as log
+from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _metrics as metrics
+from rudderrock.gateway import _pursuit as pursuit
+from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway import _routing as routing
+from rudderrock.gateway import _settings as settings
+from rudderrock.gateway import _sources as sources
+
+# How soon a caller may come back to a host that knows no routes yet, or
+# that is about to stop; seconds.
+NOT_READY_RETRY_S = 0.3
+# How often connections that are of no more use are looked for, seconds.
+SWEEP_EVERY_S = 0.25
+# Part of an upstream's connections that the tier uses. The rest is for
+# connections that the upstream has not yet seen closed.
+CONNECTION_MARGIN = 0.85
+# What one host may open to an upstream at most; more waits here, where it
+# can still be taken elsewhere.
+MOST_CONNECTIONS = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """What the composition root has made for a gateway."""
+
+    tables: sources.TableHolder
+    listing: directory.Directory
+    events: log.EventLog
+    figures: metrics.GatewayMetrics
+    clock: state.Clock
+    chance: random.Random
+
+
+class Gateway:
+    """Routes, forwards and answers the requests of callers."""
+
+    def __init__(self, config: settings.GatewaySettings, parts: Parts):
+        self.book = replicas.ReplicaBook(
+            parts.listing,
+            config.place,
+            config.names,
+            parts.clock,
+            parts.chance,
+            self._get_cap,
+            self._list_wanted,
+        )
+        self.counters = pursuit.Counters()
+        self._config = config
+        self._parts = parts
+        self._hosts = config.assumed_hosts
+        self._points = forward.LatePoints()
+        self._budgets: dict[routing.ServiceName, budget.ExtraBudget] = {}
+        self._turns: dict[
+            routing.RouteName, collections.Counter[routing.ServiceName]
+        ] = {}
+        self._tools = pursuit.Tools(
+            asyncio.get_running_loop(),
+            config.names,
+            self.book,
+            self._get_budget,
+            self.counters,
+        )
+        parts.tables.add_listener(self._on_table)
+
+    @property
+    def is_ready(self) -> bool:
+        """Tell whether routes and upstreams are known."""
+        known = self._parts.listing.read_at is not None
+        return known and self._parts.tables.current is not None
+
+    def set_hosts(self, count: int) -> None:
+        """Take note of how many hosts share budgets and connections."""
+        if count == self._hosts:
+            return
+        self._hosts = count
+        for each in self._budgets.values():
+            each.slack = self._get_slack()
+        self.book.set_caps()
+
+    async def sweep(self) -> None:
+        """Close connections that are of no more use, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_EVERY_S)
+            self.book.sweep()
+
+    async def handle(self, request: messages.Request) -> messages.Reply:
+        """Answer one request; log and count how it ended."""
+        table = self._parts.tables.current
+        route = self._find_route(table, request)
+        found = forward.Result(
+            messages.Reply(503, []),
+            forward.Outcome.CALLER_LEFT,
+            'the caller closed its connection',
+        )
+        try:
+            found = await self._answer(table, route, request)
+        finally:
+            self._note(table, route, request, found)
+        return found.reply
+
+    async def _answer(
+        self,
+        table: routing.RoutingTable | None,
+        route: routing.Route | None,
+        request: messages.Request,
+    ) -> forward.Result:
+        names = self._config.names
+        request_id = request.get_header(names.request_id)
+        if request_id is None:
+            return _reject(400, forward.Outcome.INVALID, 'no request id')
+        if table is None or not self.is_ready:
+            return forward.refuse(
+                names,
+                request_id,
+                NOT_READY_RETRY_S,
+                forward.Outcome.NOT_READY,
+            )
+        if route is None:
+            return _reject(404, forward.Outcome.UNROUTED, 'no such route')
+        deadline_s = _read_deadline(request.get_header(names.deadline_ms))
+        if deadline_s is None:
+            deadline_s = route.timeout_s
+        call = self._make_call(request, request_id, route, deadline_s)
+        point = self._points.get(route)
+        match route.target:
+            case routing.Single(service=service):
+                return await forward.forward_to_one(
+                    self._tools, call, service, point
+                )
+            case routing.Split():
+                service = self._take_turn(route, route.target)
+                return await forward.forward_to_one(
+                    self._tools, call, service, point
+                )
+            case routing.Scatter():
+                return await forward.forward_to_all(
+                    self._tools, call, route.target, point
+                )
+
+    def _make_call(
+        self,
+        request: messages.Request,
+        request_id: bytes,
+        route: routing.Route,
+        deadline_s: float,
+    ) -> pursuit.Call:
+        names = self._config.names
+        patience_s = min(deadline_s, route.timeout_s) - forward.MARGIN_S
+        set_here = (names.deadline_ms, names.expected_upstream)
+        return pursuit.Call(
+            request=request,
+            request_id=request_id,
+            route=route,
+            end=request.arrived + patience_s,
+            late_s=self._points.get(route).get(),
+            head=[
+                pair
+                for pair in messages.drop_connection_headers(request.headers)
+                if pair[0] not in set_here
+            ],
+        )
+
+    def _find_route(
+        self, table: routing.RoutingTable | None, request: messages.Request
+    ) -> routing.Route | None:
+        if table is None:
+            return None
+        host = request.get_header(b'host') or b''
+        path = request.target.partition(b'?')[0]
+        return table.find_route(host.decode('latin-1'), path.decode('latin-1'))
+
+    def _take_turn(
+        self, route: routing.Route, split: routing.Split
+    ) -> routing.ServiceName:
+        """Return the share that is furthest behind its weight."""
+        turns = self._turns.setdefault(route.name, collections.Counter())
+        chosen = min(
+            (share for share in split.shares if share.weight > 0),
+            key=lambda share: (turns[share.service] + 1) / share.weight,
+        )
+        turns[chosen.service] += 1
+        return chosen.service
+
+    def _on_table(self, table: routing.RoutingTable) -> None:
+        self._turns.clear()
+        self.book.set_caps()
+        for service in self._list_wanted():
+            self.book.warm(service)
+
+    def _list_wanted(self) -> set[routing.ServiceName]:
+        table = self._parts.tables.current
+        if table is None:
+            return set()
+        return {
+            service
+            for route in table.routes.values()
+            for service in table.list_services(route)
+        }
+
+    def _get_cap(self, service: routing.ServiceName) -> int:
+        table = self._parts.tables.current
+        found = table.services.get(service) if table is not None else None
+        if found is None:
+            return 1
+        each = int(found.max_connections * CONNECTION_MARGIN / self._hosts)
+        return min(max(1, each), MOST_CONNECTIONS)
+
+    def _get_slack(self) -> float:
+        return self._config.extra_slack / self._hosts
+
+    def _get_budget(self, service: routing.ServiceName) -> budget.ExtraBudget:
+        found = self._budgets.get(service)
+        if found is None:
+            found = budget.ExtraBudget(
+                self._parts.clock,
+                self._config.extra_ratio,
+                self._config.extra_window_s,
+                self._get_slack(),
+            )
+            self._budgets[service] = found
+        return found
+
+    def _note(
+        self,
+        table: routing.RoutingTable | None,
+        route: routing.Route | None,
+        request: messages.Request,
+        found: forward.Result,
+    ) -> None:
+        elapsed_s = self._parts.clock.now() - request.arrived
+        name = route.name if route is not None else None
+        self._parts.figures.note(name, found, elapsed_s)
+        request_id = request.get_header(self._config.names.request_id) or b''
+        listing = self._parts.listing
+        self._parts.events.record_request(
+            found.outcome is forward.Outcome.ANSWERED,
+            request_id=request_id.decode('latin-1'),
+            route=name,
+            table_version=table.version if table is not None else None,
+            upstreams_revision=listing.revision,
+            outcome=found.outcome.value,
+            status=found.reply.status,
+            detail=found.detail,
+            shards=found.shards,
+            answered=found.answered,
+            late=found.late,
+            elapsed_ms=round(elapsed_s * 1000, 1),
+        )
+
+
+def _reject(
+    status: int, outcome: forward.Outcome, detail: str
+) -> forward.Result:
+    return forward.Result(messages.Reply(status, []), outcome, detail)
+
+
+def _read_deadline(value: bytes | None) -> float | None:
+    """Return a deadline in seconds, or None if none was given."""
+    if value is None or not value.strip().isdigit():
+        return None
+    return int(value) / 1000
--- /dev/null
+++ b/rudderrock/gateway/_process.py
@@ -0,0 +1,146 @@
+"""The life of a gateway process: serving, and a stop that cuts nothing."""
+
+import asyncio
+import contextlib
+import enum
+
+from rudderrock.gateway import _gateway as gateway
+from rudderrock.gateway import _intake as intake
+from rudderrock.gateway import _log as log
+from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _settings as settings
+from rudderrock.gateway import _sources as sources
+
+# Part of the time that a planned stop may take during which new
+# connections are still accepted: the balancer asks once a second and goes
+# by two answers, so it needs some 2 to 3 seconds.
+ACCEPT_FRACTION = 0.55
+# Part of it after which the process ends whatever is still under way.
+END_FRACTION = 0.96
+_POLL_S = 0.05
+
+
+class ProcessState(enum.Enum):
+    """Where a gateway process is in its life."""
+
+    STARTING = 'starting'
+    SERVING = 'serving'
+    LEAVING = 'leaving'
+    ENDED = 'ended'
+
+
+class GatewayProcess:
+    """Serves callers, readiness and metrics until it is told to stop."""
+
+    def __init__(
+        self,
+        config: settings.GatewaySettings,
+        served: gateway.Gateway,
+        follower: sources.SourceFollower,
+        parts: gateway.Parts,
+    ):
+        self.state = ProcessState.STARTING
+        self._config = config
+        self._gateway = served
+        self._follower = follower
+        self._parts = parts
+        self._stop = asyncio.Event()
+        self._callers = intake.Intake(served.handle, self._note_unreadable)
+        self._probes = intake.Intake(self._answer_probe)
+        self._scrapes = intake.Intake(self._answer_scrape)
+        self._was_ready = False
+        parts.tables.add_listener(self._on_table)
+
+    def stop(self) -> None:
+        """Begin a planned stop."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve, then stop as planned; return when all has ended."""
+        events = self._parts.events
+        config = self._config
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._gateway.book.close)
+            for served, address in (
+                (self._callers, config.callers),
+                (self._probes, config.readiness),
+                (self._scrapes, config.metrics),
+            ):
+                await stack.enter_async_context(served.listen(*address))
+            for work in (self._follower.run(), self._gateway.sweep()):
+                task = asyncio.create_task(work)
+                stack.push_async_callback(_cancel, task)
+            self.state = ProcessState.SERVING
+            events.record(log.LogKind.STARTED, place=config.place.zone)
+            await self._stop.wait()
+            await self._drain()
+        self.state = ProcessState.ENDED
+        events.record(log.LogKind.STOPPED)
+
+    async def _drain(self) -> None:
+        """Take work until the balancer has noticed, then end it."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.state = ProcessState.LEAVING
+        self._callers.is_stopping = True
+        self._parts.events.record(
+            log.LogKind.STOPPING, busy=self._callers.busy
+        )
+        stop_s = self._config.stop_s
+        await asyncio.sleep(stop_s * ACCEPT_FRACTION)
+        self._callers.stop_accepting()
+        end = began + stop_s * END_FRACTION
+        while self._callers.links and loop.time() < end:
+            self._callers.close_idle()
+            await asyncio.sleep(_POLL_S)
+
+    def _on_table(self, table) -> None:
+        self._callers.limits = table.limits
+
+    def _note_unreadable(self, problem: str) -> None:
+        self._parts.figures.note_unreadable(problem)
+        self._parts.events.record(log.LogKind.UNREADABLE, problem=problem)
+
+    async def _answer_probe(self, request: messages.Request) -> messages.Reply:
+        ready = self._gateway.is_ready and self.state is ProcessState.SERVING
+        if ready != self._was_ready:
+            self._was_ready = ready
+            kind = log.LogKind.READY if ready else log.LogKind.NOT_READY
+            self._parts.events.record(kind, state=self.state.value)
+        return messages.Reply(200 if ready else 503, [])
+
+    async def _answer_scrape(
+        self, request: messages.Request
+    ) -> messages.Reply:
+        lines = self._parts.figures.list_lines(self._list_gauges())
+        kind = (b'content-type', b'text/plain; version=0.0.4')
+        return messages.Reply(200, [kind], '\n'.join(lines).encode() + b'\n')
+
+    def _list_gauges(self) -> dict[str, float]:
+        now = self._parts.clock.now()
+        tables = self._parts.tables
+        listing = self._parts.listing
+        counters = self._gateway.counters
+        return {
+            'table_version': tables.version,
+            'table_age_seconds': _get_age(now, tables.confirmed_at),
+            'upstreams': len(listing.list_all()),
+            'upstreams_age_seconds': _get_age(now, listing.read_at),
+            'caller_connections': len(self._callers.links),
+            'requests_under_way': self._callers.busy,
+            'upstream_requests_total': counters.firsts,
+            'hedges_total': counters.hedges,
+            'retries_total': counters.retries,
+            'extras_denied_total': counters.denied,
+            'connections_opened_total': self._gateway.book.dials,
+            'log_lines_dropped_total': self._parts.events.dropped,
+        }
+
+
+def _get_age(now: float, at: float | None) -> float:
+    return -1.0 if at is None else now - at
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/rudderrock/gateway/_pursuit.py
@@ -0,0 +1,329 @@
+"""Getting one good answer from one service, with retries and a hedge."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import enum
+
+from rudderrock import state
+from rudderrock.gateway import _budget as budget
+from rudderrock.gateway import _dialect as dialect
+from rudderrock.gateway import _link as link
+from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway import _routing as routing
+
+# A request is not sent with less time left than this, in seconds: the
+# upstream could not answer in it.
+LEAST_LEFT_S = 0.003
+# How long an attempt that lost against a hedge may go on, in seconds.
+# Closing its connection would cost the upstream a new handshake.
+LOSER_PATIENCE_S = 0.3
+# Attempts that never reached an upstream are not counted by the route's
+# bound; this many are made at most.
+MOST_UNSENT = 4
+# Pause before the same upstream is tried again, in seconds.
+SAME_AGAIN_S = 0.04
+
+
+class Verdict(enum.Enum):
+    """What an outcome of one attempt says."""
+
+    ANSWER = 'answer'
+    FAILURE = 'failure'
+    REJECTED = 'rejected'
+    SPOILT = 'spoilt'
+    LOST = 'lost'
+    UNSENT = 'unsent'
+
+
+def judge_outcome(
+    outcome: link.Outcome, names: dialect.HeaderNames
+) -> Verdict:
+    """Say what an outcome means.
+
+    Only a rejection that says so, or status 421, promises that nothing has
+    run. A success without its signature, or in an encoding that nobody
+    asked for, is not the upstream's answer.
+    """
+    match outcome:
+        case link.Lost(sent=False):
+            return Verdict.UNSENT
+        case link.Lost():
+            return Verdict.LOST
+    if outcome.status == 421 or outcome.get_header(names.not_run):
+        return Verdict.REJECTED
+    if outcome.get_header(b'content-encoding') is not None:
+        return Verdict.SPOILT
+    if outcome.status >= 300:
+        return Verdict.FAILURE
+    if outcome.get_header(names.stamp) is None:
+        return Verdict.SPOILT
+    return Verdict.ANSWER
+
+
+@dataclasses.dataclass(slots=True)
+class Counters:
+    """What all requests of this host have cost its upstreams."""
+
+    firsts: int = 0
+    hedges: int = 0
+    retries: int = 0
+    denied: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tools:
+    """What pursuits share in one host."""
+
+    loop: asyncio.AbstractEventLoop
+    names: dialect.HeaderNames
+    book: replicas.ReplicaBook
+    get_budget: Callable[[routing.ServiceName], budget.ExtraBudget]
+    counters: Counters
+
+
+@dataclasses.dataclass(slots=True)
+class Call:
+    """One request of a caller, as its pursuits see it.
+
+    `end` is the loop time at which it is given up, `late_s` the time in
+    seconds after which an attempt counts as late.
+    """
+
+    request: messages.Request
+    request_id: bytes
+    route: routing.Route
+    end: float
+    late_s: float
+    head: messages.Headers
+
+    def render(self, upstream: state.UpstreamId, names, now: float) -> bytes:
+        """Write the request to one upstream, with the time that is left."""
+        left_ms = max(1, int((self.end - now) * 1000))
+        headers = [
+            *self.head,
+            (names.deadline_ms, b'%d' % left_ms),
+            (names.expected_upstream, upstream.encode('ascii')),
+        ]
+        request = self.request
+        return messages.render_request(
+            request.method, request.target, headers, request.body
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One exchange with one replica."""
+
+    replica: replicas.Replica
+    exchange: link.Exchange
+
+
+class Pursuit:
+    """One service's part of a call.
+
+    After `start`, `on_settled` is called once: then either `answer` is
+    set, or the pursuit has failed and `failure`, `may_have_run` and
+    `detail` say how.
+    """
+
+    def __init__(
+        self,
+        tools: Tools,
+        call: Call,
+        service: routing.ServiceName,
+        on_settled: Callable[['Pursuit'], None],
+    ):
+        self.service = service
+        self.answer: messages.Reply | None = None
+        self.failure: messages.Reply | None = None
+        self.may_have_run = False
+        self.was_cut = False
+        self.detail = ''
+        self.sent = 0
+        self.is_late = False
+        self.settled = False
+        self.winner: replicas.Replica | None = None
+        self._tools = tools
+        self._call = call
+        self._on_settled = on_settled
+        self._attempts: list[Attempt] = []
+        self._tried: tuple[state.UpstreamId, ...] = ()
+        self._unsent = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._budget = tools.get_budget(service)
+        self._repeatable = call.route.repeat is routing.Repeat.IDEMPOTENT
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether an upstream may be at work on it."""
+        return any(
+            attempt.exchange.sent_at is not None for attempt in self._attempts
+        )
+
+    def start(self) -> None:
+        """Send the first attempt."""
+        self._budget.note_request()
+        replica = self._choose()
+        if replica is None:
+            self._fail('no upstream is registered')
+            return
+        self._tools.counters.firsts += 1
+        self._send(replica)
+
+    def hedge(self) -> None:
+        """Ask a second replica, since the first answer is late."""
+        if self.settled or not self._attempts or not self._repeatable:
+            return
+        self.is_late = True
+        now = self._tools.loop.time()
+        slow = self._attempts[0]
+        slow.replica.note_bad()
+        other = self._choose()
+        if other is None or other.is_suspect(now, self._call.late_s):
+            return
+        if slow.replica.links.withdraw(slow.exchange):
+            self._attempts.remove(slow)
+            self.sent -= 1
+            self._send(other)
+        elif self._may_send_again():
+            self._tools.counters.hedges += 1
+            self._send(other)
+
+    def give_up(self) -> None:
+        """End what is under way, and tell its upstreams by closing."""
+        self.settled = True
+        self._cancel_timer()
+        self.was_cut = self.is_waiting
+        for attempt in self._attempts:
+            attempt.replica.links.drop(attempt.exchange)
+        self._attempts.clear()
+
+    def _choose(self) -> replicas.Replica | None:
+        return self._tools.book.choose(
+            self.service, self._call.late_s, self._tried
+        )
+
+    def _may_send_again(self) -> bool:
+        if self.sent >= self._call.route.max_attempts:
+            return False
+        if self._budget.try_spend():
+            return True
+        self._tools.counters.denied += 1
+        return False
+
+    def _send(self, replica: replicas.Replica) -> None:
+        call = self._call
+        tools = self._tools
+        upstream = replica.endpoint.upstream
+        if upstream not in self._tried:
+            self._tried = (*self._tried, upstream)
+        exchange = link.Exchange(
+            call.request_id,
+            lambda: call.render(upstream, tools.names, tools.loop.time()),
+            lambda done, outcome: self._on_outcome(attempt, outcome),
+            headless=call.request.method == b'HEAD',
+            fresh=not self._repeatable,
+        )
+        attempt = Attempt(replica, exchange)
+        self._attempts.append(attempt)
+        self.sent += 1
+        replica.links.submit(exchange)
+
+    def _on_outcome(self, attempt: Attempt, outcome: link.Outcome) -> None:
+        if attempt in self._attempts:
+            self._attempts.remove(attempt)
+        verdict = judge_outcome(outcome, self._tools.names)
+        match verdict:
+            case Verdict.ANSWER:
+                attempt.replica.note_good()
+                self.answer = outcome
+                self.winner = attempt.replica
+                self._settle()
+                return
+            case Verdict.FAILURE:
+                self.may_have_run = True
+                self.failure = outcome
+                if outcome.status < 500:
+                    self._settle()
+                    return
+                attempt.replica.note_bad()
+            case Verdict.REJECTED:
+                attempt.replica.note_bad(replicas.SHED_AVOID_S)
+            case Verdict.SPOILT | Verdict.LOST:
+                self.may_have_run = True
+                attempt.replica.note_bad()
+            case Verdict.UNSENT:
+                attempt.replica.note_bad(replicas.UNREACHABLE_AVOID_S)
+                self.sent -= 1
+                self._unsent += 1
+        self.detail = _describe(verdict, outcome)
+        if not self._attempts:
+            self._try_again(attempt.replica, verdict)
+
+    def _try_again(self, last: replicas.Replica, verdict: Verdict) -> None:
+        if self.may_have_run and not self._repeatable:
+            self._fail(self.detail)
+            return
+        now = self._tools.loop.time()
+        if self._call.end - now < LEAST_LEFT_S:
+            self._fail(f'{self.detail}, and no time is left')
+            return
+        if verdict is Verdict.UNSENT and self._unsent >= MOST_UNSENT:
+            self._fail(self.detail)
+            return
+        other = self._choose()
+        if other is not None:
+            self._resend(other)
+        elif verdict is Verdict.UNSENT or verdict is Verdict.REJECTED:
+            self._timer = self._tools.loop.call_later(
+                SAME_AGAIN_S, self._try_anybody
+            )
+        else:
+            self._fail(self.detail)
+
+    def _try_anybody(self) -> None:
+        """Try replicas again that never got or never ran the request."""
+        self._timer = None
+        self._tried = ()
+        replica = self._choose()
+        if replica is None:
+            self._fail(self.detail)
+        else:
+            self._resend(replica)
+
+    def _resend(self, replica: replicas.Replica) -> None:
+        if self.sent == 0:
+            # Nothing has arrived anywhere so far, so this is the first.
+            self._send(replica)
+        elif self._may_send_again():
+            self._tools.counters.retries += 1
+            self._send(replica)
+        else:
+            self._fail(self.detail)
+
+    def _fail(self, detail: str) -> None:
+        self.detail = detail
+        self._settle()
+
+    def _settle(self) -> None:
+        self.settled = True
+        self._cancel_timer()
+        for attempt in self._attempts:
+            links = attempt.replica.links
+            links.leave(attempt.exchange, LOSER_PATIENCE_S)
+        self._attempts.clear()
+        self._on_settled(self)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+
+def _describe(verdict: Verdict, outcome: link.Outcome) -> str:
+    match outcome:
+        case link.Lost(detail=detail):
+            return f'{verdict.value}: {detail}'
+    return f'{verdict.value}: status {outcome.status}'
--- /dev/null
+++ b/rudderrock/gateway/_replicas.py
@@ -0,0 +1,200 @@
+"""What this host has seen of each upstream, and which one it asks next."""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+import random
+
+from rudderrock import state
+from rudderrock.gateway import _dialect as dialect
+from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _pool as pool
+from rudderrock.gateway import _routing as routing
+
+# After a late or failed answer an upstream is passed over for this long,
+# doubled for each more in a row up to the longest; seconds. A pause of an
+# upstream lasts some 150 to 250 ms.
+FIRST_AVOID_S = 0.25
+LONGEST_AVOID_S = 3.0
+# An upstream that can't be reached is passed over for longer; seconds.
+UNREACHABLE_AVOID_S = 0.5
+# A rejected request says that the upstream is full just now; seconds.
+SHED_AVOID_S = 0.1
+_MOST_STRIKES = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where this host is, and the region of each availability zone."""
+
+    zone: state.ZoneId
+    regions: dict[state.ZoneId, str]
+
+    def get_distance(self, zone: state.ZoneId) -> int:
+        """Return 0 for the same zone, 1 for the same region, else 2."""
+        if zone == self.zone:
+            return 0
+        own = self.regions.get(self.zone)
+        return 1 if own == self.regions.get(zone, zone) else 2
+
+
+class Replica:
+    """One upstream with its connections and its recent conduct."""
+
+    def __init__(
+        self,
+        endpoint: directory.Endpoint,
+        links: pool.Pool,
+        distance: int,
+        clock: state.Clock,
+    ):
+        self.endpoint = endpoint
+        self.links = links
+        self.distance = distance
+        self.strikes = 0
+        self._clock = clock
+        self._avoid_until = 0.0
+
+    def is_suspect(self, now: float, late_s: float) -> bool:
+        """Tell whether it should be passed over while another will do.
+
+        It is while a request to it is later than `late_s`.
+        """
+        if now < self._avoid_until:
+            return True
+        return self.links.get_oldest_age(now) > late_s
+
+    def note_good(self) -> None:
+        """Take note of an answer in time."""
+        self.strikes = 0
+        self._avoid_until = 0.0
+
+    def note_bad(self, base_s: float = FIRST_AVOID_S) -> None:
+        """Take note of a late, failed, lost or rejected request."""
+        now = self._clock.now()
+        if now < self._avoid_until:
+            return
+        wait_s = min(base_s * 2**self.strikes, LONGEST_AVOID_S)
+        self.strikes = min(self.strikes + 1, _MOST_STRIKES)
+        self._avoid_until = now + wait_s
+
+
+class ReplicaBook:
+    """All replicas of this host, kept in step with the directory."""
+
+    def __init__(
+        self,
+        listing: directory.Directory,
+        place: Place,
+        names: dialect.HeaderNames,
+        clock: state.Clock,
+        source: random.Random,
+        get_cap: Callable[[routing.ServiceName], int],
+        get_services: Callable[[], set[routing.ServiceName]],
+    ):
+        self.dials = 0
+        self._listing = listing
+        self._place = place
+        self._names = names
+        self._clock = clock
+        self._source = source
+        self._get_cap = get_cap
+        self._get_services = get_services
+        self._replicas: dict[state.UpstreamId, Replica] = {}
+        self._retired: list[Replica] = []
+        listing.add_listener(self._on_change)
+
+    def list_ready(self, service: routing.ServiceName) -> list[Replica]:
+        """Return the replicas of a service that take new work."""
+        return [
+            self._get_replica(endpoint)
+            for endpoint in self._listing.list_ready(service)
+        ]
+
+    def choose(
+        self,
+        service: routing.ServiceName,
+        late_s: float,
+        tried: tuple[state.UpstreamId, ...] = (),
+    ) -> Replica | None:
+        """Return the replica to ask next, or None if none is left.
+
+        Nothing speaking against it comes first, then nearness, then how
+        little this host has under way there; chance breaks ties.
+        """
+        now = self._clock.now()
+        best = None
+        best_key = None
+        for replica in self.list_ready(service):
+            if replica.endpoint.upstream in tried:
+                continue
+            suspect = replica.is_suspect(now, late_s)
+            key = (
+                suspect,
+                replica.strikes if suspect else 0,
+                replica.links.is_full,
+                replica.distance,
+                replica.links.load / replica.endpoint.slots,
+                self._source.random(),
+            )
+            if best_key is None or key < best_key:
+                best, best_key = replica, key
+        return best
+
+    def warm(self, service: routing.ServiceName) -> None:
+        """Open a connection to the nearest replicas of a service."""
+        found = self.list_ready(service)
+        if not found:
+            return
+        nearest = min(replica.distance for replica in found)
+        for replica in found:
+            if replica.distance == nearest:
+                replica.links.warm()
+
+    def sweep(self) -> None:
+        """Close connections that are no longer of use."""
+        for replica in self._replicas.values():
+            replica.links.sweep()
+        for replica in self._retired:
+            replica.links.sweep()
+        self._retired = [each for each in self._retired if each.links.load]
+
+    def set_caps(self) -> None:
+        """Bring all pools to the present bounds on connections."""
+        for replica in self._replicas.values():
+            replica.links.cap = self._get_cap(replica.endpoint.service)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for replica in (*self._replicas.values(), *self._retired):
+            replica.links.close()
+
+    def _get_replica(self, endpoint: directory.Endpoint) -> Replica:
+        replica = self._replicas.get(endpoint.upstream)
+        if replica is None:
+            links = pool.Pool(
+                endpoint,
+                asyncio.get_running_loop(),
+                self._names,
+                self._get_cap(endpoint.service),
+                self._count_dial,
+            )
+            distance = self._place.get_distance(endpoint.zone)
+            replica = Replica(endpoint, links, distance, self._clock)
+            self._replicas[endpoint.upstream] = replica
+        return replica
+
+    def _count_dial(self) -> None:
+        self.dials += 1
+
+    def _on_change(self, change: directory.DirectoryChange) -> None:
+        for upstream in change.left:
+            replica = self._replicas.pop(upstream, None)
+            if replica is not None:
+                replica.links.retire()
+                self._retired.append(replica)
+        wanted = self._get_services()
+        for upstream in change.added:
+            endpoint = self._listing.get_endpoint(upstream)
+            if endpoint is not None and endpoint.service in wanted:
+                self.warm(endpoint.service)
--- /dev/null
+++ b/rudderrock/gateway/_settings.py
@@ -0,0 +1,36 @@
+"""What a gateway is told about its place, its bounds and its addresses."""
+
+import dataclasses
+
+from rudderrock.gateway import _dialect as dialect
+from rudderrock.gateway import _replicas as replicas
+
+Address = tuple[str, int]
+
+# Hosts that are taken to share a tier until they have been counted. More
+# is safe: each then spends less of what all share.
+ASSUMED_HOSTS = 9
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GatewaySettings:
+    """Settings of one gateway.
+
+    `extra_ratio`, `extra_window_s` and `extra_slack` bound the arrivals at
+    a service beyond the first of each request: in any window of so many
+    seconds at most that part of its requests, plus the slack, over all
+    hosts. `stop_s` is how long a planned stop may take before the process
+    is killed.
+    """
+
+    host: str
+    place: replicas.Place
+    callers: Address
+    readiness: Address
+    metrics: Address
+    names: dialect.HeaderNames = dialect.HeaderNames()
+    extra_ratio: float = 0.2
+    extra_window_s: float = 10.0
+    extra_slack: float = 20.0
+    stop_s: float = 6.0
+    assumed_hosts: int = ASSUMED_HOSTS
--- /dev/null
+++ b/rudderrock/platform/_boot.py
@@ -0,0 +1,78 @@
+"""The platform's settings file: lines of `a.b=value`, lists by commas."""
+
+import pathlib
+
+import result
+
+from rudderrock import gateway
+from rudderrock import state
+from rudderrock.platform import _headers as headers
+
+# The platform names no address for metrics in the settings; the deploy
+# file names this port.
+METRICS_PORT = 9464
+
+
+class Boot:
+    """The fields that rudderrock uses, under its own names."""
+
+    def __init__(self, fields: dict[str, str]):
+        self._fields = fields
+
+    @property
+    def store(self) -> tuple[str, int]:
+        """Return the address of the platform's store."""
+        return _split(self._fields['platform.address'])
+
+    def make_settings(self) -> gateway.GatewaySettings:
+        """Return the gateway's settings."""
+        fields = self._fields
+        callers = _split(fields['listen.front'])
+        prefix = 'zones.'
+        return gateway.GatewaySettings(
+            host=fields['node_name'],
+            # The platform's zone is an availability zone.
+            place=gateway.Place(
+                state.ZoneId(fields['zone']),
+                {
+                    state.ZoneId(key.removeprefix(prefix)): region
+                    for key, region in fields.items()
+                    if key.startswith(prefix)
+                },
+            ),
+            callers=callers,
+            readiness=_split(fields['listen.ready']),
+            metrics=(callers[0], METRICS_PORT),
+            names=headers.NAMES,
+            extra_ratio=float(fields['bounds.retry_budget_ratio']),
+            extra_window_s=float(fields['bounds.retry_window_s']),
+            extra_slack=float(fields['bounds.retry_slack']),
+            stop_s=float(fields['bounds.grace_s']),
+        )
+
+
+def read_boot(path: pathlib.Path) -> result.Result[Boot, str]:
+    """Read the file; unknown fields are left alone."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except OSError as error:
+        return result.Err(f'{path}: {error.strerror}')
+    fields = {}
+    for line in text.splitlines():
+        key, equals, value = line.partition('=')
+        if equals:
+            fields[key.strip()] = value.strip()
+    boot = Boot(fields)
+    try:
+        boot.make_settings()
+        boot.store
+    except KeyError as error:
+        return result.Err(f'{path}: {error.args[0]} is required')
+    except ValueError as error:
+        return result.Err(f'{path}: {error}')
+    return result.Ok(boot)
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(':')
+    return host, int(port)
--- /dev/null
+++ b/rudderrock/platform/_decode.py
@@ -0,0 +1,159 @@
+"""What lies in the platform's store, decoded into rudderrock's types."""
+
+import base64
+import binascii
+
+import msgspec
+import result
+
+from rudderrock import gateway
+from rudderrock import state
+
+
+class _WeightedService(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    # `safe` may be repeated; any other kind is run at most once.
+    kind: str
+    timeout_ms: float
+    latency_goal_ms: float | None = None
+    priority: int = 0
+    max_attempts: int = 1
+    service: str | None = None
+    split: list[_WeightedService] | None = None
+    # The services of all shards of an index.
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_coverage: float = 1.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    # Connections that one upstream accepts from all hosts together.
+    max_conns: int = 1
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+
+
+class _Server(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int = 1
+    # `ready` or `draining`.
+    state: str = 'ready'
+
+
+def decode_value(text: str) -> bytes:
+    """Return the bytes of a stored value, which is base64 text."""
+    return base64.b64decode(text, validate=True)
+
+
+def decode_table(
+    raw: bytes,
+) -> result.Result[gateway.RoutingTable, str]:
+    """Return the routing table that an operator has written."""
+    try:
+        config = msgspec.json.decode(raw, type=_Config)
+        routes = [_make_route(each) for each in config.routes]
+    except (msgspec.DecodeError, ValueError) as error:
+        return result.Err(str(error))
+    services = {}
+    for each in config.services:
+        name = gateway.ServiceName(each.name)
+        services[name] = gateway.Service(
+            name=name, max_connections=each.max_conns
+        )
+    limits = config.limits
+    return result.Ok(
+        gateway.RoutingTable(
+            gateway.TableVersion(config.version),
+            routes,
+            services,
+            gateway.IntakeLimits(
+                max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
+                header_timeout_s=limits.header_timeout_ms / 1000,
+                idle_timeout_s=limits.idle_timeout_ms / 1000,
+            ),
+        )
+    )
+
+
+def decode_upstream(
+    upstream: str, raw: bytes
+) -> result.Result[gateway.Endpoint, str]:
+    """Return one registered upstream; its id is part of its key."""
+    try:
+        server = msgspec.json.decode(raw, type=_Server)
+        host, _, port = server.address.rpartition(':')
+        address = host, int(port)
+    except (msgspec.DecodeError, ValueError) as error:
+        return result.Err(f'{upstream}: {error}')
+    ready = server.state == 'ready'
+    return result.Ok(
+        gateway.Endpoint(
+            upstream=state.UpstreamId(upstream),
+            service=gateway.ServiceName(server.service),
+            address=address,
+            zone=state.ZoneId(server.zone),
+            slots=max(1, server.slots),
+            phase=gateway.Phase.READY if ready else gateway.Phase.DRAINING,
+        )
+    )
+
+
+def _make_route(route: _Route) -> gateway.Route:
+    safe = route.kind == 'safe'
+    goal_ms = route.latency_goal_ms or route.timeout_ms
+    return gateway.Route(
+        name=gateway.RouteName(route.name),
+        host=route.host,
+        prefix=route.prefix,
+        repeat=gateway.Repeat.IDEMPOTENT if safe else gateway.Repeat.ONCE,
+        target=_make_target(route),
+        timeout_s=route.timeout_ms / 1000,
+        goal_s=goal_ms / 1000,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+    )
+
+
+def _make_target(route: _Route) -> gateway.Target:
+    if route.gather:
+        return gateway.Scatter(
+            tuple(gateway.ServiceName(each) for each in route.gather),
+            route.top_k,
+            route.min_coverage,
+        )
+    if route.split:
+        return gateway.Split(
+            tuple(
+                gateway.Share(gateway.ServiceName(each.service), each.weight)
+                for each in route.split
+            )
+        )
+    if route.service:
+        return gateway.Single(gateway.ServiceName(route.service))
+    raise ValueError(f'route {route.name} names no service')
+
+
+BAD_VALUE = (binascii.Error, ValueError)
--- /dev/null
+++ b/rudderrock/platform/_store.py
@@ -0,0 +1,204 @@
+"""The platform's store: its calls, and the gateway's source made of them."""
+
+import urllib.parse
+
+import msgspec
+import result
+
+from rudderrock import gateway
+from rudderrock.platform import _decode as decode
+
+# How long a call may take, in seconds. The store answers in milliseconds,
+# and in some 0.3 s when it is slow.
+CALL_TIMEOUT_S = 1.0
+# How much longer than it was asked to wait a watch may take, in seconds.
+WATCH_SLACK_S = 1.0
+_CONFIG_KEY = 'op/config'
+_SERVERS_PREFIX = 'servers/'
+
+
+class _Item(msgspec.Struct):
+    key: str
+    value: str = ''
+    # The revision of the item's last change.
+    revision: int = 0
+    created_revision: int = 0
+    lease_id: int = 0
+    # Only in an event: the item has been deleted, or its history dropped.
+    compacted: bool = False
+    # Only with a single item: the store's own revision.
+    at_revision: int = 0
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    at_revision: int
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    at_revision: int
+
+
+class StoreSource:
+    """Routes and upstreams, read from the platform's store."""
+
+    def __init__(self, address: tuple[str, int]):
+        self.caller = gateway.HttpCaller(address)
+
+    async def read_table(
+        self,
+    ) -> result.Result[gateway.TableReading, gateway.Unavailable]:
+        """Return the newest configuration."""
+        target = _make_target('/kv-key', key=_CONFIG_KEY)
+        answer = await self._get(target, CALL_TIMEOUT_S)
+        match answer:
+            case result.Err():
+                return answer
+            case result.Ok(reply) if reply.status == 404:
+                return result.Ok(gateway.TableReading(None, 0))
+        match _decode_body(answer.ok_value, _Item):
+            case result.Err(problem):
+                return result.Err(problem)
+            case result.Ok(item):
+                return result.Ok(_make_table_reading(item, item.at_revision))
+
+    async def watch_table(
+        self, after: int, wait_s: float
+    ) -> result.Result[
+        gateway.TableReading | None,
+        gateway.Unavailable | gateway.HistoryGone,
+    ]:
+        """Wait for a configuration written after a revision."""
+        target = _make_target(
+            '/kv-watch',
+            prefix=_CONFIG_KEY,
+            after=str(after),
+            wait_ms=str(round(wait_s * 1000)),
+        )
+        answer = await self._get(
+            target, wait_s + WATCH_SLACK_S, allowed=(200, 410)
+        )
+        match answer:
+            case result.Err():
+                return answer
+            case result.Ok(reply) if reply.status == 410:
+                return result.Err(gateway.HistoryGone())
+        match _decode_body(answer.ok_value, _Events):
+            case result.Err(problem):
+                return result.Err(problem)
+            case result.Ok(found):
+                return _pick_newest(found)
+
+    async def list_upstreams(
+        self,
+    ) -> result.Result[gateway.UpstreamReading, gateway.Unavailable]:
+        """Return all registered upstreams, page by page."""
+        endpoints: list[gateway.Endpoint] = []
+        problems: list[str] = []
+        after = ''
+        revision = 0
+        while True:
+            match await self._read_page(_SERVERS_PREFIX, after):
+                case result.Err(problem):
+                    return result.Err(problem)
+                case result.Ok(page):
+                    pass
+            revision = revision or page.at_revision
+            for item in page.items:
+                match _decode_server(item):
+                    case result.Ok(endpoint):
+                        endpoints.append(endpoint)
+                    case result.Err(problem):
+                        problems.append(problem)
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        return result.Ok(
+            gateway.UpstreamReading(
+                tuple(endpoints), revision, tuple(problems)
+            )
+        )
+
+    def close(self) -> None:
+        """Close the connections to the store."""
+        self.caller.close()
+
+    async def _read_page(
+        self, prefix: str, after: str
+    ) -> result.Result[_Page, gateway.Unavailable]:
+        query = {'prefix': prefix}
+        if after:
+            query['after'] = after
+        answer = await self._get(
+            _make_target('/kv-range', **query), CALL_TIMEOUT_S
+        )
+        match answer:
+            case result.Err():
+                return answer
+            case result.Ok(reply):
+                return _decode_body(reply, _Page)
+
+    async def _get(
+        self,
+        target: bytes,
+        timeout_s: float,
+        allowed: tuple[int, ...] = (200, 404),
+    ) -> result.Result[gateway.Reply, gateway.Unavailable]:
+        answer = await self.caller.call(b'GET', target, b'', timeout_s)
+        match answer:
+            case result.Err(detail):
+                return result.Err(gateway.Unavailable(detail))
+            case result.Ok(reply) if reply.status not in allowed:
+                return result.Err(
+                    gateway.Unavailable(f'status {reply.status}')
+                )
+        return answer
+
+
+def _make_target(path: str, **query: str) -> bytes:
+    text = urllib.parse.urlencode(query, quote_via=urllib.parse.quote)
+    return f'{path}?{text}'.encode('ascii')
+
+
+def _decode_body(reply: gateway.Reply, kind: type):
+    try:
+        return result.Ok(msgspec.json.decode(reply.body, type=kind))
+    except msgspec.DecodeError as error:
+        return result.Err(gateway.Unavailable(f'unreadable: {error}'))
+
+
+def _decode_server(item: _Item) -> result.Result[gateway.Endpoint, str]:
+    try:
+        raw = decode.decode_value(item.value)
+    except decode.BAD_VALUE as error:
+        return result.Err(f'{item.key}: {error}')
+    return decode.decode_upstream(item.key.removeprefix(_SERVERS_PREFIX), raw)
+
+
+def _make_table_reading(item: _Item, revision: int) -> gateway.TableReading:
+    try:
+        raw = decode.decode_value(item.value)
+    except decode.BAD_VALUE as error:
+        return gateway.TableReading(None, revision, str(error))
+    match decode.decode_table(raw):
+        case result.Ok(table):
+            return gateway.TableReading(table, revision)
+        case result.Err(problem):
+            return gateway.TableReading(None, revision, problem)
+
+
+def _pick_newest(
+    found: _Events,
+) -> result.Result[
+    gateway.TableReading | None, gateway.Unavailable | gateway.HistoryGone
+]:
+    written = [
+        event
+        for event in found.events
+        if event.key == _CONFIG_KEY and not event.compacted
+    ]
+    if not written:
+        return result.Ok(None)
+    return result.Ok(_make_table_reading(written[-1], found.at_revision))
--- a/rudderrock/state/__init__.py
+++ b/rudderrock/state/__init__.py
@@ -24,6 +24,8 @@
 from rudderrock.state._ids import TeamId
 from rudderrock.state._ids import UpstreamId
 from rudderrock.state._ids import ZoneId
+from rudderrock.state._latency import FadingMean
+from rudderrock.state._latency import LatePoint
 from rudderrock.state._layout import check_layout
 from rudderrock.state._layout import Collection
 from rudderrock.state._layout import Layout
@@ -75,6 +77,7 @@
     'Event',
     'EventKind',
     'EventRing',
+    'FadingMean',
     'FORBID_UNKNOWN',
     'HISTORY_LIMIT',
     'HedgeSettings',
@@ -83,6 +86,7 @@
     'HybridClock',
     'IndexVersion',
     'IntakeSettings',
+    'LatePoint',
     'Layout',
     'MAX_DRIFT_S',
     'MAX_TABLE_BYTES',
--- a/rudderrock/coordination/_latency.py
+++ b/rudderrock/state/_latency.py
@@ -2,7 +2,7 @@
 
 import math
 
-from rudderrock import state
+from rudderrock.state import _clock
 
 # Gain of one request on the late point, once settled and at first.
 _LATE_GAIN = 0.02
@@ -59,7 +59,7 @@
     """
 
     def __init__(
-        self, clock: state.Clock, weight: float = 0.15, fade_s: float = 5.0
+        self, clock: _clock.Clock, weight: float = 0.15, fade_s: float = 5.0
     ):
         self._clock = clock
         self._weight = weight
