Scenarios of the gateway over virtual connections, and stand-ins

Change: 72 scenarios of forwarding, answers, retries, gathers, limits, directory, stops and logs over virtual connections; a wire upstream with faults, a source in memory and the platform's store as stand-ins. Conclusion: the platform's adapter still needs scenarios of its own.

--- /dev/null
+++ b/features/gateway_bench.py
@@ -0,0 +1,282 @@
+"""A gateway over virtual connections, its upstreams and its callers."""
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+
+from rudderrock import gateway
+from rudderrock import gateway_root
+from rudderrock import standins
+from rudderrock import state
+
+NAMES = gateway.HeaderNames()
+HOST = 'members.example'
+_GATEWAY_IP = '10.0.0.1'
+_PORT = 8000
+# What upstreams accept unless a scenario says otherwise.
+_CONNECTIONS = 100
+
+
+class LineHandler(logging.Handler):
+    """Keeps the log lines of a scenario."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep one line."""
+        self.lines.append(record.getMessage())
+
+
+@dataclasses.dataclass(slots=True)
+class Reply:
+    """What a caller got; `status` 0 if the connection just ended."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    elapsed: float = 0.0
+    closed: bool = False
+
+
+class Caller:
+    """One connection of a caller."""
+
+    def __init__(self, reader, writer):
+        self.reader = reader
+        self.writer = writer
+
+    async def send(self, raw: bytes) -> None:
+        """Send bytes as they are."""
+        self.writer.write(raw)
+        await self.writer.drain()
+
+    async def read(self) -> Reply:
+        """Read one reply."""
+        try:
+            head = await self.reader.readuntil(b'\r\n\r\n')
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return Reply(0, {}, b'', closed=True)
+        first, *lines = head.decode('latin-1').strip().split('\r\n')
+        status = int(first.split(' ')[1])
+        headers = {}
+        for line in lines:
+            key, _, value = line.partition(':')
+            headers[key.strip().lower()] = value.strip()
+        length = int(headers.get('content-length', '0'))
+        body = await self.reader.readexactly(length)
+        return Reply(status, headers, body)
+
+    def leave(self) -> None:
+        """Close the connection."""
+        self.writer.transport.abort()
+
+
+def make_raw(
+    request_id: str,
+    path: str,
+    *,
+    method: str = 'GET',
+    deadline_ms: int = 1000,
+    body: bytes = b'',
+    extra: str = '',
+    host: str = HOST,
+) -> bytes:
+    """Return one request of a caller as bytes."""
+    head = (
+        f'{method} {path} HTTP/1.1\r\nHost: {host}\r\n'
+        f'Rudderrock-Request-Id: {request_id}\r\n'
+        f'Rudderrock-Deadline-Ms: {deadline_ms}\r\n{extra}'
+    )
+    if body:
+        head += f'Content-Length: {len(body)}\r\n'
+    return head.encode() + b'\r\n' + body
+
+
+class GatewayBench:
+    """One gateway and what is around it, on the scenario's loop."""
+
+    def __init__(self, stack: contextlib.AsyncExitStack):
+        self.source = standins.MemorySource()
+        self.upstreams: dict[str, standins.WireUpstream] = {}
+        self.routes: list[gateway.Route] = []
+        self.services: dict[gateway.ServiceName, gateway.Service] = {}
+        self.limits = gateway.IntakeLimits()
+        self.process: gateway.GatewayProcess | None = None
+        self.task: asyncio.Task | None = None
+        self.log = LineHandler()
+        self.replies: list[Reply] = []
+        self.version = 0
+        self._stack = stack
+        self._next = 0
+
+    async def start(self, **settings) -> None:
+        """Start the gateway; it is given a second to learn all."""
+        loop = asyncio.get_running_loop()
+        clock = state.Clock(loop)
+        root_log = logging.getLogger()
+        root_log.addHandler(self.log)
+        self._stack.callback(root_log.removeHandler, self.log)
+        logging.getLogger('absl').setLevel(logging.INFO)
+        fields = {
+            'place': gateway.Place(
+                state.ZoneId('north-1'),
+                {
+                    state.ZoneId('north-1'): 'north',
+                    state.ZoneId('south-1'): 'south',
+                },
+            ),
+            'assumed_hosts': 1,
+            **settings,
+        }
+        config = gateway.GatewaySettings(
+            host='g1',
+            callers=(_GATEWAY_IP, _PORT),
+            readiness=(_GATEWAY_IP, _PORT + 1),
+            metrics=(_GATEWAY_IP, _PORT + 2),
+            **fields,
+        )
+        events = gateway.EventLog('g1', clock)
+        self.process = gateway_root.make_gateway(
+            config, self.source, clock, 1, events
+        )
+        self.task = asyncio.create_task(self.process.run())
+        self._stack.push_async_callback(self._end)
+        await asyncio.sleep(1.5)
+
+    async def _end(self) -> None:
+        self.task.cancel()
+        await asyncio.gather(self.task, return_exceptions=True)
+
+    async def add_upstream(
+        self,
+        upstream: str,
+        service: str,
+        *,
+        zone: str = 'north-1',
+        address: tuple[str, int] | None = None,
+        **shape,
+    ) -> standins.WireUpstream:
+        """Start an upstream and register it."""
+        self._next += 1
+        address = address or (f'10.1.0.{self._next}', 9000)
+        model = standins.WireUpstream(upstream, NAMES, **shape)
+        await model.start(*address)
+        self._stack.push_async_callback(model.stop)
+        self.upstreams[upstream] = model
+        if service not in self.services:
+            self.allow_connections(service, _CONNECTIONS)
+        self.register(upstream, service, zone, address)
+        return model
+
+    def register(
+        self,
+        upstream: str,
+        service: str,
+        zone: str,
+        address: tuple[str, int],
+        phase: gateway.Phase = gateway.Phase.READY,
+    ) -> None:
+        """Register an upstream, or change what is registered."""
+        self.source.set_endpoint(
+            gateway.Endpoint(
+                upstream=state.UpstreamId(upstream),
+                service=gateway.ServiceName(service),
+                address=address,
+                zone=state.ZoneId(zone),
+                slots=2,
+                phase=phase,
+            )
+        )
+
+    def add_route(self, prefix: str, target: gateway.Target, **fields) -> None:
+        """Add a route, or replace the one of this prefix."""
+        shape = {
+            'host': HOST,
+            'repeat': gateway.Repeat.IDEMPOTENT,
+            'timeout_s': 1.0,
+            'goal_s': 0.2,
+            'priority': 1,
+            'max_attempts': 2,
+            **fields,
+        }
+        self.routes = [each for each in self.routes if each.prefix != prefix]
+        self.routes.append(
+            gateway.Route(
+                name=gateway.RouteName(f'r{prefix}'),
+                prefix=prefix,
+                target=target,
+                **shape,
+            )
+        )
+
+    def make_table(self, version: int) -> gateway.RoutingTable:
+        """Return a table of the present routes."""
+        return gateway.RoutingTable(
+            gateway.TableVersion(version),
+            self.routes,
+            self.services,
+            self.limits,
+        )
+
+    def publish(self) -> None:
+        """Write the routes as the next version."""
+        self.version += 1
+        self.source.set_table(self.make_table(self.version))
+
+    def allow_connections(self, service: str, count: int) -> None:
+        """Say how many connections an upstream of a service accepts."""
+        name = gateway.ServiceName(service)
+        self.services[name] = gateway.Service(name=name, max_connections=count)
+
+    async def connect(self, port: int = _PORT) -> Caller:
+        """Open one connection of a caller."""
+        return Caller(*await asyncio.open_connection(_GATEWAY_IP, port))
+
+    async def ask(self, raw: bytes, port: int = _PORT) -> Reply:
+        """Send one request on a new connection and keep its reply."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        try:
+            caller = await self.connect(port)
+        except ConnectionError:
+            reply = Reply(0, {}, b'', closed=True)
+        else:
+            await caller.send(raw)
+            reply = await caller.read()
+            caller.leave()
+        reply.elapsed = loop.time() - began
+        self.replies.append(reply)
+        return reply
+
+    async def ask_at_rate(
+        self, path: str, rate: float, seconds: float, **shape
+    ) -> list[Reply]:
+        """Send requests at a steady rate, whatever comes back."""
+        tasks = []
+        for number in range(round(rate * seconds)):
+            raw = make_raw(f'load-{number}', path, **shape)
+            tasks.append(asyncio.create_task(self.ask(raw)))
+            await asyncio.sleep(1.0 / rate)
+        return await asyncio.gather(*tasks)
+
+    async def probe(self) -> int:
+        """Return the status of the readiness address."""
+        raw = make_raw('probe', '/readyz')
+        return (await self.ask(raw, _PORT + 1)).status
+
+    async def scrape(self) -> str:
+        """Return the metrics as text."""
+        raw = make_raw('scrape', '/metrics')
+        return (await self.ask(raw, _PORT + 2)).body.decode()
+
+    def list_runs(self, request_id: str) -> list[standins.WireRun]:
+        """Return every run of one request, at any upstream."""
+        return [
+            run
+            for model in self.upstreams.values()
+            for run in model.runs
+            if run.request_id == request_id
+        ]
--- /dev/null
+++ b/features/steps/gateway.py
@@ -0,0 +1,863 @@
+"""Steps on a gateway over virtual connections."""
+
+import asyncio
+import collections
+import json
+import re
+from unittest import mock
+
+from behave import given
+from behave import step
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features import gateway_bench
+from features.steps.common import run
+from rudderrock import gateway
+from rudderrock import standins
+
+use_step_matcher('re')
+
+NORTH = 'north-1'
+SOUTH = 'south-1'
+_SECONDS = r'([\d.]+) seconds?'
+
+
+def get(context) -> gateway_bench.GatewayBench:
+    """Return the scenario's gateway bench, made on first use."""
+    if not hasattr(context, 'gateway'):
+        context.gateway = gateway_bench.GatewayBench(context.stack)
+        context.count = 0
+        context.reply = None
+        context.request_id = ''
+        context.shards = []
+    return context.gateway
+
+
+def next_id(context) -> str:
+    """Return a request id that has not been used."""
+    context.count += 1
+    context.request_id = f'q{context.count}'
+    return context.request_id
+
+
+@given(r'an upstream "([^"]+)" of "([^"]+)"')
+def add_upstream(context, upstream, service):
+    bench = get(context)
+    run(context, bench.add_upstream(upstream, service, records=b'r' * 32))
+
+
+@given(r'an upstream "([^"]+)" of "([^"]+)" in "([^"]+)"')
+def add_upstream_in(context, upstream, service, zone):
+    bench = get(context)
+    run(
+        context,
+        bench.add_upstream(upstream, service, zone=zone, records=b'r' * 32),
+    )
+
+
+@given(r'an upstream "([^"]+)" of "([^"]+)" that works for ' + _SECONDS)
+def add_slow_upstream(context, upstream, service, seconds):
+    bench = get(context)
+    run(
+        context,
+        bench.add_upstream(upstream, service, work_s=float(seconds)),
+    )
+
+
+def add_shards(context, count, replicas=1, first=0, **shape):
+    """Add shards with near and far replicas, and return their names."""
+    bench = get(context)
+    names = []
+    for number in range(first, first + count):
+        name = f'shard-{number}'
+        names.append(name)
+        for replica in range(replicas):
+            zone = SOUTH if replica else NORTH
+            run(
+                context,
+                bench.add_upstream(
+                    f'{name}-{replica}', name, zone=zone, **shape
+                ),
+            )
+    return names
+
+
+@given(r'(\d+) shards?')
+def add_plain_shards(context, count):
+    get(context)
+    context.shards += add_shards(context, int(count))
+
+
+@given(r'(\d+) shards? of (\d+) replicas')
+def add_replicated_shards(context, count, replicas):
+    get(context)
+    context.shards += add_shards(context, int(count), int(replicas))
+
+
+@given(r'(\d+) shards? that work for ' + _SECONDS)
+def add_slow_shards(context, count, seconds):
+    get(context)
+    context.shards += add_shards(context, int(count), work_s=float(seconds))
+
+
+@given(r'1 shard that accepts (\d+) connections')
+def add_narrow_shard(context, count):
+    bench = get(context)
+    bench.allow_connections('shard-0', int(count))
+    context.shards += add_shards(context, 1)
+
+
+@given(r'shards with the records (.+)')
+def add_shards_with(context, listed):
+    get(context)
+    words = re.findall(r'"([^"]+)"', listed)
+    for number, word in enumerate(words):
+        records = b''.join(letter.encode() * 16 for letter in word)
+        context.shards += add_shards(context, 1, first=number, records=records)
+
+
+@given(r'a shard that sends half a record')
+def add_half_shard(context):
+    context.shards += add_shards(
+        context, 1, first=len(context.shards), records=b'z' * 8
+    )
+
+
+@given(r'the route "([^"]+)" to "([^"]+)"')
+def add_route(context, prefix, service):
+    get(context).add_route(prefix, gateway.Single(service))
+
+
+@given(r'the route "([^"]+)" to "([^"]+)" that runs once')
+def add_once(context, prefix, service):
+    get(context).add_route(
+        prefix, gateway.Single(service), repeat=gateway.Repeat.ONCE
+    )
+
+
+@given(r'the route "([^"]+)" to "([^"]+)" with a timeout of ' + _SECONDS)
+def add_timed(context, prefix, service, seconds):
+    get(context).add_route(
+        prefix, gateway.Single(service), timeout_s=float(seconds)
+    )
+
+
+@given(
+    r'the route "([^"]+)" to "([^"]+)" with a timeout of '
+    + _SECONDS
+    + ' that runs once'
+)
+def add_timed_once(context, prefix, service, seconds):
+    get(context).add_route(
+        prefix,
+        gateway.Single(service),
+        timeout_s=float(seconds),
+        repeat=gateway.Repeat.ONCE,
+    )
+
+
+@given(
+    r'the route "([^"]+)" split (\d+) to (\d+) over "([^"]+)" and "([^"]+)"'
+)
+def add_split(context, prefix, left, right, first, second):
+    shares = (
+        gateway.Share(first, float(left)),
+        gateway.Share(second, float(right)),
+    )
+    get(context).add_route(prefix, gateway.Split(shares))
+
+
+def add_scatter(context, prefix, top_k=5, least=0.5, **fields):
+    """Add a route to all shards that the scenario has."""
+    target = gateway.Scatter(tuple(context.shards), top_k, least)
+    get(context).add_route(prefix, target, **fields)
+
+
+@given(r'the route "([^"]+)" to all shards')
+def add_scatter_plain(context, prefix):
+    add_scatter(context, prefix)
+
+
+@given(r'the route "([^"]+)" to all shards with a timeout of ' + _SECONDS)
+def add_scatter_timed(context, prefix, seconds):
+    add_scatter(context, prefix, timeout_s=float(seconds))
+
+
+@given(r'the route "([^"]+)" to all shards for the greatest (\d+)')
+def add_scatter_top(context, prefix, top_k):
+    add_scatter(context, prefix, top_k=int(top_k))
+
+
+@given(r'the route "([^"]+)" to all shards, at least ([\d.]+) of them')
+def add_scatter_least(context, prefix, least):
+    add_scatter(context, prefix, least=float(least))
+
+
+@given(
+    r'callers may send (\d+) bytes of head and (\d+) of body, '
+    r'the head within 1 second'
+)
+def set_limits(context, head, body):
+    get(context).limits = gateway.IntakeLimits(
+        max_header_bytes=int(head),
+        max_body_bytes=int(body),
+        header_timeout_s=1.0,
+    )
+
+
+@step(r'"([^"]+)" is (\w+(?: cut)?)')
+def set_conduct(context, upstream, conduct):
+    bench = get(context)
+    if conduct == 'restarted':
+        restart(context, upstream)
+        return
+    bench.upstreams[upstream].conduct = standins.Conduct(conduct)
+
+
+@given(r'"([^"]+)" answers every request twice, the second late')
+def set_doubling(context, upstream):
+    set_conduct(context, upstream, 'doubling')
+
+
+@given(r'every upstream of shard (\d+) is (\w+)')
+def set_shard_conduct(context, number, conduct):
+    for name, model in get(context).upstreams.items():
+        if name.startswith(f'shard-{number}-'):
+            model.conduct = standins.Conduct(conduct)
+
+
+@given(r'the near upstream of shard (\d+) is (\w+)')
+def set_near_conduct(context, number, conduct):
+    set_conduct(context, f'shard-{number}-0', conduct)
+
+
+@given(r'every upstream is (\w+)')
+def set_all_conduct(context, conduct):
+    for model in get(context).upstreams.values():
+        model.conduct = standins.Conduct(conduct)
+
+
+def restart(context, upstream):
+    """Cut all connections of an upstream and listen again."""
+    bench = get(context)
+    model = bench.upstreams[upstream]
+    address = bench.source.endpoints[upstream].address
+
+    async def again():
+        await model.stop()
+        await model.start(*address)
+
+    run(context, again())
+
+
+@given(r'a gateway')
+def start_gateway(context):
+    bench = get(context)
+    if bench.routes:
+        bench.publish()
+    run(context, bench.start())
+
+
+@given(r'a gateway with a slack of (\d+)')
+def start_gateway_slack(context, slack):
+    bench = get(context)
+    bench.publish()
+    run(context, bench.start(extra_slack=float(slack)))
+
+
+def send(context, path, **shape):
+    """Send one request and keep its reply for the steps after."""
+    raw = gateway_bench.make_raw(next_id(context), path, **shape)
+    context.reply = run(context, get(context).ask(raw))
+
+
+@when(r'a caller sends GET "([^"]+)"')
+def send_get(context, path):
+    send(context, path)
+
+
+@when(r'a caller sends GET "([^"]+)" to the host "([^"]+)"')
+def send_get_host(context, path, host):
+    send(context, path, host=host)
+
+
+@when(r'a caller sends GET "([^"]+)" with ' + _SECONDS)
+def send_get_deadline(context, path, seconds):
+    send(context, path, deadline_ms=round(float(seconds) * 1000))
+
+
+@when(
+    r'a caller sends GET "([^"]+)" with the header "([^"]+)" '
+    r'and the header "([^"]+)"'
+)
+def send_get_headers(context, path, first, second):
+    send(context, path, extra=f'{first}\r\n{second}\r\n')
+
+
+@when(r'a caller sends POST "([^"]+)" with the body "([^"]+)"')
+def send_post(context, path, body):
+    send(context, path, method='POST', body=body.encode())
+
+
+@when(
+    r'a caller sends POST "([^"]+)" with the body "([^"]+)" '
+    r'and the header "([^"]+)"'
+)
+def send_post_header(context, path, body, header):
+    send(
+        context,
+        path,
+        method='POST',
+        body=body.encode(),
+        extra=f'{header}\r\n',
+    )
+
+
+@when(r'a caller sends POST "([^"]+)" in the chunks "([^"]+)" and "([^"]+)"')
+def send_chunks(context, path, first, second):
+    head = gateway_bench.make_raw(
+        next_id(context),
+        path,
+        method='POST',
+        extra='Transfer-Encoding: chunked\r\n',
+    )
+    body = ''.join(
+        f'{len(piece):x}\r\n{piece}\r\n' for piece in (first, second)
+    )
+    raw = head + body.encode() + b'0\r\n\r\n'
+    context.reply = run(context, get(context).ask(raw))
+
+
+@when(
+    r'a caller sends GET "([^"]+)" with '
+    + _SECONDS
+    + ' and leaves after '
+    + _SECONDS
+)
+def send_and_leave(context, path, deadline, seconds):
+    raw = gateway_bench.make_raw(
+        next_id(context), path, deadline_ms=round(float(deadline) * 1000)
+    )
+
+    async def leave():
+        caller = await get(context).connect()
+        await caller.send(raw)
+        await asyncio.sleep(float(seconds))
+        caller.leave()
+
+    run(context, leave())
+
+
+@when(r'(\d+) requests for "([^"]+)" are sent at (\d+) a second')
+def send_many(context, count, path, rate):
+    seconds = int(count) / float(rate)
+    bench = get(context)
+    context.replies = run(
+        context, bench.ask_at_rate(path, float(rate), seconds)
+    )
+
+
+@when(
+    r'requests for "([^"]+)" are sent at (\d+) a second for (\d+) seconds '
+    r'while (\d+) new shards take over'
+)
+def send_during_change(context, path, rate, seconds, count):
+    bench = get(context)
+    old = len(context.shards)
+    new = add_shards(context, int(count), first=old)
+    context.new_shards = new
+
+    async def change():
+        load = asyncio.create_task(
+            bench.ask_at_rate(path, float(rate), float(seconds))
+        )
+        await asyncio.sleep(float(seconds) / 2)
+        bench.add_route('/all/', gateway.Scatter(tuple(new), 5, 0.5))
+        bench.publish()
+        await asyncio.sleep(2.0)
+        for name in list(bench.source.endpoints):
+            if name.rsplit('-', 1)[0] in context.shards:
+                bench.source.remove_endpoint(name)
+        return await load
+
+    context.replies = run(context, change())
+
+
+@when(r'the route "([^"]+)" is moved to "([^"]+)"')
+def move_route(context, prefix, service):
+    bench = get(context)
+    context.old_table = bench.source.table
+    bench.add_route(prefix, gateway.Single(service))
+    bench.publish()
+
+
+@when(r'the source shows the version before again')
+def show_old(context):
+    get(context).source.set_table(context.old_table)
+
+
+@when(r"the source's watches hear nothing")
+def make_deaf(context):
+    get(context).source.is_deaf = True
+
+
+@when(r'the source drops its history and cuts its watches')
+def drop_history(context):
+    source = get(context).source
+    source.is_deaf = False
+    source.history_gone = True
+    source.set_table(source.table)
+
+
+@when(r'the source is (down|back)')
+def switch_source(context, how):
+    get(context).source.is_down = how == 'down'
+
+
+@when(r'the entry of "([^"]+)" lapses')
+def lapse(context, upstream):
+    get(context).source.remove_endpoint(upstream)
+
+
+@when(r'"([^"]+)" says that it drains')
+def drain_upstream(context, upstream):
+    bench = get(context)
+    entry = bench.source.endpoints[upstream]
+    bench.register(
+        upstream,
+        entry.service,
+        entry.zone,
+        entry.address,
+        gateway.Phase.DRAINING,
+    )
+
+
+@when(r'the address of "([^"]+)" is taken over by "([^"]+)" of "([^"]+)"')
+def take_over(context, upstream, other, service):
+    bench = get(context)
+    model = bench.upstreams[upstream]
+    model.upstream = other
+    model.cut_connections()
+
+
+@when(r'"([^"]+)" drains and its entry goes while it works on a request')
+def drain_at_work(context, upstream):
+    bench = get(context)
+    raw = gateway_bench.make_raw(
+        next_id(context), '/notes/1', method='POST', deadline_ms=9000
+    )
+
+    async def drain():
+        asked = asyncio.create_task(bench.ask(raw))
+        await asyncio.sleep(0.2)
+        drain_upstream(context, upstream)
+        await asyncio.sleep(1.3)
+        bench.source.remove_endpoint(upstream)
+        return await asked
+
+    context.reply = run(context, drain())
+
+
+@when(r'it is told to stop')
+def tell_stop(context):
+    context.stopped_at = context.loop.time()
+    get(context).process.stop()
+    run(context, asyncio.sleep(0))
+
+
+@when(r'it is told to stop while it works on a POST "([^"]+)"')
+def stop_at_work(context, path):
+    bench = get(context)
+    raw = gateway_bench.make_raw(
+        next_id(context), path, method='POST', deadline_ms=9000
+    )
+
+    async def stop():
+        asked = asyncio.create_task(bench.ask(raw))
+        await asyncio.sleep(0.1)
+        context.stopped_at = context.loop.time()
+        bench.process.stop()
+        return await asked
+
+    context.reply = run(context, stop())
+
+
+@when(r'it is stopped while callers on open connections send on')
+def stop_under_load(context):
+    bench = get(context)
+    context.cut = []
+    context.served = 0
+
+    async def call(number):
+        """Send on one connection until it ends, then open another."""
+        while True:
+            try:
+                caller = await bench.connect()
+            except ConnectionError:
+                return
+            while True:
+                request_id = f'c{number}-{next_id(context)}'
+                raw = gateway_bench.make_raw(request_id, '/notes/1')
+                try:
+                    await caller.send(raw)
+                except ConnectionError:
+                    break
+                reply = await caller.read()
+                if reply.status == 200:
+                    context.served += 1
+                elif bench.list_runs(request_id):
+                    context.cut.append(request_id)
+                if reply.closed or 'connection' in reply.headers:
+                    break
+                await asyncio.sleep(0.05)
+            caller.leave()
+
+    async def stop():
+        callers = [asyncio.create_task(call(number)) for number in range(8)]
+        await asyncio.sleep(0.5)
+        context.stopped_at = context.loop.time()
+        bench.process.stop()
+        await asyncio.gather(*callers)
+
+    run(context, stop())
+
+
+@when(r'a caller sends a long head')
+def send_long_head(context):
+    send(context, '/notes/1', method='POST', extra=f'X-A: {"a" * 400}\r\n')
+
+
+@when(r'a caller sends a long body')
+def send_long_body(context):
+    send(context, '/notes/1', method='POST', body=b'b' * 200)
+
+
+@when(r'a caller sends a head too slow')
+def send_slow_head(context):
+    context.reply = run(context, get(context).ask(b'GET /notes/1 HTT'))
+
+
+@when(r'a caller sends what is not HTTP')
+def send_garbage(context):
+    context.reply = run(context, get(context).ask(b'\x01\x02\x03\r\n\r\n'))
+
+
+@when(r'a caller sends a request without an id')
+def send_without_id(context):
+    raw = f'GET /notes/1 HTTP/1.1\r\nHost: {gateway_bench.HOST}\r\n\r\n'
+    context.reply = run(context, get(context).ask(raw.encode()))
+
+
+@when(r'a caller sends (\d+) requests for "([^"]+)" ahead')
+def send_ahead(context, count, path):
+    context.sent_ids = [next_id(context) for _ in range(int(count))]
+    raw = b''.join(
+        gateway_bench.make_raw(each, path) for each in context.sent_ids
+    )
+
+    async def ahead():
+        caller = await get(context).connect()
+        await caller.send(raw)
+        return [await caller.read() for _ in context.sent_ids]
+
+    context.replies = run(context, ahead())
+
+
+@when(r'a connection brings an answer without a length and is reset')
+def reset_unframed(context):
+    context.outcomes = []
+    link = gateway.Link(
+        context.loop,
+        gateway_bench.NAMES,
+        on_free=lambda link: None,
+        on_closed=lambda link: None,
+    )
+    link.connection_made(mock.Mock())
+    exchange = gateway.Exchange(
+        b'q1',
+        lambda: b'',
+        lambda done, outcome: context.outcomes.append(outcome),
+    )
+    link.start(exchange)
+    link.data_received(
+        b'HTTP/1.1 200 OK\r\nRudderrock-Stamp: s\r\n\r\nrrrrrrrr'
+    )
+    link.connection_lost(ConnectionResetError())
+
+
+@then(r'its request is lost and may have run')
+def check_lost(context):
+    assert context.outcomes == [gateway.Lost(True, 'reset')]
+
+
+@then(r'the reply is (\d+)')
+def check_status(context, status):
+    assert context.reply.status == int(status), context.reply
+
+
+@then(r'every reply is 200')
+def check_all_good(context):
+    statuses = collections.Counter(each.status for each in context.replies)
+    assert set(statuses) == {200}, statuses
+
+
+@then(r'every reply is 200 and signed for its own request')
+def check_all_own(context):
+    check_all_good(context)
+    names = [
+        each.headers['rudderrock-stamp'].split('.', 1)[1]
+        for each in context.replies
+    ]
+    assert names == [f'load-{n}' for n in range(len(names))], names
+
+
+@then(r'it gets (\d+) replies, each to its own request in order')
+def check_in_order(context, count):
+    names = [
+        each.headers['rudderrock-stamp'].split('.', 1)[1]
+        for each in context.replies
+    ]
+    assert names == context.sent_ids, names
+    assert len(names) == int(count)
+
+
+@then(r'it says when to come back')
+def check_retry_after(context):
+    assert 0 < float(context.reply.headers['retry-after']) < 1
+
+
+@then(r'it says that the connection ends')
+def check_close(context):
+    assert context.reply.headers['connection'] == 'close', context.reply
+
+
+@then(r'its body is whole')
+def check_whole(context):
+    assert context.reply.body == b'r' * 32, context.reply
+
+
+@then(r'it took less than ([\d.]+) seconds')
+def check_quick(context, seconds):
+    assert context.reply.elapsed < float(seconds), context.reply
+
+
+@then(r'it took more than ([\d.]+) seconds')
+def check_patient(context, seconds):
+    assert context.reply.elapsed > float(seconds), context.reply
+
+
+@then(r'its records are "([^"]+)"')
+def check_records(context, letters):
+    wanted = b''.join(letter.encode() * 16 for letter in letters)
+    assert context.reply.body == wanted, context.reply.body
+
+
+@then(r'(\d+) shards are missing and (\d+) are signed')
+def check_coverage(context, missing, signed):
+    headers = context.reply.headers
+    assert headers['rudderrock-missing-parts'] == missing, headers
+    stamps = headers['rudderrock-part-stamps'].split(', ')
+    assert len(set(stamps)) == int(signed), stamps
+
+
+@then(r'every reply names (\d+) old shards or (\d+) new shards and never both')
+def check_one_version(context, old, new):
+    seen = collections.Counter()
+    for reply in context.replies:
+        stamps = reply.headers['rudderrock-part-stamps'].split(', ')
+        missing = int(reply.headers['rudderrock-missing-parts'])
+        upstreams = {stamp.partition('.')[0] for stamp in stamps}
+        shards = {each.rsplit('-', 1)[0] for each in upstreams}
+        is_new = shards <= set(context.new_shards)
+        is_old = shards <= set(context.shards)
+        assert is_new or is_old, stamps
+        assert len(stamps) + missing == int(new if is_new else old)
+        seen[is_new] += 1
+    assert seen[True] and seen[False], seen
+
+
+@then(r'"([^"]+)" ran it as (\w+) "([^"]+)" with the body "([^"]+)"')
+def check_run(context, upstream, method, target, body):
+    found = get(context).upstreams[upstream].runs[-1]
+    assert found.method == method, found
+    assert found.target == target, found
+    assert found.body == body.encode(), found
+
+
+@then(r'"([^"]+)" was sent the header "([^"]+)" as "([^"]+)"')
+def check_header(context, upstream, name, value):
+    found = get(context).upstreams[upstream].runs[-1]
+    assert found.headers.get(name) == value, found
+
+
+@then(r'"([^"]+)" was not sent the header "([^"]+)"')
+def check_no_header(context, upstream, name):
+    found = get(context).upstreams[upstream].runs[-1]
+    assert name not in found.headers, found
+
+
+@then(r'"([^"]+)" was named as the only one that may run it')
+def check_expected(context, upstream):
+    check_header(context, upstream, 'rudderrock-expect-upstream', upstream)
+
+
+@then(r'"([^"]+)" was told at most (\d+) ms')
+def check_told(context, upstream, most):
+    found = get(context).upstreams[upstream].runs[-1]
+    told = int(found.headers['rudderrock-deadline-ms'])
+    assert 0 < told <= int(most), told
+
+
+@then(r'"([^"]+)" ran it and nobody else')
+def check_only(context, upstream):
+    bench = get(context)
+    where = [
+        name
+        for name, model in bench.upstreams.items()
+        for each in model.runs
+        if each.request_id == context.request_id
+    ]
+    assert where == [upstream], where
+
+
+@then(r'"([^"]+)" finished it')
+def check_finished(context, upstream):
+    model = get(context).upstreams[upstream]
+    ids = [each.request_id for each in model.runs]
+    assert context.request_id in ids and model.finished, ids
+
+
+@then(r'it ran (\d+) times?')
+def check_times(context, count):
+    found = get(context).list_runs(context.request_id)
+    assert len(found) == int(count), found
+
+
+@then(r'"([^"]+)" ran (\d+) of them and "([^"]+)" (\d+)')
+def check_shares(context, first, left, second, right):
+    upstreams = get(context).upstreams
+    found = [
+        sum(
+            each.request_id.startswith('load-')
+            for each in upstreams[name].runs
+        )
+        for name in (first, second)
+    ]
+    assert found == [int(left), int(right)], found
+
+
+@then(r'"([^"]+)" is at work for nobody')
+def check_idle(context, upstream):
+    model = get(context).upstreams[upstream]
+    assert model.runs and not model.finished
+    assert model.open == 0, model.open
+
+
+@then(r'no shard is at work for anybody')
+def check_shards_idle(context):
+    for name in get(context).upstreams:
+        check_idle(context, name)
+
+
+@then(r'no upstream ran anything')
+def check_nothing_run(context):
+    assert not any(each.runs for each in get(context).upstreams.values())
+
+
+@then(r'the gateway is (not ready|ready)')
+def check_ready(context, how):
+    status = run(context, get(context).probe())
+    assert status == (200 if how == 'ready' else 503), status
+
+
+@then(
+    r'no service got more than ([\d.]+) extra arrivals a request and (\d+) '
+    r'in any 10 seconds'
+)
+def check_budget(context, ratio, slack):
+    bench = get(context)
+    sent = len(context.replies)
+    for shard in context.shards:
+        arrivals = collections.Counter(
+            request_id
+            for name, model in bench.upstreams.items()
+            if name.startswith(f'{shard}-')
+            for request_id in model.arrivals
+        )
+        # The load lasts ten seconds, so its whole is one window.
+        extra = sum(count - 1 for count in arrivals.values())
+        assert extra <= float(ratio) * sent + int(slack), (shard, extra)
+        assert extra > 0, (shard, extra)
+
+
+@then(r'no request ran at more than (\d+) upstreams of a shard')
+def check_attempts(context, most):
+    counts = collections.Counter()
+    for name, model in get(context).upstreams.items():
+        shard = name.rsplit('-', 1)[0]
+        for each in model.runs:
+            counts[(shard, each.request_id)] += 1
+    assert counts and max(counts.values()) <= int(most), counts
+
+
+@then(r'the shard never had more than (\d+) connections')
+def check_connections(context, most):
+    model = get(context).upstreams['shard-0-0']
+    assert 1 < model.most_open <= int(most), model.most_open
+
+
+@then(r'no request was cut')
+def check_uncut(context):
+    assert not context.cut, context.cut
+    assert context.served > 50, context.served
+
+
+@then(r'the gateway has ended within ' + _SECONDS)
+def check_ended(context, seconds):
+    bench = get(context)
+    run(context, asyncio.wait_for(bench.task, 10.0))
+    took = context.loop.time() - context.stopped_at
+    assert took <= float(seconds), took
+
+
+def list_lines(context, kind):
+    """Return the log lines of one kind, decoded."""
+    lines = []
+    for text in get(context).log.lines:
+        if text.startswith('{'):
+            line = json.loads(text)
+            if line['kind'] == kind:
+                lines.append(line)
+    return lines
+
+
+@then(r'the log has a line of it with the outcome "([^"]+)" and a reason')
+def check_line(context, outcome):
+    found = [
+        line
+        for line in list_lines(context, 'request')
+        if line['request_id'] == context.request_id
+    ]
+    assert len(found) == 1, found
+    assert found[0]['outcome'] == outcome, found
+    assert found[0]['detail'], found
+    assert found[0]['table_version'] is not None, found
+
+
+@then(r'the log has a line "([^"]+)"')
+def check_kind(context, kind):
+    assert list_lines(context, kind)
+
+
+@then(r'the log has at most (\d+) lines on requests')
+def check_bounded(context, most):
+    found = list_lines(context, 'request')
+    assert 0 < len(found) <= int(most), len(found)
+
+
+@then(r'it says how many were left out')
+def check_dropped(context):
+    told = sum(line['count'] for line in list_lines(context, 'lines_dropped'))
+    assert told + len(list_lines(context, 'request')) == 901, told
--- a/rudderrock/standins/__init__.py
+++ b/rudderrock/standins/__init__.py
@@ -25,14 +25,19 @@
 from rudderrock.standins._memory_hosts import MemoryPeerPort
 from rudderrock.standins._memory_hosts import MemoryPeers
 from rudderrock.standins._memory_hosts import PeerFaults
+from rudderrock.standins._memory_source import MemorySource
 from rudderrock.standins._pause import Pause
 from rudderrock.standins._upstream import DEFAULT_MAX_QUEUE
 from rudderrock.standins._upstream import make_upstream_app
 from rudderrock.standins._upstream import Run
 from rudderrock.standins._upstream import UpstreamFaults
 from rudderrock.standins._upstream import UpstreamModel
+from rudderrock.standins._wire_upstream import Conduct
+from rudderrock.standins._wire_upstream import WireRun
+from rudderrock.standins._wire_upstream import WireUpstream
 
 __all__ = [
+    'Conduct',
     'DEFAULT_MAX_QUEUE',
     'Deployment',
     'FIRST_VERSION',
@@ -48,6 +53,7 @@
     'MemoryKv',
     'MemoryPeerPort',
     'MemoryPeers',
+    'MemorySource',
     'MemoryUpstreamPort',
     'Network',
     'Pause',
@@ -56,6 +62,8 @@
     'RunningHost',
     'UpstreamFaults',
     'UpstreamModel',
+    'WireRun',
+    'WireUpstream',
     'make_host_list_app',
     'make_kv_app',
     'make_layout',
--- /dev/null
+++ b/rudderrock/standins/platform/__init__.py
@@ -0,0 +1,18 @@
+"""Stand-ins of the users' platform, by its published protocol.
+
+Beside the adapter, this is the one place that speaks its format.
+"""
+
+from rudderrock.standins.platform._store import PlatformStore
+from rudderrock.standins.platform._store import Refusal
+from rudderrock.standins.platform._values import make_boot
+from rudderrock.standins.platform._values import make_config
+from rudderrock.standins.platform._values import make_server
+
+__all__ = [
+    'PlatformStore',
+    'Refusal',
+    'make_boot',
+    'make_config',
+    'make_server',
+]
--- /dev/null
+++ b/rudderrock/standins/platform/_values.py
@@ -0,0 +1,108 @@
+"""What operators, upstreams and the platform write, as they write it."""
+
+from typing import Any
+
+import msgspec
+
+_LIMITS = {
+    'max_header_bytes': 16384,
+    'max_body_bytes': 262144,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15000,
+}
+
+
+def make_config(
+    version: int,
+    routes: list[dict[str, Any]],
+    max_conns: int = 26,
+    **limits: int,
+) -> bytes:
+    """Return a configuration; the services are those that routes name."""
+    shape = {
+        'host': 'members.example',
+        'kind': 'safe',
+        'timeout_ms': 1000,
+        'latency_goal_ms': 200,
+        'priority': 1,
+        'max_attempts': 2,
+    }
+    routes = [{**shape, **route} for route in routes]
+    for route in routes:
+        route.setdefault('name', 'r' + route['prefix'])
+    services = sorted(
+        {name for route in routes for name in _list_services(route)}
+    )
+    return msgspec.json.encode(
+        {
+            'version': version,
+            'routes': routes,
+            'services': [
+                {
+                    'name': name,
+                    'health_path': '/healthz',
+                    'max_conns': max_conns,
+                    'protocol': 'h1',
+                    'tls': False,
+                }
+                for name in services
+            ],
+            'limits': {**_LIMITS, **limits},
+        }
+    )
+
+
+def make_server(
+    service: str,
+    address: str,
+    zone: str = 'north-1',
+    state: str = 'ready',
+    sequence: int = 1,
+) -> bytes:
+    """Return an upstream's entry in the registry."""
+    return msgspec.json.encode(
+        {
+            'service': service,
+            'address': address,
+            'zone': zone,
+            'version': 'v1',
+            'slots': 2,
+            'state': state,
+            'warmup_left_ms': 0,
+            'sequence': sequence,
+        }
+    )
+
+
+def make_boot(
+    ip: str, port: int, store: str, name: str = 'front-1', **fields: str
+) -> str:
+    """Return a settings file."""
+    values = {
+        'node_name': name,
+        'role': 'entry',
+        'ip': ip,
+        'zone': 'north-1',
+        'region': 'north',
+        'zones.north-1': 'north',
+        'zones.south-1': 'south',
+        'listen.front': f'{ip}:{port}',
+        'listen.ready': f'{ip}:{port + 1}',
+        'internal_ports': f'{port + 3},{port + 9}',
+        'bounds.grace_s': '6',
+        'bounds.retry_budget_ratio': '0.2',
+        'bounds.retry_window_s': '10',
+        'bounds.retry_slack': '54',
+        'platform.address': store,
+        'platform.min_ttl_ms': '1000',
+        **fields,
+    }
+    return ''.join(f'{key}={value}\n' for key, value in values.items())
+
+
+def _list_services(route: dict[str, Any]) -> list[str]:
+    if 'gather' in route:
+        return route['gather']
+    if 'split' in route:
+        return [each['service'] for each in route['split']]
+    return [route['service']]
