--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -136,6 +136,7 @@
             callers=(_GATEWAY_IP, _PORT),
             readiness=(_GATEWAY_IP, _PORT + 1),
             metrics=(_GATEWAY_IP, _PORT + 2),
+            peers=(_GATEWAY_IP, _PORT + 3),
             **fields,
         )
         events = gateway.EventLog('g1', clock)
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -7,6 +7,10 @@
 from rudderrock.gateway._directory import DirectoryChange
 from rudderrock.gateway._directory import Endpoint
 from rudderrock.gateway._directory import Phase
+from rudderrock.gateway._fleet import Fleet
+from rudderrock.gateway._fleet import HostEntry
+from rudderrock.gateway._follow import Follower
+from rudderrock.gateway._follow import Registration
 from rudderrock.gateway._forward import Outcome
 from rudderrock.gateway._forward import Result
 from rudderrock.gateway._gateway import Gateway
@@ -26,6 +30,11 @@
 from rudderrock.gateway._messages import Reply
 from rudderrock.gateway._messages import Request
 from rudderrock.gateway._metrics import GatewayMetrics
+from rudderrock.gateway._peers import ChangeBook
+from rudderrock.gateway._peers import Changes
+from rudderrock.gateway._peers import Known
+from rudderrock.gateway._peers import PeerClient
+from rudderrock.gateway._place import Place
 from rudderrock.gateway._pool import Pool
 from rudderrock.gateway._process import GatewayProcess
 from rudderrock.gateway._process import ProcessState
@@ -33,7 +42,6 @@
 from rudderrock.gateway._pursuit import judge_outcome
 from rudderrock.gateway._pursuit import Verdict
 from rudderrock.gateway._records import merge_records
-from rudderrock.gateway._replicas import Place
 from rudderrock.gateway._replicas import Replica
 from rudderrock.gateway._replicas import ReplicaBook
 from rudderrock.gateway._routing import IntakeLimits
@@ -51,8 +59,10 @@
 from rudderrock.gateway._routing import TableVersion
 from rudderrock.gateway._routing import Target
 from rudderrock.gateway._settings import GatewaySettings
+from rudderrock.gateway._shares import LinkShare
+from rudderrock.gateway._shares import share_links
 from rudderrock.gateway._sources import HistoryGone
-from rudderrock.gateway._sources import SourceFollower
+from rudderrock.gateway._sources import LeaseEnded
 from rudderrock.gateway._sources import SourcePort
 from rudderrock.gateway._sources import TableHolder
 from rudderrock.gateway._sources import TableReading
@@ -60,6 +70,8 @@
 from rudderrock.gateway._sources import UpstreamReading
 
 __all__ = [
+    'ChangeBook',
+    'Changes',
     'Counters',
     'Directory',
     'DirectoryChange',
@@ -67,6 +79,8 @@
     'EventLog',
     'Exchange',
     'ExtraBudget',
+    'Fleet',
+    'Follower',
     'Gateway',
     'GatewayMetrics',
     'GatewayProcess',
@@ -74,20 +88,26 @@
     'HeaderNames',
     'Headers',
     'HistoryGone',
+    'HostEntry',
     'HttpCaller',
     'Intake',
     'IntakeLimits',
+    'Known',
+    'LeaseEnded',
     'Link',
+    'LinkShare',
     'LogKind',
     'Lost',
     'NO_VERSION',
     'Outcome',
     'Parts',
+    'PeerClient',
     'Phase',
     'PipeHandler',
     'Place',
     'Pool',
     'ProcessState',
+    'Registration',
     'Repeat',
     'Replica',
     'ReplicaBook',
@@ -102,7 +122,6 @@
     'ServiceName',
     'Share',
     'Single',
-    'SourceFollower',
     'SourcePort',
     'Split',
     'TableHolder',
@@ -118,4 +137,5 @@
     'render_reply',
     'render_request',
     'set_up_log',
+    'share_links',
 ]
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -42,8 +42,8 @@
             endpoint,
             self._loop,
             dialect.HeaderNames(),
-            MOST_CONNECTIONS,
             lambda: None,
+            MOST_CONNECTIONS,
         )
 
     async def call(
--- a/rudderrock/gateway/_directory.py
+++ b/rudderrock/gateway/_directory.py
@@ -12,9 +12,6 @@
 # again within about two seconds of its return, says the registry's
 # contract; a little more for the reading of it.
 RETURN_GRACE_S = 2.3
-# A registration lapses after three missed heartbeats, so a shorter gap
-# between two readings can't have lost one by itself.
-SHORT_GAP_S = 2.5
 
 
 class Phase(enum.Enum):
@@ -42,18 +39,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryChange:
-    """What one reading changed; ids of upstreams."""
+    """What one reading changed; ids of upstreams.
+
+    `left` are those that no longer take new work, `held` those that the
+    reading lacked and that are kept, `touched` all that differ.
+    """
 
     added: tuple[state.UpstreamId, ...]
     left: tuple[state.UpstreamId, ...]
     held: tuple[state.UpstreamId, ...]
+    touched: tuple[state.UpstreamId, ...]
 
 
 class Directory:
     """The registered upstreams as of the last reading.
 
     A reading that follows an outage of the registry may lack upstreams
-    that live; these are kept for `RETURN_GRACE_S` after its return.
+    that live; these are kept until the time given to `hold_for` is over.
     """
 
     def __init__(self, clock: state.Clock):
@@ -63,12 +65,25 @@
         self._endpoints: dict[state.UpstreamId, Endpoint] = {}
         self._ready: dict[routing.ServiceName, tuple[Endpoint, ...]] = {}
         self._hold_until = 0.0
+        self._held: frozenset[state.UpstreamId] = frozenset()
         self._listeners: list[Callable[[DirectoryChange], None]] = []
 
     @property
-    def is_holding(self) -> bool:
-        """Tell whether missing upstreams are being kept just now."""
-        return self._clock.now() < self._hold_until
+    def is_keeping(self) -> bool:
+        """Tell whether upstreams are kept that the last reading lacked."""
+        return bool(self._held)
+
+    @property
+    def hold_s(self) -> float:
+        """Return for how long missing upstreams are still kept."""
+        return max(0.0, self._hold_until - self._clock.now())
+
+    @property
+    def age_s(self) -> float:
+        """Return the age of the last reading in seconds, -1 if none."""
+        if self.read_at is None:
+            return -1.0
+        return self._clock.now() - self.read_at
 
     def add_listener(self, call: Callable[[DirectoryChange], None]) -> None:
         """Have `call` called after each reading that changed something."""
@@ -86,44 +101,87 @@
         """Return every upstream that is registered or kept."""
         return tuple(self._endpoints.values())
 
-    def note_outage(self) -> None:
-        """Take note that the registry was away until just now."""
-        self._hold_until = self._clock.now() + RETURN_GRACE_S
+    def hold_for(self, seconds: float) -> None:
+        """Keep upstreams that readings lack for this long from now."""
+        until = self._clock.now() + seconds
+        self._hold_until = max(self._hold_until, until)
 
     def apply_reading(
-        self, endpoints: Iterable[Endpoint], revision: int
+        self, endpoints: Iterable[Endpoint], revision: int, read_at: float
     ) -> DirectoryChange | None:
         """Take over one whole reading; return what changed, if anything.
 
-        A reading older than the last one is passed over.
+        `read_at` is the loop time of the reading. One that is older than
+        the last is passed over.
         """
         if revision < self.revision:
             return None
-        self.revision = revision
-        self.read_at = self._clock.now()
         found = {each.upstream: each for each in endpoints}
+        return self._replace(found, revision, read_at)
+
+    def apply_changes(
+        self,
+        endpoints: Iterable[Endpoint],
+        left: Iterable[state.UpstreamId],
+        revision: int,
+        read_at: float,
+    ) -> DirectoryChange | None:
+        """Take over what a peer says has changed since it was last asked."""
+        if revision < self.revision:
+            return None
+        found = dict(self._endpoints)
+        for upstream in left:
+            found.pop(upstream, None)
+        for each in endpoints:
+            found[each.upstream] = each
+        return self._replace(found, revision, read_at)
+
+    def _replace(
+        self,
+        found: dict[state.UpstreamId, Endpoint],
+        revision: int,
+        read_at: float,
+    ) -> DirectoryChange | None:
+        self.revision = revision
+        self.read_at = max(read_at, self.read_at or read_at)
         missing = self._endpoints.keys() - found.keys()
-        held = missing if self.is_holding else frozenset()
+        held = frozenset(missing if self.hold_s > 0 else ())
+        self._held = held
         for upstream in held:
             found[upstream] = self._endpoints[upstream]
         if found == self._endpoints:
             return None
-        added = found.keys() - self._endpoints.keys()
-        left = {
-            upstream
-            for upstream, old in self._endpoints.items()
-            if old.phase is Phase.READY and not _is_ready(found.get(upstream))
-        }
-        self._endpoints = found
+        before, self._endpoints = self._endpoints, found
         self._ready = _group_ready(found.values())
-        change = DirectoryChange(
-            tuple(sorted(added)), tuple(sorted(left)), tuple(sorted(held))
-        )
+        change = _compare(before, found, held)
         for call in self._listeners:
             call(change)
         return change
 
 
+def _compare(
+    before: dict[state.UpstreamId, Endpoint],
+    now: dict[state.UpstreamId, Endpoint],
+    held: Iterable[state.UpstreamId],
+) -> DirectoryChange:
+    left = [
+        upstream
+        for upstream, old in before.items()
+        if old.phase is Phase.READY and not _is_ready(now.get(upstream))
+    ]
+    touched = [
+        upstream
+        for upstream in before.keys() | now.keys()
+        if before.get(upstream) != now.get(upstream)
+    ]
+    return DirectoryChange(
+        added=tuple(sorted(now.keys() - before.keys())),
+        left=tuple(sorted(left)),
+        held=tuple(sorted(held)),
+        touched=tuple(sorted(touched)),
+    )
+
+
 def _is_ready(endpoint: Endpoint | None) -> bool:
     return endpoint is not None and endpoint.phase is Phase.READY
 
--- /dev/null
+++ b/rudderrock/gateway/_follow.py
@@ -0,0 +1,402 @@
+"""Keeping routes, upstreams and hosts in step with the source.
+
+In each availability zone one host reads the source, and the others ask it.
+Which one follows from the names of the hosts, without an election. A host
+that gets nothing fresh from the others reads by itself, and a host that the
+source turns away asks the others.
+"""
+
+import asyncio
+import contextlib
+import random
+
+import result
+
+from rudderrock import state
+from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _fleet as fleet
+from rudderrock.gateway import _log as log
+from rudderrock.gateway import _peers as peers
+from rudderrock.gateway import _sources as sources
+
+# Between two readings of the upstreams, in seconds. A leaving upstream must
+# get no new work some seconds after it said so, and each reading is paid.
+READ_EVERY_S = 1.0
+# Between two readings of the hosts, in seconds; few things hang on them.
+HOSTS_EVERY_S = 4.0
+# Between tries while the source does not answer, in seconds, for the host
+# that reads for others and for one that asks others first; and the part by
+# which chance varies it so that hosts don't ask in step.
+RETRY_S = 0.5
+FALLBACK_RETRY_S = 2.0
+_SPREAD = 0.3
+# A peer that failed, or had nothing fresh, is passed over for this long.
+SKIP_S = 4.0
+# Peers asked in a row before the source is tried.
+MOST_PEERS = 3
+# How long one watch waits at the source, in seconds. A watch that a cut
+# silenced is thus replaced soon even if nothing else shows the cut.
+WATCH_S = 10.0
+# A registration lasts this long without renewal, and is renewed this
+# often, in seconds.
+LEASE_S = 12.0
+RENEW_EVERY_S = 4.0
+
+
+class Registration:
+    """Keeps this host in the registry while it runs."""
+
+    def __init__(
+        self,
+        source: sources.SourcePort,
+        hosts: fleet.Fleet,
+        clock: state.Clock,
+        events: log.EventLog,
+    ):
+        self._source = source
+        self._hosts = hosts
+        self._clock = clock
+        self._events = events
+        self._lease: int | None = None
+        self._missing = 0
+
+    async def run(self) -> None:
+        """Register, and renew until cancelled."""
+        while True:
+            if self._lease is None:
+                await self._register()
+            else:
+                await self._renew()
+            await asyncio.sleep(RENEW_EVERY_S)
+
+    async def withdraw(self) -> None:
+        """Leave the registry, so that nobody asks this host any more."""
+        if self._lease is None:
+            return
+        answer = await self._source.withdraw(self._lease)
+        if answer.is_err():
+            # The registration lapses by itself.
+            self._note('withdraw', answer.err_value.detail)
+
+    async def _register(self) -> None:
+        answer = await self._source.register(self._hosts.own, LEASE_S)
+        match answer:
+            case result.Ok(lease):
+                self._lease = lease
+                self._missing = 0
+            case result.Err(problem):
+                self._note('register', problem.detail)
+
+    async def _renew(self) -> None:
+        """Renew; register again where the registry has lost the entry."""
+        self._missing = 0 if self._hosts.has_own() else self._missing + 1
+        if self._missing >= 2:
+            self._lease = None
+            await self._register()
+            return
+        match await self._source.renew(self._lease):
+            case result.Err(sources.LeaseEnded()):
+                self._lease = None
+                await self._register()
+            case result.Err(problem):
+                self._note('renew', problem.detail)
+
+    def _note(self, call: str, detail: str) -> None:
+        self._events.record(
+            log.LogKind.SOURCE_FAILED, call=call, detail=detail
+        )
+
+
+class Follower:
+    """Learns from peers or from the source, and tells which."""
+
+    def __init__(
+        self,
+        source: sources.SourcePort,
+        tables: sources.TableHolder,
+        listing: directory.Directory,
+        hosts: fleet.Fleet,
+        clock: state.Clock,
+        chance: random.Random,
+        events: log.EventLog,
+    ):
+        self.lost_at: float | None = None
+        self.peer: peers.PeerClient | None = None
+        self._source = source
+        self._tables = tables
+        self._listing = listing
+        self._hosts = hosts
+        self._clock = clock
+        self._chance = chance
+        self._events = events
+        self._skip: dict[state.HostId, float] = {}
+        self._hosts_read_at = -HOSTS_EVERY_S
+        self._table_stale = True
+        self._tried_at = -FALLBACK_RETRY_S
+        self._watch: asyncio.Task | None = None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        try:
+            await self._read_source()
+            while True:
+                await self._step()
+        finally:
+            self._drop_peer()
+            self._stop_watch()
+
+    async def _step(self) -> None:
+        """Learn once more, from the best that there is just now."""
+        if await self._ask_peers():
+            return
+        first = self._is_first_reader()
+        retry_s = RETRY_S if first else FALLBACK_RETRY_S
+        now = self._clock.now()
+        if self.lost_at is not None and now - self._tried_at < retry_s:
+            await self._pause(RETRY_S)
+            return
+        if await self._read_source():
+            await self._pause(READ_EVERY_S)
+        else:
+            await self._pause(RETRY_S)
+
+    def _is_first_reader(self) -> bool:
+        return self._hosts.rank_readers()[0].host == self._hosts.own.host
+
+    def _list_peers(self) -> list[fleet.HostEntry]:
+        """Return whom to ask before the source, best first.
+
+        Those are the hosts that read before this one; and while the source
+        turns this host away, all others too.
+        """
+        now = self._clock.now()
+        ranked = self._hosts.rank_readers()
+        own = self._hosts.own.host
+        place = [each.host for each in ranked].index(own)
+        wanted = ranked[:place]
+        if self.lost_at is not None:
+            wanted = ranked[:place] + ranked[place + 1 :]
+            wanted += self._hosts.list_others()
+        return [
+            each for each in wanted if self._skip.get(each.host, now) <= now
+        ][:MOST_PEERS]
+
+    async def _ask_peers(self) -> bool:
+        """Ask peers in turn until one has something fresh."""
+        for entry in self._list_peers():
+            client = self._get_client(entry)
+            answer = await client.ask(self._tables.version)
+            match answer:
+                case result.Ok(changes):
+                    self._take_over(client, changes)
+                    if 0 <= changes.age_ms <= peers.FRESH_S * 1000:
+                        if self._listing.is_keeping:
+                            await self._pause(RETRY_S)
+                        return True
+                    self._skip_peer(entry, f'stale by {changes.age_ms} ms')
+                case result.Err(problem):
+                    self._skip_peer(entry, problem.detail)
+        return False
+
+    def _get_client(self, entry: fleet.HostEntry) -> peers.PeerClient:
+        if self.peer is None or self.peer.entry != entry:
+            self._drop_peer()
+            self.peer = peers.PeerClient(entry)
+            self._stop_watch()
+            self._events.record(
+                log.LogKind.READING_FROM, peer=entry.host, zone=entry.zone
+            )
+        return self.peer
+
+    def _drop_peer(self) -> None:
+        if self.peer is not None:
+            self.peer.close()
+            self.peer = None
+
+    def _skip_peer(self, entry: fleet.HostEntry, detail: str) -> None:
+        self._skip[entry.host] = self._clock.now() + SKIP_S
+        self._events.record(
+            log.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
+        )
+
+    def _take_over(
+        self, client: peers.PeerClient, changes: peers.Changes
+    ) -> None:
+        origin = f'peer {client.entry.host}'
+        if changes.table is not None:
+            reading = self._source.decode_table(
+                changes.table, changes.table_revision
+            )
+            self._tables.apply_reading(reading, origin)
+        if changes.hosts is not None:
+            self._apply_hosts(changes.hosts, origin)
+        if changes.age_ms < 0:
+            return
+        read_at = self._clock.now() - changes.age_ms / 1000
+        if changes.hold_ms > 0:
+            self._listing.hold_for(changes.hold_ms / 1000)
+        if changes.whole:
+            change = self._listing.apply_reading(
+                changes.upstreams, changes.revision, read_at
+            )
+        else:
+            change = self._listing.apply_changes(
+                changes.upstreams, changes.left, changes.revision, read_at
+            )
+        self._note_change(change, origin)
+        if self._listing.is_keeping:
+            # Only a whole listing tells when these are to be dropped.
+            client.note_applied(None)
+        else:
+            client.note_applied(changes)
+
+    async def _read_source(self) -> bool:
+        """Read what is due from the source; tell whether it answered."""
+        self._tried_at = self._clock.now()
+        match await self._source.list_upstreams():
+            case result.Err(problem):
+                self._note_lost('upstreams', problem.detail)
+                return False
+            case result.Ok(reading):
+                self._note_back()
+                self._apply_upstreams(reading)
+        if self.peer is not None:
+            self._drop_peer()
+            self._events.record(log.LogKind.READING_FROM, peer='', zone='')
+        await self._read_hosts()
+        await self._keep_watch()
+        return True
+
+    async def _read_hosts(self) -> None:
+        now = self._clock.now()
+        if now - self._hosts_read_at < HOSTS_EVERY_S:
+            return
+        match await self._source.list_hosts():
+            case result.Ok(found):
+                self._hosts_read_at = now
+                self._apply_hosts(found, 'source')
+            case result.Err(problem):
+                self._note_lost('hosts', problem.detail)
+
+    async def _keep_watch(self) -> None:
+        """See that a watch on the table is under way."""
+        if self._watch is not None and not self._watch.done():
+            return
+        match await self._source.read_table():
+            case result.Ok(reading):
+                self._tables.apply_reading(reading, 'source')
+                self._watch = asyncio.create_task(
+                    self._follow_table(reading.revision)
+                )
+            case result.Err(problem):
+                self._note_lost('table', problem.detail)
+
+    async def _follow_table(self, revision: int) -> None:
+        """Watch until the table has to be read anew."""
+        while True:
+            match await self._source.watch_table(revision, WATCH_S):
+                case result.Ok(None):
+                    # Confirmed by reading: a watch may have been deaf.
+                    break
+                case result.Ok(reading):
+                    self._tables.apply_reading(reading, 'watch')
+                    revision = reading.revision
+                case result.Err(sources.HistoryGone()):
+                    break
+                case result.Err(problem):
+                    self._events.record(
+                        log.LogKind.SOURCE_FAILED,
+                        call='watch',
+                        detail=problem.detail,
+                    )
+                    break
+        await self._read_table_again()
+
+    async def _read_table_again(self) -> None:
+        """Read at once what a watch may have missed."""
+        match await self._source.read_table():
+            case result.Ok(reading):
+                self._tables.apply_reading(reading, 'source')
+            case result.Err(problem):
+                self._events.record(
+                    log.LogKind.SOURCE_FAILED,
+                    call='table',
+                    detail=problem.detail,
+                )
+
+    def _stop_watch(self) -> None:
+        if self._watch is not None:
+            self._watch.cancel()
+            self._watch = None
+
+    def _apply_hosts(self, found: list[fleet.HostEntry], origin: str) -> None:
+        if self._hosts.apply_listing(found):
+            self._events.record(
+                log.LogKind.HOSTS_CHANGED,
+                hosts=sorted(each.host for each in found),
+                counted=self._hosts.count(),
+                origin=origin,
+            )
+
+    def _apply_upstreams(self, reading: sources.UpstreamReading) -> None:
+        for problem in reading.problems:
+            self._events.record(log.LogKind.ENTRY_REJECTED, problem=problem)
+        change = self._listing.apply_reading(
+            reading.endpoints, reading.revision, self._clock.now()
+        )
+        self._note_change(change, 'source')
+
+    def _note_change(
+        self, change: directory.DirectoryChange | None, origin: str
+    ) -> None:
+        if change is None:
+            return
+        self._events.record(
+            log.LogKind.UPSTREAMS_CHANGED,
+            revision=self._listing.revision,
+            added=change.added,
+            left=change.left,
+            held=change.held,
+            origin=origin,
+        )
+
+    def _note_lost(self, call: str, detail: str) -> None:
+        if self.lost_at is not None:
+            return
+        self.lost_at = self._clock.now()
+        self._events.record(
+            log.LogKind.DEPENDENCY_LOST,
+            dependency='source',
+            call=call,
+            detail=detail,
+        )
+
+    def _note_back(self) -> None:
+        if self.lost_at is None:
+            return
+        away_s = self._clock.now() - self.lost_at
+        self.lost_at = None
+        self._listing.hold_for(directory.RETURN_GRACE_S)
+        # The watch may have been cut without a sign.
+        self._stop_watch()
+        self._events.record(
+            log.LogKind.DEPENDENCY_BACK,
+            dependency='source',
+            away_s=round(away_s, 3),
+        )
+
+    async def _pause(self, mean_s: float) -> None:
+        spread = 1.0 + _SPREAD * (2 * self._chance.random() - 1.0)
+        await asyncio.sleep(mean_s * spread)
+
+
+@contextlib.asynccontextmanager
+async def keep_registered(registration: Registration):
+    """Hold a registration while the context lasts, then leave."""
+    task = asyncio.create_task(registration.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await registration.withdraw()
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -8,17 +8,18 @@
 
 from rudderrock import state
 from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _place as place
 from rudderrock.gateway import _pursuit as pursuit
 from rudderrock.gateway import _records as records
 from rudderrock.gateway import _routing as routing
 
 # The part of first attempts that shall be late, and so be hedged. Extra
 # requests are bounded by their budget; this keeps hedges well within it.
-LATE_PART = 0.06
+LATE_PART = 0.04
 # Where the late point starts and how far it moves, as parts of the goal.
 LATE_START = 0.3
 LATE_LOWEST = 0.12
-LATE_HIGHEST = 0.4
+LATE_HIGHEST = 0.42
 # An answer leaves this long before the goal or the end, in seconds, for
 # the way back to the caller.
 MARGIN_S = 0.012
@@ -49,6 +50,7 @@
     shards: int = 1
     answered: int = 0
     late: int = 0
+    far: int = 0
 
 
 class LatePoints:
@@ -166,7 +168,13 @@
     late = int(only.is_late)
     if only.answer is not None:
         reply = _pass_on(only.answer)
-        return Result(reply, Outcome.ANSWERED, answered=1, late=late)
+        return Result(
+            reply,
+            Outcome.ANSWERED,
+            answered=1,
+            late=late,
+            far=_count_far([only]),
+        )
     if only.failure is not None:
         reply = _pass_on(only.failure)
         return Result(reply, Outcome.UPSTREAM_FAILED, only.detail, late=late)
@@ -212,6 +220,7 @@
         shards=total,
         answered=len(answers),
         late=late,
+        far=_count_far(forwarder.pursuits),
     )
 
 
@@ -257,6 +266,14 @@
     return Result(reply, outcome, detail, late=late)
 
 
+def _count_far(pursuits: list[pursuit.Pursuit]) -> int:
+    """Return how many answers came from another region."""
+    return sum(
+        each.winner is not None and each.winner.distance == place.FARTHEST
+        for each in pursuits
+    )
+
+
 def _pass_on(reply: messages.Reply) -> messages.Reply:
     headers = messages.drop_connection_headers(reply.headers)
     return messages.Reply(reply.status, headers, reply.body)
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from rudderrock import state
 from rudderrock.gateway import _budget as budget
 from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _forward as forward
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _messages as messages
@@ -16,6 +17,7 @@
 from rudderrock.gateway import _replicas as replicas
 from rudderrock.gateway import _routing as routing
 from rudderrock.gateway import _settings as settings
+from rudderrock.gateway import _shares as shares
 from rudderrock.gateway import _sources as sources
 
 # How soon a caller may come back to a host that knows no routes yet, or
@@ -23,12 +25,6 @@
 NOT_READY_RETRY_S = 0.3
 # How often connections that are of no more use are looked for, seconds.
 SWEEP_EVERY_S = 0.25
-# Part of an upstream's connections that the tier uses. The rest is for
-# connections that the upstream has not yet seen closed.
-CONNECTION_MARGIN = 0.85
-# What one host may open to an upstream at most; more waits here, where it
-# can still be taken elsewhere.
-MOST_CONNECTIONS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,6 +33,7 @@
 
     tables: sources.TableHolder
     listing: directory.Directory
+    hosts: fleet.Fleet
     events: log.EventLog
     figures: metrics.GatewayMetrics
     clock: state.Clock
@@ -53,13 +50,12 @@
             config.names,
             parts.clock,
             parts.chance,
-            self._get_cap,
+            self._get_share,
             self._list_wanted,
         )
         self.counters = pursuit.Counters()
         self._config = config
         self._parts = parts
-        self._hosts = config.assumed_hosts
         self._points = forward.LatePoints()
         self._budgets: dict[routing.ServiceName, budget.ExtraBudget] = {}
         self._turns: dict[
@@ -73,6 +69,7 @@
             self.counters,
         )
         parts.tables.add_listener(self._on_table)
+        parts.hosts.add_listener(self._on_hosts)
 
     @property
     def is_ready(self) -> bool:
@@ -80,11 +77,8 @@
         known = self._parts.listing.read_at is not None
         return known and self._parts.tables.current is not None
 
-    def set_hosts(self, count: int) -> None:
-        """Take note of how many hosts share budgets and connections."""
-        if count == self._hosts:
-            return
-        self._hosts = count
+    def _on_hosts(self) -> None:
+        """Share budgets and connections anew among the hosts."""
         for each in self._budgets.values():
             each.slack = self._get_slack()
         self.book.set_caps()
@@ -209,16 +203,20 @@
             for service in table.list_services(route)
         }
 
-    def _get_cap(self, service: routing.ServiceName) -> int:
+    def _get_share(self, endpoint: directory.Endpoint) -> shares.LinkShare:
         table = self._parts.tables.current
+        service = endpoint.service
         found = table.services.get(service) if table is not None else None
-        if found is None:
-            return 1
-        each = int(found.max_connections * CONNECTION_MARGIN / self._hosts)
-        return min(max(1, each), MOST_CONNECTIONS)
+        return shares.share_links(
+            endpoint,
+            self._parts.listing.list_ready(service),
+            found.max_connections if found is not None else 1,
+            self._parts.hosts,
+            self._config.place,
+        )
 
     def _get_slack(self) -> float:
-        return self._config.extra_slack / self._hosts
+        return self._config.extra_slack / self._parts.hosts.count()
 
     def _get_budget(self, service: routing.ServiceName) -> budget.ExtraBudget:
         found = self._budgets.get(service)
@@ -256,6 +254,8 @@
             shards=found.shards,
             answered=found.answered,
             late=found.late,
+            far=found.far,
+            upstreams_age_ms=round(listing.age_s * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
 
--- /dev/null
+++ b/rudderrock/gateway/_peers.py
@@ -0,0 +1,225 @@
+"""What hosts tell one another: upstreams, hosts and the routing table.
+
+A host asks a peer for what has changed since it last asked. The reply comes
+as soon as there is a change, or after a short wait, and says how old the
+peer's own reading is, so that a peer which has lost the source is noticed.
+"""
+
+import asyncio
+import collections
+import urllib.parse
+
+import msgspec
+import result
+
+from rudderrock import state
+from rudderrock.gateway import _caller as caller
+from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _fleet as fleet
+from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _sources as sources
+
+PATH = '/v1/changes'
+# How long a peer may hold a question that has no news, and how much longer
+# the asking host waits for it; seconds.
+HOLD_S = 0.8
+SLACK_S = 0.5
+# A reading of the source that is older than this is not relied on; seconds.
+FRESH_S = 1.8
+# Changes that are kept for peers; one that is further behind gets all.
+MOST_CHANGES = 64
+
+
+class Known(msgspec.Struct, frozen=True):
+    """What the asking host has already, of this peer's process."""
+
+    process: str = ''
+    upstreams: int = 0
+    hosts: int = 0
+    table: int = -1
+
+
+class Changes(msgspec.Struct, frozen=True, kw_only=True):
+    """What is new, and how old it is.
+
+    `whole` tells that `upstreams` are all there are; else they are what
+    was added or changed, and `left` what is gone. `age_ms` is the age of
+    the last reading of the source, -1 if there has been none, and
+    `hold_ms` for how long missing upstreams are still kept.
+    """
+
+    process: str
+    generation: int
+    whole: bool
+    upstreams: list[directory.Endpoint]
+    left: list[str]
+    revision: int
+    age_ms: int
+    hold_ms: int
+    hosts_generation: int
+    hosts: list[fleet.HostEntry] | None = None
+    table: bytes | None = None
+    table_revision: int = 0
+
+
+class ChangeBook:
+    """Keeps what has changed here lately, and answers peers.
+
+    Parameters: `process` names this incarnation of the process, since
+    generations begin anew with each.
+    """
+
+    def __init__(
+        self,
+        process: str,
+        listing: directory.Directory,
+        hosts: fleet.Fleet,
+        tables: sources.TableHolder,
+        clock: state.Clock,
+    ):
+        self.generation = 0
+        self._process = process
+        self._listing = listing
+        self._hosts = hosts
+        self._tables = tables
+        self._clock = clock
+        self._changes: collections.deque[
+            tuple[int, directory.DirectoryChange]
+        ] = collections.deque(maxlen=MOST_CHANGES)
+        self._news = asyncio.Event()
+        listing.add_listener(self._on_upstreams)
+        hosts.add_listener(self._wake)
+        tables.add_listener(lambda table: self._wake())
+
+    async def answer(self, request: messages.Request) -> messages.Reply:
+        """Answer a peer's question."""
+        path, _, query = request.target.decode('latin-1').partition('?')
+        if path != PATH:
+            return messages.Reply(404, [])
+        try:
+            known = msgspec.convert(
+                dict(urllib.parse.parse_qsl(query)), Known, strict=False
+            )
+        except msgspec.ValidationError as error:
+            return messages.Reply(400, [], str(error).encode())
+        if not self._has_news(known) and self._is_fresh():
+            await self._wait()
+        body = msgspec.json.encode(self.list_changes(known))
+        return messages.Reply(200, [caller.JSON], body)
+
+    def list_changes(self, known: Known) -> Changes:
+        """Return what a peer lacks."""
+        same = known.process == self._process
+        upstreams, left, whole = self._list_upstreams(known, same)
+        listing = self._listing
+        tables = self._tables
+        newer = tables.version > known.table
+        hosts_known = same and known.hosts == self._hosts.generation
+        return Changes(
+            process=self._process,
+            generation=self.generation,
+            whole=whole,
+            upstreams=upstreams,
+            left=left,
+            revision=listing.revision,
+            age_ms=_to_ms(listing.age_s),
+            hold_ms=_to_ms(listing.hold_s),
+            hosts_generation=self._hosts.generation,
+            hosts=None if hosts_known else self._hosts.list_hosts(),
+            table=tables.raw if newer else None,
+            table_revision=tables.revision,
+        )
+
+    def _list_upstreams(
+        self, known: Known, same: bool
+    ) -> tuple[list[directory.Endpoint], list[str], bool]:
+        oldest = self._changes[0][0] if self._changes else self.generation
+        if not same or known.upstreams < oldest - 1:
+            return list(self._listing.list_all()), [], True
+        touched: set[state.UpstreamId] = set()
+        for generation, change in self._changes:
+            if generation > known.upstreams:
+                touched.update(change.touched)
+        found = {each: self._listing.get_endpoint(each) for each in touched}
+        upstreams = [each for each in found.values() if each is not None]
+        left = [name for name, each in found.items() if each is None]
+        return upstreams, left, False
+
+    def _has_news(self, known: Known) -> bool:
+        return (
+            known.process != self._process
+            or known.upstreams != self.generation
+            or known.hosts != self._hosts.generation
+            or known.table < self._tables.version
+        )
+
+    def _is_fresh(self) -> bool:
+        return 0 <= self._listing.age_s <= FRESH_S
+
+    async def _wait(self) -> None:
+        news = self._news
+        try:
+            async with asyncio.timeout(HOLD_S):
+                await news.wait()
+        except TimeoutError:
+            return
+
+    def _on_upstreams(self, change: directory.DirectoryChange) -> None:
+        self.generation += 1
+        self._changes.append((self.generation, change))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+
+class PeerClient:
+    """Asks one peer for changes, again and again."""
+
+    def __init__(self, entry: fleet.HostEntry):
+        host, _, port = entry.address.rpartition(':')
+        self.entry = entry
+        self.known = Known()
+        self._caller = caller.HttpCaller((host, int(port)))
+
+    async def ask(
+        self, table: int
+    ) -> result.Result[Changes, sources.Unavailable]:
+        """Return what is new; `table` is the version in force here."""
+        known = msgspec.structs.replace(self.known, table=table)
+        query = urllib.parse.urlencode(msgspec.structs.asdict(known))
+        answer = await self._caller.call(
+            b'GET', f'{PATH}?{query}'.encode(), b'', HOLD_S + SLACK_S
+        )
+        match answer:
+            case result.Err(detail):
+                return result.Err(sources.Unavailable(detail))
+            case result.Ok(reply) if reply.status != 200:
+                return result.Err(
+                    sources.Unavailable(f'status {reply.status}')
+                )
+        try:
+            changes = msgspec.json.decode(answer.ok_value.body, type=Changes)
+        except msgspec.DecodeError as error:
+            return result.Err(sources.Unavailable(f'unreadable: {error}'))
+        return result.Ok(changes)
+
+    def note_applied(self, changes: Changes | None) -> None:
+        """Take note of what has been taken over; None asks for all."""
+        if changes is None:
+            self.known = Known()
+            return
+        self.known = Known(
+            process=changes.process,
+            upstreams=changes.generation,
+            hosts=changes.hosts_generation,
+        )
+
+    def close(self) -> None:
+        """Close the connections to the peer."""
+        self._caller.close()
+
+
+def _to_ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import math
 
 from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _directory as directory
@@ -16,6 +17,8 @@
 KEEP_FRACTION = 0.6
 # Idle time in seconds where the upstream doesn't say.
 DEFAULT_KEEP_S = 10.0
+# Idle time of a connection that this host has no claim to keep, in seconds.
+SPARE_IDLE_S = 0.5
 # A request that must not run twice can't be sent again after a reset, so
 # it takes a connection that was used this recently, or a new one; seconds.
 FRESH_S = 1.0
@@ -24,7 +27,9 @@
 class Pool:
     """At most `cap` connections to one endpoint.
 
-    Parameters: `count_dial` is called for each connection that is opened.
+    `is_spare` tells that this host has no claim to keep a connection there,
+    and closes each one soon. `count_dial` is called for each connection
+    that is opened.
     """
 
     def __init__(
@@ -32,11 +37,12 @@
         endpoint: directory.Endpoint,
         loop: asyncio.AbstractEventLoop,
         names: dialect.HeaderNames,
-        cap: int,
         count_dial: Callable[[], None],
+        cap: int = 1,
     ):
         self.endpoint = endpoint
         self.cap = cap
+        self.is_spare = False
         self._loop = loop
         self._names = names
         self._count_dial = count_dial
@@ -56,16 +62,22 @@
 
     @property
     def is_full(self) -> bool:
-        """Tell whether one more exchange would have to wait."""
-        return self.load >= self.cap
+        """Tell whether one more exchange would wait for more than one."""
+        return self.load >= 2 * self.cap
 
     def get_oldest_age(self, now: float) -> float:
-        """Return for how long the oldest exchange has been under way."""
+        """Return for how long the oldest exchange has been under way.
+
+        One that a hedge has overtaken is as old as can be.
+        """
         oldest = 0.0
         for link in self._links:
             exchange = link.exchange
-            if exchange is not None:
-                oldest = max(oldest, now - exchange.sent_at)
+            if exchange is None:
+                continue
+            if exchange.give_up_at is not None:
+                return math.inf
+            oldest = max(oldest, now - exchange.sent_at)
         return oldest
 
     def submit(self, exchange: link_module.Exchange) -> None:
@@ -113,8 +125,7 @@
         """Close what has idled too long or was left to end and didn't."""
         now = self._loop.time()
         for link in list(self._free):
-            keep_s = link.keep_s or DEFAULT_KEEP_S
-            if now - link.idle_since > keep_s * KEEP_FRACTION:
+            if now - link.idle_since > self._get_idle_s(link):
                 self._free.remove(link)
                 link.abort()
         for link in list(self._links):
@@ -124,6 +135,11 @@
             if now >= exchange.give_up_at:
                 link.abort()
 
+    def _get_idle_s(self, link: link_module.Link) -> float:
+        if self.is_spare:
+            return SPARE_IDLE_S
+        return (link.keep_s or DEFAULT_KEEP_S) * KEEP_FRACTION
+
     def retire(self) -> None:
         """Send no more; what is under way may end."""
         self._retired = True
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -4,12 +4,13 @@
 import contextlib
 import enum
 
+from rudderrock.gateway import _follow as follow
 from rudderrock.gateway import _gateway as gateway
 from rudderrock.gateway import _intake as intake
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _peers as peers
 from rudderrock.gateway import _settings as settings
-from rudderrock.gateway import _sources as sources
 
 # Part of the time that a planned stop may take during which new
 # connections are still accepted: the balancer asks once a second and goes
@@ -36,24 +37,30 @@
         self,
         config: settings.GatewaySettings,
         served: gateway.Gateway,
-        follower: sources.SourceFollower,
+        follower: follow.Follower,
+        registration: follow.Registration,
+        changes: peers.ChangeBook,
         parts: gateway.Parts,
     ):
         self.state = ProcessState.STARTING
         self._config = config
         self._gateway = served
         self._follower = follower
+        self._registration = registration
         self._parts = parts
         self._stop = asyncio.Event()
         self._callers = intake.Intake(served.handle, self._note_unreadable)
         self._probes = intake.Intake(self._answer_probe)
         self._scrapes = intake.Intake(self._answer_scrape)
+        self._peers = intake.Intake(changes.answer)
         self._was_ready = False
+        self._stop_began = 0.0
         parts.tables.add_listener(self._on_table)
 
     def stop(self) -> None:
-        """Begin a planned stop."""
-        self._stop.set()
+        """Begin a planned stop; a second call changes nothing."""
+        if not self._stop.is_set():
+            self._begin_stop()
 
     async def run(self) -> None:
         """Serve, then stop as planned; return when all has ended."""
@@ -65,6 +72,7 @@
                 (self._callers, config.callers),
                 (self._probes, config.readiness),
                 (self._scrapes, config.metrics),
+                (self._peers, config.peers),
             ):
                 await stack.enter_async_context(served.listen(*address))
             for work in (self._follower.run(), self._gateway.sweep()):
@@ -72,22 +80,28 @@
                 stack.push_async_callback(_cancel, task)
             self.state = ProcessState.SERVING
             events.record(log.LogKind.STARTED, place=config.place.zone)
-            await self._stop.wait()
+            async with follow.keep_registered(self._registration):
+                await self._stop.wait()
             await self._drain()
         self.state = ProcessState.ENDED
         events.record(log.LogKind.STOPPED)
 
-    async def _drain(self) -> None:
-        """Take work until the balancer has noticed, then end it."""
-        loop = asyncio.get_running_loop()
-        began = loop.time()
+    def _begin_stop(self) -> None:
+        self._stop_began = self._parts.clock.now()
         self.state = ProcessState.LEAVING
         self._callers.is_stopping = True
         self._parts.events.record(
             log.LogKind.STOPPING, busy=self._callers.busy
         )
+        self._stop.set()
+
+    async def _drain(self) -> None:
+        """Take work until the balancer has noticed, then end it."""
+        loop = asyncio.get_running_loop()
+        began = self._stop_began
         stop_s = self._config.stop_s
-        await asyncio.sleep(stop_s * ACCEPT_FRACTION)
+        accept_until = began + stop_s * ACCEPT_FRACTION
+        await asyncio.sleep(max(0.0, accept_until - loop.time()))
         self._callers.stop_accepting()
         end = began + stop_s * END_FRACTION
         while self._callers.links and loop.time() < end:
@@ -117,15 +131,15 @@
         return messages.Reply(200, [kind], '\n'.join(lines).encode() + b'\n')
 
     def _list_gauges(self) -> dict[str, float]:
-        now = self._parts.clock.now()
         tables = self._parts.tables
         listing = self._parts.listing
         counters = self._gateway.counters
         return {
             'table_version': tables.version,
-            'table_age_seconds': _get_age(now, tables.confirmed_at),
+            'table_age_seconds': tables.age_s,
             'upstreams': len(listing.list_all()),
-            'upstreams_age_seconds': _get_age(now, listing.read_at),
+            'upstreams_age_seconds': listing.age_s,
+            'hosts': self._parts.hosts.count(),
             'caller_connections': len(self._callers.links),
             'requests_under_way': self._callers.busy,
             'upstream_requests_total': counters.firsts,
@@ -137,10 +151,6 @@
         }
 
 
-def _get_age(now: float, at: float | None) -> float:
-    return -1.0 if at is None else now - at
-
-
 async def _cancel(task: asyncio.Task) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -179,7 +179,7 @@
         self.is_late = True
         now = self._tools.loop.time()
         slow = self._attempts[0]
-        slow.replica.note_bad()
+        slow.replica.note_late()
         other = self._choose()
         if other is None or other.is_suspect(now, self._call.late_s):
             return
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -2,18 +2,19 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import random
 
 from rudderrock import state
 from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _place as place
 from rudderrock.gateway import _pool as pool
 from rudderrock.gateway import _routing as routing
+from rudderrock.gateway import _shares as shares
 
-# After a late or failed answer an upstream is passed over for this long,
-# doubled for each more in a row up to the longest; seconds. A pause of an
-# upstream lasts some 150 to 250 ms.
+# After a failed answer, or a second late one in a row, an upstream is
+# passed over for this long, doubled for each more up to the longest;
+# seconds. A pause of an upstream lasts some 150 to 250 ms.
 FIRST_AVOID_S = 0.25
 LONGEST_AVOID_S = 3.0
 # An upstream that can't be reached is passed over for longer; seconds.
@@ -23,21 +24,6 @@
 _MOST_STRIKES = 6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Place:
-    """Where this host is, and the region of each availability zone."""
-
-    zone: state.ZoneId
-    regions: dict[state.ZoneId, str]
-
-    def get_distance(self, zone: state.ZoneId) -> int:
-        """Return 0 for the same zone, 1 for the same region, else 2."""
-        if zone == self.zone:
-            return 0
-        own = self.regions.get(self.zone)
-        return 1 if own == self.regions.get(zone, zone) else 2
-
-
 class Replica:
     """One upstream with its connections and its recent conduct."""
 
@@ -69,6 +55,17 @@
         self.strikes = 0
         self._avoid_until = 0.0
 
+    def note_late(self) -> None:
+        """Take note of a late answer.
+
+        The first one has no consequence of its own: the request that is
+        under way keeps others away for as long as it is.
+        """
+        if self.strikes:
+            self.note_bad()
+        else:
+            self.strikes = 1
+
     def note_bad(self, base_s: float = FIRST_AVOID_S) -> None:
         """Take note of a late, failed, lost or rejected request."""
         now = self._clock.now()
@@ -85,11 +82,11 @@
     def __init__(
         self,
         listing: directory.Directory,
-        place: Place,
+        place: place.Place,
         names: dialect.HeaderNames,
         clock: state.Clock,
         source: random.Random,
-        get_cap: Callable[[routing.ServiceName], int],
+        get_share: Callable[[directory.Endpoint], shares.LinkShare],
         get_services: Callable[[], set[routing.ServiceName]],
     ):
         self.dials = 0
@@ -98,7 +95,7 @@
         self._names = names
         self._clock = clock
         self._source = source
-        self._get_cap = get_cap
+        self._get_share = get_share
         self._get_services = get_services
         self._replicas: dict[state.UpstreamId, Replica] = {}
         self._retired: list[Replica] = []
@@ -162,7 +159,7 @@
     def set_caps(self) -> None:
         """Bring all pools to the present bounds on connections."""
         for replica in self._replicas.values():
-            replica.links.cap = self._get_cap(replica.endpoint.service)
+            self._set_cap(replica)
 
     def close(self) -> None:
         """Close all connections."""
@@ -176,14 +173,29 @@
                 endpoint,
                 asyncio.get_running_loop(),
                 self._names,
-                self._get_cap(endpoint.service),
                 self._count_dial,
             )
             distance = self._place.get_distance(endpoint.zone)
             replica = Replica(endpoint, links, distance, self._clock)
+            self._set_cap(replica)
             self._replicas[endpoint.upstream] = replica
         return replica
 
+    def _reset_caps(self, upstream: state.UpstreamId) -> None:
+        """Share connections anew among the replicas of one service."""
+        endpoint = self._listing.get_endpoint(upstream)
+        if endpoint is None:
+            return
+        for each in self._listing.list_ready(endpoint.service):
+            replica = self._replicas.get(each.upstream)
+            if replica is not None:
+                self._set_cap(replica)
+
+    def _set_cap(self, replica: Replica) -> None:
+        share = self._get_share(replica.endpoint)
+        replica.links.cap = share.cap
+        replica.links.is_spare = share.is_spare
+
     def _count_dial(self) -> None:
         self.dials += 1
 
@@ -194,6 +206,8 @@
                 replica.links.retire()
                 self._retired.append(replica)
         wanted = self._get_services()
+        for upstream in change.added:
+            self._reset_caps(upstream)
         for upstream in change.added:
             endpoint = self._listing.get_endpoint(upstream)
             if endpoint is not None and endpoint.service in wanted:
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway import _place as place_module
 
 Address = tuple[str, int]
 
@@ -24,10 +24,11 @@
     """
 
     host: str
-    place: replicas.Place
+    place: place_module.Place
     callers: Address
     readiness: Address
     metrics: Address
+    peers: Address
     names: dialect.HeaderNames = dialect.HeaderNames()
     extra_ratio: float = 0.2
     extra_window_s: float = 10.0
--- a/rudderrock/gateway/_sources.py
+++ b/rudderrock/gateway/_sources.py
@@ -1,29 +1,17 @@
-"""Where a gateway learns its routes and upstreams: a port, and its use."""
+"""Where a gateway learns its routes, upstreams and hosts: a port."""
 
-import asyncio
 from collections.abc import Callable
 import dataclasses
-import random
 from typing import Protocol
 
 import result
 
 from rudderrock import state
 from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _routing as routing
 
-# Between two readings of the upstreams, in seconds. A leaving upstream must
-# get no new work some seconds after it said so, and each reading is paid.
-READ_EVERY_S = 1.0
-# Between tries while the source does not answer, in seconds, and the part
-# by which chance varies it so that hosts don't ask in step.
-RETRY_S = 0.5
-_SPREAD = 0.3
-# How long one watch waits at the source, in seconds. A watch that a cut
-# silenced is thus replaced soon even if nothing else shows the cut.
-WATCH_S = 10.0
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unavailable:
@@ -37,17 +25,23 @@
     """The source can't tell what has changed; the whole must be read."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseEnded:
+    """The lease that a registration hangs on has ended."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableReading:
     """The routing table at a revision of the source.
 
     `table` is None if there is none, and `problem` says why one that is
-    there can't be used.
+    there can't be used. `raw` is the table as the source has it.
     """
 
     table: routing.RoutingTable | None
     revision: int
     problem: str = ''
+    raw: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,20 +64,43 @@
     ) -> result.Result[TableReading | None, Unavailable | HistoryGone]:
         """Wait for a table later than a revision; None if none came."""
 
+    def decode_table(self, raw: bytes, revision: int) -> TableReading:
+        """Return a table that another host has read."""
+
     async def list_upstreams(
         self,
     ) -> result.Result[UpstreamReading, Unavailable]:
         """Return all registered upstreams."""
 
+    async def list_hosts(
+        self,
+    ) -> result.Result[list[fleet.HostEntry], Unavailable]:
+        """Return all registered hosts."""
+
+    async def register(
+        self, entry: fleet.HostEntry, ttl_s: float
+    ) -> result.Result[int, Unavailable]:
+        """Register a host under a new lease; return the lease."""
+
+    async def renew(
+        self, lease: int
+    ) -> result.Result[None, Unavailable | LeaseEnded]:
+        """Prolong a lease by its time to live."""
+
+    async def withdraw(self, lease: int) -> result.Result[None, Unavailable]:
+        """End a lease, and the registration with it."""
+
 
 class TableHolder:
     """The table in force, which never goes back to an older version."""
 
     def __init__(self, clock: state.Clock, events: log.EventLog):
         self.current: routing.RoutingTable | None = None
-        self.confirmed_at: float | None = None
+        self.raw = b''
+        self.revision = 0
         self._clock = clock
         self._events = events
+        self._applied_at: float | None = None
         self._listeners: list[Callable[[routing.RoutingTable], None]] = []
 
     @property
@@ -93,6 +110,13 @@
             return routing.NO_VERSION
         return self.current.version
 
+    @property
+    def age_s(self) -> float:
+        """Return for how long the table has been in force, or -1."""
+        if self._applied_at is None:
+            return -1.0
+        return self._clock.now() - self._applied_at
+
     def add_listener(
         self, call: Callable[[routing.RoutingTable], None]
     ) -> None:
@@ -101,18 +125,21 @@
 
     def apply_reading(self, reading: TableReading, origin: str) -> None:
         """Put a table in force if it is newer than the present one."""
-        self.confirmed_at = self._clock.now()
         if reading.problem:
             self._events.record(
                 log.LogKind.TABLE_REJECTED,
                 problem=reading.problem,
                 revision=reading.revision,
+                origin=origin,
             )
             return
         table = reading.table
         if table is None or table.version <= self.version:
             return
         before, self.current = self.version, table
+        self.raw = reading.raw
+        self.revision = reading.revision
+        self._applied_at = self._clock.now()
         self._events.record(
             log.LogKind.TABLE_IN_FORCE,
             version=table.version,
@@ -123,128 +150,3 @@
         )
         for call in self._listeners:
             call(table)
-
-
-class SourceFollower:
-    """Keeps table and directory in step with the source.
-
-    Two tasks: one waits for tables, one reads the upstreams at an
-    interval. When the source answers again after it did not, the watch is
-    made anew, since the old one may have been cut without a sign.
-    """
-
-    def __init__(
-        self,
-        source: SourcePort,
-        tables: TableHolder,
-        listing: directory.Directory,
-        clock: state.Clock,
-        chance: random.Random,
-        events: log.EventLog,
-    ):
-        self.lost_at: float | None = None
-        self._source = source
-        self._tables = tables
-        self._listing = listing
-        self._clock = clock
-        self._chance = chance
-        self._events = events
-        self._watch: asyncio.Task | None = None
-
-    async def run(self) -> None:
-        """Follow until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._follow_table())
-            group.create_task(self._follow_upstreams())
-
-    async def _follow_table(self) -> None:
-        while True:
-            match await self._source.read_table():
-                case result.Ok(reading):
-                    self._tables.apply_reading(reading, 'read')
-                    await self._watch_from(reading.revision)
-                case result.Err(problem):
-                    self._note_lost('table', problem.detail)
-                    await self._pause(RETRY_S)
-
-    async def _watch_from(self, revision: int) -> None:
-        """Watch until the table has to be read anew."""
-        while True:
-            self._watch = asyncio.ensure_future(
-                self._source.watch_table(revision, WATCH_S)
-            )
-            try:
-                found = await self._watch
-            except asyncio.CancelledError:
-                if asyncio.current_task().cancelling():
-                    raise
-                return
-            finally:
-                self._watch = None
-            match found:
-                case result.Ok(None):
-                    # Confirmed by reading: a watch may have been deaf.
-                    return
-                case result.Ok(reading):
-                    self._tables.apply_reading(reading, 'watch')
-                    revision = reading.revision
-                case result.Err(HistoryGone()):
-                    return
-                case result.Err(problem):
-                    self._note_lost('watch', problem.detail)
-                    return
-
-    async def _follow_upstreams(self) -> None:
-        while True:
-            match await self._source.list_upstreams():
-                case result.Ok(reading):
-                    self._note_back()
-                    self._apply(reading)
-                    await self._pause(READ_EVERY_S)
-                case result.Err(problem):
-                    self._note_lost('upstreams', problem.detail)
-                    await self._pause(RETRY_S)
-
-    def _apply(self, reading: UpstreamReading) -> None:
-        for problem in reading.problems:
-            self._events.record(log.LogKind.TABLE_REJECTED, problem=problem)
-        change = self._listing.apply_reading(
-            reading.endpoints, reading.revision
-        )
-        if change is not None:
-            self._events.record(
-                log.LogKind.UPSTREAMS_CHANGED,
-                revision=reading.revision,
-                added=change.added,
-                left=change.left,
-                held=change.held,
-            )
-
-    def _note_lost(self, call: str, detail: str) -> None:
-        if self.lost_at is not None:
-            return
-        self.lost_at = self._clock.now()
-        self._events.record(
-            log.LogKind.DEPENDENCY_LOST,
-            dependency='source',
-            call=call,
-            detail=detail,
-        )
-
-    def _note_back(self) -> None:
-        if self.lost_at is None:
-            return
-        away_s = self._clock.now() - self.lost_at
-        self.lost_at = None
-        self._listing.note_outage()
-        if self._watch is not None:
-            self._watch.cancel()
-        self._events.record(
-            log.LogKind.DEPENDENCY_BACK,
-            dependency='source',
-            away_s=round(away_s, 3),
-        )
-
-    async def _pause(self, mean_s: float) -> None:
-        spread = 1.0 + _SPREAD * (2 * self._chance.random() - 1.0)
-        await asyncio.sleep(mean_s * spread)
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -21,16 +21,28 @@
 
     tables = gateway.TableHolder(clock, events)
     listing = gateway.Directory(clock)
+    own = gateway.HostEntry(
+        host=state.HostId(settings.host),
+        zone=settings.place.zone,
+        address='%s:%d' % settings.peers,
+    )
+    hosts = gateway.Fleet(own, settings.assumed_hosts, clock)
     parts = gateway.Parts(
         tables=tables,
         listing=listing,
+        hosts=hosts,
         events=events,
         figures=gateway.GatewayMetrics(),
         clock=clock,
         chance=draw('replicas'),
     )
-    follower = gateway.SourceFollower(
-        source, tables, listing, clock, draw('source'), events
+    process = f'{settings.host}/{draw("process").getrandbits(64):x}'
+    changes = gateway.ChangeBook(process, listing, hosts, tables, clock)
+    follower = gateway.Follower(
+        source, tables, listing, hosts, clock, draw('source'), events
     )
+    registration = gateway.Registration(source, hosts, clock, events)
     served = gateway.Gateway(settings, parts)
-    return gateway.GatewayProcess(settings, served, follower, parts)
+    return gateway.GatewayProcess(
+        settings, served, follower, registration, changes, parts
+    )
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -43,6 +43,8 @@
             callers=callers,
             readiness=_split(fields['listen.ready']),
             metrics=(callers[0], METRICS_PORT),
+            # The first of the ports that are free for our own use.
+            peers=(callers[0], int(fields['internal_ports'].split(',')[0])),
             names=headers.NAMES,
             extra_ratio=float(fields['bounds.retry_budget_ratio']),
             extra_window_s=float(fields['bounds.retry_window_s']),
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -9,6 +9,9 @@
 from rudderrock import gateway
 from rudderrock import state
 
+# What `decode_value` raises.
+BAD_VALUE = (binascii.Error, ValueError)
+
 
 class _WeightedService(msgspec.Struct):
     service: str
@@ -67,6 +70,11 @@
     return base64.b64decode(text, validate=True)
 
 
+def encode_value(value: bytes) -> str:
+    """Return bytes as the store takes them."""
+    return base64.b64encode(value).decode('ascii')
+
+
 def decode_table(
     raw: bytes,
 ) -> result.Result[gateway.RoutingTable, str]:
@@ -154,6 +162,3 @@
     if route.service:
         return gateway.Single(gateway.ServiceName(route.service))
     raise ValueError(f'route {route.name} names no service')
-
-
-BAD_VALUE = (binascii.Error, ValueError)
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -15,6 +15,8 @@
 WATCH_SLACK_S = 1.0
 _CONFIG_KEY = 'op/config'
 _SERVERS_PREFIX = 'servers/'
+# Where rudderrock keeps what is its own.
+_HOSTS_PREFIX = 'rudderrock/hosts/'
 
 
 class _Item(msgspec.Struct):
@@ -41,6 +43,11 @@
     at_revision: int
 
 
+class _Lease(msgspec.Struct):
+    lease_id: int
+    ttl_ms: int
+
+
 class StoreSource:
     """Routes and upstreams, read from the platform's store."""
 
@@ -62,7 +69,9 @@
             case result.Err(problem):
                 return result.Err(problem)
             case result.Ok(item):
-                return result.Ok(_make_table_reading(item, item.at_revision))
+                return result.Ok(
+                    self._make_table_reading(item, item.at_revision)
+                )
 
     async def watch_table(
         self, after: int, wait_s: float
@@ -89,7 +98,7 @@
             case result.Err(problem):
                 return result.Err(problem)
             case result.Ok(found):
-                return _pick_newest(found)
+                return result.Ok(self._pick_newest(found))
 
     async def list_upstreams(
         self,
@@ -125,6 +134,106 @@
         """Close the connections to the store."""
         self.caller.close()
 
+    def decode_table(self, raw: bytes, revision: int) -> gateway.TableReading:
+        """Return a configuration that another host has read."""
+        match decode.decode_table(raw):
+            case result.Ok(table):
+                return gateway.TableReading(table, revision, raw=raw)
+            case result.Err(problem):
+                return gateway.TableReading(None, revision, problem)
+
+    async def list_hosts(
+        self,
+    ) -> result.Result[list[gateway.HostEntry], gateway.Unavailable]:
+        """Return all registered hosts."""
+        found: list[gateway.HostEntry] = []
+        after = ''
+        while True:
+            match await self._read_page(_HOSTS_PREFIX, after):
+                case result.Err(problem):
+                    return result.Err(problem)
+                case result.Ok(page):
+                    pass
+            for item in page.items:
+                try:
+                    raw = decode.decode_value(item.value)
+                    entry = msgspec.json.decode(raw, type=gateway.HostEntry)
+                except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
+                    return result.Err(
+                        gateway.Unavailable(f'{item.key}: {error}')
+                    )
+                found.append(entry)
+            if not page.has_more or not page.items:
+                return result.Ok(found)
+            after = page.items[-1].key
+
+    async def register(
+        self, entry: gateway.HostEntry, ttl_s: float
+    ) -> result.Result[int, gateway.Unavailable]:
+        """Write a host's entry under a new lease."""
+        body = msgspec.json.encode({'ttl_ms': round(ttl_s * 1000)})
+        answer = await self._call(b'POST', b'/kv-lease', body)
+        if answer.is_err():
+            return answer
+        granted = _decode_body(answer.ok_value, _Lease)
+        if granted.is_err():
+            return granted
+        lease = granted.ok_value.lease_id
+        write = {
+            'key': f'{_HOSTS_PREFIX}{entry.host}',
+            'value': decode.encode_value(msgspec.json.encode(entry)),
+            'lease_id': lease,
+        }
+        body = msgspec.json.encode(
+            {'expected_revision': [], 'writes': [write], 'deletes': []}
+        )
+        answer = await self._call(b'POST', b'/kv-txn', body)
+        if answer.is_err():
+            return answer
+        return result.Ok(lease)
+
+    async def renew(
+        self, lease: int
+    ) -> result.Result[None, gateway.Unavailable | gateway.LeaseEnded]:
+        """Prolong a lease by its time to live."""
+        answer = await self._call(
+            b'POST', b'/kv-keep/%d' % lease, b'', allowed=(200, 404)
+        )
+        match answer:
+            case result.Err():
+                return answer
+            case result.Ok(reply) if reply.status == 404:
+                return result.Err(gateway.LeaseEnded())
+        return result.Ok(None)
+
+    async def withdraw(
+        self, lease: int
+    ) -> result.Result[None, gateway.Unavailable]:
+        """End a lease; one that has ended already is as good."""
+        answer = await self._call(
+            b'DELETE', b'/kv-lease-end/%d' % lease, b'', allowed=(200, 404)
+        )
+        return answer if answer.is_err() else result.Ok(None)
+
+    def _make_table_reading(
+        self, item: _Item, revision: int
+    ) -> gateway.TableReading:
+        try:
+            raw = decode.decode_value(item.value)
+        except decode.BAD_VALUE as error:
+            return gateway.TableReading(None, revision, str(error))
+        return self.decode_table(raw, revision)
+
+    def _pick_newest(self, found: _Events) -> gateway.TableReading | None:
+        written = [
+            event
+            for event in found.events
+            if event.key == _CONFIG_KEY and not event.compacted
+        ]
+        if not written:
+            return None
+        return self._make_table_reading(written[-1], found.at_revision)
+
     async def _read_page(
         self, prefix: str, after: str
     ) -> result.Result[_Page, gateway.Unavailable]:
@@ -146,7 +255,17 @@
         timeout_s: float,
         allowed: tuple[int, ...] = (200, 404),
     ) -> result.Result[gateway.Reply, gateway.Unavailable]:
-        answer = await self.caller.call(b'GET', target, b'', timeout_s)
+        return await self._call(b'GET', target, b'', timeout_s, allowed)
+
+    async def _call(
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        timeout_s: float = CALL_TIMEOUT_S,
+        allowed: tuple[int, ...] = (200,),
+    ) -> result.Result[gateway.Reply, gateway.Unavailable]:
+        answer = await self.caller.call(method, target, body, timeout_s)
         match answer:
             case result.Err(detail):
                 return result.Err(gateway.Unavailable(detail))
@@ -175,30 +294,3 @@
     except decode.BAD_VALUE as error:
         return result.Err(f'{item.key}: {error}')
     return decode.decode_upstream(item.key.removeprefix(_SERVERS_PREFIX), raw)
-
-
-def _make_table_reading(item: _Item, revision: int) -> gateway.TableReading:
-    try:
-        raw = decode.decode_value(item.value)
-    except decode.BAD_VALUE as error:
-        return gateway.TableReading(None, revision, str(error))
-    match decode.decode_table(raw):
-        case result.Ok(table):
-            return gateway.TableReading(table, revision)
-        case result.Err(problem):
-            return gateway.TableReading(None, revision, problem)
-
-
-def _pick_newest(
-    found: _Events,
-) -> result.Result[
-    gateway.TableReading | None, gateway.Unavailable | gateway.HistoryGone
-]:
-    written = [
-        event
-        for event in found.events
-        if event.key == _CONFIG_KEY and not event.compacted
-    ]
-    if not written:
-        return result.Ok(None)
-    return result.Ok(_make_table_reading(written[-1], found.at_revision))
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -18,11 +18,16 @@
         self.is_deaf = False
         self.history_gone = False
         self.reads = 0
+        self.hosts: dict[int, gateway.HostEntry] = {}
+        self._leases = 0
+        self._written: dict[bytes, gateway.RoutingTable] = {}
         self._changed = asyncio.Event()
 
     def set_table(self, table: gateway.RoutingTable | None) -> None:
         """Write a table."""
         self.table = table
+        if table is not None:
+            self._written[b'%d' % table.version] = table
         self._change()
 
     def set_endpoint(self, endpoint: gateway.Endpoint) -> None:
@@ -42,7 +47,7 @@
         self.reads += 1
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
-        return result.Ok(gateway.TableReading(self.table, self.revision))
+        return result.Ok(self._read())
 
     async def watch_table(
         self, after: int, wait_s: float
@@ -65,7 +70,7 @@
                     await changed.wait()
         except TimeoutError:
             return result.Ok(None)
-        return result.Ok(gateway.TableReading(self.table, self.revision))
+        return result.Ok(self._read())
 
     async def list_upstreams(
         self,
@@ -80,6 +85,50 @@
             )
         )
 
+    def decode_table(self, raw: bytes, revision: int) -> gateway.TableReading:
+        """Return the table of a version that was written here."""
+        return gateway.TableReading(self._written[raw], revision, raw=raw)
+
+    async def list_hosts(
+        self,
+    ) -> result.Result[list[gateway.HostEntry], gateway.Unavailable]:
+        """Return the hosts."""
+        self.reads += 1
+        if self.is_down:
+            return result.Err(gateway.Unavailable('down'))
+        return result.Ok(list(self.hosts.values()))
+
+    async def register(
+        self, entry: gateway.HostEntry, ttl_s: float
+    ) -> result.Result[int, gateway.Unavailable]:
+        """Register a host; leases don't end by themselves here."""
+        if self.is_down:
+            return result.Err(gateway.Unavailable('down'))
+        self._leases += 1
+        self.hosts[self._leases] = entry
+        return result.Ok(self._leases)
+
+    async def renew(
+        self, lease: int
+    ) -> result.Result[None, gateway.Unavailable | gateway.LeaseEnded]:
+        """Renew a registration."""
+        if self.is_down:
+            return result.Err(gateway.Unavailable('down'))
+        if lease not in self.hosts:
+            return result.Err(gateway.LeaseEnded())
+        return result.Ok(None)
+
+    async def withdraw(
+        self, lease: int
+    ) -> result.Result[None, gateway.Unavailable]:
+        """End a registration."""
+        self.hosts.pop(lease, None)
+        return result.Ok(None)
+
+    def _read(self) -> gateway.TableReading:
+        raw = b'%d' % self.table.version if self.table is not None else b''
+        return gateway.TableReading(self.table, self.revision, raw=raw)
+
     def _change(self) -> None:
         self.revision += 1
         self._changed.set()
