--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -568,3 +568,22 @@
     And 2 seconds pass
     Then the log has a line "dependency_lost"
     And the log has a line "dependency_back"
+
+  Scenario: every line of the log is as docs/events.md says
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And a gateway
+    When a caller sends GET "/notes/1"
+    And the source is down
+    And 2 seconds pass
+    And the source is back
+    And 2 seconds pass
+    And it is told to stop
+    Then every line of the log has the fields that its kind has
+    And docs/events.md is what the definitions make
+
+  Scenario: a reader of the log that stops reading delays nothing
+    When 5000 lines are logged to a pipe that nobody reads
+    Then none of them blocked and the rest were counted as dropped
+    When the pipe is read again
+    Then what was kept comes whole and in order
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -3,6 +3,9 @@
 import asyncio
 import collections
 import json
+import logging
+import os
+import pathlib
 import re
 from unittest import mock
 
@@ -902,3 +905,65 @@
 def check_dropped(context):
     told = sum(line['count'] for line in list_lines(context, 'lines_dropped'))
     assert told + len(list_lines(context, 'request')) == 901, told
+
+
+@then(r'every line of the log has the fields that its kind has')
+def check_fields(context):
+    common = {'at', 'host', 'kind'}
+    kinds = set()
+    for text in get(context).log.lines:
+        if not text.startswith('{'):
+            continue
+        line = json.loads(text)
+        kind = gateway.LogKind(line['kind'])
+        kinds.add(kind)
+        wanted = common | set(gateway.KIND_INFO[kind].fields)
+        assert set(line) == wanted, (line, wanted)
+    assert len(kinds) >= 6, kinds
+
+
+@then(r'docs/events.md is what the definitions make')
+def check_page(context):
+    page = pathlib.Path('docs/events.md').read_text(encoding='utf-8')
+    assert page == gateway.format_event_page()
+    assert set(gateway.KIND_INFO) == set(gateway.LogKind)
+
+
+@when(r'(\d+) lines are logged to a pipe that nobody reads')
+def fill_pipe(context, count):
+    context.pipe, writing = os.pipe()
+    context.stack.callback(os.close, context.pipe)
+    context.stack.callback(os.close, writing)
+    context.handler = gateway.PipeHandler(writing)
+    context.line_count = int(count)
+    for number in range(context.line_count):
+        line = f'{number:06d} ' + 'x' * 200
+        record = logging.LogRecord('t', 20, '', 0, line, None, None)
+        context.handler.emit(record)
+
+
+@then(r'none of them blocked and the rest were counted as dropped')
+def check_dropped_lines(context):
+    assert 0 < context.handler.dropped < context.line_count
+
+
+@when(r'the pipe is read again')
+def read_pipe(context):
+    os.set_blocking(context.pipe, False)
+    context.read = b''
+    while True:
+        try:
+            context.read += os.read(context.pipe, 65536)
+        except BlockingIOError:
+            if not context.handler.flush_waiting():
+                break
+            continue
+
+
+@then(r'what was kept comes whole and in order')
+def check_kept(context):
+    lines = context.read.decode().splitlines()
+    numbers = [int(line.split(' ')[0]) for line in lines]
+    kept = context.line_count - context.handler.dropped
+    assert numbers == list(range(kept)), (len(numbers), kept)
+    assert all(len(line) == 207 for line in lines)
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -21,6 +21,8 @@
 from rudderrock.gateway._link import Link
 from rudderrock.gateway._link import Lost
 from rudderrock.gateway._log import EventLog
+from rudderrock.gateway._log import format_event_page
+from rudderrock.gateway._log import KIND_INFO
 from rudderrock.gateway._log import LogKind
 from rudderrock.gateway._log import PipeHandler
 from rudderrock.gateway._log import set_up_log
@@ -94,6 +96,7 @@
     'Intake',
     'IntakeLimits',
     'Known',
+    'KIND_INFO',
     'LeaseEnded',
     'Link',
     'LinkShare',
@@ -134,6 +137,7 @@
     'UpstreamReading',
     'Verdict',
     'drop_connection_headers',
+    'format_event_page',
     'judge_outcome',
     'merge_records',
     'render_reply',
