--- /dev/null
+++ b/features/adapter.feature
@@ -0,0 +1,151 @@
+Feature: The adapter speaks the users' platform's formats
+
+  Scenario: a settings file is read, and unknown fields are left alone
+    Given a settings file with the field "data_dir" as "/nowhere"
+    When it is read
+    Then the gateway's settings have host "front-1" in "north-1" of "north"
+    And they listen at "10.0.0.1" on 8104, 8105 and for peers on 8107
+    And extra requests are bounded by 0.2, 10 seconds and 54
+    And the store is at "10.9.9.9" on 8102
+
+  Scenario Outline: a settings file that lacks something is refused: <field>
+    Given a settings file without the field "<field>"
+    When it is read
+    Then the problem names "<field>"
+
+    Examples:
+      | field                     |
+      | listen.front              |
+      | zone                      |
+      | platform.address          |
+      | bounds.retry_budget_ratio |
+
+  Scenario: a settings file with a bad number is refused
+    Given a settings file with the field "bounds.grace_s" as "soon"
+    When it is read
+    Then the problem names "soon"
+
+  Scenario: a settings file that is not there is refused
+    When a settings file that is not there is read
+    Then the problem names "No such file"
+
+  Scenario: the kinds of routes are decoded
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    When the source reads the table
+    Then the table has version 7 and 3 routes
+    And the gather has 3 shards, the greatest 5 and at least 0.75
+    And the split is 3 to 1
+    And the unsafe route runs once and times out after 6 seconds
+    And an upstream accepts 26 connections
+
+  Scenario: a route of a kind that is not known runs at most once
+    Given a platform store
+    And the operator writes a route of the kind "keyed"
+    When the source reads the table
+    Then its route runs once
+
+  Scenario Outline: a configuration that can't be read is told as a problem: <what>
+    Given a platform store
+    And the operator writes <what>
+    When the source reads the table
+    Then the reading has a problem and no table
+
+    Examples:
+      | what                       |
+      | what is not JSON           |
+      | a route without a service  |
+      | a configuration cut in two |
+
+  Scenario: there is no configuration yet
+    Given a platform store
+    When the source reads the table
+    Then there is no table and no problem
+
+  Scenario: a watch tells of a new version at once
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    When the source watches the table and version 9 is written after 0.5 seconds
+    Then the watch brings version 9 after 0.5 seconds
+
+  Scenario: a watch that brings nothing ends in time
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    When the source watches the table for 2 seconds
+    Then the watch brings nothing
+
+  Scenario: a watch whose history is gone says so
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    And the operator writes version 9 with a gather, a split and an unsafe route
+    And the store drops its history
+    When the source watches the table from revision 1
+    Then the watch says that the history is gone
+
+  Scenario: upstreams come from all pages
+    Given a platform store with pages of 5
+    And 12 servers are registered, 2 of them draining
+    When the source lists the upstreams
+    Then it finds 10 ready and 2 draining ones
+
+  Scenario: an entry that can't be read costs only itself
+    Given a platform store
+    And 3 servers are registered, 0 of them draining
+    And a server's entry is not JSON
+    When the source lists the upstreams
+    Then it finds 3 ready and 0 draining ones
+    And one problem is told
+
+  Scenario: a host registers, renews and withdraws
+    Given a platform store
+    When a host registers for 3 seconds
+    Then the store names 1 host
+    When the registration is renewed each second for 6 seconds
+    Then the store names 1 host
+    When 4 seconds pass
+    Then the store names 0 hosts
+    And a renewal says that the lease has ended
+
+  Scenario: a host that withdraws is gone at once
+    Given a platform store
+    When a host registers for 10 seconds
+    And it withdraws
+    Then the store names 0 hosts
+
+  Scenario Outline: a store that gives no answer is unavailable: <how>
+    Given a platform store
+    And the store is <how>
+    When the source reads the table
+    Then it is unavailable within 1.1 seconds
+
+    Examples:
+      | how    |
+      | busy   |
+      | many   |
+      | reset  |
+      | silent |
+
+  Scenario: a slow store is waited for
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    And the store takes 0.3 seconds for an answer
+    When the source reads the table
+    Then the table has version 7 and 3 routes
+
+  Scenario: a late reply to a call that was given up is nobody else's
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    And the store takes 1.2 seconds for an answer
+    When the source lists the upstreams
+    Then it is unavailable within 1.1 seconds
+    When the store takes 0 seconds for an answer
+    And the source reads the table
+    Then the table has version 7 and 3 routes
+
+  Scenario: a gateway serves from the platform's store alone
+    Given a platform store
+    And the operator writes version 7 for a server that answers
+    And a gateway over the store
+    When a caller sends the platform's request
+    Then it gets the server's answer with its stamp
+    And the server was sent its own id and the time left
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -144,7 +144,7 @@
             config, self.source, clock, 1, events
         )
         self.task = asyncio.create_task(self.process.run())
-        self._stack.push_async_callback(_end, self.task)
+        self._stack.push_async_callback(end_task, self.task)
         await asyncio.sleep(1.5)
 
     async def add_upstream(
@@ -337,7 +337,7 @@
             config, source, clock, self._count, events
         )
         task = asyncio.create_task(process.run())
-        self._stack.push_async_callback(_end, task)
+        self._stack.push_async_callback(end_task, task)
         self.members[name] = Member(
             ip, source, process, process.gateway, process.hosts, task
         )
@@ -349,7 +349,7 @@
 
     async def kill(self, name: str) -> None:
         """End a gateway at once."""
-        await _end(self.members.pop(name).task)
+        await end_task(self.members.pop(name).task)
 
     async def ask(self, name: str, raw: bytes) -> Reply:
         """Send one request to one gateway."""
@@ -361,6 +361,7 @@
         return reply
 
 
-async def _end(task: asyncio.Task) -> None:
+async def end_task(task: asyncio.Task) -> None:
+    """End a task at once and wait for its end."""
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/rudderrock/standins/platform/_store.py
+++ b/rudderrock/standins/platform/_store.py
@@ -231,17 +231,20 @@
                             'events': found,
                             'at_revision': self.revision,
                         }
-                    changed = asyncio.ensure_future(self._changed.wait())
-                    await asyncio.wait(
-                        {cut, changed}, return_when='FIRST_COMPLETED'
-                    )
-                    changed.cancel()
+                    await self._wait_for_change(cut)
             return None
         except TimeoutError:
             return 200, {'events': [], 'at_revision': self.revision}
         finally:
             cut.cancel()
 
+    async def _wait_for_change(self, cut: asyncio.Future) -> None:
+        changed = asyncio.ensure_future(self._changed.wait())
+        try:
+            await asyncio.wait({cut, changed}, return_when='FIRST_COMPLETED')
+        finally:
+            changed.cancel()
+
     def _list_events(self, prefix: str, after: int) -> list[dict]:
         if self.is_deaf:
             return []
