--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -149,3 +149,7 @@
     When a caller sends the platform's request
     Then it gets the server's answer with its stamp
     And the server was sent its own id and the time left
+
+  Scenario: a gateway starts without the libraries that only others need
+    When the gateway's program is loaded by itself
+    Then it has not loaded "pydantic", "starlette", "aiosonic", "uvicorn" or "defopt"
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import pathlib
+import re
+import subprocess
+import sys
 import tempfile
 
 from behave import given
@@ -429,3 +432,23 @@
     headers = context.server.runs[-1].headers
     assert headers['x-expect-instance'] == 'i-1', headers
     assert 0 < int(headers['x-deadline-ms']) <= 900, headers
+
+
+@when(r"the gateway's program is loaded by itself")
+def load_program(context):
+    code = (
+        'import sys; import rudderrock.programs.gateway; '
+        'print(*sorted(sys.modules))'
+    )
+    done = subprocess.run(
+        [sys.executable, '-c', code], capture_output=True, text=True
+    )
+    assert done.returncode == 0, done.stderr
+    context.modules = set(done.stdout.split())
+
+
+@then(r'it has not loaded (.+)')
+def check_modules(context, listed):
+    unwanted = set(re.findall(r'"([^"]+)"', listed))
+    assert 'rudderrock.gateway' in context.modules
+    assert not unwanted & context.modules, unwanted & context.modules
--- /dev/null
+++ b/rudderrock/core/__init__.py
@@ -0,0 +1,41 @@
+"""What every part uses: ids, time, randomness and latency estimates.
+
+It imports nothing beyond the standard library and one hash, so that a
+process that needs no more starts quickly.
+"""
+
+from rudderrock.core._clock import Clock
+from rudderrock.core._clock import make_random
+from rudderrock.core._ids import CollectionId
+from rudderrock.core._ids import EditId
+from rudderrock.core._ids import HostId
+from rudderrock.core._ids import IndexVersion
+from rudderrock.core._ids import NO_REVISION
+from rudderrock.core._ids import QueryId
+from rudderrock.core._ids import RequestId
+from rudderrock.core._ids import Revision
+from rudderrock.core._ids import ShardId
+from rudderrock.core._ids import TeamId
+from rudderrock.core._ids import UpstreamId
+from rudderrock.core._ids import ZoneId
+from rudderrock.core._latency import FadingMean
+from rudderrock.core._latency import LatePoint
+
+__all__ = [
+    'Clock',
+    'CollectionId',
+    'EditId',
+    'FadingMean',
+    'HostId',
+    'IndexVersion',
+    'LatePoint',
+    'NO_REVISION',
+    'QueryId',
+    'RequestId',
+    'Revision',
+    'ShardId',
+    'TeamId',
+    'UpstreamId',
+    'ZoneId',
+    'make_random',
+]
--- a/rudderrock/state/_latency.py
+++ b/rudderrock/core/_latency.py
@@ -2,7 +2,7 @@
 
 import math
 
-from rudderrock.state import _clock
+from rudderrock.core import _clock
 
 # Gain of one request on the late point, once settled and at first.
 _LATE_GAIN = 0.02
--- a/rudderrock/gateway/_budget.py
+++ b/rudderrock/gateway/_budget.py
@@ -8,7 +8,7 @@
 
 import collections
 
-from rudderrock import state
+from rudderrock import core
 
 # Slots that a window is cut into; the window moves in steps of one.
 _SLOTS = 20
@@ -25,7 +25,7 @@
     """
 
     def __init__(
-        self, clock: state.Clock, ratio: float, window_s: float, slack: float
+        self, clock: core.Clock, ratio: float, window_s: float, slack: float
     ):
         self.slack = slack
         self._clock = clock
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -4,7 +4,7 @@
 
 import result
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _link as link
@@ -31,10 +31,10 @@
         host, port = address
         self._host = b'%b:%d' % (host.encode('ascii'), port)
         endpoint = directory.Endpoint(
-            upstream=state.UpstreamId(host),
+            upstream=core.UpstreamId(host),
             service=routing.ServiceName(''),
             address=address,
-            zone=state.ZoneId(''),
+            zone=core.ZoneId(''),
             slots=MOST_CONNECTIONS,
             phase=directory.Phase.READY,
         )
--- a/rudderrock/gateway/_directory.py
+++ b/rudderrock/gateway/_directory.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _routing as routing
 
 # Upstreams whose registration lapsed while the registry was away register
@@ -33,10 +33,10 @@
     incarnation: a restarted upstream registers under another id.
     """
 
-    upstream: state.UpstreamId
+    upstream: core.UpstreamId
     service: routing.ServiceName
     address: tuple[str, int]
-    zone: state.ZoneId
+    zone: core.ZoneId
     slots: int
     phase: Phase
 
@@ -49,10 +49,10 @@
     reading lacked and that are kept, `touched` all that differ.
     """
 
-    added: tuple[state.UpstreamId, ...]
-    left: tuple[state.UpstreamId, ...]
-    held: tuple[state.UpstreamId, ...]
-    touched: tuple[state.UpstreamId, ...]
+    added: tuple[core.UpstreamId, ...]
+    left: tuple[core.UpstreamId, ...]
+    held: tuple[core.UpstreamId, ...]
+    touched: tuple[core.UpstreamId, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -77,14 +77,14 @@
     that live; these are kept until the time given to `hold_for` is over.
     """
 
-    def __init__(self, clock: state.Clock):
+    def __init__(self, clock: core.Clock):
         self.stamp: ReadingStamp | None = None
         self.revision = 0
         self._clock = clock
-        self._endpoints: dict[state.UpstreamId, Endpoint] = {}
+        self._endpoints: dict[core.UpstreamId, Endpoint] = {}
         self._ready: dict[routing.ServiceName, tuple[Endpoint, ...]] = {}
         self._hold_until = 0.0
-        self._held: frozenset[state.UpstreamId] = frozenset()
+        self._held: frozenset[core.UpstreamId] = frozenset()
         self._listeners: list[Callable[[DirectoryChange], None]] = []
         self._seen: dict[str, int] = {}
         self._readers: list[Callable[[], None]] = []
@@ -114,7 +114,7 @@
         """Have `call` called after each reading, changed or not."""
         self._readers.append(call)
 
-    def get_endpoint(self, upstream: state.UpstreamId) -> Endpoint | None:
+    def get_endpoint(self, upstream: core.UpstreamId) -> Endpoint | None:
         """Return one upstream, ready or draining."""
         return self._endpoints.get(upstream)
 
@@ -146,7 +146,7 @@
     def apply_changes(
         self,
         endpoints: Iterable[Endpoint],
-        left: Iterable[state.UpstreamId],
+        left: Iterable[core.UpstreamId],
         revision: int,
         stamp: ReadingStamp,
     ) -> DirectoryChange | None:
@@ -162,7 +162,7 @@
 
     def _replace(
         self,
-        found: dict[state.UpstreamId, Endpoint],
+        found: dict[core.UpstreamId, Endpoint],
         revision: int,
         stamp: ReadingStamp,
     ) -> DirectoryChange | None:
@@ -182,7 +182,7 @@
         return change
 
     def _compare(
-        self, found: dict[state.UpstreamId, Endpoint]
+        self, found: dict[core.UpstreamId, Endpoint]
     ) -> DirectoryChange | None:
         missing = self._endpoints.keys() - found.keys()
         held = frozenset(missing if self.hold_s > 0 else ())
@@ -197,9 +197,9 @@
 
 
 def _compare(
-    before: dict[state.UpstreamId, Endpoint],
-    now: dict[state.UpstreamId, Endpoint],
-    held: Iterable[state.UpstreamId],
+    before: dict[core.UpstreamId, Endpoint],
+    now: dict[core.UpstreamId, Endpoint],
+    held: Iterable[core.UpstreamId],
 ) -> DirectoryChange:
     left = [
         upstream
--- a/rudderrock/gateway/_fleet.py
+++ b/rudderrock/gateway/_fleet.py
@@ -7,7 +7,7 @@
 
 import xxhash
 
-from rudderrock import state
+from rudderrock import core
 
 # A host that has left the registry still counts for this long, in seconds:
 # registrations may lapse while their hosts live, and counting too few of
@@ -19,8 +19,8 @@
 class HostEntry:
     """One registered host; `address` is where its peers may call it."""
 
-    host: state.HostId
-    zone: state.ZoneId
+    host: core.HostId
+    zone: core.ZoneId
     address: str
 
 
@@ -31,12 +31,12 @@
     be there until a registry has been read.
     """
 
-    def __init__(self, own: HostEntry, assumed: int, clock: state.Clock):
+    def __init__(self, own: HostEntry, assumed: int, clock: core.Clock):
         self.own = own
         self.generation = 0
         self._assumed = assumed
         self._clock = clock
-        self._hosts: dict[state.HostId, HostEntry] = {own.host: own}
+        self._hosts: dict[core.HostId, HostEntry] = {own.host: own}
         self._seen: dict[HostEntry, float] = {}
         self._known = False
         self._listeners: list[Callable[[], None]] = []
@@ -68,7 +68,7 @@
                 call()
         return changed
 
-    def count_by_zone(self) -> collections.Counter[state.ZoneId]:
+    def count_by_zone(self) -> collections.Counter[core.ZoneId]:
         """Return how many hosts there are in each zone.
 
         Hosts that have left lately count too. Before any listing the
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -12,7 +12,7 @@
 
 import result
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
@@ -52,7 +52,7 @@
         self,
         source: sources.SourcePort,
         hosts: fleet.Fleet,
-        clock: state.Clock,
+        clock: core.Clock,
         events: log.EventLog,
     ):
         self._source = source
@@ -119,7 +119,7 @@
         listing: directory.Directory,
         hosts: fleet.Fleet,
         changes: peers.ChangeBook,
-        clock: state.Clock,
+        clock: core.Clock,
         chance: random.Random,
         events: log.EventLog,
     ):
@@ -133,7 +133,7 @@
         self._clock = clock
         self._chance = chance
         self._events = events
-        self._skip: dict[state.HostId, float] = {}
+        self._skip: dict[core.HostId, float] = {}
         self._hosts_read_at = -HOSTS_EVERY_S
         self._tried_at = -FALLBACK_RETRY_S
         self._readings = 0
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -6,7 +6,7 @@
 import enum
 import math
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _messages as messages
 from rudderrock.gateway import _place as place
 from rudderrock.gateway import _pursuit as pursuit
@@ -67,13 +67,13 @@
     """For each route the latency beyond which an attempt counts as late."""
 
     def __init__(self) -> None:
-        self._points: dict[routing.RouteName, state.LatePoint] = {}
+        self._points: dict[routing.RouteName, core.LatePoint] = {}
 
-    def get(self, route: routing.Route) -> state.LatePoint:
+    def get(self, route: routing.Route) -> core.LatePoint:
         """Return a route's late point."""
         point = self._points.get(route.name)
         if point is None:
-            point = state.LatePoint(
+            point = core.LatePoint(
                 LATE_PART,
                 start=LATE_START * route.goal_s,
                 lowest=LATE_LOWEST * route.goal_s,
@@ -94,7 +94,7 @@
         tools: pursuit.Tools,
         call: pursuit.Call,
         services: tuple[routing.ServiceName, ...],
-        point: state.LatePoint,
+        point: core.LatePoint,
         least: int,
     ):
         self._tools = tools
@@ -189,7 +189,7 @@
     tools: pursuit.Tools,
     call: pursuit.Call,
     service: routing.ServiceName,
-    point: state.LatePoint,
+    point: core.LatePoint,
 ) -> Result:
     """Forward to one service and pass its answer on unchanged."""
     forwarder = Forwarder(tools, call, (service,), point, 1)
@@ -215,7 +215,7 @@
     tools: pursuit.Tools,
     call: pursuit.Call,
     scatter: routing.Scatter,
-    point: state.LatePoint,
+    point: core.LatePoint,
 ) -> Result:
     """Forward to every shard and merge the records of the answers."""
     total = len(scatter.shards)
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -5,7 +5,7 @@
 import dataclasses
 import random
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _budget as budget
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
@@ -36,7 +36,7 @@
     hosts: fleet.Fleet
     events: log.EventLog
     figures: metrics.GatewayMetrics
-    clock: state.Clock
+    clock: core.Clock
     chance: random.Random
 
 
--- a/rudderrock/gateway/_log.py
+++ b/rudderrock/gateway/_log.py
@@ -16,7 +16,7 @@
 from absl import logging
 import msgspec
 
-from rudderrock import state
+from rudderrock import core
 
 # Lines a second and the burst allowed for requests that went well, for all
 # others, and for what a process comes to believe.
@@ -179,7 +179,7 @@
 class _Bucket:
     """How many lines of one class may still be written."""
 
-    def __init__(self, clock: state.Clock, rate: float):
+    def __init__(self, clock: core.Clock, rate: float):
         self._clock = clock
         self._rate = rate
         self._tokens = rate * _BURST_S
@@ -199,7 +199,7 @@
 class EventLog:
     """Writes typed lines for one host; `dropped` counts those left out."""
 
-    def __init__(self, host: str, clock: state.Clock):
+    def __init__(self, host: str, clock: core.Clock):
         self.dropped = 0
         self._host = host
         self._clock = clock
--- a/rudderrock/gateway/_peers.py
+++ b/rudderrock/gateway/_peers.py
@@ -12,7 +12,7 @@
 import msgspec
 import result
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _caller as caller
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
@@ -99,7 +99,7 @@
         listing: directory.Directory,
         hosts: fleet.Fleet,
         tables: sources.TableHolder,
-        clock: state.Clock,
+        clock: core.Clock,
     ):
         self.generation = 0
         self.process = process
@@ -165,7 +165,7 @@
         oldest = self._changes[0][0] if self._changes else self.generation
         if not same or known.upstreams < oldest - 1:
             return list(self._listing.list_all()), [], True
-        touched: set[state.UpstreamId] = set()
+        touched: set[core.UpstreamId] = set()
         for generation, change in self._changes:
             if generation > known.upstreams:
                 touched.update(change.touched)
--- a/rudderrock/gateway/_place.py
+++ b/rudderrock/gateway/_place.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from rudderrock import state
+from rudderrock import core
 
 # The distance of a zone in another region.
 FARTHEST = 2
@@ -12,14 +12,14 @@
 class Place:
     """Where this host is, and the region of each availability zone."""
 
-    zone: state.ZoneId
-    regions: dict[state.ZoneId, str]
+    zone: core.ZoneId
+    regions: dict[core.ZoneId, str]
 
-    def get_distance(self, zone: state.ZoneId) -> int:
+    def get_distance(self, zone: core.ZoneId) -> int:
         """Return 0 for the same zone, 1 for the same region, else 2."""
         return self.compare_zones(self.zone, zone)
 
-    def compare_zones(self, one: state.ZoneId, other: state.ZoneId) -> int:
+    def compare_zones(self, one: core.ZoneId, other: core.ZoneId) -> int:
         """Return the distance between two zones, 0 to 2."""
         if one == other:
             return 0
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -5,7 +5,7 @@
 import dataclasses
 import enum
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _budget as budget
 from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _link as link
@@ -99,7 +99,7 @@
     late_s: float
     head: messages.Headers
 
-    def render(self, upstream: state.UpstreamId, names, now: float) -> bytes:
+    def render(self, upstream: core.UpstreamId, names, now: float) -> bytes:
         """Write the request to one upstream, with the time that is left."""
         left_ms = max(1, int((self.end - now) * 1000))
         headers = [
@@ -150,7 +150,7 @@
         self._call = call
         self._on_settled = on_settled
         self._attempts: list[Attempt] = []
-        self._tried: tuple[state.UpstreamId, ...] = ()
+        self._tried: tuple[core.UpstreamId, ...] = ()
         self._unsent = 0
         self._timer: asyncio.TimerHandle | None = None
         self._budget = tools.get_budget(service)
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import random
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _place as place
@@ -33,7 +33,7 @@
         endpoint: directory.Endpoint,
         links: pool.Pool,
         distance: int,
-        clock: state.Clock,
+        clock: core.Clock,
     ):
         self.endpoint = endpoint
         self.links = links
@@ -74,7 +74,7 @@
         listing: directory.Directory,
         place: place.Place,
         names: dialect.HeaderNames,
-        clock: state.Clock,
+        clock: core.Clock,
         source: random.Random,
         get_share: Callable[[directory.Endpoint], shares.LinkShare],
         get_services: Callable[[], set[routing.ServiceName]],
@@ -87,7 +87,7 @@
         self._source = source
         self._get_share = get_share
         self._get_services = get_services
-        self._replicas: dict[state.UpstreamId, Replica] = {}
+        self._replicas: dict[core.UpstreamId, Replica] = {}
         self._retired: list[Replica] = []
         listing.add_listener(self._on_change)
 
@@ -102,7 +102,7 @@
         self,
         service: routing.ServiceName,
         late_s: float,
-        tried: tuple[state.UpstreamId, ...] = (),
+        tried: tuple[core.UpstreamId, ...] = (),
     ) -> Replica | None:
         """Return the replica to ask next, or None if none is left.
 
@@ -171,7 +171,7 @@
             self._replicas[endpoint.upstream] = replica
         return replica
 
-    def _reset_caps(self, upstream: state.UpstreamId) -> None:
+    def _reset_caps(self, upstream: core.UpstreamId) -> None:
         """Share connections anew among the replicas of one service."""
         endpoint = self._listing.get_endpoint(upstream)
         if endpoint is None:
--- a/rudderrock/gateway/_shares.py
+++ b/rudderrock/gateway/_shares.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _place as place_module
@@ -57,7 +57,7 @@
 
 
 def _is_nearest(
-    zone: state.ZoneId,
+    zone: core.ZoneId,
     endpoint: directory.Endpoint,
     siblings: tuple[directory.Endpoint, ...],
     place: place_module.Place,
--- a/rudderrock/gateway/_sources.py
+++ b/rudderrock/gateway/_sources.py
@@ -6,7 +6,7 @@
 
 import result
 
-from rudderrock import state
+from rudderrock import core
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
@@ -94,7 +94,7 @@
 class TableHolder:
     """The table in force, which never goes back to an older version."""
 
-    def __init__(self, clock: state.Clock, events: log.EventLog):
+    def __init__(self, clock: core.Clock, events: log.EventLog):
         self.current: routing.RoutingTable | None = None
         self.raw = b''
         self.revision = 0
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -1,13 +1,13 @@
 """The composition root of a gateway: where its parts are wired."""
 
+from rudderrock import core
 from rudderrock import gateway
-from rudderrock import state
 
 
 def make_gateway(
     settings: gateway.GatewaySettings,
     source: gateway.SourcePort,
-    clock: state.Clock,
+    clock: core.Clock,
     seed: int,
     events: gateway.EventLog,
 ) -> gateway.GatewayProcess:
@@ -17,12 +17,12 @@
     """
 
     def draw(name: str):
-        return state.make_random(seed, f'{settings.host}/{name}')
+        return core.make_random(seed, f'{settings.host}/{name}')
 
     tables = gateway.TableHolder(clock, events)
     listing = gateway.Directory(clock)
     own = gateway.HostEntry(
-        host=state.HostId(settings.host),
+        host=core.HostId(settings.host),
         zone=settings.place.zone,
         address='%s:%d' % settings.peers,
     )
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -4,8 +4,8 @@
 
 import result
 
+from rudderrock import core
 from rudderrock import gateway
-from rudderrock import state
 from rudderrock.platform import _headers as headers
 
 # The platform names no address for metrics in the settings; the deploy
@@ -33,9 +33,9 @@
             host=fields['node_name'],
             # The platform's zone is an availability zone.
             place=gateway.Place(
-                state.ZoneId(fields['zone']),
+                core.ZoneId(fields['zone']),
                 {
-                    state.ZoneId(key.removeprefix(prefix)): region
+                    core.ZoneId(key.removeprefix(prefix)): region
                     for key, region in fields.items()
                     if key.startswith(prefix)
                 },
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -6,8 +6,8 @@
 import msgspec
 import result
 
+from rudderrock import core
 from rudderrock import gateway
-from rudderrock import state
 
 # What `decode_value` raises.
 BAD_VALUE = (binascii.Error, ValueError)
@@ -119,10 +119,10 @@
     ready = server.state == 'ready'
     return result.Ok(
         gateway.Endpoint(
-            upstream=state.UpstreamId(upstream),
+            upstream=core.UpstreamId(upstream),
             service=gateway.ServiceName(server.service),
             address=address,
-            zone=state.ZoneId(server.zone),
+            zone=core.ZoneId(server.zone),
             slots=max(1, server.slots),
             phase=gateway.Phase.READY if ready else gateway.Phase.DRAINING,
         )
--- a/rudderrock/programs/gateway.py
+++ b/rudderrock/programs/gateway.py
@@ -6,16 +6,16 @@
 import pathlib
 import secrets
 import signal
+import sys
 import time
 
 from absl import logging
-import defopt
 import result
 
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock import gateway_root
 from rudderrock import platform
-from rudderrock import state
 from rudderrock.programs import _exits as exits
 
 # Names the settings file, says the platform.
@@ -44,7 +44,7 @@
 
 async def _serve(boot: platform.Boot, path: pathlib.Path) -> None:
     loop = asyncio.get_running_loop()
-    clock = state.Clock(loop, time.time() - loop.time())
+    clock = core.Clock(loop, time.time() - loop.time())
     source = platform.StoreSource(boot.store)
     config = boot.make_settings()
     events = gateway.EventLog(config.host, clock)
@@ -75,7 +75,16 @@
 
 
 def main() -> None:
-    """Run the program."""
+    """Run the program.
+
+    The command line is only read if there is one: `defopt` takes a third
+    of the time in which a restarted process is ready again.
+    """
+    if len(sys.argv) == 1:
+        run_gateway()
+        return
+    import defopt
+
     defopt.run(run_gateway)
 
 
--- a/rudderrock/state/_events.py
+++ b/rudderrock/state/_events.py
@@ -11,8 +11,7 @@
 import dataclasses
 import enum
 
-from rudderrock.state import _clock as clock
-from rudderrock.state import _ids as ids
+from rudderrock import core
 
 # A peer whose clock is further ahead than this does not drag ours along.
 MAX_DRIFT_S = 60.0
@@ -32,7 +31,7 @@
 class HybridClock:
     """The hybrid logical clock of one process."""
 
-    def __init__(self, source: clock.Clock):
+    def __init__(self, source: core.Clock):
         self._source = source
         self._last = Stamp()
 
@@ -79,11 +78,11 @@
     """One entry of the time line."""
 
     stamp: Stamp
-    host: ids.HostId
+    host: core.HostId
     kind: EventKind
-    team: ids.TeamId | None = None
-    query: ids.QueryId | None = None
-    upstream: ids.UpstreamId | None = None
+    team: core.TeamId | None = None
+    query: core.QueryId | None = None
+    upstream: core.UpstreamId | None = None
     detail: str = ''
 
 
@@ -97,7 +96,7 @@
 
     def __init__(
         self,
-        host: ids.HostId,
+        host: core.HostId,
         source: HybridClock,
         capacity: int = 4096,
         sink: Callable[[Event], None] | None = None,
@@ -114,9 +113,9 @@
         self,
         kind: EventKind,
         *,
-        team: ids.TeamId | None = None,
-        query: ids.QueryId | None = None,
-        upstream: ids.UpstreamId | None = None,
+        team: core.TeamId | None = None,
+        query: core.QueryId | None = None,
+        upstream: core.UpstreamId | None = None,
         detail: str = '',
     ) -> Event:
         """Stamp an event and keep it; return it for the log."""
--- a/rudderrock/state/_layout.py
+++ b/rudderrock/state/_layout.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
+from rudderrock import core
 from rudderrock.state import _constraints as constraints
-from rudderrock.state import _ids as ids
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -14,9 +14,9 @@
     once, `connections` how many it accepts from the whole tier.
     """
 
-    upstream: ids.UpstreamId
+    upstream: core.UpstreamId
     address: str
-    zone: ids.ZoneId
+    zone: core.ZoneId
     slots: int = 2
     connections: int = 25
 
@@ -25,15 +25,15 @@
 class Placement:
     """One version of a collection's index: its shards and their replicas."""
 
-    version: ids.IndexVersion
-    shards: dict[ids.ShardId, tuple[ids.UpstreamId, ...]]
+    version: core.IndexVersion
+    shards: dict[core.ShardId, tuple[core.UpstreamId, ...]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Collection:
     """A searchable index with the versions that are being served."""
 
-    collection: ids.CollectionId
+    collection: core.CollectionId
     placements: tuple[Placement, ...]
 
 
@@ -41,14 +41,14 @@
 class Layout:
     """Everything the tier may query, at one revision."""
 
-    revision: ids.Revision = ids.NO_REVISION
-    upstreams: dict[ids.UpstreamId, Upstream] = dataclasses.field(
+    revision: core.Revision = core.NO_REVISION
+    upstreams: dict[core.UpstreamId, Upstream] = dataclasses.field(
         default_factory=dict
     )
-    collections: dict[ids.CollectionId, Collection] = dataclasses.field(
+    collections: dict[core.CollectionId, Collection] = dataclasses.field(
         default_factory=dict
     )
-    leaving: frozenset[ids.UpstreamId] = frozenset()
+    leaving: frozenset[core.UpstreamId] = frozenset()
 
 
 def check_layout(layout: Layout) -> constraints.Problems:
@@ -65,7 +65,7 @@
 
 
 def _check_placement(
-    layout: Layout, name: ids.CollectionId, placement: Placement
+    layout: Layout, name: core.CollectionId, placement: Placement
 ) -> list[constraints.Problem]:
     problems = []
     for shard, upstreams in placement.shards.items():
--- a/rudderrock/state/_table.py
+++ b/rudderrock/state/_table.py
@@ -13,8 +13,8 @@
 import pydantic
 import result
 
+from rudderrock import core
 from rudderrock.state import _constraints as constraints
-from rudderrock.state import _ids as ids
 
 # 256 edits of about 400 bytes keep the history under a tenth of the 1 MB
 # that a value may have, beside some 800 rows.
@@ -67,7 +67,7 @@
     collections: tuple[str, ...] = ('*',)
     token_hashes: tuple[str, ...] = ()
 
-    def may_query(self, collection: ids.CollectionId) -> bool:
+    def may_query(self, collection: core.CollectionId) -> bool:
         """Tell whether the team has been given a collection."""
         return '*' in self.collections or collection in self.collections
 
@@ -79,11 +79,11 @@
     `row` is None where the team was removed. `at` is in Unix seconds.
     """
 
-    edit_id: ids.EditId
-    revision: ids.Revision
+    edit_id: core.EditId
+    revision: core.Revision
     author: str
     at: float
-    team: ids.TeamId
+    team: core.TeamId
     row: TeamRow | None
 
 
@@ -91,11 +91,11 @@
 class Table:
     """All rows at one revision; a later revision replaces an earlier one."""
 
-    revision: ids.Revision = ids.NO_REVISION
-    rows: dict[ids.TeamId, TeamRow] = dataclasses.field(default_factory=dict)
+    revision: core.Revision = core.NO_REVISION
+    rows: dict[core.TeamId, TeamRow] = dataclasses.field(default_factory=dict)
     history: tuple[Edit, ...] = ()
 
-    def find_edit(self, edit_id: ids.EditId) -> Edit | None:
+    def find_edit(self, edit_id: core.EditId) -> Edit | None:
         """Return the edit with this id if the table already contains it."""
         for edit in reversed(self.history):
             if edit.edit_id == edit_id:
@@ -113,9 +113,9 @@
     unseen.
     """
 
-    edit_id: ids.EditId
+    edit_id: core.EditId
     author: str
-    team: ids.TeamId
+    team: core.TeamId
     base: TeamRow | None
     row: TeamRow | None
 
@@ -141,7 +141,7 @@
     rows.pop(change.team, None)
     if change.row is not None:
         rows[change.team] = change.row
-    revision = ids.Revision(table.revision + 1)
+    revision = core.Revision(table.revision + 1)
     edit = Edit(
         edit_id=change.edit_id,
         revision=revision,
@@ -174,7 +174,7 @@
 
 
 def _prefix(
-    team: ids.TeamId, problems: constraints.Problems
+    team: core.TeamId, problems: constraints.Problems
 ) -> list[constraints.Problem]:
     return [
         constraints.Problem(f'rows.{team}.{problem.key}', problem.message)
--- a/rudderrock/state/_tokens.py
+++ b/rudderrock/state/_tokens.py
@@ -11,13 +11,13 @@
 
 import result
 
-from rudderrock.state import _ids as ids
+from rudderrock import core
 
 _SECRET_BYTES = 32
 _SALT_BYTES = 16
 
 
-def make_token(team: ids.TeamId, source: random.Random) -> str:
+def make_token(team: core.TeamId, source: random.Random) -> str:
     """Draw a new token for a team; show it once and keep only its hash.
 
     `source` must be `random.SystemRandom` outside tests.
@@ -43,12 +43,12 @@
     return matched
 
 
-def split_token(token: str) -> result.Result[ids.TeamId, str]:
+def split_token(token: str) -> result.Result[core.TeamId, str]:
     """Read the team that a token claims to belong to."""
     team, dot, secret = token.partition('.')
     if not (team and dot and secret):
         return result.Err('a token reads TEAM.SECRET')
-    return result.Ok(ids.TeamId(team))
+    return result.Ok(core.TeamId(team))
 
 
 def _digest(salt: str, token: str) -> str:
