--- /dev/null
+++ b/features/soak.feature
@@ -0,0 +1,40 @@
+@sockets
+Feature: The soak of real processes finds no broken promise
+
+  # `rudderrock-soak run` plays as many seeds as wanted. A seed that broke a
+  # promise gets an example of its own here, with a line on the cause. Nothing
+  # asserts how long things take.
+
+  Scenario Outline: a short seeded soak: seed <seed>
+    When the soak plays seed <seed> for 5 seconds with 3 hosts
+    Then it found no broken promise
+
+    Examples:
+      | seed |
+      | 1    |
+      | 7    |
+
+  Scenario Outline: the soak's checks see a broken promise: <promise>
+    Given the records of a soak in which nothing is wrong
+    When <what>
+    Then the checks say "<promise>"
+
+    Examples:
+      | promise                            | what                                  |
+      | at most once                       | a request that may run once ran twice |
+      | a refusal is true                  | a refused request ran                 |
+      | attempts are bounded               | a request ran at three upstreams      |
+      | each caller its own whole answer   | an answer is another request's        |
+      | each caller its own whole answer   | an answer is cut short                |
+      | each caller its own whole answer   | a gather hides a missing shard        |
+      | each caller its own whole answer   | a gather mixes two versions           |
+      | each caller its own whole answer   | a gather leaves out a great record    |
+      | requests reach upstreams unchanged | an upstream ran what nobody sent      |
+      | requests reach upstreams unchanged | a body was changed on the way         |
+      | extra load is bounded              | 80 extra requests reach one service   |
+      | a table never goes back            | a host serves by an older version     |
+      | a planned stop cuts nothing        | a request is cut in a calm moment     |
+
+  Scenario: the soak's checks pass what is right
+    Given the records of a soak in which nothing is wrong
+    Then the checks say nothing
--- /dev/null
+++ b/features/steps/soak.py
@@ -0,0 +1,209 @@
+"""Steps that play the soak and that break its records on purpose."""
+
+import dataclasses
+import pathlib
+import tempfile
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features.steps.common import run
+from rudderrock import gateway
+from rudderrock import soak
+from rudderrock import standins
+from rudderrock.soak import _checks as checks
+
+use_step_matcher('re')
+
+
+@when(r'the soak plays seed (\d+) for (\d+) seconds with (\d+) hosts')
+def play_seed(context, seed, length, hosts):
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    context.report = run(
+        context,
+        soak.run_seed(
+            int(seed), float(length), int(hosts), pathlib.Path(folder)
+        ),
+    )
+
+
+@then(r'it found no broken promise')
+def check_soak(context):
+    assert not context.report.broken, context.report.broken
+    assert context.report.statuses[200] > 50, context.report
+
+
+def make_run(request_id, method='GET', target='/moved/1', body=b''):
+    """Return a run at an upstream."""
+    return standins.WireRun(1.0, request_id, method, target, {}, body)
+
+
+def make_sent(request_id, target, at, **fields):
+    """Return a request that got a good answer from i-1."""
+    sent = checks.Sent(
+        request_id=request_id,
+        method='GET',
+        target=target,
+        body=b'',
+        host=0,
+        incarnation=1,
+        at=at,
+        status=200,
+        headers={'x-server-stamp': f'i-1.{request_id}'},
+        reply=checks.make_records('i-1', request_id),
+        ended=at + 0.1,
+        calm=True,
+    )
+    return dataclasses.replace(sent, **fields)
+
+
+@given(r'the records of a soak in which nothing is wrong')
+def make_all(context):
+    shards = {f's-{number}': f'shard-{number}' for number in range(4)}
+    services = {
+        'i-1': 'moved-0',
+        'i-2': 'moved-0',
+        'i-3': 'moved-0',
+        'j-1': 'moved-1',
+        'o-1': 'once',
+        'o-2': 'once',
+        't-0': 'new-0',
+        **shards,
+    }
+    stamps = ', '.join(f'{name}.q3' for name in shards)
+    records = (checks.make_records(name, 'q3') for name in shards)
+    gathered = make_sent(
+        'q3',
+        '/all/3',
+        3.0,
+        headers={'x-part-stamps': stamps, 'x-missing-parts': '0'},
+        reply=gateway.merge_records(records, checks.TOP_K),
+    )
+    once = make_sent(
+        'q2',
+        '/once/2',
+        2.0,
+        method='POST',
+        body=b'note',
+        headers={'x-server-stamp': 'o-1.q2'},
+        reply=checks.make_records('o-1', 'q2'),
+    )
+    runs = [('i-1', make_run('q1', target='/moved/1'))]
+    runs.append(('o-1', make_run('q2', 'POST', '/once/2', b'note')))
+    runs += [(name, make_run('q3', target='/all/3')) for name in shards]
+    context.records = checks.Records(
+        sent=[make_sent('q1', '/moved/1', 1.0), once, gathered],
+        runs=runs,
+        arrivals={'moved-0': [(1.0, 'q1')], 'once': [(2.0, 'q2')]},
+        shard_sets=[
+            frozenset(shards.values()),
+            frozenset({'new-0', 'new-1', 'new-2', 'new-3'}),
+        ],
+        services=services,
+        moves=['moved-0', 'moved-1'],
+        ratio=0.2,
+        slack=30.0,
+        window_s=10.0,
+    )
+
+
+@when(r'a request that may run once ran twice')
+def run_twice(context):
+    again = make_run('q2', 'POST', '/once/2', b'note')
+    context.records.runs.append(('o-2', again))
+
+
+@when(r'a refused request ran')
+def refuse_run(context):
+    context.records.sent[1].status = 503
+
+
+@when(r'a request ran at three upstreams')
+def run_thrice(context):
+    for name in ('i-2', 'i-3'):
+        context.records.runs.append((name, make_run('q1')))
+
+
+@when(r"an answer is another request's")
+def cross_answers(context):
+    sent = context.records.sent[0]
+    sent.headers['x-server-stamp'] = 'i-1.q0'
+    sent.reply = checks.make_records('i-1', 'q0')
+
+
+@when(r'an answer is cut short')
+def cut_answer(context):
+    sent = context.records.sent[0]
+    sent.reply = sent.reply[:-1]
+
+
+@when(r'a gather hides a missing shard')
+def hide_shard(context):
+    sent = context.records.sent[2]
+    stamps = sent.headers['x-part-stamps'].split(', ')
+    sent.headers['x-part-stamps'] = ', '.join(stamps[:3])
+
+
+@when(r'a gather mixes two versions')
+def mix_versions(context):
+    sent = context.records.sent[2]
+    stamps = sent.headers['x-part-stamps'].split(', ')
+    sent.headers['x-part-stamps'] = ', '.join([*stamps[:3], 't-0.q3'])
+
+
+@when(r'a gather leaves out a great record')
+def leave_out(context):
+    sent = context.records.sent[2]
+    sent.reply = sent.reply[16:] + sent.reply[-16:]
+
+
+@when(r'an upstream ran what nobody sent')
+def run_unasked(context):
+    context.records.runs.append(('i-1', make_run('q9')))
+
+
+@when(r'a body was changed on the way')
+def change_body(context):
+    context.records.runs[1] = (
+        'o-1',
+        make_run('q2', 'POST', '/once/2', b'other'),
+    )
+
+
+@when(r'(\d+) extra requests reach one service')
+def add_extras(context, count):
+    arrivals = context.records.arrivals['moved-0']
+    arrivals += [(1.0 + number / 50, 'q1') for number in range(int(count))]
+
+
+@when(r'a host serves by an older version')
+def go_back(context):
+    newer = make_sent(
+        'q4',
+        '/moved/4',
+        4.0,
+        headers={'x-server-stamp': 'j-1.q4'},
+        reply=checks.make_records('j-1', 'q4'),
+    )
+    older = make_sent('q5', '/moved/5', 5.0)
+    context.records.sent.extend([newer, older])
+    context.records.runs.append(('j-1', make_run('q4', target='/moved/4')))
+    context.records.runs.append(('i-1', make_run('q5', target='/moved/5')))
+
+
+@when(r'a request is cut in a calm moment')
+def cut_calm(context):
+    context.records.sent[0].status = 0
+
+
+@then(r'the checks say "([^"]+)"')
+def check_found(context, promise):
+    found = {each.promise for each in checks.check_records(context.records)}
+    assert found == {promise}, found
+
+
+@then(r'the checks say nothing')
+def check_clean(context):
+    assert not checks.check_records(context.records)
--- /dev/null
+++ b/rudderrock/programs/soak.py
@@ -0,0 +1,91 @@
+"""The soak's command line."""
+
+import asyncio
+import collections
+import pathlib
+import secrets
+import tempfile
+import time
+
+import defopt
+
+from rudderrock import soak
+from rudderrock.programs import _exits as exits
+
+_DRAWN_BITS = 32
+
+
+def run(
+    *,
+    seed: int = 1,
+    count: int = 1,
+    minutes: float = 0.0,
+    length: float = 12.0,
+    hosts: int = 4,
+    keep: pathlib.Path | None = None,
+) -> None:
+    """Play seeds and report; exits with 1 if a promise was broken.
+
+    A seed is played again by its number. Logs of seeds that broke a promise
+    are kept in `keep`.
+
+    :param seed: the first seed
+    :param count: how many seeds in a row
+    :param minutes: play fresh seeds for so long instead
+    :param length: seconds of load and faults a seed
+    :param hosts: gateway processes
+    :param keep: a folder for the logs
+    """
+    failed = []
+    injected: collections.Counter[str] = collections.Counter()
+    checked = 0
+    for number in _list_seeds(seed, count, minutes):
+        report = _play(number, length, hosts, keep)
+        injected += report.injected
+        checked += report.checked
+        statuses = ', '.join(
+            f'{status}: {times}'
+            for status, times in sorted(report.statuses.items())
+        )
+        print(f'seed {number}: {report.checked} requests ({statuses})')
+        for broken in report.broken[:10]:
+            print(f'  BROKEN {broken.promise}: {broken.detail}')
+        if report.broken:
+            failed.append(number)
+    print(f'checked {checked} requests; injected:')
+    for name, times in sorted(injected.items()):
+        print(f'  {times:4d} {name}')
+    print(f'seeds that broke a promise: {failed or "none"}')
+    if failed:
+        raise SystemExit(exits.Exit.FAILED)
+
+
+def _list_seeds(seed: int, count: int, minutes: float):
+    if not minutes:
+        yield from range(seed, seed + count)
+        return
+    until = time.monotonic() + 60 * minutes
+    while time.monotonic() < until:
+        yield secrets.randbits(_DRAWN_BITS)
+
+
+def _play(
+    seed: int, length: float, hosts: int, keep: pathlib.Path | None
+) -> soak.Report:
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder)
+        report = asyncio.run(soak.run_seed(seed, length, hosts, path))
+        if report.broken and keep is not None:
+            keep.mkdir(parents=True, exist_ok=True)
+            log = path / f'seed-{seed}.log'
+            (keep / log.name).write_bytes(log.read_bytes())
+    return report
+
+
+def main() -> None:
+    """Run the program."""
+    defopt.run({'run': run})
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/rudderrock/soak/_checks.py
@@ -0,0 +1,215 @@
+"""The promises, checked by what callers got and upstreams ran."""
+
+import collections
+import dataclasses
+import hashlib
+
+from rudderrock import gateway
+from rudderrock import standins
+
+TOP_K = 4
+LEAST = 0.5
+MOST_ATTEMPTS = 2
+# Statuses that promise that a request has not run and never will.
+PROMISES = frozenset({408, 421, 429, 503})
+_RECORDS = 6
+
+
+def make_records(upstream: str, request_id: str) -> bytes:
+    """Return the records that an upstream has for one request."""
+    return b''.join(
+        hashlib.md5(
+            f'{upstream}/{request_id}/{number}'.encode(),
+            usedforsecurity=False,
+        ).digest()
+        for number in range(_RECORDS)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Broken:
+    """A promise that did not hold, and what shows it."""
+
+    promise: str
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class Sent:
+    """One request of a caller and what came back.
+
+    `status` is 0 if the connection ended without an answer. Times are of
+    the loop, in seconds. `calm` tells that nothing unplanned was going on
+    from a while before until its end.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    body: bytes
+    host: int
+    incarnation: int
+    at: float
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    reply: bytes = b''
+    ended: float = 0.0
+    calm: bool = False
+
+    @property
+    def is_once(self) -> bool:
+        """Tell whether it may run at most once."""
+        return self.target.startswith('/once/')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Records:
+    """All that is known after a run.
+
+    `shard_sets` are the sets of shards that any version named, `services`
+    gives the service of each upstream, `moves` the order of the services
+    that the moved route had.
+    """
+
+    sent: list[Sent]
+    runs: list[tuple[str, standins.WireRun]]
+    arrivals: dict[str, list[tuple[float, str]]]
+    shard_sets: list[frozenset[str]]
+    services: dict[str, str]
+    moves: list[str]
+    ratio: float
+    slack: float
+    window_s: float
+
+
+def check_records(records: Records) -> list[Broken]:
+    """Return every promise that was broken."""
+    by_id = {each.request_id: each for each in records.sent}
+    runs = collections.defaultdict(list)
+    for upstream, run in records.runs:
+        runs[run.request_id].append((upstream, run))
+    broken: list[Broken] = []
+    for sent in records.sent:
+        broken += _check_sent(records, sent, runs[sent.request_id])
+    broken += _check_unasked(by_id, records.runs)
+    broken += _check_budget(records, by_id)
+    broken += _check_order(records)
+    return broken
+
+
+def _check_sent(records: Records, sent: Sent, runs) -> list[Broken]:
+    broken = []
+
+    def note(promise: str, detail: str) -> None:
+        broken.append(Broken(promise, f'{sent.request_id}: {detail}'))
+
+    if sent.is_once and len(runs) > 1:
+        note('at most once', f'ran {len(runs)} times')
+    if sent.is_once and runs and sent.status in PROMISES:
+        note('a refusal is true', f'{sent.status} but it ran')
+    counts = collections.Counter(records.services[name] for name, _ in runs)
+    if counts and max(counts.values()) > MOST_ATTEMPTS:
+        note('attempts are bounded', str(counts))
+    if sent.status == 200:
+        problem = _find_wrong(records, sent)
+        if problem:
+            note('each caller its own whole answer', problem)
+    if sent.status == 0 and sent.calm and runs:
+        note('a planned stop cuts nothing', f'cut at {sent.ended:.3f}')
+    return broken
+
+
+def _find_wrong(records: Records, sent: Sent) -> str:
+    """Return what is wrong with an answer, or nothing."""
+    if not sent.target.startswith('/all/'):
+        upstream, _, request_id = sent.headers.get(
+            'x-server-stamp', ''
+        ).partition('.')
+        if request_id != sent.request_id:
+            return f'stamp of {request_id}'
+        whole = make_records(upstream, request_id)
+        return '' if sent.reply == whole else 'another body'
+    stamps = sent.headers.get('x-part-stamps', '').split(', ')
+    parts = [stamp.partition('.') for stamp in stamps]
+    if any(part[2] != sent.request_id for part in parts):
+        return f'parts of another request: {stamps}'
+    shards = [records.services.get(part[0], '?') for part in parts]
+    if len(set(shards)) != len(shards):
+        return f'two parts of one shard: {shards}'
+    named = len(shards) + int(sent.headers.get('x-missing-parts', '0'))
+    fitting = [
+        each
+        for each in records.shard_sets
+        if set(shards) <= each and len(each) == named
+    ]
+    if not fitting:
+        return f'no version has {named} shards with {sorted(shards)}'
+    if len(shards) < LEAST * named:
+        return f'coverage {len(shards)} of {named}'
+    wanted = gateway.merge_records(
+        (make_records(part[0], sent.request_id) for part in parts), TOP_K
+    )
+    return '' if sent.reply == wanted else 'not the greatest records'
+
+
+def _check_unasked(by_id, runs) -> list[Broken]:
+    broken = []
+    for upstream, run in runs:
+        sent = by_id.get(run.request_id)
+        if sent is None:
+            detail = f'{upstream} ran {run.request_id!r}'
+        elif (run.method, run.target, run.body) != (
+            sent.method,
+            sent.target,
+            sent.body,
+        ):
+            detail = f'{upstream} ran {run} for {sent.request_id}'
+        else:
+            continue
+        broken.append(Broken('requests reach upstreams unchanged', detail))
+    return broken
+
+
+def _check_budget(records: Records, by_id) -> list[Broken]:
+    """Slide a window over the extra arrivals of each service."""
+    broken = []
+    for service, arrivals in records.arrivals.items():
+        seen: set[str] = set()
+        extras = []
+        for at, request_id in sorted(arrivals):
+            if request_id in seen:
+                extras.append(at)
+            seen.add(request_id)
+        firsts = sorted(by_id[name].at for name in seen if name in by_id)
+        for end in extras:
+            start = end - records.window_s
+            count = sum(start < at <= end for at in extras)
+            asked = sum(start - records.window_s < at <= end for at in firsts)
+            if count > records.ratio * asked + records.slack:
+                detail = f'{service}: {count} extra for {asked} at {end:.1f}'
+                broken.append(Broken('extra load is bounded', detail))
+                break
+    return broken
+
+
+def _check_order(records: Records) -> list[Broken]:
+    """See that no process goes back to an older table."""
+    broken = []
+    rank = {service: number for number, service in enumerate(records.moves)}
+    newest: dict[tuple[int, int], tuple[int, float]] = {}
+    moved = [
+        each
+        for each in records.sent
+        if each.target.startswith('/moved/') and each.status == 200
+    ]
+    for sent in sorted(moved, key=lambda each: each.ended):
+        upstream = sent.headers['x-server-stamp'].partition('.')[0]
+        number = rank[records.services[upstream]]
+        process = (sent.host, sent.incarnation)
+        seen, at = newest.get(process, (-1, 0.0))
+        if number < seen and sent.at > at:
+            detail = f'{sent.request_id} by version {number} after {seen}'
+            broken.append(Broken('a table never goes back', detail))
+        if number > seen:
+            newest[process] = (number, sent.ended)
+    return broken
--- /dev/null
+++ b/rudderrock/soak/_plan.py
@@ -0,0 +1,104 @@
+"""What one seed injects, and when."""
+
+import dataclasses
+import enum
+import random
+
+from rudderrock import core
+from rudderrock import standins
+from rudderrock.standins import platform as platform_standins
+
+
+class FaultKind(enum.Enum):
+    """What can be done to the system from outside."""
+
+    KILL = 'kill'
+    STOP = 'stop'
+    PAUSE = 'pause'
+    RELOAD = 'reload'
+    STORE_REFUSES = 'store_refuses'
+    STORE_SLOW = 'store_slow'
+    STORE_LOSES = 'store_loses'
+    STORE_FORGETS = 'store_forgets'
+    STORE_REVOKES = 'store_revokes'
+    WAY_TO_STORE = 'way_to_store'
+    WAY_TO_UPSTREAM = 'way_to_upstream'
+    UPSTREAM = 'upstream'
+    UPSTREAM_RESTARTS = 'upstream_restarts'
+    UPSTREAM_DRAINS = 'upstream_drains'
+    MOVE_ROUTE = 'move_route'
+    REPARTITION = 'repartition'
+
+
+class WayFault(enum.Enum):
+    """How a proxy treats the connections through it."""
+
+    NONE = 'none'
+    DELAY = 'delay'
+    RESET = 'reset'
+    CUT_THERE = 'cut_there'
+    CUT_BACK = 'cut_back'
+    SILENCE = 'silence'
+
+
+# Faults that come as planned work; the others are unplanned.
+PLANNED = frozenset({FaultKind.STOP, FaultKind.RELOAD, FaultKind.MOVE_ROUTE})
+_CONDUCTS = [
+    each
+    for each in standins.Conduct
+    if each not in (standins.Conduct.GOOD, standins.Conduct.EARLY)
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault; times in seconds from the start of the load.
+
+    `target` picks among the things that fit, `how` is the variant.
+    """
+
+    at: float
+    kind: FaultKind
+    lasts: float
+    target: int
+    how: enum.Enum | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Everything that one seed does; `length` in seconds."""
+
+    seed: int
+    length: float
+    hosts: int
+    faults: tuple[Fault, ...]
+
+
+def make_plan(seed: int, length: float, hosts: int) -> Plan:
+    """Draw a plan: single faults, series of one kind, and overlaps."""
+    chance = core.make_random(seed, 'soak')
+    faults: list[Fault] = []
+    at = 0.5
+    while at < length - 1.0:
+        kind = chance.choice(list(FaultKind))
+        for step in range(chance.choice((1, 1, 1, 2, 3))):
+            start = at + 0.4 * step
+            if start < length - 1.0:
+                faults.append(_draw_fault(chance, start, kind))
+        at += chance.uniform(0.2, 1.5)
+    faults.sort(key=lambda fault: fault.at)
+    return Plan(seed, length, hosts, tuple(faults))
+
+
+def _draw_fault(chance: random.Random, at: float, kind: FaultKind) -> Fault:
+    how: enum.Enum | None = None
+    match kind:
+        case FaultKind.STORE_REFUSES:
+            choices = list(platform_standins.Refusal)[1:]
+            how = chance.choice(choices)
+        case FaultKind.WAY_TO_STORE | FaultKind.WAY_TO_UPSTREAM:
+            how = chance.choice(list(WayFault)[1:])
+        case FaultKind.UPSTREAM:
+            how = chance.choice(_CONDUCTS)
+    lasts = chance.uniform(0.2, 3.0)
+    return Fault(at, kind, lasts, chance.randrange(1 << 16), how)
--- /dev/null
+++ b/rudderrock/soak/_proxy.py
@@ -0,0 +1,91 @@
+"""A loopback proxy that delays, resets, cuts one way or goes silent."""
+
+import asyncio
+import struct
+
+from rudderrock.soak import _plan as plan
+
+_CHUNK_BYTES = 65536
+_DELAY_S = 0.3
+# SO_LINGER with a time of 0 makes a close a reset.
+_LINGER = struct.pack('ii', 1, 0)
+
+
+class Proxy:
+    """Passes connections on to one address, with a fault at times."""
+
+    def __init__(self, target: tuple[str, int]):
+        self.fault = plan.WayFault.NONE
+        self.port = 0
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def start(self, port: int = 0) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(
+            self._on_connection, '127.0.0.1', port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        """Close all."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def set_fault(self, fault: plan.WayFault) -> None:
+        """Begin or end a fault; a reset strikes what is open."""
+        self.fault = fault
+        if fault is plan.WayFault.RESET:
+            for writer in list(self._writers):
+                _reset(writer)
+
+    async def _on_connection(self, reader, writer) -> None:
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        self._writers.add(writer)
+        far_writer = None
+        try:
+            if self.fault is plan.WayFault.RESET:
+                _reset(writer)
+                return
+            far_reader, far_writer = await asyncio.open_connection(
+                *self._target
+            )
+            await asyncio.gather(
+                self._pump(reader, far_writer, plan.WayFault.CUT_THERE),
+                self._pump(far_reader, writer, plan.WayFault.CUT_BACK),
+            )
+        except (OSError, asyncio.CancelledError):
+            # Either side has gone, or the soak ends; both sides are told.
+            return
+        finally:
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+            writer.transport.abort()
+            if far_writer is not None:
+                far_writer.transport.abort()
+
+    async def _pump(self, reader, writer, cut: plan.WayFault) -> None:
+        while data := await reader.read(_CHUNK_BYTES):
+            if self.fault is plan.WayFault.DELAY:
+                await asyncio.sleep(_DELAY_S)
+            while self.fault in (cut, plan.WayFault.SILENCE):
+                await asyncio.sleep(0.02)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+        # A server that ends an answer by closing must not be outlived.
+        if cut is plan.WayFault.CUT_BACK:
+            raise ConnectionAbortedError
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info('socket')
+    if sock is not None:
+        sock.setsockopt(1, 13, _LINGER)
+    writer.transport.abort()
--- /dev/null
+++ b/rudderrock/soak/_run.py
@@ -0,0 +1,320 @@
+"""Playing one plan: load, faults, and the checks at the end."""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import pathlib
+import random
+import signal
+
+from rudderrock import core
+from rudderrock import standins
+from rudderrock.soak import _checks as checks
+from rudderrock.soak import _plan as plan_module
+from rudderrock.soak import _world as world_module
+from rudderrock.standins import platform as platform_standins
+
+CALLERS = 6
+_GAP_S = 0.04
+_DEADLINE_MS = 1200
+# What an answer may take beyond the caller's own deadline before the caller
+# counts the connection as ended.
+_PATIENCE_S = 4.0
+_SETTLE_S = 6.0
+_FINAL_TRIES = 5
+# Nothing unplanned for this long makes a moment calm, in seconds.
+_CALM_S = 4.0
+
+
+@dataclasses.dataclass(slots=True)
+class Report:
+    """What one seed did and what it found."""
+
+    seed: int
+    injected: collections.Counter[str]
+    statuses: collections.Counter[int]
+    checked: int
+    broken: list[checks.Broken]
+
+
+class Run:
+    """One plan under way."""
+
+    def __init__(self, plan: plan_module.Plan, world: world_module.World):
+        self.sent: list[checks.Sent] = []
+        self.injected: collections.Counter[str] = collections.Counter()
+        self.broken: list[checks.Broken] = []
+        self._plan = plan
+        self._world = world
+        self._disturbed: list[tuple[float, float]] = []
+        self._count = 0
+        self._over = False
+        self._tasks: set[asyncio.Task] = set()
+
+    async def play(self) -> None:
+        """Send load, inject all faults, end them, and probe at the end."""
+        loop = asyncio.get_running_loop()
+        await self._world.wait_until_ready()
+        began = loop.time()
+        callers = [
+            asyncio.create_task(
+                self._call(
+                    core.make_random(self._plan.seed, f'caller {number}')
+                )
+            )
+            for number in range(CALLERS)
+        ]
+        for fault in self._plan.faults:
+            await asyncio.sleep(max(0.0, began + fault.at - loop.time()))
+            self.injected[_name(fault)] += 1
+            task = asyncio.create_task(self._inject(fault))
+            self._tasks.add(task)
+        ends = began + self._plan.length
+        await asyncio.sleep(max(0.0, ends - loop.time()))
+        await asyncio.gather(*self._tasks)
+        self._over = True
+        await asyncio.gather(*callers)
+        await self._check_recovery()
+        self._mark_calm()
+
+    def make_records(self) -> checks.Records:
+        """Return what callers and upstreams have seen."""
+        world = self._world
+        runs = [
+            (name, run)
+            for name, model in world.upstreams.items()
+            for run in model.runs
+        ]
+        arrivals = collections.defaultdict(list)
+        for name, model in world.upstreams.items():
+            arrivals[world.services[name]] += model.timed_arrivals
+        return checks.Records(
+            sent=self.sent,
+            runs=runs,
+            arrivals=arrivals,
+            shard_sets=world.shard_sets,
+            services=world.services,
+            moves=world.moves,
+            ratio=world_module.RATIO,
+            slack=world_module.SLACK,
+            window_s=world_module.WINDOW_S,
+        )
+
+    async def _call(self, chance: random.Random) -> None:
+        """Be a caller: use one connection until it ends, then another."""
+        while not self._over:
+            host = chance.choice(self._world.hosts)
+            try:
+                async with asyncio.timeout(1.0):
+                    pair = await asyncio.open_connection(host.ip, host.port)
+            except (OSError, TimeoutError):
+                # A host that is down; another one is tried.
+                await asyncio.sleep(_GAP_S)
+                continue
+            goes_on = True
+            while goes_on and not self._over:
+                goes_on = await self._exchange(chance, host, *pair)
+                await asyncio.sleep(_GAP_S * chance.uniform(0.5, 1.5))
+            pair[1].transport.abort()
+
+    async def _exchange(
+        self, chance: random.Random, host: world_module.Host, reader, writer
+    ) -> bool:
+        """Send one request; tell whether the connection goes on."""
+        sent = self._make_request(chance, host)
+        self.sent.append(sent)
+        writer.write(_render(sent))
+        try:
+            async with asyncio.timeout(_DEADLINE_MS / 1000 + _PATIENCE_S):
+                await _read(reader, sent)
+        except (OSError, EOFError, TimeoutError):
+            # No answer: status 0 says so to the checks.
+            sent.status = 0
+        sent.ended = asyncio.get_running_loop().time()
+        ends = sent.headers.get('connection') == 'close'
+        return sent.status != 0 and not ends
+
+    def _make_request(
+        self, chance: random.Random, host: world_module.Host
+    ) -> checks.Sent:
+        self._count += 1
+        kind = chance.choice(('all', 'all', 'once', 'moved'))
+        body = b''
+        if kind == 'once':
+            body = b'note %d' % self._count
+        return checks.Sent(
+            request_id=f's{self._plan.seed}-{self._count}',
+            method='POST' if kind == 'once' else 'GET',
+            target=f'/{kind}/{self._count}?n={chance.randrange(100)}',
+            body=body,
+            host=host.number,
+            incarnation=host.incarnation,
+            at=asyncio.get_running_loop().time(),
+        )
+
+    async def _inject(self, fault: plan_module.Fault) -> None:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await self._play_fault(fault)
+        if fault.kind not in plan_module.PLANNED:
+            self._disturbed.append((began, loop.time()))
+
+    async def _play_fault(self, fault: plan_module.Fault) -> None:
+        world = self._world
+        store = world.store
+        host = world.hosts[fault.target % len(world.hosts)]
+        names = sorted(world.upstreams)
+        name = names[fault.target % len(names)]
+        kinds = plan_module.FaultKind
+        match fault.kind:
+            case kinds.KILL:
+                host.send(signal.SIGKILL)
+                await self._restart(host, fault.lasts)
+            case kinds.STOP:
+                await self._stop(host, fault.lasts)
+            case kinds.PAUSE:
+                host.send(signal.SIGSTOP)
+                await asyncio.sleep(fault.lasts)
+                host.send(signal.SIGCONT)
+            case kinds.RELOAD:
+                host.send(signal.SIGHUP)
+            case kinds.STORE_REFUSES:
+                store.refusal = fault.how
+                await asyncio.sleep(fault.lasts)
+                store.refusal = platform_standins.Refusal.NONE
+            case kinds.STORE_SLOW:
+                store.slow_s = 0.3
+                await asyncio.sleep(fault.lasts)
+                store.slow_s = 0.0
+            case kinds.STORE_LOSES:
+                store.lose_answers = True
+                await asyncio.sleep(fault.lasts)
+                store.lose_answers = False
+            case kinds.STORE_FORGETS:
+                store.drop_history()
+            case kinds.STORE_REVOKES:
+                store.revoke_leases()
+            case kinds.WAY_TO_STORE:
+                await _disturb(host.way, fault)
+            case kinds.WAY_TO_UPSTREAM:
+                await _disturb(world.ways[name], fault)
+            case kinds.UPSTREAM:
+                model = world.upstreams[name]
+                model.conduct = fault.how
+                await asyncio.sleep(fault.lasts)
+                model.conduct = standins.Conduct.GOOD
+            case kinds.UPSTREAM_RESTARTS:
+                world.upstreams[name].cut_connections()
+            case kinds.UPSTREAM_DRAINS:
+                world.drain(name)
+            case kinds.MOVE_ROUTE:
+                await world.move_route()
+            case kinds.REPARTITION:
+                await world.add_shards(3 + fault.target % 4)
+                await asyncio.sleep(fault.lasts)
+                await world.move_route()
+
+    async def _stop(self, host: world_module.Host, down_s: float) -> None:
+        if not host.is_up or host.is_stopping:
+            return
+        host.is_stopping = True
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        host.send(signal.SIGTERM)
+        if not await host.wait(world_module.GRACE_S + 2.0):
+            self._disturbed.append((began, loop.time()))
+            host.send(signal.SIGCONT)
+            host.send(signal.SIGKILL)
+        await self._restart(host, down_s / 3)
+
+    async def _restart(self, host: world_module.Host, after_s: float) -> None:
+        await host.wait(5.0)
+        await asyncio.sleep(after_s / 3)
+        if not host.is_up:
+            await host.start()
+
+    async def _check_recovery(self) -> None:
+        """See that every host serves once all faults are over."""
+        await asyncio.sleep(_SETTLE_S)
+        chance = core.make_random(self._plan.seed, 'final')
+        for host in self._world.hosts:
+            if not host.is_up:
+                await host.start()
+        await self._world.wait_until_ready()
+        for host in self._world.hosts:
+            if not await self._serves(chance, host):
+                detail = f'host {host.number} after {_FINAL_TRIES} tries'
+                self.broken.append(checks.Broken('recovery', detail))
+
+    async def _serves(
+        self, chance: random.Random, host: world_module.Host
+    ) -> bool:
+        for _ in range(_FINAL_TRIES):
+            pair = await asyncio.open_connection(host.ip, host.port)
+            await self._exchange(chance, host, *pair)
+            pair[1].transport.abort()
+            if self.sent[-1].status == 200:
+                return True
+            await asyncio.sleep(0.5)
+        return False
+
+    def _mark_calm(self) -> None:
+        for sent in self.sent:
+            sent.calm = not any(
+                began - 0.1 <= sent.ended and sent.at - _CALM_S <= ended
+                for began, ended in self._disturbed
+            )
+
+
+async def run_seed(
+    seed: int, length: float, hosts: int, folder: pathlib.Path
+) -> Report:
+    """Play one seed; the processes' log goes to a file in `folder`."""
+    plan = plan_module.make_plan(seed, length, hosts)
+    with contextlib.ExitStack() as files:
+        log = files.enter_context(
+            (folder / f'seed-{seed}.log').open('wb', buffering=0)
+        )
+        world = world_module.World(folder, log)
+        async with world.open(hosts):
+            run = Run(plan, world)
+            await run.play()
+            records = run.make_records()
+    broken = run.broken + checks.check_records(records)
+    statuses = collections.Counter(each.status for each in run.sent)
+    return Report(seed, run.injected, statuses, len(run.sent), broken)
+
+
+async def _disturb(way, fault: plan_module.Fault) -> None:
+    way.set_fault(fault.how)
+    await asyncio.sleep(fault.lasts)
+    way.set_fault(plan_module.WayFault.NONE)
+
+
+def _name(fault: plan_module.Fault) -> str:
+    if fault.how is None:
+        return fault.kind.value
+    return f'{fault.kind.value}/{fault.how.value}'
+
+
+def _render(sent: checks.Sent) -> bytes:
+    head = (
+        f'{sent.method} {sent.target} HTTP/1.1\r\nHost: members.example\r\n'
+        f'X-Request-Id: {sent.request_id}\r\n'
+        f'X-Deadline-Ms: {_DEADLINE_MS}\r\n'
+    )
+    if sent.body:
+        head += f'Content-Length: {len(sent.body)}\r\n'
+    return head.encode() + b'\r\n' + sent.body
+
+
+async def _read(reader, sent: checks.Sent) -> None:
+    head = await reader.readuntil(b'\r\n\r\n')
+    first, *lines = head.decode('latin-1').strip().split('\r\n')
+    for line in lines:
+        key, _, value = line.partition(':')
+        sent.headers[key.strip().lower()] = value.strip()
+    length = int(sent.headers.get('content-length', '0'))
+    sent.reply = await reader.readexactly(length)
+    sent.status = int(first.split(' ')[1])
--- /dev/null
+++ b/rudderrock/soak/_world.py
@@ -0,0 +1,276 @@
+"""The processes under test and what stands around them."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+
+from rudderrock import platform
+from rudderrock import standins
+from rudderrock.soak import _checks as checks
+from rudderrock.soak import _proxy as proxy
+from rudderrock.standins import platform as platform_standins
+
+RATIO = 0.2
+SLACK = 30.0
+WINDOW_S = 10.0
+GRACE_S = 3.0
+SHARDS = 4
+ROUTE_TIMEOUT_MS = 1500
+_PORTS = 4
+_FIRST_NET = 10
+_NETS = 200
+_READY_TRIES = 300
+
+
+class Host:
+    """One gateway process; a new incarnation for each start."""
+
+    def __init__(self, number: int, folder: pathlib.Path, log):
+        self.number = number
+        # Each host has an address of its own, as it has on the platform,
+        # and each soak that runs on this machine has a network of its own.
+        self.ip = f'127.{_FIRST_NET + os.getpid() % _NETS}.1.{number + 1}'
+        self.incarnation = 0
+        self.port = 0
+        self.way = None
+        self.is_paused = False
+        self.is_stopping = False
+        self._log = log
+        self._file = folder / f'host-{number}.conf'
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether the process runs."""
+        process = self._process
+        return process is not None and process.returncode is None
+
+    async def configure(self, store: tuple[str, int]) -> None:
+        """Choose ports and write the settings file."""
+        self.way = proxy.Proxy(store)
+        await self.way.start()
+        self.port = find_ports(_PORTS, self.ip)
+        zone = 'north-1' if self.number % 2 else 'south-1'
+        self._file.write_text(
+            platform_standins.make_boot(
+                self.ip,
+                self.port,
+                f'127.0.0.1:{self.way.port}',
+                name=f'host-{self.number}',
+                zone=zone,
+                **{
+                    'bounds.grace_s': f'{GRACE_S:g}',
+                    'bounds.retry_slack': f'{SLACK:g}',
+                },
+            ),
+            encoding='utf-8',
+        )
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.incarnation += 1
+        self.is_paused = False
+        self.is_stopping = False
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'rudderrock.programs.gateway',
+            '--config',
+            str(self._file),
+            stdout=self._log,
+            stderr=self._log,
+        )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, which this soak has started."""
+        if self.is_up:
+            self._process.send_signal(number)
+
+    async def wait(self, seconds: float) -> bool:
+        """Wait for the end of the process; tell whether it came."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._process.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        """End the process."""
+        if self.is_up:
+            self._process.kill()
+            await self._process.wait()
+        await self.way.stop()
+
+
+class World:
+    """Hosts, store, upstreams and the ways between them."""
+
+    def __init__(self, folder: pathlib.Path, log):
+        self.store = platform_standins.PlatformStore()
+        self.hosts: list[Host] = []
+        self.upstreams: dict[str, standins.WireUpstream] = {}
+        self.services: dict[str, str] = {}
+        self.ways: dict[str, proxy.Proxy] = {}
+        self.draining: set[str] = set()
+        self.shard_sets: list[frozenset[str]] = []
+        self.moves: list[str] = []
+        self._folder = folder
+        self._log = log
+        self._version = 0
+        self._shards: list[str] = []
+        self._count = 0
+
+    @contextlib.asynccontextmanager
+    async def open(self, hosts: int):
+        """Start everything; end it all when the context ends."""
+        async with contextlib.AsyncExitStack() as stack:
+            port = find_ports(1)
+            await self.store.start('127.0.0.1', port)
+            stack.push_async_callback(self.store.stop)
+            self._stack = stack
+            await self.add_service('once')
+            await self.add_shards(SHARDS)
+            await self.move_route()
+            for number in range(hosts):
+                host = Host(number, self._folder, self._log)
+                await host.configure(('127.0.0.1', port))
+                stack.push_async_callback(host.close)
+                await host.start()
+                self.hosts.append(host)
+            beats = asyncio.create_task(self._beat())
+            stack.push_async_callback(_cancel, beats)
+            yield self
+
+    async def add_upstream(self, service: str, zone: str) -> None:
+        """Start one upstream behind a proxy and register it."""
+        self._count += 1
+        name = f'i-{self._count:04d}'
+        model = standins.WireUpstream(
+            name,
+            platform.NAMES,
+            records=lambda request_id: checks.make_records(name, request_id),
+            work_s=0.01,
+        )
+        port = find_ports(1)
+        await model.start('127.0.0.1', port)
+        self._stack.push_async_callback(model.stop)
+        way = proxy.Proxy(('127.0.0.1', port))
+        await way.start()
+        self._stack.push_async_callback(way.stop)
+        self.upstreams[name] = model
+        self.services[name] = service
+        self.ways[name] = way
+        self.register(name, zone)
+
+    def register(self, name: str, zone: str, state: str = 'ready') -> None:
+        """Write an upstream's entry."""
+        raw = platform_standins.make_server(
+            self.services[name],
+            f'127.0.0.1:{self.ways[name].port}',
+            zone,
+            state,
+        )
+        self.store.put(f'servers/{name}', raw)
+
+    def drain(self, name: str) -> None:
+        """Have an upstream say that it leaves, unless it is the last."""
+        service = self.services[name]
+        others = [
+            each
+            for each, own in self.services.items()
+            if own == service and each != name and each not in self.draining
+        ]
+        if others and name not in self.draining:
+            self.draining.add(name)
+            self.register(name, 'north-1', 'draining')
+
+    async def add_shards(self, count: int) -> None:
+        """Start the shards of a new set."""
+        first = len(self.shard_sets) * 100
+        self._shards = [f'shard-{first + each}' for each in range(count)]
+        for shard in self._shards:
+            await self.add_service(shard)
+        self.shard_sets.append(frozenset(self._shards))
+
+    async def add_service(self, service: str) -> None:
+        """Start an upstream of a service in each zone."""
+        for zone in ('north-1', 'south-1'):
+            await self.add_upstream(service, zone)
+
+    async def move_route(self) -> None:
+        """Write the next version; it moves one route to a new service."""
+        self._version += 3
+        target = f'moved-{len(self.moves)}'
+        await self.add_service(target)
+        self.moves.append(target)
+        routes = [
+            {
+                'prefix': '/all/',
+                'gather': self._shards,
+                'top_k': checks.TOP_K,
+                'min_coverage': checks.LEAST,
+            },
+            {'prefix': '/once/', 'service': 'once', 'kind': 'unsafe'},
+            {'prefix': '/moved/', 'service': target},
+        ]
+        for route in routes:
+            route['timeout_ms'] = ROUTE_TIMEOUT_MS
+        raw = platform_standins.make_config(self._version, routes)
+        self.store.put('op/config', raw)
+
+    async def wait_until_ready(self) -> None:
+        """Wait until every host says that it is ready."""
+        for host in self.hosts:
+            for _ in range(_READY_TRIES):
+                if await is_ready(host):
+                    break
+                await asyncio.sleep(0.1)
+            else:
+                raise RuntimeError(f'host {host.number} never got ready')
+
+    async def _beat(self) -> None:
+        """Change entries now and then, as heartbeats do."""
+        while True:
+            await asyncio.sleep(0.5)
+            self.store.revision += 1
+
+
+async def is_ready(host: Host) -> bool:
+    """Ask a host's readiness address."""
+    try:
+        async with asyncio.timeout(1.0):
+            reader, writer = await asyncio.open_connection(
+                host.ip, host.port + 1
+            )
+            writer.write(b'GET /readyz HTTP/1.1\r\nHost: a\r\n\r\n')
+            line = await reader.readline()
+            writer.transport.abort()
+    except (OSError, TimeoutError):
+        return False
+    return b' 200 ' in line
+
+
+def find_ports(count: int, ip: str = '127.0.0.1') -> int:
+    """Return the first of so many free ports in a row on loopback."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            first = probe.getsockname()[1]
+        try:
+            with contextlib.ExitStack() as stack:
+                for port in range(first, first + count):
+                    each = stack.enter_context(socket.socket())
+                    each.bind((ip, port))
+        except OSError:
+            continue
+        return first
+
+
+async def _cancel(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -1,6 +1,7 @@
 """An upstream that speaks plain HTTP, with faults to be switched on."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -42,15 +43,16 @@
 class WireUpstream:
     """Serves one address; `runs` is what it has worked on.
 
-    Parameters: `records` is the body of each answer, `work_s` how long it
-    works on a request. It stops working when the connection closes.
+    Parameters: `records` is the body of each answer, or makes it from the
+    request's id; `work_s` is how long it works on a request. It stops
+    working when the connection closes.
     """
 
     def __init__(
         self,
         upstream: str,
         names: gateway.HeaderNames,
-        records: bytes = b'',
+        records: bytes | Callable[[str], bytes] = b'',
         work_s: float = 0.01,
         most_connections: int = 1000,
     ):
@@ -61,13 +63,18 @@
         self.most_connections = most_connections
         self.runs: list[WireRun] = []
         self.finished = 0
-        self.arrivals: list[str] = []
+        self.timed_arrivals: list[tuple[float, str]] = []
         self.open = 0
         self.most_open = 0
         self._names = names
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def arrivals(self) -> list[str]:
+        """Return the ids of all requests that arrived, in order."""
+        return [request_id for _, request_id in self.timed_arrivals]
+
     async def start(self, host: str, port: int) -> None:
         """Listen at an address."""
         self._server = await asyncio.start_server(
@@ -83,6 +90,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _make_body(self, request_id: str) -> bytes:
+        if callable(self.records):
+            return self.records(request_id)
+        return self.records
+
     def cut_connections(self) -> None:
         """Cut every connection and go on listening."""
         for task in list(self._tasks):
@@ -116,7 +128,7 @@
             body = await reader.readexactly(length)
             run = dataclasses.replace(run, body=body)
             run = self._take(run)
-            self.arrivals.append(run.request_id)
+            self.timed_arrivals.append((run.at, run.request_id))
             if self.conduct is Conduct.EARLY:
                 continue
             if not await self._treat(run, reader, writer):
@@ -159,7 +171,8 @@
         names = self._names
         echo = (names.request_id, run.request_id.encode())
         stamp = (names.stamp, f'{self.upstream}.{run.request_id}'.encode())
-        whole = _make(200, [echo, stamp], self.records)
+        body = self._make_body(run.request_id)
+        whole = _make(200, [echo, stamp], body)
         match self.conduct:
             case Conduct.GOOD:
                 writer.write(whole)
@@ -198,12 +211,12 @@
                 writer.write(b'\x00\x01 no http \r\n\r\n')
             case Conduct.ENCODING:
                 coded = (b'content-encoding', b'gzip')
-                writer.write(_make(200, [echo, stamp, coded], self.records))
+                writer.write(_make(200, [echo, stamp, coded], body))
             case Conduct.UNSIGNED:
-                writer.write(_make(200, [echo], self.records))
+                writer.write(_make(200, [echo], body))
             case Conduct.CLOSING:
                 close = (b'connection', b'close')
-                writer.write(_make(200, [echo, stamp, close], self.records))
+                writer.write(_make(200, [echo, stamp, close], body))
                 await writer.drain()
                 writer.close()
                 await asyncio.sleep(1.0)
