Wait here for what another zone lacks

Change: until the other zone's part is known only a complete own part is enough, and fewer than could do with a complete other part is hopeless.

--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -84,6 +84,13 @@
     When every gateway is asked for all shards
     Then every answer tells of 1 missing shard of 60
 
+  Scenario: what the other zone lacks is waited for here
+    Given 3 gateways in each of two zones of a region before 60 shards, half in each
+    And 6 shards of the other zone and 0 of the first work for 3 seconds
+    And 1 more shard of the other zone and 3 of the first work for 0.7 seconds
+    When every gateway of the first zone is asked for all shards
+    Then every answer comes after 0.7 seconds and covers at least 0.9
+
   Scenario: too few shards of the other zone are asked from here
     Given 3 gateways in each of two zones of a region before 60 shards, 4 in the other
     When every gateway of the first zone is asked for all shards
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -61,6 +61,8 @@
 def ask_all(context, names):
     """Ask gateways for all shards at once."""
 
+    context.asked_at = context.loop.time()
+
     async def gather():
         return await asyncio.gather(*(ask(context, name) for name in names))
 
@@ -332,3 +334,31 @@
 def check_unasked(context):
     for member in list(context.fleet.members.values())[3:]:
         assert not member.gateway.counters.firsts
+
+
+@given(
+    r'(\d+) (more )?shards? of the other zone and (\d+) of the first work '
+    r'for ' + _SECONDS
+)
+def slow_some(context, others, more, first, seconds):
+    upstreams = gateway_steps.get(context).upstreams
+    half = len(context.shards) // 2
+    # More of them come from the end, so as not to be the same ones.
+    start = half - int(others) if more else 0
+    slow = list(range(start, start + int(others)))
+    slow += range(half, half + int(first))
+    for number in slow:
+        upstreams[f'shard-{number}-0'].work_s = float(seconds)
+
+
+@then(
+    r'every answer comes after ([\d.]+) seconds and covers at least ([\d.]+)'
+)
+def check_waited(context, seconds, least):
+    for _, _, reply in context.answers:
+        assert reply.status == 200, reply
+        missing = int(reply.headers['rudderrock-missing-parts'])
+        covered = 1 - missing / len(context.shards)
+        assert covered >= float(least) - 1e-9, reply
+    took = context.loop.time() - context.asked_at
+    assert took >= float(seconds) - 0.001, took
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -88,11 +88,13 @@
     """How many answers are enough, which may change on the way.
 
     While another host asks some shards of the same query, what it brings
-    decides how many are needed here.
+    decides how many are needed here. Until that is known `count` are
+    enough, and fewer than `floor` can't be whatever it brings.
     """
 
-    def __init__(self, count: int):
+    def __init__(self, count: int, floor: int | None = None):
         self.count = count
+        self.floor = count if floor is None else floor
         self._on_change: Callable[[], None] | None = None
 
     def watch(self, call: Callable[[], None]) -> None:
@@ -102,6 +104,7 @@
     def change(self, count: int) -> None:
         """Set how many answers are enough from now on."""
         self.count = count
+        self.floor = count
         if self._on_change is not None:
             self._on_change()
 
@@ -165,14 +168,16 @@
         self._failed += settled.answer is None
         if not settled.is_late:
             self._point.note(False)
-        can_reach = len(self.pursuits) - self._failed >= self._need.count
+        can_reach = len(self.pursuits) - self._failed >= self._need.floor
         if self._open == 0 or not can_reach:
             self._finish()
         elif self._is_past_goal():
             self._settle_for_enough()
 
     def _on_need(self) -> None:
-        if self._is_past_goal():
+        if len(self.pursuits) - self._failed < self._need.floor:
+            self._finish()
+        elif self._is_past_goal():
             self._settle_for_enough()
 
     def _is_past_goal(self) -> bool:
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -226,8 +226,7 @@
         total = len(scatter.shards)
         enough = forward.count_least(total, scatter.min_coverage)
         spared = total - enough
-        # What others bring is taken to be complete until it is known.
-        need = forward.Need(max(0, len(own) - spared))
+        need = forward.Need(len(own), max(0, len(own) - spared))
         async with asyncio.TaskGroup() as tasks:
             here = tasks.create_task(
                 forward.gather(self._tools, call, own, need, point)
