Refuse at once what the shards can't do, the less urgent first

Change: an adaptive bound on the queries under way over one set of shards, by congestion (many late shards and a long query), with less room for less urgent priorities; refusals are at once, say when to come back, and nothing of them has run. Ruled out: lateness alone as the sign; a least bound of 3 (trials). Scenarios: goodput at three times the load, an index that is slow by nature, slow shards alone.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -405,6 +405,32 @@
     When 20 requests for "/all/1" are sent at 10 a second
     Then no request ran at more than 2 upstreams of a shard
 
+  Scenario: under three times the load that shards can do, answers stay in time
+    Given 6 shards with 2 slots that work for 0.04 seconds
+    And the route "/urgent/" to all shards with priority 1
+    And the route "/other/" to all shards with priority 3
+    And a gateway
+    When both are asked for 10 seconds, together 3 times what the shards can do
+    Then the answers in time are 0.8 or more of what the shards can do
+    And the urgent ones are answered more often than the others
+    And what was refused has not run and was told at once when to come back
+
+  Scenario: refusing is given up where it doesn't help
+    Given 6 shards that work for 0.3 seconds
+    And the route "/all/" to all shards
+    And a gateway
+    When 600 requests for "/all/1" are sent at 20 a second
+    Then over 0.7 of the replies are 200
+
+  Scenario: slow shards alone make no host refuse
+    Given 10 shards of 2 replicas
+    And the route "/all/" to all shards, at least 0.5 of them
+    And every upstream of shard 3 is silent
+    And every upstream of shard 4 is silent
+    And a gateway with a slack of 10
+    When 300 requests for "/all/1" are sent at 30 a second
+    Then every reply is 200
+
   Scenario: an answer is of one version while the shards are changed
     Given 4 shards that work for 0.15 seconds
     And the route "/all/" to all shards, at least 0.5 of them
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -113,6 +113,82 @@
     )
 
 
+@given(r'(\d+) shards with (\d+) slots that work for ' + _SECONDS)
+def add_slotted(context, count, slots, seconds):
+    get(context)
+    context.shard_rate = int(slots) / float(seconds)
+    context.shards += add_shards(
+        context, int(count), work_s=float(seconds), slots=int(slots)
+    )
+
+
+@given(r'the route "([^"]+)" to all shards with priority (\d+)')
+def add_ranked(context, prefix, priority):
+    add_scatter(context, prefix, least=0.9, priority=int(priority))
+
+
+@when(
+    r'both are asked for (\d+) seconds, together (\d+) times what the '
+    r'shards can do'
+)
+def overload(context, seconds, times):
+    bench = get(context)
+    rate = context.shard_rate * int(times) / 2
+    context.seconds = float(seconds)
+
+    async def load(path):
+        asked = []
+        for number in range(round(rate * context.seconds)):
+            raw = gateway_bench.make_raw(f'{path[1]}{number}', path)
+            asked.append(asyncio.create_task(bench.ask(raw)))
+            await asyncio.sleep(1.0 / rate)
+        return await asyncio.gather(*asked)
+
+    async def both():
+        return await asyncio.gather(load('/urgent/1'), load('/other/1'))
+
+    context.urgent, context.other = run(context, both())
+
+
+@then(r'the answers in time are ([\d.]+) or more of what the shards can do')
+def check_goodput(context, part):
+    good = [
+        each
+        for each in (*context.urgent, *context.other)
+        if each.status == 200 and each.elapsed <= 0.2
+    ]
+    most = context.shard_rate * context.seconds
+    assert len(good) >= float(part) * most, (len(good), most)
+
+
+@then(r'the urgent ones are answered more often than the others')
+def check_urgent(context):
+    served = [
+        sum(each.status == 200 for each in replies)
+        for replies in (context.urgent, context.other)
+    ]
+    assert served[0] > 1.2 * served[1], served
+
+
+@then(r'what was refused has not run and was told at once when to come back')
+def check_refusals(context):
+    bench = get(context)
+    ran = {
+        request_id
+        for model in bench.upstreams.values()
+        for request_id in model.arrivals
+    }
+    count = 0
+    for letter, replies in (('u', context.urgent), ('o', context.other)):
+        for number, reply in enumerate(replies):
+            if reply.status == 503:
+                count += 1
+                assert f'{letter}{number}' not in ran, number
+                assert float(reply.headers['retry-after']) > 0
+                assert reply.elapsed < 0.01, reply
+    assert count > 100, count
+
+
 @given(r'1 shard that accepts (\d+) connections')
 def add_narrow_shard(context, count):
     bench = get(context)
@@ -630,6 +706,12 @@
     assert context.reply.status == int(status), context.reply
 
 
+@then(r'over ([\d.]+) of the replies are 200')
+def check_most_good(context, part):
+    statuses = collections.Counter(each.status for each in context.replies)
+    assert statuses[200] > float(part) * statuses.total(), statuses
+
+
 @then(r'every reply is 200')
 def check_all_good(context):
     statuses = collections.Counter(each.status for each in context.replies)
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -8,6 +8,7 @@
 import math
 
 from rudderrock import core
+from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _messages as messages
 from rudderrock.gateway import _place as place
 from rudderrock.gateway import _pursuit as pursuit
@@ -45,6 +46,7 @@
     LOST = 'lost'
     TIMED_OUT = 'timed_out'
     NOT_RUN = 'not_run'
+    OVERLOADED = 'overloaded'
     UNROUTED = 'unrouted'
     INVALID = 'invalid'
     NOT_READY = 'not_ready'
@@ -340,14 +342,18 @@
 
 
 def refuse(
-    tools_names, request_id: bytes, retry_after_s: float, outcome: Outcome
+    names: dialect.HeaderNames,
+    request_id: bytes,
+    retry_after_s: float,
+    outcome: Outcome,
+    detail: str = '',
 ) -> Result:
     """Say that a request has not run and when to come back."""
     headers = [
-        (tools_names.request_id, request_id),
+        (names.request_id, request_id),
         (b'retry-after', b'%.2f' % retry_after_s),
     ]
-    return Result(messages.Reply(503, headers), outcome)
+    return Result(messages.Reply(503, headers), outcome, detail)
 
 
 # How soon a caller may come back after a request that did not run, in
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -6,6 +6,7 @@
 import random
 
 from rudderrock import core
+from rudderrock.gateway import _admission as admission
 from rudderrock.gateway import _budget as budget
 from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _directory as directory
@@ -55,6 +56,7 @@
             self._list_wanted,
         )
         self.counters = pursuit.Counters()
+        self.admission = admission.Admission(parts.clock)
         self.delegated = 0
         self.takes_delegated = True
         self.delegation = delegate.Delegation(
@@ -199,28 +201,77 @@
                     self._tools, call, part, point
                 )
             case routing.Scatter():
-                if len(route.target.shards) < delegate.WIDE_SHARDS:
-                    return await forward.forward_to_all(
-                        self._tools, call, route.target, point
-                    )
-                return await self._run_wide(
-                    call, route.target, point, may_delegate
+                if may_delegate:
+                    found = await self._hand_over(call, route.target)
+                    if found is not None:
+                        return found
+                return await self._run_admitted(
+                    call, route.target, point, self._get_rank(table, route)
                 )
 
+    async def _hand_over(
+        self, call: pursuit.Call, scatter: routing.Scatter
+    ) -> forward.Result | None:
+        """Have a wide query run elsewhere; None if it is to run here."""
+        if len(scatter.shards) < delegate.WIDE_SHARDS:
+            return None
+        entry = self.delegation.choose(call.request_id)
+        if entry is None:
+            return None
+        return await self.delegation.run(entry, call)
+
+    async def _run_admitted(
+        self,
+        call: pursuit.Call,
+        scatter: routing.Scatter,
+        point: core.LatePoint,
+        rank: int,
+    ) -> forward.Result:
+        """Run a query over shards, if there is room for it."""
+        gate = self.admission.get_gate(scatter.shards)
+        if not self.admission.try_enter(gate, rank):
+            return forward.refuse(
+                self._config.names,
+                call.request_id,
+                admission.RETRY_AFTER_S,
+                forward.Outcome.OVERLOADED,
+                f'{gate.under_way} under way, limit {gate.limit:.1f}, '
+                f'rank {rank}',
+            )
+        congested = None
+        try:
+            if len(scatter.shards) < delegate.WIDE_SHARDS:
+                found = await forward.forward_to_all(
+                    self._tools, call, scatter, point
+                )
+            else:
+                found = await self._run_wide(call, scatter, point)
+            elapsed_s = self._parts.clock.now() - call.request.arrived
+            congested = admission.is_congested(
+                found.late, found.shards, elapsed_s, call.route.goal_s
+            )
+            return found
+        finally:
+            self.admission.leave(gate, congested)
+
+    def _get_rank(
+        self, table: routing.RoutingTable, route: routing.Route
+    ) -> int:
+        """Return how many more urgent priorities ask the same shards."""
+        more_urgent = {
+            each.priority
+            for each in table.routes.values()
+            if each.target == route.target or _same_shards(each, route)
+        }
+        return sum(each < route.priority for each in more_urgent)
+
     async def _run_wide(
         self,
         call: pursuit.Call,
         scatter: routing.Scatter,
         point: core.LatePoint,
-        may_delegate: bool,
     ) -> forward.Result:
-        """Hand a wide query over, or share it with other zones."""
-        if may_delegate:
-            entry = self.delegation.choose(call.request_id)
-            if entry is not None:
-                found = await self.delegation.run(entry, call)
-                if found is not None:
-                    return found
+        """Run a wide query, shared with the other zones of the region."""
         groups = delegate.split_shards(self.book, call, scatter.shards)
         own = groups.pop(None, ())
         total = len(scatter.shards)
@@ -388,6 +439,13 @@
     return forward.Result(messages.Reply(status, []), outcome, detail)
 
 
+def _same_shards(one: routing.Route, other: routing.Route) -> bool:
+    match one.target, other.target:
+        case routing.Scatter(shards=mine), routing.Scatter(shards=others):
+            return mine == others
+    return False
+
+
 def _split_names(
     listed: bytes | None,
 ) -> tuple[routing.ServiceName, ...]:
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -170,6 +170,7 @@
             'hedges_total': counters.hedges,
             'retries_total': counters.retries,
             'extras_denied_total': counters.denied,
+            'overloaded_total': self.gateway.admission.refused,
             'connections_opened_total': self.gateway.book.dials,
             'log_lines_dropped_total': self._parts.events.dropped,
         }
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -44,8 +44,8 @@
     """Serves one address; `runs` is what it has worked on.
 
     Parameters: `records` is the body of each answer, or makes it from the
-    request's id; `work_s` is how long it works on a request. It stops
-    working when the connection closes.
+    request's id; `work_s` is how long it works on a request, `slots` of
+    them at once. It stops working when the connection closes.
     """
 
     def __init__(
@@ -55,6 +55,7 @@
         records: bytes | Callable[[str], bytes] = b'',
         work_s: float = 0.01,
         most_connections: int = 1000,
+        slots: int = 1000,
     ):
         self.upstream = upstream
         self.records = records
@@ -68,6 +69,7 @@
         self.working = 0
         self.most_open = 0
         self._names = names
+        self._slots = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
@@ -162,7 +164,8 @@
         gone = asyncio.ensure_future(reader.read(1))
         self.working += 1
         try:
-            done, _ = await asyncio.wait({gone}, timeout=self.work_s)
+            async with self._slots:
+                done, _ = await asyncio.wait({gone}, timeout=self.work_s)
         finally:
             self.working -= 1
         if not done:
