--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -10,6 +10,7 @@
 
 from features import gateway_bench
 from features.steps import gateway as gateway_steps
+from features.steps import gateway_checks
 from features.steps.common import run
 from rudderrock import gateway
 
@@ -239,7 +240,7 @@
 
 @then(r'the log has two lines of each query that was handed over')
 def check_two_lines(context):
-    lines = gateway_steps.list_lines(context, 'request')
+    lines = gateway_checks.list_lines(context, 'request')
     by_id = collections.Counter(line['request_id'] for line in lines)
     for name, request_id, _ in context.answers:
         wanted = 1 if name in context.wide else 2
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -8,10 +8,12 @@
 from rudderrock.gateway._directory import Endpoint
 from rudderrock.gateway._directory import Phase
 from rudderrock.gateway._directory import ReadingStamp
+from rudderrock.gateway._events import format_event_page
+from rudderrock.gateway._events import KIND_INFO
+from rudderrock.gateway._events import LogKind
 from rudderrock.gateway._fleet import Fleet
 from rudderrock.gateway._fleet import HostEntry
 from rudderrock.gateway._follow import Follower
-from rudderrock.gateway._follow import Registration
 from rudderrock.gateway._forward import Outcome
 from rudderrock.gateway._forward import Result
 from rudderrock.gateway._gateway import Gateway
@@ -21,9 +23,6 @@
 from rudderrock.gateway._link import Link
 from rudderrock.gateway._link import Lost
 from rudderrock.gateway._log import EventLog
-from rudderrock.gateway._log import format_event_page
-from rudderrock.gateway._log import KIND_INFO
-from rudderrock.gateway._log import LogKind
 from rudderrock.gateway._log import PipeHandler
 from rudderrock.gateway._log import set_up_log
 from rudderrock.gateway._messages import drop_connection_headers
@@ -45,6 +44,7 @@
 from rudderrock.gateway._pursuit import judge_outcome
 from rudderrock.gateway._pursuit import Verdict
 from rudderrock.gateway._records import merge_records
+from rudderrock.gateway._registration import Registration
 from rudderrock.gateway._replicas import Replica
 from rudderrock.gateway._replicas import ReplicaBook
 from rudderrock.gateway._routing import IntakeLimits
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -18,6 +18,7 @@
 from rudderrock import core
 from rudderrock.gateway import _caller as caller
 from rudderrock.gateway import _dialect as dialect
+from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _forward as forward
 from rudderrock.gateway import _log as log
@@ -269,7 +270,7 @@
             wait_s, LONGEST_SKIP_S
         )
         self._events.record(
-            log.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
+            events.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
         )
 
 
--- /dev/null
+++ b/rudderrock/gateway/_events.py
@@ -0,0 +1,158 @@
+"""Every kind of log line, what it tells and the fields it has."""
+
+import dataclasses
+import enum
+
+# Lines a second for requests that went well, for all others, and for what a
+# process comes to believe.
+GOOD_LINES_PER_S = 50.0
+BAD_LINES_PER_S = 100.0
+BELIEF_LINES_PER_S = 50.0
+
+
+class LogKind(enum.Enum):
+    """Every kind of line; docs/events.md says what each tells."""
+
+    STARTED = 'started'
+    STOPPING = 'stopping'
+    STOPPED = 'stopped'
+    RELOADED = 'reloaded'
+    READY = 'ready'
+    NOT_READY = 'not_ready'
+    DEPENDENCY_LOST = 'dependency_lost'
+    DEPENDENCY_BACK = 'dependency_back'
+    TABLE_IN_FORCE = 'table_in_force'
+    TABLE_REJECTED = 'table_rejected'
+    UPSTREAMS_CHANGED = 'upstreams_changed'
+    ENTRY_REJECTED = 'entry_rejected'
+    HOSTS_CHANGED = 'hosts_changed'
+    READING_FROM = 'reading_from'
+    PEER_SKIPPED = 'peer_skipped'
+    SOURCE_FAILED = 'source_failed'
+    REQUEST = 'request'
+    UNREADABLE = 'unreadable'
+    LINES_DROPPED = 'lines_dropped'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KindInfo:
+    """What a kind of line tells, and the fields it may have."""
+
+    text: str
+    fields: tuple[str, ...]
+
+
+KIND_INFO: dict[LogKind, KindInfo] = {
+    LogKind.STARTED: KindInfo('The process listens.', ('place',)),
+    LogKind.STOPPING: KindInfo(
+        'A planned stop has begun; `busy` requests are under way.',
+        ('busy',),
+    ),
+    LogKind.STOPPED: KindInfo('The process ends.', ()),
+    LogKind.RELOADED: KindInfo(
+        'SIGHUP: the settings were read again. What they say takes effect '
+        'at the next start; `problem` says what is wrong with them.',
+        ('problem',),
+    ),
+    LogKind.READY: KindInfo(
+        'The balancer is told to send requests here.', ('state',)
+    ),
+    LogKind.NOT_READY: KindInfo(
+        'The balancer is told to send none: the process stops, or knows no '
+        'routes or upstreams yet.',
+        ('state',),
+    ),
+    LogKind.DEPENDENCY_LOST: KindInfo(
+        'The source of routes and upstreams no longer answers this host.',
+        ('dependency', 'call', 'detail'),
+    ),
+    LogKind.DEPENDENCY_BACK: KindInfo(
+        'The source answers this host again.', ('dependency', 'away_s')
+    ),
+    LogKind.SOURCE_FAILED: KindInfo(
+        'One call to the source failed.', ('call', 'detail')
+    ),
+    LogKind.READING_FROM: KindInfo(
+        'This host now asks another one for changes; an empty `peer` means '
+        'that it reads the source itself.',
+        ('peer', 'zone'),
+    ),
+    LogKind.PEER_SKIPPED: KindInfo(
+        'Another host failed to answer, or had nothing fresh: the ages are '
+        'those of its upstreams and of its table, -1 for none.',
+        ('peer', 'detail'),
+    ),
+    LogKind.TABLE_IN_FORCE: KindInfo(
+        'A routing table has replaced the one `before`; `origin` is whom '
+        'it came from.',
+        ('version', 'before', 'revision', 'routes', 'origin'),
+    ),
+    LogKind.TABLE_REJECTED: KindInfo(
+        'A routing table can not be used; the one before stays in force.',
+        ('problem', 'revision', 'origin'),
+    ),
+    LogKind.UPSTREAMS_CHANGED: KindInfo(
+        'Upstreams were added, or take no more new work (`left`), or are '
+        'kept though the reading lacked them (`held`).',
+        ('revision', 'added', 'left', 'held', 'origin'),
+    ),
+    LogKind.ENTRY_REJECTED: KindInfo(
+        'The registration of an upstream can not be read.', ('problem',)
+    ),
+    LogKind.HOSTS_CHANGED: KindInfo(
+        'The registered hosts, and how many count for budgets and '
+        'connections.',
+        ('hosts', 'counted', 'origin'),
+    ),
+    LogKind.REQUEST: KindInfo(
+        'One request of a caller and how it ended. `late` shards were '
+        'later than the late point, `far` answers came from other regions, '
+        '`detail` gives the reasons of what is missing. Lines of complete '
+        'answers are left out first when there are too many.',
+        (
+            'request_id',
+            'route',
+            'table_version',
+            'upstreams_revision',
+            'upstreams_age_ms',
+            'outcome',
+            'status',
+            'detail',
+            'shards',
+            'answered',
+            'late',
+            'far',
+            'elapsed_ms',
+        ),
+    ),
+    LogKind.UNREADABLE: KindInfo(
+        'A caller sent what is not a request within the limits.',
+        ('problem',),
+    ),
+    LogKind.LINES_DROPPED: KindInfo(
+        '`count` lines were left out since the last such line.', ('count',)
+    ),
+}
+
+
+def format_event_page() -> str:
+    """Return docs/events.md."""
+    lines = [
+        '# Log lines of a gateway',
+        '',
+        'Made from `rudderrock/gateway/_events.py`; a scenario compares them.',
+        '',
+        'Each line on standard output is one JSON object with `at` (seconds',
+        'since 1970), `host`, `kind` and the fields below. At most '
+        f'{GOOD_LINES_PER_S:g} lines',
+        'a second tell of complete answers, '
+        f'{BAD_LINES_PER_S:g} of all other requests and',
+        f'{BELIEF_LINES_PER_S:g} of the rest; what is left out is counted.',
+        '',
+        '| kind | fields | what it tells |',
+        '| --- | --- | --- |',
+    ]
+    for kind, info in KIND_INFO.items():
+        fields = ', '.join(f'`{name}`' for name in info.fields)
+        lines.append(f'| `{kind.value}` | {fields} | {info.text} |')
+    return '\n'.join(lines) + '\n'
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -7,13 +7,13 @@
 """
 
 import asyncio
-import contextlib
 import random
 
 import result
 
 from rudderrock import core
 from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _peers as peers
@@ -43,74 +43,6 @@
 # How long one watch waits at the source, in seconds. A watch that a cut has
 # silenced is thus noticed before a table has to be in force everywhere.
 WATCH_S = 2.0
-# A registration lasts this long without renewal, and is renewed this
-# often, in seconds.
-LEASE_S = 12.0
-RENEW_EVERY_S = 4.0
-
-
-class Registration:
-    """Keeps this host in the registry while it runs."""
-
-    def __init__(
-        self,
-        source: sources.SourcePort,
-        hosts: fleet.Fleet,
-        clock: core.Clock,
-        events: log.EventLog,
-    ):
-        self._source = source
-        self._hosts = hosts
-        self._clock = clock
-        self._events = events
-        self._lease: int | None = None
-        self._missing = 0
-
-    async def run(self) -> None:
-        """Register, and renew until cancelled."""
-        while True:
-            if self._lease is None:
-                await self._register()
-            else:
-                await self._renew()
-            await asyncio.sleep(RENEW_EVERY_S)
-
-    async def withdraw(self) -> None:
-        """Leave the registry, so that nobody asks this host any more."""
-        if self._lease is None:
-            return
-        answer = await self._source.withdraw(self._lease)
-        if answer.is_err():
-            # The registration lapses by itself.
-            self._note('withdraw', answer.err_value.detail)
-
-    async def _register(self) -> None:
-        answer = await self._source.register(self._hosts.own, LEASE_S)
-        match answer:
-            case result.Ok(lease):
-                self._lease = lease
-                self._missing = 0
-            case result.Err(problem):
-                self._note('register', problem.detail)
-
-    async def _renew(self) -> None:
-        """Renew; register again where the registry has lost the entry."""
-        self._missing = 0 if self._hosts.has_own() else self._missing + 1
-        if self._missing >= 2:
-            self._lease = None
-            await self._register()
-            return
-        match await self._source.renew(self._lease):
-            case result.Err(sources.LeaseEnded()):
-                self._lease = None
-                await self._register()
-            case result.Err(problem):
-                self._note('renew', problem.detail)
-
-    def _note(self, call: str, detail: str) -> None:
-        self._events.record(
-            log.LogKind.SOURCE_FAILED, call=call, detail=detail
-        )
 
 
 class Follower:
@@ -239,7 +171,7 @@
             self.peer = peers.PeerClient(entry)
             self._stop_watch()
             self._events.record(
-                log.LogKind.READING_FROM, peer=entry.host, zone=entry.zone
+                events.LogKind.READING_FROM, peer=entry.host, zone=entry.zone
             )
         return self.peer
 
@@ -253,7 +185,7 @@
     ) -> None:
         self._skip[entry.host] = self._clock.now() + seconds
         self._events.record(
-            log.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
+            events.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
         )
 
     def _take_over(
@@ -305,7 +237,7 @@
                 self._apply_upstreams(reading)
         if self.peer is not None:
             self._drop_peer()
-            self._events.record(log.LogKind.READING_FROM, peer='', zone='')
+            self._events.record(events.LogKind.READING_FROM, peer='', zone='')
         await self._read_hosts()
         await self._keep_watch()
         return True
@@ -353,7 +285,7 @@
                     break
                 case result.Err(problem):
                     self._events.record(
-                        log.LogKind.SOURCE_FAILED,
+                        events.LogKind.SOURCE_FAILED,
                         call='watch',
                         detail=problem.detail,
                     )
@@ -368,7 +300,7 @@
                 self._tables.confirm()
             case result.Err(problem):
                 self._events.record(
-                    log.LogKind.SOURCE_FAILED,
+                    events.LogKind.SOURCE_FAILED,
                     call='table',
                     detail=problem.detail,
                 )
@@ -381,7 +313,7 @@
     def _apply_hosts(self, found: list[fleet.HostEntry], origin: str) -> None:
         if self._hosts.apply_listing(found):
             self._events.record(
-                log.LogKind.HOSTS_CHANGED,
+                events.LogKind.HOSTS_CHANGED,
                 hosts=sorted(each.host for each in found),
                 counted=self._hosts.count(),
                 origin=origin,
@@ -389,7 +321,7 @@
 
     def _apply_upstreams(self, reading: sources.UpstreamReading) -> None:
         for problem in reading.problems:
-            self._events.record(log.LogKind.ENTRY_REJECTED, problem=problem)
+            self._events.record(events.LogKind.ENTRY_REJECTED, problem=problem)
         self._readings += 1
         stamp = directory.ReadingStamp(
             self._changes.process, self._readings, self._clock.now()
@@ -405,7 +337,7 @@
         if change is None:
             return
         self._events.record(
-            log.LogKind.UPSTREAMS_CHANGED,
+            events.LogKind.UPSTREAMS_CHANGED,
             revision=self._listing.revision,
             added=change.added,
             left=change.left,
@@ -419,7 +351,7 @@
         self.lost_at = self._clock.now()
         self._changes.wake()
         self._events.record(
-            log.LogKind.DEPENDENCY_LOST,
+            events.LogKind.DEPENDENCY_LOST,
             dependency='source',
             call=call,
             detail=detail,
@@ -435,7 +367,7 @@
         # The watch may have been cut without a sign.
         self._stop_watch()
         self._events.record(
-            log.LogKind.DEPENDENCY_BACK,
+            events.LogKind.DEPENDENCY_BACK,
             dependency='source',
             away_s=round(away_s, 3),
         )
@@ -443,15 +375,3 @@
     async def _pause(self, mean_s: float) -> None:
         spread = 1.0 + _SPREAD * (2 * self._chance.random() - 1.0)
         await asyncio.sleep(mean_s * spread)
-
-
-@contextlib.asynccontextmanager
-async def keep_registered(registration: Registration):
-    """Hold a registration while the context lasts, then leave."""
-    task = asyncio.create_task(registration.run())
-    try:
-        yield
-    finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-        await registration.withdraw()
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -21,6 +21,7 @@
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway import _shares as shares
 from rudderrock.gateway import _sources as sources
+from rudderrock.gateway import _wide as wide
 
 # How soon a caller may come back to a host that knows no routes yet, or
 # that is about to stop; seconds.
@@ -80,6 +81,7 @@
             self._get_budget,
             self.counters,
         )
+        self.wide = wide.WideQueries(self._tools, self.delegation)
         parts.tables.add_listener(self._on_table)
         parts.hosts.add_listener(self._on_hosts)
 
@@ -202,24 +204,13 @@
                 )
             case routing.Scatter():
                 if may_delegate:
-                    found = await self._hand_over(call, route.target)
+                    found = await self.wide.hand_over(call, route.target)
                     if found is not None:
                         return found
                 return await self._run_admitted(
                     call, route.target, point, self._get_rank(table, route)
                 )
 
-    async def _hand_over(
-        self, call: pursuit.Call, scatter: routing.Scatter
-    ) -> forward.Result | None:
-        """Have a wide query run elsewhere; None if it is to run here."""
-        if len(scatter.shards) < delegate.WIDE_SHARDS:
-            return None
-        entry = self.delegation.choose(call.request_id)
-        if entry is None:
-            return None
-        return await self.delegation.run(entry, call)
-
     async def _run_admitted(
         self,
         call: pursuit.Call,
@@ -245,7 +236,7 @@
                     self._tools, call, scatter, point
                 )
             else:
-                found = await self._run_wide(call, scatter, point)
+                found = await self.wide.run(call, scatter, point)
             elapsed_s = self._parts.clock.now() - call.request.arrived
             congested = admission.is_congested(
                 found.late, found.shards, elapsed_s, call.route.goal_s
@@ -265,52 +256,6 @@
         }
         return sum(each < route.priority for each in more_urgent)
 
-    async def _run_wide(
-        self,
-        call: pursuit.Call,
-        scatter: routing.Scatter,
-        point: core.LatePoint,
-    ) -> forward.Result:
-        """Run a wide query, shared with the other zones of the region."""
-        groups = delegate.split_shards(self.book, call, scatter.shards)
-        own = groups.pop(None, ())
-        total = len(scatter.shards)
-        enough = forward.count_least(total, scatter.min_coverage)
-        spared = total - enough
-        need = forward.Need(len(own), max(0, len(own) - spared))
-        async with asyncio.TaskGroup() as tasks:
-            here = tasks.create_task(
-                forward.gather(self._tools, call, own, need, point)
-            )
-            there = [
-                tasks.create_task(
-                    self._gather_there(call, zone, shards, spared, point)
-                )
-                for zone, shards in groups.items()
-            ]
-            brought = 0
-            for part in asyncio.as_completed(there):
-                brought += len((await part).stamps)
-            need.change(enough - brought)
-        gathered = [here.result(), *(each.result() for each in there)]
-        return forward.merge_gathered(self._tools, call, scatter, gathered)
-
-    async def _gather_there(
-        self,
-        call: pursuit.Call,
-        zone: core.ZoneId,
-        shards: tuple[routing.ServiceName, ...],
-        spared: int,
-        point: core.LatePoint,
-    ) -> forward.Gathered:
-        """Have shards asked from another zone, or ask them from here."""
-        least = max(1, len(shards) - spared)
-        found = await self.delegation.run_part(zone, call, shards, least)
-        if found is not None:
-            return found
-        need = forward.Need(least)
-        return await forward.gather(self._tools, call, shards, need, point)
-
     def _make_call(
         self,
         request: messages.Request,
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -5,13 +5,14 @@
 import enum
 
 from rudderrock.gateway import _delegate as delegate
+from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _follow as follow
 from rudderrock.gateway import _gateway as gateway
 from rudderrock.gateway import _intake as intake
-from rudderrock.gateway import _log as log
 from rudderrock.gateway import _messages as messages
 from rudderrock.gateway import _peers as peers
+from rudderrock.gateway import _registration as registration_module
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway import _sources as sources
 
@@ -41,7 +42,7 @@
         config: settings.GatewaySettings,
         served: gateway.Gateway,
         follower: follow.Follower,
-        registration: follow.Registration,
+        registration: registration_module.Registration,
         changes: peers.ChangeBook,
         parts: gateway.Parts,
     ):
@@ -78,7 +79,7 @@
 
     async def run(self) -> None:
         """Serve, then stop as planned; return when all has ended."""
-        events = self._parts.events
+        record = self._parts.events.record
         config = self._config
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.gateway.book.close)
@@ -94,12 +95,12 @@
                 task = asyncio.create_task(work)
                 stack.push_async_callback(_cancel, task)
             self.state = ProcessState.SERVING
-            events.record(log.LogKind.STARTED, place=config.place.zone)
-            async with follow.keep_registered(self._registration):
+            record(events.LogKind.STARTED, place=config.place.zone)
+            async with registration_module.keep_registered(self._registration):
                 await self._stop.wait()
             await self._drain()
         self.state = ProcessState.ENDED
-        events.record(log.LogKind.STOPPED)
+        record(events.LogKind.STOPPED)
 
     def _begin_stop(self) -> None:
         self._stop_began = self._parts.clock.now()
@@ -107,7 +108,7 @@
         self._callers.is_stopping = True
         self.gateway.takes_delegated = False
         self._parts.events.record(
-            log.LogKind.STOPPING, busy=self._callers.busy
+            events.LogKind.STOPPING, busy=self._callers.busy
         )
         self._stop.set()
 
@@ -132,7 +133,7 @@
 
     def _note_unreadable(self, problem: str) -> None:
         self._parts.figures.note_unreadable(problem)
-        self._parts.events.record(log.LogKind.UNREADABLE, problem=problem)
+        self._parts.events.record(events.LogKind.UNREADABLE, problem=problem)
 
     async def _answer_peer(self, request: messages.Request) -> messages.Reply:
         if request.get_header(delegate.VERSION) is not None:
@@ -143,7 +144,7 @@
         ready = self.gateway.is_ready and self.state is ProcessState.SERVING
         if ready != self._was_ready:
             self._was_ready = ready
-            kind = log.LogKind.READY if ready else log.LogKind.NOT_READY
+            kind = events.LogKind.READY if ready else events.LogKind.NOT_READY
             self._parts.events.record(kind, state=self.state.value)
         return messages.Reply(200 if ready else 503, [])
 
--- a/rudderrock/gateway/_sources.py
+++ b/rudderrock/gateway/_sources.py
@@ -8,6 +8,7 @@
 
 from rudderrock import core
 from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _routing as routing
@@ -140,7 +141,7 @@
         """Put a table in force if it is newer than the present one."""
         if reading.problem:
             self._events.record(
-                log.LogKind.TABLE_REJECTED,
+                events.LogKind.TABLE_REJECTED,
                 problem=reading.problem,
                 revision=reading.revision,
                 origin=origin,
@@ -154,7 +155,7 @@
         self.revision = reading.revision
         self._applied_at = self._clock.now()
         self._events.record(
-            log.LogKind.TABLE_IN_FORCE,
+            events.LogKind.TABLE_IN_FORCE,
             version=table.version,
             before=before,
             revision=reading.revision,
