--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -112,6 +112,12 @@
     And it withdraws
     Then the store names 0 hosts
 
+  Scenario: a host's entry that can't be read hides no other
+    Given a platform store
+    And a host's entry is not JSON
+    When a host registers for 10 seconds
+    Then the store names 1 host
+
   Scenario Outline: a store that gives no answer is unavailable: <how>
     Given a platform store
     And the store is <how>
--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -96,3 +96,9 @@
     When every gateway of the first zone is asked for all shards
     Then every answer is whole, with the greatest records
     And no gateway of the other zone was asked
+
+  Scenario: all shards are in the other zone
+    Given 3 gateways in each of two zones of a region before 60 shards, 60 in the other
+    When every gateway of the first zone is asked for all shards
+    Then every answer is whole, with the greatest records
+    And it took less than 0.1 seconds in all
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -613,3 +613,14 @@
     Then none of them blocked and the rest were counted as dropped
     When the pipe is read again
     Then what was kept comes whole and in order
+
+  Scenario: a defect in following the source is logged, and following goes on
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And a gateway
+    When the source breaks its contract once
+    And 5 seconds pass
+    And the route "/notes/" is moved to "scans"
+    And 3 seconds pass
+    Then the newest table is in force
+    And the log tells of a defect
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -195,6 +195,11 @@
     context.store.put('servers/i-bad', b'{')
 
 
+@given(r"a host's entry is not JSON")
+def register_bad_host(context):
+    context.store.put('rudderrock/hosts/bad', b'{')
+
+
 def call(context, coroutine):
     """Await a call to the source and keep its answer and duration."""
     began = context.loop.time()
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -68,6 +68,7 @@
         return await asyncio.gather(*(ask(context, name) for name in names))
 
     context.answers = run(context, gather())
+    context.took = context.loop.time() - context.asked_at
 
 
 @when(r'every gateway is asked for all shards')
@@ -363,3 +364,8 @@
         assert covered >= float(least) - 1e-9, reply
     took = context.loop.time() - context.asked_at
     assert took >= float(seconds) - 0.001, took
+
+
+@then(r'it took less than ([\d.]+) seconds in all')
+def check_took(context, seconds):
+    assert context.took < float(seconds), context.took
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -373,3 +373,27 @@
     kept = context.line_count - context.handler.dropped
     assert numbers == list(range(kept)), (len(numbers), kept)
     assert all(len(line) == 207 for line in lines)
+
+
+@when(r'the source breaks its contract once')
+def break_source(context):
+    source = get(context).source
+    good = source.list_upstreams
+
+    async def fail_once():
+        source.list_upstreams = good
+        raise KeyError('a defect of this scenario')
+
+    source.list_upstreams = fail_once
+
+
+@then(r'the newest table is in force')
+def check_newest(context):
+    bench = get(context)
+    assert bench.process.tables.version == bench.version
+
+
+@then(r'the log tells of a defect')
+def check_defect(context):
+    lines = get(context).log.lines
+    assert any('failed on a defect' in line for line in lines), lines
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -142,6 +142,8 @@
 
     async def run(self) -> None:
         """Return when the answer is there, or nothing better will come."""
+        if not self.pursuits:
+            return
         loop = self._tools.loop
         call = self._call
         goal = call.request.arrived + call.route.goal_s - MARGIN_S
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -1,9 +1,13 @@
 """The life of a gateway process: serving, and a stop that cuts nothing."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 import contextlib
 import enum
 
+from absl import logging
+
 from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
@@ -23,6 +27,8 @@
 # Part of it after which the process ends whatever is still under way.
 END_FRACTION = 0.93
 _POLL_S = 0.05
+# Before work that failed on a defect begins anew, in seconds.
+RESTART_S = 1.0
 
 
 class ProcessState(enum.Enum):
@@ -91,8 +97,8 @@
                 (self.peers, config.peers),
             ):
                 await stack.enter_async_context(served.listen(*address))
-            for work in (self._follower.run(), self.gateway.sweep()):
-                task = asyncio.create_task(work)
+            for work in (self._follower.run, self.gateway.sweep):
+                task = asyncio.create_task(_keep_running(work))
                 stack.push_async_callback(_cancel, task)
             self.state = ProcessState.SERVING
             record(events.LogKind.STARTED, place=config.place.zone)
@@ -177,6 +183,16 @@
         }
 
 
+async def _keep_running(work: Callable[[], Awaitable[None]]) -> None:
+    """Run work for good; a defect in it is logged and it begins anew."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            logging.exception('%s failed on a defect', work.__qualname__)
+        await asyncio.sleep(RESTART_S)
+
+
 async def _cancel(task: asyncio.Task) -> None:
     task.cancel()
     await asyncio.gather(task, return_exceptions=True)
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -2,6 +2,7 @@
 
 import urllib.parse
 
+from absl import logging
 import msgspec
 import result
 
@@ -159,9 +160,9 @@
                     raw = decode.decode_value(item.value)
                     entry = msgspec.json.decode(raw, type=gateway.HostEntry)
                 except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
-                    return result.Err(
-                        gateway.Unavailable(f'{item.key}: {error}')
-                    )
+                    # One bad entry must not hide the others.
+                    logging.warning('%s can not be read: %s', item.key, error)
+                    continue
                 found.append(entry)
             if not page.has_more or not page.items:
                 return result.Ok(found)
