--- a/rudderrock/soak/_checks.py
+++ b/rudderrock/soak/_checks.py
@@ -5,6 +5,7 @@
 import hashlib
 
 from rudderrock import gateway
+from rudderrock import platform
 from rudderrock import standins
 
 TOP_K = 4
@@ -56,6 +57,10 @@
     ended: float = 0.0
     calm: bool = False
 
+    def get_header(self, name: bytes) -> str:
+        """Return a header of the reply, or nothing."""
+        return self.headers.get(name.decode('ascii'), '')
+
     @property
     def is_once(self) -> bool:
         """Tell whether it may run at most once."""
@@ -122,21 +127,21 @@
 def _find_wrong(records: Records, sent: Sent) -> str:
     """Return what is wrong with an answer, or nothing."""
     if not sent.target.startswith('/all/'):
-        upstream, _, request_id = sent.headers.get(
-            'x-server-stamp', ''
-        ).partition('.')
+        stamp = sent.get_header(platform.NAMES.stamp)
+        upstream, _, request_id = stamp.partition('.')
         if request_id != sent.request_id:
             return f'stamp of {request_id}'
         whole = make_records(upstream, request_id)
         return '' if sent.reply == whole else 'another body'
-    stamps = sent.headers.get('x-part-stamps', '').split(', ')
+    stamps = sent.get_header(platform.NAMES.part_stamps).split(', ')
     parts = [stamp.partition('.') for stamp in stamps]
     if any(part[2] != sent.request_id for part in parts):
         return f'parts of another request: {stamps}'
     shards = [records.services.get(part[0], '?') for part in parts]
     if len(set(shards)) != len(shards):
         return f'two parts of one shard: {shards}'
-    named = len(shards) + int(sent.headers.get('x-missing-parts', '0'))
+    missing = sent.get_header(platform.NAMES.missing_parts) or '0'
+    named = len(shards) + int(missing)
     fitting = [
         each
         for each in records.shard_sets
@@ -203,7 +208,8 @@
         if each.target.startswith('/moved/') and each.status == 200
     ]
     for sent in sorted(moved, key=lambda each: each.ended):
-        upstream = sent.headers['x-server-stamp'].partition('.')[0]
+        stamp = sent.get_header(platform.NAMES.stamp)
+        upstream = stamp.partition('.')[0]
         number = rank[records.services[upstream]]
         process = (sent.host, sent.incarnation)
         seen, at = newest.get(process, (-1, 0.0))
--- a/rudderrock/soak/_run.py
+++ b/rudderrock/soak/_run.py
@@ -9,6 +9,8 @@
 import signal
 
 from rudderrock import core
+from rudderrock import gateway
+from rudderrock import platform
 from rudderrock import standins
 from rudderrock.soak import _checks as checks
 from rudderrock.soak import _plan as plan_module
@@ -299,14 +301,17 @@
 
 
 def _render(sent: checks.Sent) -> bytes:
-    head = (
-        f'{sent.method} {sent.target} HTTP/1.1\r\nHost: members.example\r\n'
-        f'X-Request-Id: {sent.request_id}\r\n'
-        f'X-Deadline-Ms: {_DEADLINE_MS}\r\n'
+    headers = [
+        (b'host', b'members.example'),
+        (platform.NAMES.request_id, sent.request_id.encode('ascii')),
+        (platform.NAMES.deadline_ms, b'%d' % _DEADLINE_MS),
+    ]
+    return gateway.render_request(
+        sent.method.encode('ascii'),
+        sent.target.encode('ascii'),
+        headers,
+        sent.body,
     )
-    if sent.body:
-        head += f'Content-Length: {len(sent.body)}\r\n'
-    return head.encode() + b'\r\n' + sent.body
 
 
 async def _read(reader, sent: checks.Sent) -> None:
--- a/rudderrock/soak/_world.py
+++ b/rudderrock/soak/_world.py
@@ -19,7 +19,7 @@
 WINDOW_S = 10.0
 GRACE_S = 3.0
 SHARDS = 4
-ROUTE_TIMEOUT_MS = 1500
+ROUTE_TIMEOUT_S = 1.5
 _PORTS = 4
 _FIRST_NET = 10
 _NETS = 200
@@ -62,10 +62,8 @@
                 f'127.0.0.1:{self.way.port}',
                 name=f'host-{self.number}',
                 zone=zone,
-                **{
-                    'bounds.grace_s': f'{GRACE_S:g}',
-                    'bounds.retry_slack': f'{SLACK:g}',
-                },
+                stop_s=GRACE_S,
+                slack=SLACK,
             ),
             encoding='utf-8',
         )
@@ -175,7 +173,7 @@
             zone,
             state,
         )
-        self.store.put(f'servers/{name}', raw)
+        self.store.put_server(name, raw)
 
     def drain(self, name: str) -> None:
         """Have an upstream say that it leaves, unless it is the last."""
@@ -209,19 +207,16 @@
         await self.add_service(target)
         self.moves.append(target)
         routes = [
-            {
-                'prefix': '/all/',
-                'gather': self._shards,
-                'top_k': checks.TOP_K,
-                'min_coverage': checks.LEAST,
-            },
-            {'prefix': '/once/', 'service': 'once', 'kind': 'unsafe'},
-            {'prefix': '/moved/', 'service': target},
+            platform_standins.make_gather(
+                '/all/', self._shards, checks.TOP_K, checks.LEAST
+            ),
+            platform_standins.make_route('/once/', 'once', once=True),
+            platform_standins.make_route('/moved/', target),
         ]
-        for route in routes:
-            route['timeout_ms'] = ROUTE_TIMEOUT_MS
-        raw = platform_standins.make_config(self._version, routes)
-        self.store.put('op/config', raw)
+        raw = platform_standins.make_config(
+            self._version, routes, timeout_s=ROUTE_TIMEOUT_S
+        )
+        self.store.put_config(raw)
 
     async def wait_until_ready(self) -> None:
         """Wait until every host says that it is ready."""
--- a/rudderrock/standins/platform/__init__.py
+++ b/rudderrock/standins/platform/__init__.py
@@ -7,6 +7,8 @@
 from rudderrock.standins.platform._store import Refusal
 from rudderrock.standins.platform._values import make_boot
 from rudderrock.standins.platform._values import make_config
+from rudderrock.standins.platform._values import make_gather
+from rudderrock.standins.platform._values import make_route
 from rudderrock.standins.platform._values import make_server
 
 __all__ = [
@@ -14,5 +16,7 @@
     'Refusal',
     'make_boot',
     'make_config',
+    'make_gather',
+    'make_route',
     'make_server',
 ]
--- a/rudderrock/standins/platform/_store.py
+++ b/rudderrock/standins/platform/_store.py
@@ -86,6 +86,14 @@
         self._history.append((key, self.revision, value, lease))
         self._notify()
 
+    def put_config(self, raw: bytes) -> None:
+        """Write the configuration, as the operator does."""
+        self.put('op/config', raw)
+
+    def put_server(self, upstream: str, raw: bytes) -> None:
+        """Write an upstream's entry, as the upstream does."""
+        self.put(f'servers/{upstream}', raw)
+
     def remove(self, key: str) -> None:
         """Delete an item."""
         if self.items.pop(key, None) is not None:
--- a/rudderrock/standins/platform/_values.py
+++ b/rudderrock/standins/platform/_values.py
@@ -16,13 +16,17 @@
     version: int,
     routes: list[dict[str, Any]],
     max_conns: int = 26,
+    timeout_s: float = 1.0,
     **limits: int,
 ) -> bytes:
-    """Return a configuration; the services are those that routes name."""
+    """Return a configuration; the services are those that routes name.
+
+    `timeout_s` is that of the routes which have none of their own.
+    """
     shape = {
         'host': 'members.example',
         'kind': 'safe',
-        'timeout_ms': 1000,
+        'timeout_ms': round(timeout_s * 1000),
         'latency_goal_ms': 200,
         'priority': 1,
         'max_attempts': 2,
@@ -74,10 +78,39 @@
     )
 
 
+def make_route(prefix: str, service: str, *, once: bool = False) -> dict:
+    """Return a route to one service; `once` if it must not be repeated."""
+    kind = 'unsafe' if once else 'safe'
+    return {'prefix': prefix, 'service': service, 'kind': kind}
+
+
+def make_gather(
+    prefix: str, shards: list[str], top_k: int, min_coverage: float
+) -> dict:
+    """Return a route to all shards."""
+    return {
+        'prefix': prefix,
+        'gather': shards,
+        'top_k': top_k,
+        'min_coverage': min_coverage,
+    }
+
+
 def make_boot(
-    ip: str, port: int, store: str, name: str = 'front-1', **fields: str
+    ip: str,
+    port: int,
+    store: str,
+    name: str = 'front-1',
+    *,
+    stop_s: float = 6.0,
+    slack: float = 54.0,
+    **fields: str,
 ) -> str:
-    """Return a settings file."""
+    """Return a settings file.
+
+    `stop_s` is the time that a planned stop may take, `slack` the extra
+    requests that are allowed whatever the load.
+    """
     values = {
         'node_name': name,
         'role': 'entry',
@@ -89,10 +122,10 @@
         'listen.front': f'{ip}:{port}',
         'listen.ready': f'{ip}:{port + 1}',
         'internal_ports': f'{port + 3},{port + 9}',
-        'bounds.grace_s': '6',
+        'bounds.grace_s': f'{stop_s:g}',
         'bounds.retry_budget_ratio': '0.2',
         'bounds.retry_window_s': '10',
-        'bounds.retry_slack': '54',
+        'bounds.retry_slack': f'{slack:g}',
         'platform.address': store,
         'platform.min_ttl_ms': '1000',
         **fields,
