--- a/rudderrock/soak/_run.py
+++ b/rudderrock/soak/_run.py
@@ -27,6 +27,8 @@
 _FINAL_TRIES = 5
 # Nothing unplanned for this long makes a moment calm, in seconds.
 _CALM_S = 4.0
+# Hosts that are stopped once it is calm.
+_CALM_STOPS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -75,6 +77,7 @@
         ends = began + self._plan.length
         await asyncio.sleep(max(0.0, ends - loop.time()))
         await asyncio.gather(*self._tasks)
+        await self._stop_in_calm()
         self._over = True
         await asyncio.gather(*callers)
         await self._check_recovery()
@@ -236,6 +239,13 @@
         if not host.is_up:
             await host.start()
 
+    async def _stop_in_calm(self) -> None:
+        """Stop hosts as planned, under load, with nothing else going on."""
+        await asyncio.sleep(_CALM_S + 0.5)
+        for host in self._world.hosts[:_CALM_STOPS]:
+            self.injected['stop/calm'] += 1
+            await self._stop(host, 0.0)
+
     async def _check_recovery(self) -> None:
         """See that every host serves once all faults are over."""
         await asyncio.sleep(_SETTLE_S)
