Send nothing when too few shards have upstreams

Change: if too few services have an upstream, nothing is sent, and the answer is 503 with a time to come back. Ruled out: waiting for the registrations before being ready (single services are served meanwhile). 2 scenarios; the one on too few failed before (502).

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -323,6 +323,29 @@
     Then the reply is 502
     And it took less than 0.2 seconds
 
+  Scenario: nothing is sent when too few shards have upstreams
+    Given 10 shards
+    And the route "/all/" to all shards, at least 0.9 of them
+    And a gateway
+    When the entry of "shard-3-0" lapses
+    And the entry of "shard-8-0" lapses
+    And 1.6 seconds pass
+    And a caller sends GET "/all/1"
+    Then the reply is 503
+    And it says when to come back
+    And it took less than 0.01 seconds
+    And no upstream ran anything
+
+  Scenario: a query is sent while enough shards have upstreams
+    Given 10 shards
+    And the route "/all/" to all shards, at least 0.9 of them
+    And a gateway
+    When the entry of "shard-3-0" lapses
+    And 1.6 seconds pass
+    And a caller sends GET "/all/1"
+    Then the reply is 200
+    And 1 shards are missing and 9 are signed
+
   Scenario: coverage of exactly the least is enough
     Given 20 shards
     And the route "/all/" to all shards, at least 0.85 of them
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -142,7 +142,7 @@
 
     async def run(self) -> None:
         """Return when the answer is there, or nothing better will come."""
-        if not self.pursuits:
+        if not self.pursuits or self._lacks_too_many():
             return
         loop = self._tools.loop
         call = self._call
@@ -163,6 +163,24 @@
                 if not each.settled:
                     each.give_up()
 
+    def _lacks_too_many(self) -> bool:
+        """Tell whether too few services have upstreams, and send nothing.
+
+        Just after an outage of the registry some may not be back yet; work
+        that has to be broken off at once would help nobody.
+        """
+        book = self._tools.book
+        lacking = [
+            each for each in self.pursuits if not book.has_ready(each.service)
+        ]
+        if len(self.pursuits) - len(lacking) >= self._need.floor:
+            return False
+        for each in self.pursuits:
+            each.skip('not asked')
+        for each in lacking:
+            each.skip(pursuit.NO_UPSTREAM)
+        return True
+
     def count_answers(self) -> int:
         """Return how many services have answered."""
         return sum(each.answer is not None for each in self.pursuits)
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -23,6 +23,7 @@
 # Attempts that never reached an upstream are not counted by the route's
 # bound; this many are made at most.
 MOST_UNSENT = 4
+NO_UPSTREAM = 'no upstream is registered'
 # Pause before the same upstream is tried again, in seconds.
 SAME_AGAIN_S = 0.04
 
@@ -168,11 +169,16 @@
         self._budget.note_request()
         replica = self._choose()
         if replica is None:
-            self._fail('no upstream is registered')
+            self._fail(NO_UPSTREAM)
             return
         self._tools.counters.firsts += 1
         self._send(replica)
 
+    def skip(self, detail: str) -> None:
+        """Settle without having sent anything."""
+        self.detail = detail
+        self.settled = True
+
     def hedge(self, may_go_far: bool = True) -> bool:
         """Ask a second replica, since the first answer is late.
 
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -98,6 +98,10 @@
             for endpoint in self._listing.list_ready(service)
         ]
 
+    def has_ready(self, service: routing.ServiceName) -> bool:
+        """Tell whether a service has an upstream that takes new work."""
+        return bool(self._listing.list_ready(service))
+
     def choose(
         self,
         service: routing.ServiceName,
