--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -553,6 +553,20 @@
       | a head too slow  | 408    |
       | what is not HTTP | 400    |
 
+  Scenario Outline: a request whose length is in doubt reaches no upstream: <what>
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes" that runs once
+    And a gateway
+    When a caller sends a request with <what>
+    Then the reply is 400
+    And no upstream ran anything
+
+    Examples:
+      | what                 |
+      | two lengths          |
+      | a length and chunks  |
+      | a length that is odd |
+
   Scenario: a request without an id is refused
     Given an upstream "u1" of "notes"
     And the route "/notes/" to "notes"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -625,6 +625,23 @@
     context.reply = run(context, get(context).ask(b'\x01\x02\x03\r\n\r\n'))
 
 
+_DOUBTFUL = {
+    'two lengths': 'Content-Length: 3\r\nContent-Length: 6\r\n',
+    'a length and chunks': (
+        'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n'
+    ),
+    'a length that is odd': 'Content-Length: +3\r\n',
+}
+
+
+@when(r'a caller sends a request with (two lengths|a length .+)')
+def send_doubtful(context, what):
+    head = gateway_bench.make_raw(
+        next_id(context), '/notes/1', method='POST', extra=_DOUBTFUL[what]
+    )
+    context.reply = run(context, get(context).ask(head + b'0\r\n\r\n'))
+
+
 @when(r'a caller sends a request without an id')
 def send_without_id(context):
     raw = f'GET /notes/1 HTTP/1.1\r\nHost: {gateway_bench.HOST}\r\n\r\n'
