One copy of what the gateway wrote twice, and no dead fields

Cause: reading the whole change once more. Written twice: passing a reply on, the answer for what may have run (delegation and forwarding), what follows when a host did not take a query, the choice among able hosts, the time left as a header, the rule for what is fresh (in ms and in s), cutting IP:port (four places), ending a task (seven places, among them the demo and the fleet of stand-ins, which are older). Dead: two counters of the metrics, two fields of the caller, one of an exchange, one parameter. The goal of a query was worked out at each outcome.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock import gateway_root
 from rudderrock import standins
@@ -141,7 +142,7 @@
             config, self.source, clock, 1, events
         )
         self.task = asyncio.create_task(self.process.run())
-        self._stack.push_async_callback(end_task, self.task)
+        self._stack.push_async_callback(core.end_task, self.task)
         await asyncio.sleep(1.5)
 
     def keep_log(self) -> None:
@@ -347,7 +348,7 @@
             config, source, clock, self._count, events
         )
         task = asyncio.create_task(process.run())
-        self._stack.push_async_callback(end_task, task)
+        self._stack.push_async_callback(core.end_task, task)
         self.members[name] = Member(
             ip, source, process, process.gateway, process.hosts, task
         )
@@ -359,7 +360,7 @@
 
     async def kill(self, name: str) -> None:
         """End a gateway at once."""
-        await end_task(self.members.pop(name).task)
+        await core.end_task(self.members.pop(name).task)
 
     async def ask(self, name: str, raw: bytes) -> Reply:
         """Send one request to one gateway."""
@@ -373,9 +374,3 @@
         """Open a connection of a caller to one gateway."""
         address = self.members[name].address
         return Caller(*await asyncio.open_connection(address, _PORT))
-
-
-async def end_task(task: asyncio.Task) -> None:
-    """End a task at once and wait for its end."""
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -15,6 +15,7 @@
 
 from features import gateway_bench
 from features.steps.common import run
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock import gateway_root
 from rudderrock import platform
@@ -403,7 +404,7 @@
             boot.make_settings(), context.source, clock, 1, events
         )
         task = asyncio.create_task(process.run())
-        context.stack.push_async_callback(gateway_bench.end_task, task)
+        context.stack.push_async_callback(core.end_task, task)
         await asyncio.sleep(1.0)
 
     run(context, start())
--- a/rudderrock/core/__init__.py
+++ b/rudderrock/core/__init__.py
@@ -4,6 +4,7 @@
 process that needs no more starts quickly.
 """
 
+from rudderrock.core._addresses import split_address
 from rudderrock.core._clock import Clock
 from rudderrock.core._clock import make_random
 from rudderrock.core._ids import CollectionId
@@ -20,6 +21,7 @@
 from rudderrock.core._ids import ZoneId
 from rudderrock.core._latency import FadingMean
 from rudderrock.core._latency import LatePoint
+from rudderrock.core._tasks import end_task
 
 __all__ = [
     'Clock',
@@ -37,5 +39,7 @@
     'TeamId',
     'UpstreamId',
     'ZoneId',
+    'end_task',
     'make_random',
+    'split_address',
 ]
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -39,8 +39,6 @@
         most: int = MOST_CONNECTIONS,
         names: dialect.HeaderNames | None = None,
     ):
-        self.calls = 0
-        self.address = address
         self._loop = asyncio.get_running_loop()
         host, port = address
         self._host = b'%b:%d' % (host.encode('ascii'), port)
@@ -74,7 +72,6 @@
         `headers` replace the usual ones; `request_id` is what a reply that
         names a request must name.
         """
-        self.calls += 1
         if headers is None:
             headers = [(b'host', self._host)]
         if body:
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -58,6 +58,11 @@
 # What a host that asks another leaves it less time by, in seconds: the way
 # there and back, and the merging.
 HOP_S = 0.012
+# What another host's failure is to the log of this one; else it is lost.
+_OUTCOMES = {
+    503: forward.Outcome.NOT_RUN,
+    504: forward.Outcome.TIMED_OUT,
+}
 
 
 class Delegation:
@@ -84,11 +89,11 @@
 
     def choose(self, request_id: bytes) -> fleet.HostEntry | None:
         """Return who shall run a wide query, None for this host itself."""
-        able = self._list_open(self._hosts.own.zone)
-        own = self._hosts.own.host
-        if not able or any(each.host == own for each in able):
+        own = self._hosts.own
+        able = self._list_open(own.zone)
+        if any(each.host == own.host for each in able):
             return None
-        return able[fleet.rank_name(request_id) % len(able)]
+        return _pick(able, request_id)
 
     def is_able(self) -> bool:
         """Tell whether this host takes the wide queries of its zone."""
@@ -106,10 +111,9 @@
 
         At the goal, `least` answers are enough.
         """
-        able = self._list_open(zone)
-        if not able:
+        entry = _pick(self._list_open(zone), call.request_id)
+        if entry is None:
             return None
-        entry = able[fleet.rank_name(call.request_id) % len(able)]
         more = [
             (SHARDS, ','.join(shards).encode()),
             (LEAST, b'%d' % least),
@@ -118,10 +122,9 @@
         match answer:
             case result.Ok(reply):
                 return self._read_part(entry, shards, reply)
+            case result.Err(caller.NoReply(sent=False)):
+                return None
             case result.Err(problem):
-                self._skip_host(entry, problem.detail)
-                if not problem.sent:
-                    return None
                 return _miss_all(shards, f'{entry.host}: {problem.detail}')
 
     def _list_open(self, zone: core.ZoneId) -> list[fleet.HostEntry]:
@@ -137,11 +140,7 @@
         entry: fleet.HostEntry,
         shards: tuple[routing.ServiceName, ...],
         reply: messages.Reply,
-    ) -> forward.Gathered | None:
-        if reply.get_header(NOT_TAKEN) is not None:
-            self._skip_host(entry, 'did not take a query')
-            return None
-        self._failures.pop(entry.host, None)
+    ) -> forward.Gathered:
         if reply.status != 200:
             return _miss_all(shards, f'{entry.host}: status {reply.status}')
         stamps = reply.get_header(self._names.part_stamps) or b''
@@ -166,9 +165,13 @@
         match answer:
             case result.Ok(reply):
                 return self._read(entry, reply)
+            case result.Err(caller.NoReply(sent=False)):
+                return None
             case result.Err(problem):
-                self._skip_host(entry, problem.detail)
-                return self._explain(call, problem)
+                timed_out = self._clock.now() >= call.end
+                return forward.fail(
+                    self._names, call.request_id, timed_out, problem.detail
+                )
 
     async def _ask(
         self,
@@ -176,13 +179,16 @@
         call: pursuit.Call,
         more: messages.Headers,
     ) -> result.Result[messages.Reply, caller.NoReply]:
-        """Send a query to a host, and suspect it if it takes too long."""
+        """Send a query to a host, and suspect it if it takes too long.
+
+        A host that has not begun on it counts as one that got nothing.
+        """
         loop = asyncio.get_running_loop()
-        left_s = call.end - loop.time()
-        elapsed_s = loop.time() - call.request.arrived + HOP_S
+        now = loop.time()
+        elapsed_s = now - call.request.arrived + HOP_S
         headers = [
             *call.head,
-            (self._names.deadline_ms, b'%d' % max(1, int(left_s * 1000))),
+            (self._names.deadline_ms, call.get_left_ms(now)),
             (VERSION, b'%d' % self._get_version()),
             (ELAPSED, b'%d' % int(elapsed_s * 1000)),
             *more,
@@ -194,16 +200,26 @@
             'no answer in time',
         )
         try:
-            return await self._get_caller(entry).call(
+            answer = await self._get_caller(entry).call(
                 call.request.method,
                 call.request.target,
                 b'',
-                left_s,
+                call.end - now,
                 headers,
                 call.request_id,
             )
         finally:
             suspect.cancel()
+        match answer:
+            case result.Ok(reply) if reply.get_header(NOT_TAKEN) is None:
+                self._failures.pop(entry.host, None)
+                return answer
+            case result.Ok():
+                problem = caller.NoReply(False, 'did not take a query')
+            case result.Err(problem):
+                pass
+        self._skip_host(entry, problem.detail)
+        return result.Err(problem)
 
     def close(self) -> None:
         """Close the connections to other hosts."""
@@ -212,19 +228,12 @@
 
     def _read(
         self, entry: fleet.HostEntry, reply: messages.Reply
-    ) -> forward.Result | None:
-        if reply.get_header(NOT_TAKEN) is not None:
-            self._skip_host(entry, 'did not take a query')
-            return None
-        self._failures.pop(entry.host, None)
+    ) -> forward.Result:
+        passed = messages.pass_on(reply)
         detail = f'by {entry.host}'
         if reply.status != 200:
-            outcome = forward.Outcome.LOST
-            if reply.status == 504:
-                outcome = forward.Outcome.TIMED_OUT
-            if reply.status == 503:
-                outcome = forward.Outcome.NOT_RUN
-            return forward.Result(_pass_on(reply), outcome, detail)
+            outcome = _OUTCOMES.get(reply.status, forward.Outcome.LOST)
+            return forward.Result(passed, outcome, detail)
         missing = int(reply.get_header(self._names.missing_parts) or b'0')
         stamps = reply.get_header(self._names.part_stamps) or b''
         answered = stamps.count(b',') + 1
@@ -232,33 +241,18 @@
         if missing:
             outcome = forward.Outcome.PARTIAL
         return forward.Result(
-            _pass_on(reply),
+            passed,
             outcome,
             detail,
             shards=answered + missing,
             answered=answered,
         )
 
-    def _explain(
-        self, call: pursuit.Call, problem: caller.NoReply
-    ) -> forward.Result | None:
-        """Answer for a query whose host gave no reply."""
-        if not problem.sent:
-            return None
-        timed_out = self._clock.now() >= call.end
-        outcome = forward.Outcome.TIMED_OUT
-        if not timed_out:
-            outcome = forward.Outcome.LOST
-        headers = [(self._names.request_id, call.request_id)]
-        reply = messages.Reply(504 if timed_out else 502, headers)
-        return forward.Result(reply, outcome, problem.detail)
-
     def _get_caller(self, entry: fleet.HostEntry) -> caller.HttpCaller:
         found = self._callers.get(entry.address)
         if found is None:
-            host, _, port = entry.address.rpartition(':')
             found = caller.HttpCaller(
-                (host, int(port)), _CONNECTIONS, self._names
+                core.split_address(entry.address), _CONNECTIONS, self._names
             )
             self._callers[entry.address] = found
         return found
@@ -310,12 +304,16 @@
     return messages.Reply(503, [(NOT_TAKEN, b'1'), (names.not_run, b'1')])
 
 
+def _pick(
+    able: list[fleet.HostEntry], request_id: bytes
+) -> fleet.HostEntry | None:
+    """Return the host that a query falls to, None if there is none."""
+    if not able:
+        return None
+    return able[fleet.rank_name(request_id) % len(able)]
+
+
 def _miss_all(
     shards: tuple[routing.ServiceName, ...], detail: str
 ) -> forward.Gathered:
     return forward.Gathered([], [], len(shards), 0, 0, detail, True)
-
-
-def _pass_on(reply: messages.Reply) -> messages.Reply:
-    headers = messages.drop_connection_headers(reply.headers)
-    return messages.Reply(reply.status, headers, reply.body)
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -129,7 +129,8 @@
         self._call = call
         self._point = point
         self._need = need
-        need.watch(self._on_need)
+        self._goal = call.request.arrived + call.route.goal_s - MARGIN_S
+        need.watch(self._end_early)
         self._open = len(services)
         self._failed = 0
         self._noted_late = False
@@ -146,10 +147,9 @@
             return
         loop = self._tools.loop
         call = self._call
-        goal = call.request.arrived + call.route.goal_s - MARGIN_S
         self._timers = [
             loop.call_at(loop.time() + call.late_s, self._hedge_late),
-            loop.call_at(min(goal, call.end), self._settle_for_enough),
+            loop.call_at(min(self._goal, call.end), self._settle_for_enough),
             loop.call_at(call.end, self._finish),
         ]
         try:
@@ -190,22 +190,20 @@
         self._failed += settled.answer is None
         if not settled.is_late:
             self._point.note(False)
-        can_reach = len(self.pursuits) - self._failed >= self._need.floor
-        if self._open == 0 or not can_reach:
+        if self._open == 0:
             self._finish()
-        elif self._is_past_goal():
-            self._settle_for_enough()
+        else:
+            self._end_early()
 
-    def _on_need(self) -> None:
+    def _end_early(self) -> None:
+        """End early if too little can come, or enough is there in time."""
         if len(self.pursuits) - self._failed < self._need.floor:
             self._finish()
         elif self._is_past_goal():
             self._settle_for_enough()
 
     def _is_past_goal(self) -> bool:
-        call = self._call
-        goal = call.request.arrived + call.route.goal_s - MARGIN_S
-        return self._tools.loop.time() >= goal
+        return self._tools.loop.time() >= self._goal
 
     def _settle_for_enough(self) -> None:
         if self.count_answers() >= self._need.count:
@@ -252,7 +250,7 @@
     only = forwarder.pursuits[0]
     late = int(only.is_late)
     if only.answer is not None:
-        reply = _pass_on(only.answer)
+        reply = messages.pass_on(only.answer)
         return Result(
             reply,
             Outcome.ANSWERED,
@@ -261,7 +259,7 @@
             far=_count_far([only]),
         )
     if only.failure is not None:
-        reply = _pass_on(only.failure)
+        reply = messages.pass_on(only.failure)
         return Result(reply, Outcome.UPSTREAM_FAILED, only.detail, late=late)
     reached = _may_have_run([only])
     return _explain_failure(reached, only.detail, late, call, tools)
@@ -398,16 +396,30 @@
     """Answer for what failed: 503 only if no upstream may have run it."""
     if not reached:
         result = refuse(
-            tools.names, call.request_id, RETRY_AFTER_S, Outcome.NOT_RUN
+            tools.names,
+            call.request_id,
+            RETRY_AFTER_S,
+            Outcome.NOT_RUN,
+            detail,
         )
-        result.detail = detail
-        result.late = late
-        return result
-    timed_out = tools.loop.time() >= call.end
+    else:
+        timed_out = tools.loop.time() >= call.end
+        result = fail(tools.names, call.request_id, timed_out, detail)
+    result.late = late
+    return result
+
+
+def fail(
+    names: dialect.HeaderNames,
+    request_id: bytes,
+    timed_out: bool,
+    detail: str,
+) -> Result:
+    """Answer for a request that may have run and has no answer."""
     outcome = Outcome.TIMED_OUT if timed_out else Outcome.LOST
-    headers = [(tools.names.request_id, call.request_id)]
+    headers = [(names.request_id, request_id)]
     reply = messages.Reply(504 if timed_out else 502, headers)
-    return Result(reply, outcome, detail, late=late)
+    return Result(reply, outcome, detail)
 
 
 def _count_far(pursuits: list[pursuit.Pursuit]) -> int:
@@ -418,11 +430,6 @@
     )
 
 
-def _pass_on(reply: messages.Reply) -> messages.Reply:
-    headers = messages.drop_connection_headers(reply.headers)
-    return messages.Reply(reply.status, headers, reply.body)
-
-
 def _list_missing(missing: list[pursuit.Pursuit]) -> str:
     reasons = collections.Counter(
         each.detail or 'no answer in time' for each in missing
--- a/rudderrock/gateway/_link.py
+++ b/rudderrock/gateway/_link.py
@@ -47,7 +47,6 @@
         'headless',
         'fresh',
         'on_done',
-        'submitted_at',
         'sent_at',
         'give_up_at',
         'link',
@@ -67,7 +66,6 @@
         self.headless = headless
         self.fresh = fresh
         self.on_done = on_done
-        self.submitted_at = 0.0
         self.sent_at: float | None = None
         self.give_up_at: float | None = None
         self.link: 'Link | None' = None
--- a/rudderrock/gateway/_messages.py
+++ b/rudderrock/gateway/_messages.py
@@ -82,6 +82,13 @@
     return [pair for pair in headers if pair[0] not in dropped]
 
 
+def pass_on(reply: Reply) -> Reply:
+    """Return a reply as another connection may carry it."""
+    return Reply(
+        reply.status, drop_connection_headers(reply.headers), reply.body
+    )
+
+
 def render_request(
     method: bytes, target: bytes, headers: Headers, body: bytes
 ) -> bytes:
--- a/rudderrock/gateway/_metrics.py
+++ b/rudderrock/gateway/_metrics.py
@@ -23,8 +23,6 @@
             collections.Counter()
         )
         self._latency: dict[str, histogram.HdrHistogram] = {}
-        self.shards = 0
-        self.shards_answered = 0
 
     def note(
         self,
@@ -35,8 +33,6 @@
         """Count one finished request."""
         label = self._pick_label(route)
         self._counts[(label, result.outcome.value)] += 1
-        self.shards += result.shards
-        self.shards_answered += result.answered
         micros = min(max(1, round(elapsed_s * _MICROS)), _HIGHEST)
         self._latency[label].record_value(micros)
 
--- a/rudderrock/gateway/_peers.py
+++ b/rudderrock/gateway/_peers.py
@@ -85,8 +85,7 @@
     @property
     def is_fresh(self) -> bool:
         """Tell whether what it says may be relied on."""
-        upstreams = 0 <= self.age_ms <= FRESH_S * 1000
-        return upstreams and 0 <= self.table_age_ms <= TABLE_FRESH_S * 1000
+        return _are_fresh(self.age_ms / 1000, self.table_age_ms / 1000)
 
 
 class ChangeBook:
@@ -115,9 +114,9 @@
         ] = collections.deque(maxlen=MOST_CHANGES)
         self._news = asyncio.Event()
         listing.add_listener(self._on_upstreams)
-        hosts.add_listener(self._wake)
-        tables.add_listener(lambda table: self._wake())
-        listing.add_reader(self._wake)
+        hosts.add_listener(self.wake)
+        tables.add_listener(lambda table: self.wake())
+        listing.add_reader(self.wake)
 
     async def answer(self, request: messages.Request) -> messages.Reply:
         """Answer a peer's question."""
@@ -187,16 +186,9 @@
 
     def _is_of_use(self, known: Known) -> bool:
         """Tell whether it pays for a peer to wait for news from here."""
-        stamp = self._listing.stamp
-        if stamp is None or not 0 <= self._listing.age_s <= FRESH_S:
+        if not _are_fresh(self._listing.age_s, self._tables.confirmed_s):
             return False
-        if not 0 <= self._tables.confirmed_s <= TABLE_FRESH_S:
-            return False
-        return known.is_lost or stamp.origin == self.process
-
-    def wake(self) -> None:
-        """Answer all peers that wait, since there is something to tell."""
-        self._wake()
+        return known.is_lost or self._listing.stamp.origin == self.process
 
     async def _wait(self) -> None:
         news = self._news
@@ -209,9 +201,10 @@
     def _on_upstreams(self, change: directory.DirectoryChange) -> None:
         self.generation += 1
         self._changes.append((self.generation, change))
-        self._wake()
+        self.wake()
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """Answer all peers that wait, since there is something to tell."""
         self._news.set()
         self._news = asyncio.Event()
 
@@ -220,11 +213,10 @@
     """Asks one peer for changes, again and again."""
 
     def __init__(self, entry: fleet.HostEntry):
-        host, _, port = entry.address.rpartition(':')
         self.entry = entry
         self.known = Known()
         self._sent_table = -1
-        self._caller = caller.HttpCaller((host, int(port)))
+        self._caller = caller.HttpCaller(core.split_address(entry.address))
 
     async def ask(
         self, table: int, is_lost: bool
@@ -272,5 +264,10 @@
         self._caller.close()
 
 
+def _are_fresh(upstreams_s: float, table_s: float) -> bool:
+    """Tell whether ages in seconds may be relied on; -1 is no reading."""
+    return 0 <= upstreams_s <= FRESH_S and 0 <= table_s <= TABLE_FRESH_S
+
+
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -82,7 +82,6 @@
 
     def submit(self, exchange: link_module.Exchange) -> None:
         """Send as soon as a connection is free."""
-        exchange.submitted_at = self._loop.time()
         link = self._take_free(exchange.fresh)
         if link is not None:
             link.start(exchange)
@@ -216,13 +215,12 @@
             )
 
     def _on_free(self, link: link_module.Link) -> None:
-        while self._waiting and link.is_free:
+        if self._waiting and link.is_free:
             link.start(self._waiting.popleft())
-            return
-        if self._retired or not link.is_free:
+        elif self._retired or not link.is_free:
             link.abort()
-            return
-        self._free.append(link)
+        else:
+            self._free.append(link)
 
     def _on_closed(self, link: link_module.Link) -> None:
         self._links.discard(link)
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -8,6 +8,7 @@
 
 from absl import logging
 
+from rudderrock import core
 from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
@@ -99,7 +100,7 @@
                 await stack.enter_async_context(served.listen(*address))
             for work in (self._follower.run, self.gateway.sweep):
                 task = asyncio.create_task(_keep_running(work))
-                stack.push_async_callback(_cancel, task)
+                stack.push_async_callback(core.end_task, task)
             self.state = ProcessState.SERVING
             record(events.LogKind.STARTED, place=config.place.zone)
             async with registration_module.keep_registered(self._registration):
@@ -191,8 +192,3 @@
         except Exception:
             logging.exception('%s failed on a defect', work.__qualname__)
         await asyncio.sleep(RESTART_S)
-
-
-async def _cancel(task: asyncio.Task) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -100,12 +100,20 @@
     late_s: float
     head: messages.Headers
 
-    def render(self, upstream: core.UpstreamId, names, now: float) -> bytes:
+    def get_left_ms(self, now: float) -> bytes:
+        """Return the time that is left as a header says it, 1 at least."""
+        return b'%d' % max(1, int((self.end - now) * 1000))
+
+    def render(
+        self,
+        upstream: core.UpstreamId,
+        names: dialect.HeaderNames,
+        now: float,
+    ) -> bytes:
         """Write the request to one upstream, with the time that is left."""
-        left_ms = max(1, int((self.end - now) * 1000))
         headers = [
             *self.head,
-            (names.deadline_ms, b'%d' % left_ms),
+            (names.deadline_ms, self.get_left_ms(now)),
             (names.expected_upstream, upstream.encode('ascii')),
         ]
         request = self.request
@@ -273,9 +281,9 @@
                 self._unsent += 1
         self.detail = _describe(verdict, outcome)
         if not self._attempts:
-            self._try_again(attempt.replica, verdict)
+            self._try_again(verdict)
 
-    def _try_again(self, last: replicas.Replica, verdict: Verdict) -> None:
+    def _try_again(self, verdict: Verdict) -> None:
         if self.may_have_run and not self._repeatable:
             self._fail(self.detail)
             return
--- a/rudderrock/gateway/_registration.py
+++ b/rudderrock/gateway/_registration.py
@@ -88,6 +88,5 @@
     try:
         yield
     finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await core.end_task(task)
         await registration.withdraw()
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -22,12 +22,12 @@
     @property
     def store(self) -> tuple[str, int]:
         """Return the address of the platform's store."""
-        return _split(self._fields['platform.address'])
+        return core.split_address(self._fields['platform.address'])
 
     def make_settings(self) -> gateway.GatewaySettings:
         """Return the gateway's settings."""
         fields = self._fields
-        callers = _split(fields['listen.front'])
+        callers = core.split_address(fields['listen.front'])
         prefix = 'zones.'
         return gateway.GatewaySettings(
             host=fields['node_name'],
@@ -41,7 +41,7 @@
                 },
             ),
             callers=callers,
-            readiness=_split(fields['listen.ready']),
+            readiness=core.split_address(fields['listen.ready']),
             metrics=(callers[0], METRICS_PORT),
             # The first of the ports that are free for our own use.
             peers=(callers[0], int(fields['internal_ports'].split(',')[0])),
@@ -82,8 +82,3 @@
     share = float(fields.get('limits.cpu_share', '1'))
     speed = float(fields.get('limits.cores', '1'))
     return share * speed * float(fields.get('limits.link_mbps', '1'))
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(':')
-    return host, int(port)
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -112,8 +112,7 @@
     """Return one registered upstream; its id is part of its key."""
     try:
         server = msgspec.json.decode(raw, type=_Server)
-        host, _, port = server.address.rpartition(':')
-        address = host, int(port)
+        address = core.split_address(server.address)
     except (msgspec.DecodeError, ValueError) as error:
         return result.Err(f'{upstream}: {error}')
     ready = server.state == 'ready'
--- a/rudderrock/programs/demo.py
+++ b/rudderrock/programs/demo.py
@@ -18,6 +18,7 @@
 import result
 
 from rudderrock import coordination
+from rudderrock import core
 from rudderrock import frontend
 from rudderrock import protocol
 from rudderrock import standins
@@ -210,7 +211,7 @@
         )
         task = asyncio.create_task(host.run())
         self._runs.append(task)
-        self._stack.push_async_callback(_end, task)
+        self._stack.push_async_callback(core.end_task, task)
 
     async def _burst(self) -> None:
         await asyncio.gather(*(self._call_all(team) for team in _TEAMS))
@@ -315,11 +316,6 @@
     return address
 
 
-async def _end(task: asyncio.Task) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
-
-
 async def _run() -> None:
     async with contextlib.AsyncExitStack() as stack:
         await _Demo(stack).run()
--- a/rudderrock/soak/_world.py
+++ b/rudderrock/soak/_world.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 
+from rudderrock import core
 from rudderrock import platform
 from rudderrock import standins
 from rudderrock.soak import _checks as checks
@@ -141,7 +142,7 @@
                 await host.start()
                 self.hosts.append(host)
             beats = asyncio.create_task(self._beat())
-            stack.push_async_callback(_cancel, beats)
+            stack.push_async_callback(core.end_task, beats)
             yield self
 
     async def add_upstream(self, service: str, zone: str) -> None:
@@ -264,8 +265,3 @@
         except OSError:
             continue
         return first
-
-
-async def _cancel(task: asyncio.Task) -> None:
-    task.cancel()
-    await asyncio.gather(task, return_exceptions=True)
--- a/rudderrock/standins/_fleet.py
+++ b/rudderrock/standins/_fleet.py
@@ -9,6 +9,7 @@
 import result
 
 from rudderrock import coordination
+from rudderrock import core
 from rudderrock import protocol
 from rudderrock import root
 from rudderrock import state
@@ -161,8 +162,7 @@
         self._crashed.add(name)
         running = self.hosts[name]
         self.peers.remove(running.address)
-        running.task.cancel()
-        await asyncio.gather(running.task, return_exceptions=True)
+        await core.end_task(running.task)
 
     def cut_off(self, name: str, cut: bool) -> None:
         """Cut a host off from the key-value service and from all peers."""
