Work that was done twice or for each request is done once

Cause: reading the whole change once more. Change: the next watch begins where the last reading was; a table knows its ranks; gates are found by the shards themselves; one loop for pages.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -103,6 +103,14 @@
     And a caller sends GET "/a/1"
     Then "u2" ran it and nobody else
 
+  Scenario: the table is read once when the history is gone
+    Given an upstream "u1" of "notes"
+    And the route "/a/" to "notes"
+    And a gateway
+    When the source drops its history and cuts its watches
+    And 3 seconds pass
+    Then the table was read 2 times
+
   Scenario: a table written while the source is away is in force after its return
     Given an upstream "u1" of "notes"
     And an upstream "u2" of "scans"
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -387,6 +387,13 @@
     source.list_upstreams = fail_once
 
 
+@then(r'the table was read (\d+) times')
+def check_table_reads(context, count):
+    # Once at the start, and once for each time that is to be checked.
+    reads = get(context).source.table_reads
+    assert reads == int(count), reads
+
+
 @then(r'the newest table is in force')
 def check_newest(context):
     bench = get(context)
--- a/rudderrock/gateway/_admission.py
+++ b/rudderrock/gateway/_admission.py
@@ -7,6 +7,7 @@
 the less urgent first.
 """
 
+import collections
 import dataclasses
 
 from rudderrock import core
@@ -59,11 +60,13 @@
     def __init__(self, clock: core.Clock):
         self.refused = 0
         self._clock = clock
-        self._gates: dict[int, Gate] = {}
+        self._gates: collections.defaultdict[tuple[str, ...], Gate] = (
+            collections.defaultdict(Gate)
+        )
 
     def get_gate(self, shards: tuple[str, ...]) -> Gate:
         """Return the gate of a set of shards."""
-        return self._gates.setdefault(hash(shards), Gate())
+        return self._gates[shards]
 
     def try_enter(self, gate: Gate, rank: int) -> bool:
         """Take a place if there is one; rank 0 is the most urgent."""
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -257,20 +257,36 @@
 
     async def _keep_watch(self) -> None:
         """See that a watch on the table is under way."""
-        if self._watch is not None and not self._watch.done():
-            return
-        match await self._source.read_table():
-            case result.Ok(reading):
-                self._tables.apply_reading(reading, 'source')
-                self._tables.confirm()
-                self._watch = asyncio.create_task(
-                    self._follow_table(reading.revision)
-                )
-            case result.Err(problem):
-                self._note_lost('table', problem.detail)
-
-    async def _follow_table(self, revision: int) -> None:
-        """Watch until the table has to be read anew."""
+        revision = None
+        if self._watch is not None:
+            if not self._watch.done():
+                return
+            # A watch that has ended has read what it may have missed.
+            revision = self._watch.result()
+        if revision is None:
+            match await self._read_table():
+                case result.Ok(revision):
+                    pass
+                case result.Err(problem):
+                    self._note_lost('table', problem.detail)
+                    return
+        self._watch = asyncio.create_task(self._follow_table(revision))
+
+    async def _read_table(self) -> result.Result[int, sources.Unavailable]:
+        """Read the table; return the source's revision."""
+        answer = await self._source.read_table()
+        if answer.is_err():
+            return answer
+        reading = answer.ok_value
+        self._tables.apply_reading(reading, 'source')
+        self._tables.confirm()
+        return result.Ok(reading.revision)
+
+    async def _follow_table(self, revision: int) -> int | None:
+        """Watch until the table has to be read anew, and read it.
+
+        Returns the revision to watch from, None if it could not be read.
+        """
         while True:
             match await self._source.watch_table(revision, WATCH_S):
                 case result.Ok(None):
@@ -284,26 +300,19 @@
                 case result.Err(sources.HistoryGone()):
                     break
                 case result.Err(problem):
-                    self._events.record(
-                        events.LogKind.SOURCE_FAILED,
-                        call='watch',
-                        detail=problem.detail,
-                    )
+                    self._note_failed('watch', problem.detail)
                     break
-        await self._read_table_again()
-
-    async def _read_table_again(self) -> None:
-        """Read at once what a watch may have missed."""
-        match await self._source.read_table():
-            case result.Ok(reading):
-                self._tables.apply_reading(reading, 'source')
-                self._tables.confirm()
+        match await self._read_table():
+            case result.Ok(revision):
+                return revision
             case result.Err(problem):
-                self._events.record(
-                    events.LogKind.SOURCE_FAILED,
-                    call='table',
-                    detail=problem.detail,
-                )
+                self._note_failed('table', problem.detail)
+        return None
+
+    def _note_failed(self, call: str, detail: str) -> None:
+        self._events.record(
+            events.LogKind.SOURCE_FAILED, call=call, detail=detail
+        )
 
     def _stop_watch(self) -> None:
         if self._watch is not None:
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -208,7 +208,7 @@
                     if found is not None:
                         return found
                 return await self._run_admitted(
-                    call, route.target, point, self._get_rank(table, route)
+                    call, route.target, point, table.get_rank(route)
                 )
 
     async def _run_admitted(
@@ -245,17 +245,6 @@
         finally:
             self.admission.leave(gate, congested)
 
-    def _get_rank(
-        self, table: routing.RoutingTable, route: routing.Route
-    ) -> int:
-        """Return how many more urgent priorities ask the same shards."""
-        more_urgent = {
-            each.priority
-            for each in table.routes.values()
-            if each.target == route.target or _same_shards(each, route)
-        }
-        return sum(each < route.priority for each in more_urgent)
-
     def _make_call(
         self,
         request: messages.Request,
@@ -384,13 +373,6 @@
     return forward.Result(messages.Reply(status, []), outcome, detail)
 
 
-def _same_shards(one: routing.Route, other: routing.Route) -> bool:
-    match one.target, other.target:
-        case routing.Scatter(shards=mine), routing.Scatter(shards=others):
-            return mine == others
-    return False
-
-
 def _split_names(
     listed: bytes | None,
 ) -> tuple[routing.ServiceName, ...]:
--- a/rudderrock/gateway/_routing.py
+++ b/rudderrock/gateway/_routing.py
@@ -124,6 +124,7 @@
         self.routes = {
             (route.host.lower(), route.prefix): route for route in routes
         }
+        self._urgencies = _list_urgencies(self.routes.values())
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`, if any.
@@ -140,6 +141,11 @@
             end = path.rfind('/', 0, end)
         return None
 
+    def get_rank(self, route: Route) -> int:
+        """Return how many more urgent priorities ask the same shards."""
+        priorities = self._urgencies[route.target.shards]
+        return sum(priority < route.priority for priority in priorities)
+
     def list_services(self, route: Route) -> tuple[ServiceName, ...]:
         """Return every service that a route may send to."""
         match route.target:
@@ -149,3 +155,15 @@
                 return tuple(share.service for share in shares)
             case Scatter(shards=shards):
                 return shards
+
+
+def _list_urgencies(
+    routes: Iterable[Route],
+) -> dict[tuple[ServiceName, ...], set[int]]:
+    """Return the priorities of the routes to each set of shards."""
+    found: dict[tuple[ServiceName, ...], set[int]] = {}
+    for route in routes:
+        match route.target:
+            case Scatter(shards=shards):
+                found.setdefault(shards, set()).add(route.priority)
+    return found
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -105,26 +105,18 @@
         self,
     ) -> result.Result[gateway.UpstreamReading, gateway.Unavailable]:
         """Return all registered upstreams, page by page."""
+        listed = await self._list_items(_SERVERS_PREFIX)
+        if listed.is_err():
+            return listed
+        items, revision = listed.ok_value
         endpoints: list[gateway.Endpoint] = []
         problems: list[str] = []
-        after = ''
-        revision = 0
-        while True:
-            match await self._read_page(_SERVERS_PREFIX, after):
+        for item in items:
+            match _decode_server(item):
+                case result.Ok(endpoint):
+                    endpoints.append(endpoint)
                 case result.Err(problem):
-                    return result.Err(problem)
-                case result.Ok(page):
-                    pass
-            revision = revision or page.at_revision
-            for item in page.items:
-                match _decode_server(item):
-                    case result.Ok(endpoint):
-                        endpoints.append(endpoint)
-                    case result.Err(problem):
-                        problems.append(problem)
-            if not page.has_more or not page.items:
-                break
-            after = page.items[-1].key
+                    problems.append(problem)
         return result.Ok(
             gateway.UpstreamReading(
                 tuple(endpoints), revision, tuple(problems)
@@ -147,26 +139,20 @@
         self,
     ) -> result.Result[list[gateway.HostEntry], gateway.Unavailable]:
         """Return all registered hosts."""
+        listed = await self._list_items(_HOSTS_PREFIX)
+        if listed.is_err():
+            return listed
         found: list[gateway.HostEntry] = []
-        after = ''
-        while True:
-            match await self._read_page(_HOSTS_PREFIX, after):
-                case result.Err(problem):
-                    return result.Err(problem)
-                case result.Ok(page):
-                    pass
-            for item in page.items:
-                try:
-                    raw = decode.decode_value(item.value)
-                    entry = msgspec.json.decode(raw, type=gateway.HostEntry)
-                except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
-                    # One bad entry must not hide the others.
-                    logging.warning('%s can not be read: %s', item.key, error)
-                    continue
-                found.append(entry)
-            if not page.has_more or not page.items:
-                return result.Ok(found)
-            after = page.items[-1].key
+        for item in listed.ok_value[0]:
+            try:
+                raw = decode.decode_value(item.value)
+                entry = msgspec.json.decode(raw, type=gateway.HostEntry)
+            except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
+                # One bad entry must not hide the others.
+                logging.warning('%s can not be read: %s', item.key, error)
+                continue
+            found.append(entry)
+        return result.Ok(found)
 
     async def register(
         self, entry: gateway.HostEntry, ttl_s: float
@@ -235,6 +221,25 @@
             return None
         return self._make_table_reading(written[-1], found.at_revision)
 
+    async def _list_items(
+        self, prefix: str
+    ) -> result.Result[tuple[list[_Item], int], gateway.Unavailable]:
+        """Return all items of a prefix and the first page's revision."""
+        items: list[_Item] = []
+        after = ''
+        revision = 0
+        while True:
+            match await self._read_page(prefix, after):
+                case result.Err(problem):
+                    return result.Err(problem)
+                case result.Ok(page):
+                    pass
+            revision = revision or page.at_revision
+            items += page.items
+            if not page.has_more or not page.items:
+                return result.Ok((items, revision))
+            after = page.items[-1].key
+
     async def _read_page(
         self, prefix: str, after: str
     ) -> result.Result[_Page, gateway.Unavailable]:
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -19,6 +19,7 @@
         self.is_deaf = False
         self.history_gone = False
         self.reads = 0
+        self.table_reads = 0
         self.hosts: dict[int, gateway.HostEntry] = {}
         self._leases = 0
         self._written: dict[bytes, gateway.RoutingTable] = {}
@@ -52,6 +53,7 @@
     ) -> result.Result[gateway.TableReading, gateway.Unavailable]:
         """Return the table."""
         self.reads += 1
+        self.table_reads += 1
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
         return result.Ok(self._read())
