Programs, settings and stand-ins: one piece where two stood

The gateway's program tuned the collector and made its clock as the entry daemon's does; both call programs._runtime now, which loads nothing else (the gateway keeps its own bound, 50,000 allocations). The settings file was turned into settings three times at the start, and its type held the raw lines; it is decoded once. The stand-ins of an upstream and of the platform's store each had the same server of connections and the same parser of heads; both stand on WireServer. Scenarios: one attribute has a new name (settings for make_settings()); assertions as before.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -16,7 +16,7 @@
 from rudderrock import protocol
 from rudderrock import standins
 from rudderrock import state
-from rudderrock.programs import _serving as serving
+from rudderrock.programs import _runtime as runtime
 
 _QUERIES = 30
 _BATCH_ROUNDS = 2000
@@ -211,7 +211,7 @@
 def main() -> None:
     """Measure all slopes."""
     # As the daemon runs.
-    serving.tune_collector()
+    runtime.tune_collector()
     measure_fan_out()
     measure_links()
     measure_table()
--- a/benchmarks/control_http.py
+++ b/benchmarks/control_http.py
@@ -19,6 +19,7 @@
 from rudderrock import transport
 from rudderrock.programs import _logs as logs
 from rudderrock.programs import _operator as operators
+from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _serving as serving
 
 _HOSTS = 7
@@ -97,7 +98,7 @@
 
 
 async def _measure(context) -> None:
-    clock = serving.make_system_clock()
+    clock = runtime.make_system_clock()
     async with standins.serve_standins(
         _DEPLOYMENT, clock, random.Random(1)
     ) as served:
@@ -154,7 +155,7 @@
         'for a whole process'
     )
     editor = coordination.TableEditor(
-        served.kv, serving.make_system_clock(), random.Random(1)
+        served.kv, runtime.make_system_clock(), random.Random(1)
     )
     times = sorted(
         [
--- a/benchmarks/shard_request.py
+++ b/benchmarks/shard_request.py
@@ -23,7 +23,7 @@
 from rudderrock import standins
 from rudderrock import state
 from rudderrock import transport
-from rudderrock.programs import _serving as serving
+from rudderrock.programs import _runtime as runtime
 
 _SHARDS = 20
 _DEPLOYMENT = standins.Deployment(
@@ -160,7 +160,7 @@
     for number in range(options.rounds):
         bare = asyncio.run(_measure_bare(addresses, options.queries))
         host = asyncio.run(_measure_host(kv_address, options.queries))
-        serving.tune_collector()
+        runtime.tune_collector()
         lean = asyncio.run(_measure_host(kv_address, options.queries))
         gc.set_threshold(*thresholds)
         gc.unfreeze()
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -89,7 +89,7 @@
 
 @then(r'the gateway\'s settings have host "([^"]+)" in "([^"]+)" of "([^"]+)"')
 def check_place(context, host, zone, region):
-    settings = context.boot.ok_value.make_settings()
+    settings = context.boot.ok_value.settings
     assert settings.host == host
     assert settings.place.zone == zone
     assert settings.place.regions[zone] == region
@@ -97,7 +97,7 @@
 
 @then(r'they listen at "([^"]+)" on (\d+), (\d+) and for peers on (\d+)')
 def check_addresses(context, ip, front, ready, peers):
-    settings = context.boot.ok_value.make_settings()
+    settings = context.boot.ok_value.settings
     assert settings.callers == (ip, int(front))
     assert settings.readiness == (ip, int(ready))
     assert settings.peers == (ip, int(peers))
@@ -105,7 +105,7 @@
 
 @then(r'extra requests are bounded by ([\d.]+), (\d+) seconds and (\d+)')
 def check_bounds(context, ratio, window, slack):
-    settings = context.boot.ok_value.make_settings()
+    settings = context.boot.ok_value.settings
     assert settings.extra_ratio == float(ratio)
     assert settings.extra_window_s == float(window)
     assert settings.extra_slack == float(slack)
@@ -401,7 +401,7 @@
         clock = state.Clock(context.loop)
         events = gateway.EventLog('front-1', clock)
         process = gateway_root.make_gateway(
-            boot.make_settings(), context.source, clock, 1, events
+            boot.settings, context.source, clock, 1, events
         )
         task = asyncio.create_task(process.run())
         context.stack.push_async_callback(core.end_task, task)
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -26,7 +26,7 @@
 from rudderrock import transport
 from rudderrock.programs import _caller as caller
 from rudderrock.programs import _operator as operators
-from rudderrock.programs import _serving as serving
+from rudderrock.programs import _runtime as runtime
 
 use_step_matcher('re')
 
@@ -69,7 +69,7 @@
         )
         self.served = await stack.enter_async_context(
             standins.serve_standins(
-                deployment, serving.make_system_clock(), random.Random(1)
+                deployment, runtime.make_system_clock(), random.Random(1)
             )
         )
         kv = self.served.kv
@@ -157,7 +157,7 @@
                 await asyncio.sleep(_QUERY_GAP_S)
 
     def _make_key(self):
-        unix = int(serving.make_system_clock().wall())
+        unix = int(runtime.make_system_clock().wall())
         return f'{unix:010d}-{self.source.getrandbits(64):016x}'
 
     async def _query(self, host, marker):
--- a/features/steps/sockets.py
+++ b/features/steps/sockets.py
@@ -19,6 +19,7 @@
 from rudderrock import standins
 from rudderrock import state
 from rudderrock import transport
+from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _serving as serving
 
 use_step_matcher('re')
@@ -231,7 +232,7 @@
 
 
 async def _start_host(context):
-    clock = serving.make_system_clock()
+    clock = runtime.make_system_clock()
     served = await context.stack.enter_async_context(
         standins.serve_standins(_DEPLOYMENT, clock, random.Random(1))
     )
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -1,5 +1,6 @@
 """The platform's settings file: lines of `a.b=value`, lists by commas."""
 
+import dataclasses
 import pathlib
 
 import result
@@ -13,45 +14,12 @@
 METRICS_PORT = 9464
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class Boot:
-    """The fields that rudderrock uses, under its own names."""
+    """What the file says: the store's address, and a gateway's settings."""
 
-    def __init__(self, fields: dict[str, str]):
-        self._fields = fields
-
-    @property
-    def store(self) -> tuple[str, int]:
-        """Return the address of the platform's store."""
-        return core.split_address(self._fields['platform.address'])
-
-    def make_settings(self) -> gateway.GatewaySettings:
-        """Return the gateway's settings."""
-        fields = self._fields
-        callers = core.split_address(fields['listen.front'])
-        prefix = 'zones.'
-        return gateway.GatewaySettings(
-            host=fields['node_name'],
-            # The platform's zone is an availability zone.
-            place=gateway.Place(
-                core.ZoneId(fields['zone']),
-                {
-                    core.ZoneId(key.removeprefix(prefix)): region
-                    for key, region in fields.items()
-                    if key.startswith(prefix)
-                },
-            ),
-            callers=callers,
-            readiness=core.split_address(fields['listen.ready']),
-            metrics=(callers[0], METRICS_PORT),
-            # The first of the ports that are free for our own use.
-            peers=(callers[0], int(fields['internal_ports'].split(',')[0])),
-            names=headers.NAMES,
-            extra_ratio=float(fields['bounds.retry_budget_ratio']),
-            extra_window_s=float(fields['bounds.retry_window_s']),
-            extra_slack=float(fields['bounds.retry_slack']),
-            stop_s=float(fields['bounds.grace_s']),
-            capacity=_get_capacity(fields),
-        )
+    store: tuple[str, int]
+    settings: gateway.GatewaySettings
 
 
 def read_boot(path: pathlib.Path) -> result.Result[Boot, str]:
@@ -65,15 +33,41 @@
         key, equals, value = line.partition('=')
         if equals:
             fields[key.strip()] = value.strip()
-    boot = Boot(fields)
     try:
-        boot.make_settings()
-        boot.store
+        store = core.split_address(fields['platform.address'])
+        return result.Ok(Boot(store, _make_settings(fields)))
     except KeyError as error:
         return result.Err(f'{path}: {error.args[0]} is required')
     except ValueError as error:
         return result.Err(f'{path}: {error}')
-    return result.Ok(boot)
+
+
+def _make_settings(fields: dict[str, str]) -> gateway.GatewaySettings:
+    callers = core.split_address(fields['listen.front'])
+    prefix = 'zones.'
+    return gateway.GatewaySettings(
+        host=fields['node_name'],
+        # The platform's zone is an availability zone.
+        place=gateway.Place(
+            core.ZoneId(fields['zone']),
+            {
+                core.ZoneId(key.removeprefix(prefix)): region
+                for key, region in fields.items()
+                if key.startswith(prefix)
+            },
+        ),
+        callers=callers,
+        readiness=core.split_address(fields['listen.ready']),
+        metrics=(callers[0], METRICS_PORT),
+        # The first of the ports that are free for our own use.
+        peers=(callers[0], int(fields['internal_ports'].split(',')[0])),
+        names=headers.NAMES,
+        extra_ratio=float(fields['bounds.retry_budget_ratio']),
+        extra_window_s=float(fields['bounds.retry_window_s']),
+        extra_slack=float(fields['bounds.retry_slack']),
+        stop_s=float(fields['bounds.grace_s']),
+        capacity=_get_capacity(fields),
+    )
 
 
 def _get_capacity(fields: dict[str, str]) -> float:
--- a/rudderrock/programs/_serving.py
+++ b/rudderrock/programs/_serving.py
@@ -1,11 +1,8 @@
 """Running one entry host with its servers inside the running loop."""
 
-import asyncio
 import contextlib
 import dataclasses
-import gc
 import secrets as system_secrets
-import time
 
 import result
 
@@ -15,28 +12,7 @@
 from rudderrock import state
 from rudderrock import transport
 from rudderrock.programs import _logs as logs
-
-# Allocations between collections of the youngest generation. A wide query
-# makes tens of thousands of short-lived objects, few of them in cycles.
-_COLLECT_AFTER = 100_000
-
-
-def tune_collector() -> None:
-    """Let the garbage collector run less often, and over less.
-
-    What has been made by now (modules, settings) stays for the life of
-    the process and is not looked at again. Measured in
-    `benchmarks/shard_request.py`.
-    """
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_COLLECT_AFTER, 20, 20)
-
-
-def make_system_clock() -> state.Clock:
-    """Return a clock of the running loop that tells the real wall time."""
-    loop = asyncio.get_running_loop()
-    return state.Clock(loop, time.time() - loop.time())
+from rudderrock.programs import _runtime as runtime
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -116,5 +92,5 @@
     )
     seed = settings.host.seed or system_secrets.randbits(32)
     return root.make_host(
-        settings, ports, make_system_clock(), seed, logs.log_event
+        settings, ports, runtime.make_system_clock(), seed, logs.log_event
     )
--- a/rudderrock/programs/demo.py
+++ b/rudderrock/programs/demo.py
@@ -26,6 +26,7 @@
 from rudderrock import transport
 from rudderrock.programs import _caller as caller
 from rudderrock.programs import _logs as logs
+from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _serving as serving
 
 _SECRETS = frontend.Secrets(
@@ -86,7 +87,7 @@
 
     def __init__(self, stack: contextlib.AsyncExitStack):
         self._stack = stack
-        self._clock = serving.make_system_clock()
+        self._clock = runtime.make_system_clock()
         self._source = random.SystemRandom()
         self._hosts: list[coordination.EntryHost] = []
         self._runs: list[asyncio.Task] = []
--- a/rudderrock/programs/entry.py
+++ b/rudderrock/programs/entry.py
@@ -11,6 +11,7 @@
 from rudderrock import state
 from rudderrock.programs import _exits as exits
 from rudderrock.programs import _logs as logs
+from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _secrets as secrets
 from rudderrock.programs import _serving as serving
 
@@ -54,7 +55,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, on_signal)
-        serving.tune_collector()
+        runtime.tune_collector()
         await host.run()
         await asyncio.gather(*stopping)
 
--- a/rudderrock/programs/gateway.py
+++ b/rudderrock/programs/gateway.py
@@ -1,27 +1,26 @@
 """The gateway daemon: forwards requests on the users' platform."""
 
 import asyncio
-import gc
 import os
 import pathlib
 import secrets
 import signal
 import sys
-import time
 
 from absl import logging
 import result
 
-from rudderrock import core
 from rudderrock import gateway
 from rudderrock import gateway_root
 from rudderrock import platform
 from rudderrock.programs import _exits as exits
+from rudderrock.programs import _runtime as runtime
 
 # Names the settings file, says the platform.
 CONFIG_VARIABLE = 'RUDDERROCK_CONFIG'
 _STDOUT = 1
-# Allocations between collections of the youngest generation.
+# Allocations between collections of the youngest generation: fewer than in
+# an entry host, since memory is paid for on the platform.
 _COLLECT_AFTER = 50_000
 
 
@@ -44,9 +43,9 @@
 
 async def _serve(boot: platform.Boot, path: pathlib.Path) -> None:
     loop = asyncio.get_running_loop()
-    clock = core.Clock(loop, time.time() - loop.time())
+    clock = runtime.make_system_clock()
     source = platform.StoreSource(boot.store)
-    config = boot.make_settings()
+    config = boot.settings
     events = gateway.EventLog(config.host, clock)
     process = gateway_root.make_gateway(
         config, source, clock, secrets.randbits(32), events
@@ -62,9 +61,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.stop)
     loop.add_signal_handler(signal.SIGHUP, reload)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(_COLLECT_AFTER, 20, 20)
+    runtime.tune_collector(_COLLECT_AFTER)
     try:
         await process.run()
     except OSError as error:
--- a/rudderrock/programs/query.py
+++ b/rudderrock/programs/query.py
@@ -12,8 +12,8 @@
 from rudderrock import transport
 from rudderrock.programs import _caller as caller
 from rudderrock.programs import _exits as exits
+from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _secrets as secrets
-from rudderrock.programs import _serving as serving
 
 _TOKEN = 'env:RUDDERROCK_TOKEN'
 
@@ -104,7 +104,7 @@
 
 
 def _make_key() -> str:
-    unix = int(serving.make_system_clock().wall())
+    unix = int(runtime.make_system_clock().wall())
     return f'{unix:010d}-{random.SystemRandom().getrandbits(96):024x}'
 
 
--- a/rudderrock/programs/standins.py
+++ b/rudderrock/programs/standins.py
@@ -13,7 +13,7 @@
 from rudderrock import transport
 from rudderrock.programs import _exits as exits
 from rudderrock.programs import _logs as logs
-from rudderrock.programs import _serving as serving
+from rudderrock.programs import _runtime as runtime
 
 
 def standins(
@@ -72,7 +72,7 @@
     source = random.Random(seed)
     async with parts.serve_standins(
         deployment,
-        serving.make_system_clock(),
+        runtime.make_system_clock(),
         source,
         kv_address=kv,
         host_list_address=host_list,
--- a/rudderrock/programs/table.py
+++ b/rudderrock/programs/table.py
@@ -19,8 +19,8 @@
 from rudderrock import transport
 from rudderrock.programs import _exits as exits
 from rudderrock.programs import _operator as operators
+from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _secrets as secrets
-from rudderrock.programs import _serving as serving
 
 _KV = '127.0.0.1:7100'
 _KV_TIMEOUT_S = 2.0
@@ -221,7 +221,7 @@
     timeout_s: float,
 ) -> list[str]:
     """Return the hosts on which a revision is not in force in time."""
-    clock = serving.make_system_clock()
+    clock = runtime.make_system_clock()
     end = clock.now() + timeout_s
     while True:
         hosts = await client.find_hosts(host)
@@ -246,7 +246,7 @@
 
     async def __aenter__(self) -> '_Editing':
         self._editor = coordination.TableEditor(
-            self._kv, serving.make_system_clock(), random.SystemRandom()
+            self._kv, runtime.make_system_clock(), random.SystemRandom()
         )
         return self
 
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -6,6 +6,7 @@
 import enum
 
 from rudderrock import gateway
+from rudderrock.standins import _wire_server as wire_server
 
 
 class Conduct(enum.Enum):
@@ -40,7 +41,7 @@
     body: bytes
 
 
-class WireUpstream:
+class WireUpstream(wire_server.WireServer):
     """Serves one address; `runs` is what it has worked on.
 
     Parameters: `records` is the body of each answer, or makes it from the
@@ -57,6 +58,7 @@
         most_connections: int = 1000,
         slots: int = 1000,
     ):
+        super().__init__()
         self.upstream = upstream
         self.records = records
         self.work_s = work_s
@@ -70,76 +72,53 @@
         self.most_open = 0
         self._names = names
         self._slots = asyncio.Semaphore(slots)
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task] = set()
 
     @property
     def arrivals(self) -> list[str]:
         """Return the ids of all requests that arrived, in order."""
         return [request_id for _, request_id in self.timed_arrivals]
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen at an address."""
-        self._server = await asyncio.start_server(
-            self._on_connection, host, port
-        )
-
-    async def stop(self) -> None:
-        """Stop listening and cut every connection."""
-        if self._server is not None:
-            self._server.close()
-            self._server = None
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
     def _make_body(self, request_id: str) -> bytes:
         if callable(self.records):
             return self.records(request_id)
         return self.records
 
-    def cut_connections(self) -> None:
-        """Cut every connection and go on listening."""
-        for task in list(self._tasks):
-            task.cancel()
-
-    async def _on_connection(self, reader, writer) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
+    async def serve(self, reader, writer) -> None:
+        """Serve one connection, unless there are too many."""
         self.open += 1
         self.most_open = max(self.most_open, self.open)
         try:
             if self.open <= self.most_connections:
                 await self._serve(reader, writer)
-        except (asyncio.IncompleteReadError, ConnectionError, EOFError):
-            # The other side has left; the stand-in has nothing to tell it.
-            return
-        except asyncio.CancelledError:
-            return
         finally:
             self.open -= 1
-            self._tasks.discard(task)
-            writer.transport.abort()
 
     async def _serve(self, reader, writer) -> None:
         while True:
-            head = await reader.readuntil(b'\r\n\r\n')
-            run = _read_head(head, asyncio.get_running_loop().time())
+            head = await wire_server.read_head(reader)
+            at = asyncio.get_running_loop().time()
             if self.conduct is Conduct.EARLY:
                 writer.write(_make(400, [], b''))
-            length = int(run.headers.get('content-length', '0'))
-            body = await reader.readexactly(length)
-            run = dataclasses.replace(run, body=body)
-            run = self._take(run)
+            body = await reader.readexactly(head.body_length)
+            run = self._make_run(at, head, body)
             self.timed_arrivals.append((run.at, run.request_id))
             if self.conduct is Conduct.EARLY:
                 continue
             if not await self._treat(run, reader, writer):
                 return
 
-    def _take(self, run: WireRun) -> WireRun:
+    def _make_run(
+        self, at: float, head: wire_server.Head, body: bytes
+    ) -> WireRun:
         name = self._names.request_id.decode()
-        return dataclasses.replace(run, request_id=run.headers.get(name, ''))
+        return WireRun(
+            at,
+            head.headers.get(name, ''),
+            head.method,
+            head.target,
+            head.headers,
+            body,
+        )
 
     async def _treat(self, run: WireRun, reader, writer) -> bool:
         """Answer one request; tell whether the connection goes on."""
@@ -232,16 +211,6 @@
         return True
 
 
-def _read_head(head: bytes, at: float) -> WireRun:
-    first, *lines = head.decode('latin-1').strip().split('\r\n')
-    method, target, _ = first.split(' ')
-    headers = {}
-    for line in lines:
-        key, _, value = line.partition(':')
-        headers[key.strip().lower()] = value.strip()
-    return WireRun(at, '', method, target, headers, b'')
-
-
 def _make(status: int, headers: gateway.Headers, body: bytes) -> bytes:
     reply = gateway.Reply(status, headers, body)
     return gateway.render_reply(reply, close=False)
--- a/rudderrock/standins/platform/_store.py
+++ b/rudderrock/standins/platform/_store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from rudderrock import gateway
+from rudderrock.standins import _wire_server as wire_server
 
 
 class Refusal(enum.Enum):
@@ -37,7 +38,7 @@
     until: float
 
 
-class PlatformStore:
+class PlatformStore(wire_server.WireServer):
     """Items, watches, conditional writes and leases behind HTTP.
 
     `refusal` applies to all callers, `slow_s` delays each answer,
@@ -46,6 +47,7 @@
     """
 
     def __init__(self, page: int = 500):
+        super().__init__()
         self.refusal = Refusal.NONE
         self.slow_s = 0.0
         self.lose_answers = False
@@ -60,22 +62,6 @@
         self._ids = itertools.count(1)
         self._changed = asyncio.Event()
         self._cuts = asyncio.Event()
-        self._server: asyncio.Server | None = None
-        self._tasks: set[asyncio.Task] = set()
-
-    async def start(self, host: str, port: int) -> None:
-        """Listen at an address."""
-        self._server = await asyncio.start_server(
-            self._on_connection, host, port
-        )
-
-    async def stop(self) -> None:
-        """Stop listening and cut every connection."""
-        if self._server is not None:
-            self._server.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write an item, as the operator or an upstream does."""
@@ -129,31 +115,16 @@
             if found.until <= now:
                 self._end_lease(lease)
 
-    async def _on_connection(self, reader, writer) -> None:
-        task = asyncio.current_task()
-        self._tasks.add(task)
-        try:
-            while await self._serve_one(reader, writer):
-                pass
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-        except asyncio.CancelledError:
-            return
-        finally:
-            self._tasks.discard(task)
-            writer.transport.abort()
+    async def serve(self, reader, writer) -> None:
+        """Serve one connection."""
+        while await self._serve_one(reader, writer):
+            pass
 
     async def _serve_one(self, reader, writer) -> bool:
-        head = await reader.readuntil(b'\r\n\r\n')
-        first, *lines = head.decode('latin-1').strip().split('\r\n')
-        method, target, _ = first.split(' ')
-        length = 0
-        for line in lines:
-            key, _, value = line.partition(':')
-            if key.lower() == 'content-length':
-                length = int(value)
-        body = await reader.readexactly(length)
-        path, _, query = target.partition('?')
+        head = await wire_server.read_head(reader)
+        body = await reader.readexactly(head.body_length)
+        method = head.method
+        path, _, query = head.target.partition('?')
         self.calls[f'{method} /{path.split("/")[1]}'] += 1
         await asyncio.sleep(self.slow_s)
         match self.refusal:
