--- /dev/null
+++ b/features/fleet.feature
@@ -0,0 +1,148 @@
+Feature: Hosts learn the same, whoever can reach the source
+
+  Scenario: one host of a zone reads for all
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 20 seconds pass
+    Then all gateways are ready
+    And all but 1 of them leave the source alone
+    And all of them count 6 hosts
+
+  Scenario: one host of each zone reads for its zone
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    When 20 seconds pass
+    Then all but 2 of them leave the source alone
+
+  Scenario: a table reaches all hosts at once
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the route "/notes/" is moved to "scans"
+    And 0.2 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: the host that reads stops
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the gateway that reads is killed
+    And the route "/notes/" is moved to "scans"
+    And 2.5 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: the host that reads freezes
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the gateway that reads goes silent to its peers and the source
+    And the route "/notes/" is moved to "scans"
+    And 2.8 seconds pass
+    Then every other gateway sends "/notes/1" to "u2"
+
+  Scenario Outline: hosts that the source turns away learn from others: <how>
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the source is <how> for the gateway that reads and 2 more
+    And 5 seconds pass
+    And the route "/notes/" is moved to "scans"
+    And 2.5 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+    Examples:
+      | how     |
+      | refused |
+      | silent  |
+
+  Scenario Outline: a leaving upstream gets no new work while the source turns hosts away: <how>
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is <how> for the gateway that reads and 2 more
+    And 5 seconds pass
+    And "u1" says that it drains
+    And 2.8 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+    Examples:
+      | how     |
+      | refused |
+      | silent  |
+
+  Scenario: hosts that ask one another in a circle notice that they are stale
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the source is silent for all gateways
+    And 9 seconds pass
+    And the source is open for all gateways
+    And 0.3 seconds pass
+    And the route "/notes/" is moved to "scans"
+    And 3 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: the age of a reading that goes round a circle of hosts grows
+    Given a directory that took over reading 7 of "p1", 1.5 seconds old
+    When the same reading comes back as 0.1 seconds old
+    Then the directory's reading is 1.5 seconds old
+    When reading 8 of "p1" comes, 0.1 seconds old
+    Then the directory's reading is 0.1 seconds old
+
+  Scenario: all hosts lose the source, and serve on
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is silent for all gateways
+    And 20 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
+
+  Scenario: entries that lapsed while the source was away are kept by all hosts
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is refused for all gateways
+    And the entry of "u1" lapses
+    And 6 seconds pass
+    And the source is open for all gateways
+    And 1.8 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
+    When 6 seconds pass
+    Then no gateway knows an upstream of "/notes/1"
+
+  Scenario: a host that starts while the source is away learns from the others
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And a seventh gateway starts
+    And 3 seconds pass
+    Then all of them count 7 hosts
+
+  Scenario: a registration that is taken away is made again
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the registry loses all hosts
+    And 13 seconds pass
+    Then the registry names 6 hosts
+    And all of them count 6 hosts
+
+  Scenario: hosts that leave the registry still count for a while
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the registry loses all hosts
+    And 5 seconds pass
+    Then all of them count 6 hosts
+
+  Scenario: the slack of the budget is shared by all hosts
+    Given 5 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    Then each may send 4 extra requests of a slack of 20
+
+  Scenario Outline: connections are shared by nearness: <accepted> for <near> near and <far> far
+    Given an upstream that accepts <accepted> connections in "north-1"
+    And a sibling in "south-1"
+    And <near> hosts in "north-1" and <far> in "south-1"
+    Then a host in "north-1" may open <own>
+    And a host in "south-1" may open <other>
+    And all together stay below <accepted>
+
+    Examples:
+      | accepted | near | far | own | other |
+      | 26       | 5    | 2   | 4   | 1     |
+      | 100      | 3    | 4   | 8   | 3     |
+      | 52       | 20   | 20  | 2   | 1     |
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -144,13 +144,9 @@
             config, self.source, clock, 1, events
         )
         self.task = asyncio.create_task(self.process.run())
-        self._stack.push_async_callback(self._end)
+        self._stack.push_async_callback(_end, self.task)
         await asyncio.sleep(1.5)
 
-    async def _end(self) -> None:
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
-
     async def add_upstream(
         self,
         upstream: str,
@@ -281,3 +277,90 @@
             for run in model.runs
             if run.request_id == request_id
         ]
+
+
+@dataclasses.dataclass(slots=True)
+class Member:
+    """One gateway of several."""
+
+    address: str
+    source: standins.HostSource
+    process: gateway.GatewayProcess
+    gateway: gateway.Gateway
+    hosts: gateway.Fleet
+    task: asyncio.Task
+
+    def freeze_peers(self) -> None:
+        """Answer peers no more, as a frozen process would."""
+
+        async def hang(request) -> None:
+            await asyncio.sleep(3600.0)
+
+        self.process.peers.handle = hang
+
+
+class FleetBench:
+    """Several gateways over one source and the same upstreams."""
+
+    def __init__(self, bench: GatewayBench, stack: contextlib.AsyncExitStack):
+        self.members: dict[str, Member] = {}
+        self._bench = bench
+        self._stack = stack
+        self._count = 0
+
+    async def start(self, zones: list[str]) -> None:
+        """Start one gateway for each zone that is given."""
+        for zone in zones:
+            await self.add(zone)
+        await asyncio.sleep(1.0)
+
+    async def add(self, zone: str) -> None:
+        """Start one more gateway."""
+        self._count += 1
+        name = f'g{self._count}'
+        ip = f'10.0.1.{self._count}'
+        clock = state.Clock(asyncio.get_running_loop())
+        place = gateway.Place(
+            state.ZoneId(zone), {'north-1': 'north', 'south-1': 'south'}
+        )
+        config = gateway.GatewaySettings(
+            host=name,
+            place=place,
+            callers=(ip, _PORT),
+            readiness=(ip, _PORT + 1),
+            metrics=(ip, _PORT + 2),
+            peers=(ip, _PORT + 3),
+        )
+        source = standins.HostSource(self._bench.source)
+        events = gateway.EventLog(name, clock)
+        process = gateway_root.make_gateway(
+            config, source, clock, self._count, events
+        )
+        task = asyncio.create_task(process.run())
+        self._stack.push_async_callback(_end, task)
+        self.members[name] = Member(
+            ip, source, process, process.gateway, process.hosts, task
+        )
+
+    def find_reader(self) -> str:
+        """Return the gateway that reads the source for its zone."""
+        any_member = next(iter(self.members.values()))
+        return any_member.hosts.rank_readers()[0].host
+
+    async def kill(self, name: str) -> None:
+        """End a gateway at once."""
+        await _end(self.members.pop(name).task)
+
+    async def ask(self, name: str, raw: bytes) -> Reply:
+        """Send one request to one gateway."""
+        address = self.members[name].address
+        caller = Caller(*await asyncio.open_connection(address, _PORT))
+        await caller.send(raw)
+        reply = await caller.read()
+        caller.leave()
+        return reply
+
+
+async def _end(task: asyncio.Task) -> None:
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- /dev/null
+++ b/features/steps/fleet.py
@@ -0,0 +1,247 @@
+"""Steps on several gateways that share one source."""
+
+import asyncio
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features import gateway_bench
+from features.steps import gateway as gateway_steps
+from features.steps.common import run
+from rudderrock import gateway
+from rudderrock import state
+
+use_step_matcher('re')
+
+_NORTH = state.ZoneId('north-1')
+_SOUTH = state.ZoneId('south-1')
+_REGIONS = {_NORTH: 'north', _SOUTH: 'south'}
+
+
+def start_fleet(context, north, south, upstream, service):
+    """Start gateways in two zones over one source, and one route."""
+    bench = gateway_steps.get(context)
+    bench.add_route('/notes/', gateway.Single(service))
+    run(context, bench.add_upstream(upstream, service))
+    bench.publish()
+    context.fleet = gateway_bench.FleetBench(bench, context.stack)
+    zones = [_NORTH] * north + [_SOUTH] * south
+    run(context, context.fleet.start(zones))
+
+
+@given(r'(\d+) gateways in one zone with an upstream "([^"]+)" of "([^"]+)"')
+def start_one_zone(context, count, upstream, service):
+    start_fleet(context, int(count), 0, upstream, service)
+
+
+@given(
+    r'(\d+) gateways in "north-1" and (\d+) in "south-1" '
+    r'with an upstream "([^"]+)" of "([^"]+)"'
+)
+def start_two_zones(context, north, south, upstream, service):
+    start_fleet(context, int(north), int(south), upstream, service)
+
+
+@when(r'the gateway that reads is killed')
+def kill_reader(context):
+    run(context, context.fleet.kill(context.fleet.find_reader()))
+
+
+@when(r'the gateway that reads goes silent to its peers and the source')
+def silence_reader(context):
+    reader = context.fleet.find_reader()
+    context.silenced = reader
+    context.fleet.members[reader].source.is_silent = True
+    context.fleet.members[reader].freeze_peers()
+
+
+@when(r'the source is (refused|silent) for the gateway that reads and 2 more')
+def bar_some(context, how):
+    reader = context.fleet.find_reader()
+    others = [each for each in context.fleet.members if each != reader]
+    for name in (reader, *others[:2]):
+        set_way(context.fleet.members[name].source, how)
+
+
+@when(r'the source is (refused|silent|open) for all gateways')
+def bar_all(context, how):
+    for member in context.fleet.members.values():
+        set_way(member.source, how)
+
+
+def set_way(source, how):
+    """Bar or open one host's way to the source."""
+    source.is_refused = how == 'refused'
+    source.is_silent = how == 'silent'
+
+
+@when(r'a seventh gateway starts')
+def start_another(context):
+    run(context, context.fleet.add(_NORTH))
+
+
+@when(r'the registry loses all hosts')
+def lose_hosts(context):
+    gateway_steps.get(context).source.hosts.clear()
+
+
+@given(
+    r'a directory that took over reading (\d+) of "([^"]+)", '
+    r'([\d.]+) seconds old'
+)
+def make_directory(context, number, origin, age):
+    context.clock = state.Clock(context.loop)
+    context.directory = gateway.Directory(context.clock)
+    take_reading(context, number, origin, age)
+
+
+def take_reading(context, number, origin, age):
+    """Have the directory take over a reading."""
+    context.origin = origin
+    context.number = number
+    read_at = context.clock.now() - float(age)
+    stamp = gateway.ReadingStamp(origin, int(number), read_at)
+    context.directory.apply_reading((), 1, stamp)
+
+
+@when(r'the same reading comes back as ([\d.]+) seconds old')
+def repeat_reading(context, age):
+    take_reading(context, context.number, context.origin, age)
+
+
+@when(r'reading (\d+) of "([^"]+)" comes, ([\d.]+) seconds old')
+def take_next(context, number, origin, age):
+    take_reading(context, number, origin, age)
+
+
+@then(r"the directory's reading is ([\d.]+) seconds old")
+def check_age(context, age):
+    found = context.directory.age_s
+    assert abs(found - float(age)) < 0.001, found
+
+
+@then(r'all gateways are ready')
+def check_all_ready(context):
+    for member in context.fleet.members.values():
+        assert member.gateway.is_ready
+
+
+@then(r'all but (\d+) of them leave the source alone')
+def check_readers(context, count):
+    members = context.fleet.members.values()
+    before = [member.source.calls for member in members]
+    run(context, asyncio.sleep(10.0))
+    made = [
+        member.source.calls - was
+        for member, was in zip(members, before, strict=True)
+    ]
+    # Renewals of the registration are all that the others need.
+    busy = [calls for calls in made if calls > 4]
+    assert len(busy) == int(count), made
+
+
+@then(r'all of them count (\d+) hosts')
+def check_count(context, count):
+    found = [each.hosts.count() for each in context.fleet.members.values()]
+    assert set(found) == {int(count)}, found
+
+
+@then(r'every (other )?gateway sends "([^"]+)" to "([^"]+)"')
+def check_all_send(context, other, path, upstream):
+    bench = gateway_steps.get(context)
+    for name in context.fleet.members:
+        if other and name == context.silenced:
+            continue
+        request_id = f'{name}-{gateway_steps.next_id(context)}'
+        raw = gateway_bench.make_raw(request_id, path)
+        reply = run(context, context.fleet.ask(name, raw))
+        assert reply.status == 200, (name, reply)
+        ids = [each.request_id for each in bench.upstreams[upstream].runs]
+        assert request_id in ids, (name, upstream)
+
+
+@then(r'no gateway knows an upstream of "([^"]+)"')
+def check_none_known(context, path):
+    for name in context.fleet.members:
+        raw = gateway_bench.make_raw(gateway_steps.next_id(context), path)
+        reply = run(context, context.fleet.ask(name, raw))
+        assert reply.status == 503, (name, reply)
+
+
+@then(r'the registry names (\d+) hosts')
+def check_registry(context, count):
+    found = gateway_steps.get(context).source.hosts.values()
+    assert len({each.host for each in found}) == int(count), found
+
+
+@then(r'each may send (\d+) extra requests of a slack of 20')
+def check_slack(context, count):
+    for member in context.fleet.members.values():
+        slack = 20.0 / member.hosts.count()
+        assert slack == float(count), slack
+
+
+@given(r'an upstream that accepts (\d+) connections in "([^"]+)"')
+def note_upstream(context, accepted, zone):
+    context.accepted = int(accepted)
+    context.endpoints = [make_endpoint('u1', zone)]
+
+
+@given(r'a sibling in "([^"]+)"')
+def note_sibling(context, zone):
+    context.endpoints.append(make_endpoint('u2', zone))
+
+
+def make_endpoint(upstream, zone):
+    """Return a registered upstream of one service."""
+    return gateway.Endpoint(
+        upstream=state.UpstreamId(upstream),
+        service=gateway.ServiceName('s'),
+        address=('10.0.0.9', 9000),
+        zone=state.ZoneId(zone),
+        slots=2,
+        phase=gateway.Phase.READY,
+    )
+
+
+@given(r'(\d+) hosts in "north-1" and (\d+) in "south-1"')
+def note_hosts(context, north, south):
+    context.zones = [_NORTH] * int(north) + [_SOUTH] * int(south)
+
+
+def get_share(context, zone):
+    """Return the share that a host in a zone has of the upstream."""
+    entries = [
+        gateway.HostEntry(
+            host=state.HostId(f'h{number}'), zone=each, address='10.0.0.1:1'
+        )
+        for number, each in enumerate(context.zones)
+    ]
+    own = next(each for each in entries if each.zone == zone)
+    hosts = gateway.Fleet(own, 1, state.Clock(context.loop))
+    hosts.apply_listing(entries)
+    return gateway.share_links(
+        context.endpoints[0],
+        tuple(context.endpoints),
+        context.accepted,
+        hosts,
+        gateway.Place(zone, _REGIONS),
+    )
+
+
+@then(r'a host in "([^"]+)" may open (\d+)')
+def check_share(context, zone, count):
+    share = get_share(context, state.ZoneId(zone))
+    assert share.cap == int(count), share
+
+
+@then(r'all together stay below (\d+)')
+def check_sum(context, accepted):
+    total = 0
+    for zone in context.zones:
+        share = get_share(context, zone)
+        # A share of less than one is not kept open.
+        total += 0 if share.is_spare else share.cap
+    assert total <= int(accepted), total
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -7,6 +7,7 @@
 from rudderrock.gateway._directory import DirectoryChange
 from rudderrock.gateway._directory import Endpoint
 from rudderrock.gateway._directory import Phase
+from rudderrock.gateway._directory import ReadingStamp
 from rudderrock.gateway._fleet import Fleet
 from rudderrock.gateway._fleet import HostEntry
 from rudderrock.gateway._follow import Follower
@@ -108,6 +109,7 @@
     'Pool',
     'ProcessState',
     'Registration',
+    'ReadingStamp',
     'Repeat',
     'Replica',
     'ReplicaBook',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 
+from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _follow as follow
 from rudderrock.gateway import _gateway as gateway
 from rudderrock.gateway import _intake as intake
@@ -44,7 +45,7 @@
     ):
         self.state = ProcessState.STARTING
         self._config = config
-        self._gateway = served
+        self.gateway = served
         self._follower = follower
         self._registration = registration
         self._parts = parts
@@ -52,11 +53,16 @@
         self._callers = intake.Intake(served.handle, self._note_unreadable)
         self._probes = intake.Intake(self._answer_probe)
         self._scrapes = intake.Intake(self._answer_scrape)
-        self._peers = intake.Intake(changes.answer)
+        self.peers = intake.Intake(changes.answer)
         self._was_ready = False
         self._stop_began = 0.0
         parts.tables.add_listener(self._on_table)
 
+    @property
+    def hosts(self) -> fleet.Fleet:
+        """Return the hosts that this one knows."""
+        return self._parts.hosts
+
     def stop(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
         if not self._stop.is_set():
@@ -67,15 +73,15 @@
         events = self._parts.events
         config = self._config
         async with contextlib.AsyncExitStack() as stack:
-            stack.callback(self._gateway.book.close)
+            stack.callback(self.gateway.book.close)
             for served, address in (
                 (self._callers, config.callers),
                 (self._probes, config.readiness),
                 (self._scrapes, config.metrics),
-                (self._peers, config.peers),
+                (self.peers, config.peers),
             ):
                 await stack.enter_async_context(served.listen(*address))
-            for work in (self._follower.run(), self._gateway.sweep()):
+            for work in (self._follower.run(), self.gateway.sweep()):
                 task = asyncio.create_task(work)
                 stack.push_async_callback(_cancel, task)
             self.state = ProcessState.SERVING
@@ -116,7 +122,7 @@
         self._parts.events.record(log.LogKind.UNREADABLE, problem=problem)
 
     async def _answer_probe(self, request: messages.Request) -> messages.Reply:
-        ready = self._gateway.is_ready and self.state is ProcessState.SERVING
+        ready = self.gateway.is_ready and self.state is ProcessState.SERVING
         if ready != self._was_ready:
             self._was_ready = ready
             kind = log.LogKind.READY if ready else log.LogKind.NOT_READY
@@ -133,7 +139,7 @@
     def _list_gauges(self) -> dict[str, float]:
         tables = self._parts.tables
         listing = self._parts.listing
-        counters = self._gateway.counters
+        counters = self.gateway.counters
         return {
             'table_version': tables.version,
             'table_age_seconds': tables.age_s,
@@ -146,7 +152,7 @@
             'hedges_total': counters.hedges,
             'retries_total': counters.retries,
             'extras_denied_total': counters.denied,
-            'connections_opened_total': self._gateway.book.dials,
+            'connections_opened_total': self.gateway.book.dials,
             'log_lines_dropped_total': self._parts.events.dropped,
         }
 
--- a/rudderrock/standins/__init__.py
+++ b/rudderrock/standins/__init__.py
@@ -9,6 +9,7 @@
 from rudderrock.standins._fleet import MemoryFleet
 from rudderrock.standins._fleet import run_fleet
 from rudderrock.standins._fleet import RunningHost
+from rudderrock.standins._host_source import HostSource
 from rudderrock.standins._hosts import make_host_list_app
 from rudderrock.standins._kv import KvFaults
 from rudderrock.standins._kv import make_kv_app
@@ -44,6 +45,7 @@
     'Group',
     'Handler',
     'HostKv',
+    'HostSource',
     'KvFaults',
     'LinkFaults',
     'LoopbackStandins',
--- /dev/null
+++ b/rudderrock/standins/_host_source.py
@@ -0,0 +1,55 @@
+"""One host's way to a source, which may be barred for this host only."""
+
+import asyncio
+import functools
+
+import result
+
+from rudderrock import gateway
+from rudderrock.standins import _memory_source as memory_source
+
+_CALLS = frozenset(
+    {
+        'read_table',
+        'watch_table',
+        'list_upstreams',
+        'list_hosts',
+        'register',
+        'renew',
+        'withdraw',
+    }
+)
+
+
+class HostSource:
+    """Passes calls on to a shared source unless the way is barred.
+
+    `is_refused` makes calls fail at once, `is_silent` makes them hang for
+    `patience_s`, as if the host's packets were dropped. A call that is
+    under way when the way becomes silent gets no answer either.
+    """
+
+    def __init__(
+        self, source: memory_source.MemorySource, patience_s: float = 1.0
+    ):
+        self.is_refused = False
+        self.is_silent = False
+        self.calls = 0
+        self._source = source
+        self._patience_s = patience_s
+
+    def __getattr__(self, name: str):
+        if name in _CALLS:
+            return functools.partial(self._call, name)
+        return getattr(self._source, name)
+
+    async def _call(self, name: str, *arguments):
+        self.calls += 1
+        if self.is_refused:
+            return result.Err(gateway.Unavailable('refused'))
+        if not self.is_silent:
+            answer = await getattr(self._source, name)(*arguments)
+            if not self.is_silent:
+                return answer
+        await asyncio.sleep(self._patience_s)
+        return result.Err(gateway.Unavailable('no reply in time'))
