--- /dev/null
+++ b/features/delegate.feature
@@ -0,0 +1,67 @@
+Feature: Wide queries are run by the few hosts of a zone that are best at it
+
+  Scenario: a host with a thin link hands a wide query over
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When every gateway is asked for all shards
+    Then every answer is whole
+    And only the 2 gateways with a wide link sent to the shards
+
+  Scenario: a narrow query is run where it came
+    Given 6 gateways before 20 shards, of which 2 have a wide link
+    When every gateway is asked for all shards
+    Then every answer is whole
+    And all 6 gateways sent to the shards
+
+  Scenario: hosts that are all alike choose two of them
+    Given 6 gateways before 60 shards, of which 0 have a wide link
+    When every gateway is asked for all shards
+    Then every answer is whole
+    And only 2 gateways sent to the shards
+
+  Scenario: a host that is gone is not waited for
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When one gateway with a wide link is killed
+    And every gateway is asked for all shards
+    Then every answer is whole
+
+  Scenario: all able hosts are gone
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When both gateways with a wide link are killed
+    And every gateway is asked for all shards
+    Then every answer is whole
+
+  Scenario: a frozen host costs the queries that it has, and no more
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When one gateway with a wide link goes silent to its peers
+    And every gateway is asked for all shards 4 times
+    Then no gateway has lost more than 1 query
+    And no shard got a request twice
+
+  Scenario: a host that stops takes none, and ends what it has
+    Given 6 gateways before 60 shards that work for 0.1 seconds, of which 2 have a wide link
+    When one gateway with a wide link is told to stop while it runs queries for others
+    Then every answer is whole
+
+  Scenario: a host with an older table is not used
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When one gateway with a wide link keeps an older table
+    And the shards are replaced by 50 others
+    And every gateway but that one is asked for all shards
+    Then every answer is whole and of the 50 others
+
+  Scenario: a caller that leaves stops the work at the shards
+    Given 6 gateways before 60 shards that work for 5 seconds, of which 2 have a wide link
+    When a caller of a gateway with a thin link leaves after 0.2 seconds
+    And 0.5 seconds pass
+    Then no shard is at work for anybody
+
+  Scenario: extra requests of queries that were handed over are bounded too
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    And every upstream of shard 7 is silent
+    When a gateway with a thin link is asked 30 times a second for 10 seconds
+    Then shard 7 got no more than 0.2 extra arrivals a request and 20
+
+  Scenario: the log of both hosts tells of a query that was handed over
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When every gateway is asked for all shards
+    Then the log has two lines of each query that was handed over
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -116,10 +116,7 @@
         """Start the gateway; it is given a second to learn all."""
         loop = asyncio.get_running_loop()
         clock = state.Clock(loop)
-        root_log = logging.getLogger()
-        root_log.addHandler(self.log)
-        self._stack.callback(root_log.removeHandler, self.log)
-        logging.getLogger('absl').setLevel(logging.INFO)
+        self.keep_log()
         fields = {
             'place': gateway.Place(
                 state.ZoneId('north-1'),
@@ -147,6 +144,13 @@
         self._stack.push_async_callback(end_task, self.task)
         await asyncio.sleep(1.5)
 
+    def keep_log(self) -> None:
+        """Keep the log lines of this scenario."""
+        root_log = logging.getLogger()
+        root_log.addHandler(self.log)
+        self._stack.callback(root_log.removeHandler, self.log)
+        logging.getLogger('absl').setLevel(logging.INFO)
+
     async def add_upstream(
         self,
         upstream: str,
@@ -308,13 +312,17 @@
         self._stack = stack
         self._count = 0
 
-    async def start(self, zones: list[str]) -> None:
+    async def start(
+        self, zones: list[str], capacities: list[float] | None = None
+    ) -> None:
         """Start one gateway for each zone that is given."""
-        for zone in zones:
-            await self.add(zone)
+        self._bench.keep_log()
+        capacities = capacities or [1.0] * len(zones)
+        for zone, capacity in zip(zones, capacities, strict=True):
+            await self.add(zone, capacity)
         await asyncio.sleep(1.0)
 
-    async def add(self, zone: str) -> None:
+    async def add(self, zone: str, capacity: float = 1.0) -> None:
         """Start one more gateway."""
         self._count += 1
         name = f'g{self._count}'
@@ -330,6 +338,7 @@
             readiness=(ip, _PORT + 1),
             metrics=(ip, _PORT + 2),
             peers=(ip, _PORT + 3),
+            capacity=capacity,
         )
         source = standins.HostSource(self._bench.source)
         events = gateway.EventLog(name, clock)
@@ -353,13 +362,17 @@
 
     async def ask(self, name: str, raw: bytes) -> Reply:
         """Send one request to one gateway."""
-        address = self.members[name].address
-        caller = Caller(*await asyncio.open_connection(address, _PORT))
+        caller = await self.connect(name)
         await caller.send(raw)
         reply = await caller.read()
         caller.leave()
         return reply
 
+    async def connect(self, name: str) -> Caller:
+        """Open a connection of a caller to one gateway."""
+        address = self.members[name].address
+        return Caller(*await asyncio.open_connection(address, _PORT))
+
 
 async def end_task(task: asyncio.Task) -> None:
     """End a task at once and wait for its end."""
--- /dev/null
+++ b/features/steps/delegate.py
@@ -0,0 +1,247 @@
+"""Steps on wide queries that are handed over to other hosts."""
+
+import asyncio
+import collections
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features import gateway_bench
+from features.steps import gateway as gateway_steps
+from features.steps.common import run
+from rudderrock import gateway
+
+use_step_matcher('re')
+
+_WIDE = 200.0
+_THIN = 10.0
+_SECONDS = r'([\d.]+) seconds?'
+
+
+def start(context, count, shards, wide, **shape):
+    """Start gateways in one zone before shards."""
+    bench = gateway_steps.get(context)
+    context.shards += gateway_steps.add_shards(context, shards, **shape)
+    gateway_steps.add_scatter(
+        context, '/all/', least=0.9, timeout_s=6.0, goal_s=0.5
+    )
+    bench.publish()
+    context.fleet = gateway_bench.FleetBench(bench, context.stack)
+    capacities = [_WIDE] * wide + [_THIN] * (count - wide)
+    zones = ['north-1'] * count
+    run(context, context.fleet.start(zones, capacities))
+    run(context, asyncio.sleep(6.0))
+    context.wide = list(context.fleet.members)[:wide]
+    context.answers = []
+
+
+@given(r'(\d+) gateways before (\d+) shards, of which (\d+) have a wide link')
+def start_plain(context, count, shards, wide):
+    start(context, int(count), int(shards), int(wide))
+
+
+@given(
+    r'(\d+) gateways before (\d+) shards that work for '
+    + _SECONDS
+    + r', of which (\d+) have a wide link'
+)
+def start_slow(context, count, shards, seconds, wide):
+    start(context, int(count), int(shards), int(wide), work_s=float(seconds))
+
+
+async def ask(context, name):
+    """Ask one gateway for all shards."""
+    request_id = f'{name}-{gateway_steps.next_id(context)}'
+    raw = gateway_bench.make_raw(request_id, '/all/1', deadline_ms=5000)
+    return name, request_id, await context.fleet.ask(name, raw)
+
+
+def ask_all(context, names):
+    """Ask gateways for all shards at once."""
+
+    async def gather():
+        return await asyncio.gather(*(ask(context, name) for name in names))
+
+    context.answers = run(context, gather())
+
+
+@when(r'every gateway is asked for all shards')
+def ask_every(context):
+    ask_all(context, list(context.fleet.members))
+
+
+@when(r'every gateway is asked for all shards (\d+) times')
+def ask_times(context, times):
+    found = []
+    for _ in range(int(times)):
+        ask_every(context)
+        found += context.answers
+    context.answers = found
+
+
+@then(r'no gateway has lost more than (\d+) query')
+def check_few_lost(context, most):
+    lost = collections.Counter(
+        name for name, _, reply in context.answers if reply.status != 200
+    )
+    assert lost, 'the frozen gateway was never asked'
+    assert max(lost.values()) <= int(most), lost
+
+
+@when(r'every gateway but that one is asked for all shards')
+def ask_others(context):
+    names = [each for each in context.fleet.members if each != context.old]
+    ask_all(context, names)
+
+
+@when(r'one gateway with a wide link is killed')
+def kill_one(context):
+    run(context, context.fleet.kill(context.wide[0]))
+
+
+@when(r'both gateways with a wide link are killed')
+def kill_both(context):
+    for name in context.wide:
+        run(context, context.fleet.kill(name))
+
+
+@when(r'one gateway with a wide link goes silent to its peers')
+def silence_one(context):
+    context.fleet.members[context.wide[0]].freeze_peers()
+
+
+@when(
+    r'one gateway with a wide link is told to stop while it runs queries '
+    r'for others'
+)
+def stop_one(context):
+    thin = [each for each in context.fleet.members if each not in context.wide]
+
+    async def stop():
+        asked = []
+        for round_number in range(20):
+            asked += [asyncio.create_task(ask(context, name)) for name in thin]
+            if round_number == 5:
+                context.fleet.members[context.wide[0]].process.stop()
+            await asyncio.sleep(0.05)
+        return await asyncio.gather(*asked)
+
+    context.answers = run(context, stop())
+
+
+@when(r'one gateway with a wide link keeps an older table')
+def keep_old(context):
+    context.old = context.wide[0]
+    member = context.fleet.members[context.old]
+    member.process.tables.apply_reading = lambda reading, origin: None
+
+
+@when(r'the shards are replaced by (\d+) others')
+def replace_shards(context, count):
+    first = len(context.shards)
+    context.shards = gateway_steps.add_shards(context, int(count), first=first)
+    run(context, asyncio.sleep(2.5))
+    gateway_steps.add_scatter(
+        context, '/all/', least=0.9, timeout_s=6.0, goal_s=0.5
+    )
+    gateway_steps.get(context).publish()
+    run(context, asyncio.sleep(0.5))
+
+
+@when(r'a caller of a gateway with a thin link leaves after ' + _SECONDS)
+def leave(context, seconds):
+    name = list(context.fleet.members)[-1]
+    raw = gateway_bench.make_raw('gone', '/all/1', deadline_ms=5000)
+
+    async def go():
+        caller = await context.fleet.connect(name)
+        await caller.send(raw)
+        await asyncio.sleep(float(seconds))
+        caller.leave()
+
+    run(context, go())
+
+
+@when(
+    r'a gateway with a thin link is asked (\d+) times a second for (\d+) '
+    r'seconds'
+)
+def ask_often(context, rate, seconds):
+    name = list(context.fleet.members)[-1]
+
+    async def go():
+        asked = []
+        for _ in range(int(rate) * int(seconds)):
+            asked.append(asyncio.create_task(ask(context, name)))
+            await asyncio.sleep(1.0 / int(rate))
+        return await asyncio.gather(*asked)
+
+    context.answers = run(context, go())
+
+
+@then(r'every answer is whole')
+def check_whole(context):
+    for name, request_id, reply in context.answers:
+        assert reply.status == 200, (name, request_id, reply)
+        stamps = reply.headers['rudderrock-part-stamps'].split(', ')
+        wanted = {f'{shard}-0.{request_id}' for shard in context.shards}
+        assert set(stamps) == wanted, (name, stamps)
+
+
+@then(r'every answer is whole and of the (\d+) others')
+def check_others(context, count):
+    assert len(context.shards) == int(count)
+    check_whole(context)
+
+
+@then(r'only the (\d+) gateways with a wide link sent to the shards')
+def check_wide_sent(context, count):
+    sent = list_senders(context)
+    assert sent == set(context.wide), sent
+    assert len(sent) == int(count)
+
+
+@then(r'(?:only|all) (\d+) gateways sent to the shards')
+def check_sent(context, count):
+    assert len(list_senders(context)) == int(count)
+
+
+def list_senders(context):
+    """Return the gateways that have sent to shards."""
+    return {
+        name
+        for name, member in context.fleet.members.items()
+        if member.gateway.counters.firsts
+    }
+
+
+@then(r'no shard got a request twice')
+def check_no_repeat(context):
+    for model in gateway_steps.get(context).upstreams.values():
+        counts = collections.Counter(model.arrivals)
+        assert max(counts.values()) == 1, counts
+
+
+@then(
+    r'shard (\d+) got no more than ([\d.]+) extra arrivals a request and (\d+)'
+)
+def check_extra(context, number, ratio, slack):
+    model = gateway_steps.get(context).upstreams[f'shard-{number}-0']
+    counts = collections.Counter(model.arrivals)
+    extra = sum(count - 1 for count in counts.values())
+    most = float(ratio) * len(context.answers) + int(slack)
+    assert extra <= most, extra
+
+
+@then(r'the log has two lines of each query that was handed over')
+def check_two_lines(context):
+    lines = gateway_steps.list_lines(context, 'request')
+    by_id = collections.Counter(line['request_id'] for line in lines)
+    for name, request_id, _ in context.answers:
+        wanted = 1 if name in context.wide else 2
+        assert by_id[request_id] == wanted, (name, by_id)
+    told = [line for line in lines if line['detail'].startswith('by ')]
+    assert len(told) == 4, told
+    assert gateway.LogKind.REQUEST.value == told[0]['kind']
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -1,6 +1,7 @@
 """Plain HTTP calls to one address, for what is not an upstream."""
 
 import asyncio
+import dataclasses
 
 import result
 
@@ -17,6 +18,14 @@
 JSON = (b'content-type', b'application/json')
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoReply:
+    """A call that got no reply; `sent` tells if it may have arrived."""
+
+    sent: bool
+    detail: str
+
+
 class HttpCaller:
     """Calls one address over a few kept connections.
 
@@ -24,7 +33,12 @@
     can't be taken for another's.
     """
 
-    def __init__(self, address: tuple[str, int]):
+    def __init__(
+        self,
+        address: tuple[str, int],
+        most: int = MOST_CONNECTIONS,
+        names: dialect.HeaderNames | None = None,
+    ):
         self.calls = 0
         self.address = address
         self._loop = asyncio.get_running_loop()
@@ -35,23 +49,34 @@
             service=routing.ServiceName(''),
             address=address,
             zone=core.ZoneId(''),
-            slots=MOST_CONNECTIONS,
+            slots=most,
             phase=directory.Phase.READY,
         )
         self._links = pool.Pool(
             endpoint,
             self._loop,
-            dialect.HeaderNames(),
+            names or dialect.HeaderNames(),
             lambda: None,
-            MOST_CONNECTIONS,
+            most,
         )
 
     async def call(
-        self, method: bytes, target: bytes, body: bytes, timeout_s: float
-    ) -> result.Result[messages.Reply, str]:
-        """Send one request and return its reply, or why there is none."""
+        self,
+        method: bytes,
+        target: bytes,
+        body: bytes,
+        timeout_s: float,
+        headers: messages.Headers | None = None,
+        request_id: bytes = b'',
+    ) -> result.Result[messages.Reply, NoReply]:
+        """Send one request and return its reply, or why there is none.
+
+        `headers` replace the usual ones; `request_id` is what a reply that
+        names a request must name.
+        """
         self.calls += 1
-        headers = [(b'host', self._host)]
+        if headers is None:
+            headers = [(b'host', self._host)]
         if body:
             headers.append(JSON)
         written = messages.render_request(method, target, headers, body)
@@ -61,20 +86,21 @@
             if not done.done():
                 done.set_result(outcome)
 
-        exchange = link.Exchange(b'', lambda: written, on_done)
+        exchange = link.Exchange(request_id, lambda: written, on_done)
         self._links.submit(exchange)
         try:
             async with asyncio.timeout(timeout_s):
                 outcome = await done
         except TimeoutError:
-            return result.Err('no reply in time')
+            sent = exchange.sent_at is not None
+            return result.Err(NoReply(sent, 'no reply in time'))
         finally:
             if not done.done() or done.cancelled():
                 self._links.drop(exchange)
             self._links.sweep()
         match outcome:
-            case link.Lost(detail=detail):
-                return result.Err(detail)
+            case link.Lost(sent=sent, detail=detail):
+                return result.Err(NoReply(sent, detail))
         return result.Ok(outcome)
 
     def close(self) -> None:
--- a/rudderrock/gateway/_fleet.py
+++ b/rudderrock/gateway/_fleet.py
@@ -17,11 +17,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HostEntry:
-    """One registered host; `address` is where its peers may call it."""
+    """One registered host; `address` is where its peers may call it.
+
+    `capacity` compares hosts: the speed of its processor in cores times
+    the bandwidth of its link in Mbit/s.
+    """
 
     host: core.HostId
     zone: core.ZoneId
     address: str
+    capacity: float = 0.0
 
 
 class Fleet:
@@ -96,13 +101,18 @@
         The order is the same at every host that knows the same hosts, so
         no election is needed.
         """
-        near = [
+        return self.rank_zone(self.own.zone)
+
+    def rank_zone(self, zone: core.ZoneId) -> list[HostEntry]:
+        """Return the hosts of a zone in the order of their hashes."""
+        found = [
             each
             for each in self._hosts.values()
-            if each.zone == self.own.zone and each.host != self.own.host
+            if each.zone == zone and each.host != self.own.host
         ]
-        near.append(self.own)
-        return sorted(near, key=lambda each: _rank(each.host))
+        if zone == self.own.zone:
+            found.append(self.own)
+        return sorted(found, key=lambda each: _rank(each.host))
 
     def list_others(self) -> list[HostEntry]:
         """Return the hosts of other zones in an order of this host's own."""
@@ -116,5 +126,10 @@
         )
 
 
+def rank_name(name: bytes) -> int:
+    """Return a number for a name, the same at every host."""
+    return xxhash.xxh64_intdigest(name)
+
+
 def _rank(name: str) -> int:
-    return xxhash.xxh64_intdigest(name.encode())
+    return rank_name(name.encode())
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -200,7 +200,7 @@
         for entry in self._list_peers():
             client = self._get_client(entry)
             answer = await client.ask(
-                self._tables.version, self.lost_at is not None
+                self._tables.revision, self.lost_at is not None
             )
             match answer:
                 case result.Ok(changes):
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -208,50 +208,104 @@
     if only.failure is not None:
         reply = _pass_on(only.failure)
         return Result(reply, Outcome.UPSTREAM_FAILED, only.detail, late=late)
-    return _explain_failure([only], only.detail, late, call, tools)
+    reached = _may_have_run([only])
+    return _explain_failure(reached, only.detail, late, call, tools)
 
 
-async def forward_to_all(
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gathered:
+    """What some shards have answered, before it is merged.
+
+    `stamps` sign the parts that are in, `bodies` hold their records, one
+    body or more for them all. `may_have_run` tells whether any upstream
+    may have worked for it.
+    """
+
+    stamps: list[bytes]
+    bodies: list[bytes]
+    shards: int
+    late: int
+    far: int
+    detail: str
+    may_have_run: bool
+
+
+def count_least(shards: int, min_coverage: float) -> int:
+    """Return how many of some shards an answer must contain."""
+    return max(1, math.ceil(shards * min_coverage - 1e-9))
+
+
+async def gather(
     tools: pursuit.Tools,
     call: pursuit.Call,
-    scatter: routing.Scatter,
+    shards: tuple[routing.ServiceName, ...],
+    min_coverage: float,
     point: core.LatePoint,
-) -> Result:
-    """Forward to every shard and merge the records of the answers."""
-    total = len(scatter.shards)
-    least = max(1, math.ceil(total * scatter.min_coverage - 1e-9))
-    forwarder = Forwarder(tools, call, scatter.shards, point, least)
+) -> Gathered:
+    """Ask one upstream of each shard, until enough have answered."""
+    least = count_least(len(shards), min_coverage)
+    forwarder = Forwarder(tools, call, shards, point, least)
     await forwarder.run()
     answers = [
         each.answer for each in forwarder.pursuits if each.answer is not None
     ]
-    late = sum(each.is_late for each in forwarder.pursuits)
     missing = [each for each in forwarder.pursuits if each.answer is None]
-    detail = _list_missing(missing)
-    if len(answers) < least:
-        failed = _explain_failure(
-            forwarder.pursuits, detail, late, call, tools
-        )
-        return dataclasses.replace(failed, shards=total, answered=len(answers))
-    stamps = [each.get_header(tools.names.stamp) for each in answers]
+    return Gathered(
+        stamps=[each.get_header(tools.names.stamp) for each in answers],
+        bodies=[each.body for each in answers],
+        shards=len(shards),
+        late=sum(each.is_late for each in forwarder.pursuits),
+        far=_count_far(forwarder.pursuits),
+        detail=_list_missing(missing),
+        may_have_run=_may_have_run(forwarder.pursuits),
+    )
+
+
+def merge_gathered(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    scatter: routing.Scatter,
+    parts: list[Gathered],
+) -> Result:
+    """Make one answer of what groups of shards have answered."""
+    total = sum(each.shards for each in parts)
+    stamps = [stamp for each in parts for stamp in each.stamps]
+    late = sum(each.late for each in parts)
+    detail = '; '.join(each.detail for each in parts if each.detail)
+    if len(stamps) < count_least(total, scatter.min_coverage):
+        reached = any(each.may_have_run for each in parts)
+        failed = _explain_failure(reached, detail, late, call, tools)
+        return dataclasses.replace(failed, shards=total, answered=len(stamps))
+    missing = total - len(stamps)
     headers = [
         (tools.names.request_id, call.request_id),
         (tools.names.part_stamps, b', '.join(stamps)),
-        (tools.names.missing_parts, b'%d' % len(missing)),
+        (tools.names.missing_parts, b'%d' % missing),
     ]
-    body = records.merge_records(
-        (each.body for each in answers), scatter.top_k
-    )
-    outcome = Outcome.PARTIAL if missing else Outcome.ANSWERED
+    bodies = (body for each in parts for body in each.bodies)
+    body = records.merge_records(bodies, scatter.top_k)
     return Result(
         messages.Reply(200, headers, body),
-        outcome,
+        Outcome.PARTIAL if missing else Outcome.ANSWERED,
         detail,
         shards=total,
-        answered=len(answers),
+        answered=len(stamps),
         late=late,
-        far=_count_far(forwarder.pursuits),
+        far=sum(each.far for each in parts),
+    )
+
+
+async def forward_to_all(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    scatter: routing.Scatter,
+    point: core.LatePoint,
+) -> Result:
+    """Forward to every shard and merge the records of the answers."""
+    part = await gather(
+        tools, call, scatter.shards, scatter.min_coverage, point
     )
+    return merge_gathered(tools, call, scatter, [part])
 
 
 def refuse(
@@ -270,18 +324,21 @@
 RETRY_AFTER_S = 0.1
 
 
+def _may_have_run(pursuits: list[pursuit.Pursuit]) -> bool:
+    return any(
+        each.answer is not None or each.may_have_run or each.was_cut
+        for each in pursuits
+    )
+
+
 def _explain_failure(
-    pursuits: list[pursuit.Pursuit],
+    reached: bool,
     detail: str,
     late: int,
     call: pursuit.Call,
     tools: pursuit.Tools,
 ) -> Result:
     """Answer for what failed: 503 only if no upstream may have run it."""
-    reached = any(
-        each.answer is not None or each.may_have_run or each.was_cut
-        for each in pursuits
-    )
     if not reached:
         result = refuse(
             tools.names, call.request_id, RETRY_AFTER_S, Outcome.NOT_RUN
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -7,6 +7,7 @@
 
 from rudderrock import core
 from rudderrock.gateway import _budget as budget
+from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _forward as forward
@@ -54,6 +55,15 @@
             self._list_wanted,
         )
         self.counters = pursuit.Counters()
+        self.delegated = 0
+        self.takes_delegated = True
+        self.delegation = delegate.Delegation(
+            parts.hosts,
+            config.names,
+            parts.clock,
+            parts.events,
+            lambda: parts.tables.version,
+        )
         self._config = config
         self._parts = parts
         self._points = forward.LatePoints()
@@ -89,8 +99,48 @@
             await asyncio.sleep(SWEEP_EVERY_S)
             self.book.sweep()
 
-    async def handle(self, request: messages.Request) -> messages.Reply:
-        """Answer one request; log and count how it ended."""
+    async def handle_delegated(
+        self, request: messages.Request
+    ) -> messages.Reply:
+        """Answer a wide query that another host has handed over.
+
+        It is sent back if this host stops, or has an older table.
+        """
+        version = request.get_header(delegate.VERSION) or b''
+        table = self._parts.tables.current
+        known = table is not None and version.isdigit()
+        if not (known and self.takes_delegated):
+            return delegate.refuse_delegated(self._config.names)
+        listed = request.get_header(delegate.SHARDS)
+        # Some shards are named by the very table that the other host uses.
+        newer = listed is None and table.version > int(version)
+        if table.version != int(version) and not newer:
+            return delegate.refuse_delegated(self._config.names)
+        elapsed = request.get_header(delegate.ELAPSED) or b''
+        if elapsed.isdigit():
+            request.arrived -= int(elapsed) / 1000
+        own = (delegate.VERSION, delegate.ELAPSED, delegate.SHARDS)
+        request.headers = [
+            pair for pair in request.headers if pair[0] not in own
+        ]
+        self.delegated += 1
+        try:
+            return await self.handle(
+                request, may_delegate=False, shards=_split_names(listed)
+            )
+        finally:
+            self.delegated -= 1
+
+    async def handle(
+        self,
+        request: messages.Request,
+        may_delegate: bool = True,
+        shards: tuple[routing.ServiceName, ...] = (),
+    ) -> messages.Reply:
+        """Answer one request; log and count how it ended.
+
+        `shards` are the only ones to ask, if there are any.
+        """
         table = self._parts.tables.current
         route = self._find_route(table, request)
         found = forward.Result(
@@ -99,7 +149,9 @@
             'the caller closed its connection',
         )
         try:
-            found = await self._answer(table, route, request)
+            found = await self._answer(
+                table, route, request, may_delegate, shards
+            )
         finally:
             self._note(table, route, request, found)
         return found.reply
@@ -109,6 +161,8 @@
         table: routing.RoutingTable | None,
         route: routing.Route | None,
         request: messages.Request,
+        may_delegate: bool,
+        shards: tuple[routing.ServiceName, ...],
     ) -> forward.Result:
         names = self._config.names
         request_id = request.get_header(names.request_id)
@@ -138,10 +192,61 @@
                 return await forward.forward_to_one(
                     self._tools, call, service, point
                 )
-            case routing.Scatter():
+            case routing.Scatter() if shards:
+                part = dataclasses.replace(route.target, shards=shards)
                 return await forward.forward_to_all(
-                    self._tools, call, route.target, point
+                    self._tools, call, part, point
+                )
+            case routing.Scatter():
+                if len(route.target.shards) < delegate.WIDE_SHARDS:
+                    return await forward.forward_to_all(
+                        self._tools, call, route.target, point
+                    )
+                return await self._run_wide(
+                    call, route.target, point, may_delegate
+                )
+
+    async def _run_wide(
+        self,
+        call: pursuit.Call,
+        scatter: routing.Scatter,
+        point: core.LatePoint,
+        may_delegate: bool,
+    ) -> forward.Result:
+        """Hand a wide query over, or share it with other zones."""
+        if may_delegate:
+            entry = self.delegation.choose(call.request_id)
+            if entry is not None:
+                found = await self.delegation.run(entry, call)
+                if found is not None:
+                    return found
+        groups = delegate.split_shards(self.book, call, scatter.shards)
+        async with asyncio.TaskGroup() as tasks:
+            parts = [
+                tasks.create_task(
+                    self._gather(call, scatter, point, zone, shards)
                 )
+                for zone, shards in groups.items()
+            ]
+        gathered = [each.result() for each in parts]
+        return forward.merge_gathered(self._tools, call, scatter, gathered)
+
+    async def _gather(
+        self,
+        call: pursuit.Call,
+        scatter: routing.Scatter,
+        point: core.LatePoint,
+        zone: core.ZoneId | None,
+        shards: tuple[routing.ServiceName, ...],
+    ) -> forward.Gathered:
+        """Ask some shards from another zone if one is given, else here."""
+        if zone is not None:
+            found = await self.delegation.run_part(zone, call, shards)
+            if found is not None:
+                return found
+        return await forward.gather(
+            self._tools, call, shards, scatter.min_coverage, point
+        )
 
     def _make_call(
         self,
@@ -266,6 +371,17 @@
     return forward.Result(messages.Reply(status, []), outcome, detail)
 
 
+def _split_names(
+    listed: bytes | None,
+) -> tuple[routing.ServiceName, ...]:
+    if listed is None:
+        return ()
+    return tuple(
+        routing.ServiceName(name)
+        for name in listed.decode('latin-1').split(',')
+    )
+
+
 def _read_deadline(value: bytes | None) -> float | None:
     """Return a deadline in seconds, or None if none was given."""
     if value is None or not value.strip().isdigit():
--- a/rudderrock/gateway/_peers.py
+++ b/rudderrock/gateway/_peers.py
@@ -36,6 +36,9 @@
 class Known(msgspec.Struct, frozen=True):
     """What the asking host has already, of this peer's process.
 
+    `table` is the source's revision of the last table that it was sent,
+    whether it could use it or not: else it would be sent again at once.
+
     `is_lost` tells that the source turns it away, so that it also takes
     what the peer has from others.
     """
@@ -139,7 +142,7 @@
         listing = self._listing
         tables = self._tables
         stamp = listing.stamp
-        newer = tables.version > known.table
+        newer = tables.revision > known.table
         hosts_known = same and known.hosts == self._hosts.generation
         return Changes(
             process=self.process,
@@ -179,7 +182,7 @@
             known.process != self.process
             or known.upstreams != self.generation
             or known.hosts != self._hosts.generation
-            or known.table < self._tables.version
+            or known.table < self._tables.revision
         )
 
     def _is_of_use(self, known: Known) -> bool:
@@ -220,14 +223,17 @@
         host, _, port = entry.address.rpartition(':')
         self.entry = entry
         self.known = Known()
+        self._sent_table = -1
         self._caller = caller.HttpCaller((host, int(port)))
 
     async def ask(
         self, table: int, is_lost: bool
     ) -> result.Result[Changes, sources.Unavailable]:
-        """Return what is new; `table` is the version in force here."""
+        """Return what is new; `table` is the revision in force here."""
         known = msgspec.structs.replace(
-            self.known, table=table, is_lost=is_lost
+            self.known,
+            table=max(table, self._sent_table),
+            is_lost=is_lost,
         )
         fields = msgspec.to_builtins(known)
         fields['is_lost'] = int(is_lost)
@@ -236,8 +242,8 @@
             b'GET', f'{PATH}?{query}'.encode(), b'', HOLD_S + SLACK_S
         )
         match answer:
-            case result.Err(detail):
-                return result.Err(sources.Unavailable(detail))
+            case result.Err(problem):
+                return result.Err(sources.Unavailable(problem.detail))
             case result.Ok(reply) if reply.status != 200:
                 return result.Err(
                     sources.Unavailable(f'status {reply.status}')
@@ -246,6 +252,8 @@
             changes = msgspec.json.decode(answer.ok_value.body, type=Changes)
         except msgspec.DecodeError as error:
             return result.Err(sources.Unavailable(f'unreadable: {error}'))
+        if changes.table is not None:
+            self._sent_table = changes.table_revision
         return result.Ok(changes)
 
     def note_applied(self, changes: Changes | None) -> None:
--- a/rudderrock/gateway/_place.py
+++ b/rudderrock/gateway/_place.py
@@ -4,7 +4,8 @@
 
 from rudderrock import core
 
-# The distance of a zone in another region.
+# Distances of another zone in the same region, and of one in another.
+SAME_REGION = 1
 FARTHEST = 2
 
 
@@ -24,4 +25,8 @@
         if one == other:
             return 0
         region = self.regions.get(one, one)
-        return 1 if region == self.regions.get(other, other) else FARTHEST
+        return (
+            SAME_REGION
+            if region == self.regions.get(other, other)
+            else FARTHEST
+        )
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -146,6 +146,10 @@
         while self._waiting:
             exchange = self._waiting.popleft()
             exchange.finish(link_module.Lost(False, 'upstream left'))
+        self.drop_idle()
+
+    def drop_idle(self) -> None:
+        """Close the connections that have nothing under way."""
         while self._free:
             self._free.pop().abort()
 
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import enum
 
+from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _follow as follow
 from rudderrock.gateway import _gateway as gateway
@@ -12,6 +13,7 @@
 from rudderrock.gateway import _messages as messages
 from rudderrock.gateway import _peers as peers
 from rudderrock.gateway import _settings as settings
+from rudderrock.gateway import _sources as sources
 
 # Part of the time that a planned stop may take during which new
 # connections are still accepted: the balancer asks once a second and goes
@@ -53,7 +55,8 @@
         self._callers = intake.Intake(served.handle, self._note_unreadable)
         self._probes = intake.Intake(self._answer_probe)
         self._scrapes = intake.Intake(self._answer_scrape)
-        self.peers = intake.Intake(changes.answer)
+        self.peers = intake.Intake(self._answer_peer)
+        self._changes = changes
         self._was_ready = False
         self._stop_began = 0.0
         parts.tables.add_listener(self._on_table)
@@ -63,6 +66,11 @@
         """Return the hosts that this one knows."""
         return self._parts.hosts
 
+    @property
+    def tables(self) -> sources.TableHolder:
+        """Return the holder of the table in force."""
+        return self._parts.tables
+
     def stop(self) -> None:
         """Begin a planned stop; a second call changes nothing."""
         if not self._stop.is_set():
@@ -74,6 +82,7 @@
         config = self._config
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.gateway.book.close)
+            stack.callback(self.gateway.delegation.close)
             for served, address in (
                 (self._callers, config.callers),
                 (self._probes, config.readiness),
@@ -96,6 +105,7 @@
         self._stop_began = self._parts.clock.now()
         self.state = ProcessState.LEAVING
         self._callers.is_stopping = True
+        self.gateway.takes_delegated = False
         self._parts.events.record(
             log.LogKind.STOPPING, busy=self._callers.busy
         )
@@ -110,10 +120,13 @@
         await asyncio.sleep(max(0.0, accept_until - loop.time()))
         self._callers.stop_accepting()
         end = began + stop_s * END_FRACTION
-        while self._callers.links and loop.time() < end:
+        while self._is_busy() and loop.time() < end:
             self._callers.close_idle()
             await asyncio.sleep(_POLL_S)
 
+    def _is_busy(self) -> bool:
+        return bool(self._callers.links) or self.gateway.delegated > 0
+
     def _on_table(self, table) -> None:
         self._callers.limits = table.limits
 
@@ -121,6 +134,11 @@
         self._parts.figures.note_unreadable(problem)
         self._parts.events.record(log.LogKind.UNREADABLE, problem=problem)
 
+    async def _answer_peer(self, request: messages.Request) -> messages.Reply:
+        if request.get_header(delegate.VERSION) is not None:
+            return await self.gateway.handle_delegated(request)
+        return await self._changes.answer(request)
+
     async def _answer_probe(self, request: messages.Request) -> messages.Reply:
         ready = self.gateway.is_ready and self.state is ProcessState.SERVING
         if ready != self._was_ready:
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -146,6 +146,11 @@
             replica.links.sweep()
         self._retired = [each for each in self._retired if each.links.load]
 
+    def drop_idle(self) -> None:
+        """Close every connection that has nothing under way."""
+        for replica in self._replicas.values():
+            replica.links.drop_idle()
+
     def set_caps(self) -> None:
         """Bring all pools to the present bounds on connections."""
         for replica in self._replicas.values():
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -20,7 +20,8 @@
     a service beyond the first of each request: in any window of so many
     seconds at most that part of its requests, plus the slack, over all
     hosts. `stop_s` is how long a planned stop may take before the process
-    is killed.
+    is killed. `capacity` compares this host with others: the speed of its
+    processor in cores times the bandwidth of its link in Mbit/s.
     """
 
     host: str
@@ -34,4 +35,5 @@
     extra_window_s: float = 10.0
     extra_slack: float = 20.0
     stop_s: float = 6.0
+    capacity: float = 1.0
     assumed_hosts: int = ASSUMED_HOSTS
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -25,6 +25,7 @@
         host=core.HostId(settings.host),
         zone=settings.place.zone,
         address='%s:%d' % settings.peers,
+        capacity=settings.capacity,
     )
     hosts = gateway.Fleet(own, settings.assumed_hosts, clock)
     parts = gateway.Parts(
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -50,6 +50,7 @@
             extra_window_s=float(fields['bounds.retry_window_s']),
             extra_slack=float(fields['bounds.retry_slack']),
             stop_s=float(fields['bounds.grace_s']),
+            capacity=_get_capacity(fields),
         )
 
 
@@ -75,6 +76,14 @@
     return result.Ok(boot)
 
 
+def _get_capacity(fields: dict[str, str]) -> float:
+    # `cores` says how fast the one core is, `cpu_share` how much of it the
+    # process may use.
+    share = float(fields.get('limits.cpu_share', '1'))
+    speed = float(fields.get('limits.cores', '1'))
+    return share * speed * float(fields.get('limits.link_mbps', '1'))
+
+
 def _split(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(':')
     return host, int(port)
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -267,8 +267,8 @@
     ) -> result.Result[gateway.Reply, gateway.Unavailable]:
         answer = await self.caller.call(method, target, body, timeout_s)
         match answer:
-            case result.Err(detail):
-                return result.Err(gateway.Unavailable(detail))
+            case result.Err(problem):
+                return result.Err(gateway.Unavailable(problem.detail))
             case result.Ok(reply) if reply.status not in allowed:
                 return result.Err(
                     gateway.Unavailable(f'status {reply.status}')
