--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -65,3 +65,27 @@
     Given 6 gateways before 60 shards, of which 2 have a wide link
     When every gateway is asked for all shards
     Then the log has two lines of each query that was handed over
+
+  Scenario: the other zone's shards are asked from there, and merged
+    Given 3 gateways in each of two zones of a region before 60 shards, half in each
+    When every gateway is asked for all shards
+    Then every answer is whole, with the greatest records
+    And shards of each zone were only asked from their own zone
+
+  Scenario: the other zone's hosts are gone
+    Given 3 gateways in each of two zones of a region before 60 shards, half in each
+    When the gateways of the other zone are killed
+    And every gateway is asked for all shards
+    Then every answer is whole, with the greatest records
+
+  Scenario: coverage is true when a shard of the other zone fails
+    Given 3 gateways in each of two zones of a region before 60 shards, half in each
+    And every upstream of shard 7 is failing
+    When every gateway is asked for all shards
+    Then every answer tells of 1 missing shard of 60
+
+  Scenario: too few shards of the other zone are asked from here
+    Given 3 gateways in each of two zones of a region before 60 shards, 4 in the other
+    When every gateway of the first zone is asked for all shards
+    Then every answer is whole, with the greatest records
+    And no gateway of the other zone was asked
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -329,7 +329,8 @@
         ip = f'10.0.1.{self._count}'
         clock = state.Clock(asyncio.get_running_loop())
         place = gateway.Place(
-            state.ZoneId(zone), {'north-1': 'north', 'south-1': 'south'}
+            state.ZoneId(zone),
+            {'north-1': 'north', 'north-2': 'north', 'south-1': 'south'},
         )
         config = gateway.GatewaySettings(
             host=name,
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -245,3 +245,90 @@
     told = [line for line in lines if line['detail'].startswith('by ')]
     assert len(told) == 4, told
     assert gateway.LogKind.REQUEST.value == told[0]['kind']
+
+
+def start_zones(context, count, shards, others):
+    """Start gateways in two zones of a region, and shards in both."""
+    bench = gateway_steps.get(context)
+    for number in range(shards):
+        zone = 'north-2' if number < others else 'north-1'
+        name = f'shard-{number}'
+        context.shards.append(name)
+        run(
+            context,
+            bench.add_upstream(
+                f'{name}-0',
+                name,
+                zone=zone,
+                records=b'%016d' % (number * 7919 % 1000),
+            ),
+        )
+    gateway_steps.add_scatter(
+        context, '/all/', least=0.9, timeout_s=6.0, goal_s=0.5
+    )
+    bench.publish()
+    context.fleet = gateway_bench.FleetBench(bench, context.stack)
+    zones = ['north-1'] * count + ['north-2'] * count
+    run(context, context.fleet.start(zones))
+    run(context, asyncio.sleep(6.0))
+
+
+@given(
+    r'(\d+) gateways in each of two zones of a region before (\d+) shards, '
+    r'half in each'
+)
+def start_halves(context, count, shards):
+    start_zones(context, int(count), int(shards), int(shards) // 2)
+
+
+@given(
+    r'(\d+) gateways in each of two zones of a region before (\d+) shards, '
+    r'(\d+) in the other'
+)
+def start_few(context, count, shards, others):
+    start_zones(context, int(count), int(shards), int(others))
+
+
+@when(r'the gateways of the other zone are killed')
+def kill_zone(context):
+    for name in list(context.fleet.members)[3:]:
+        run(context, context.fleet.kill(name))
+
+
+@when(r'every gateway of the first zone is asked for all shards')
+def ask_first_zone(context):
+    ask_all(context, list(context.fleet.members)[:3])
+
+
+@then(r'every answer is whole, with the greatest records')
+def check_merged(context):
+    check_whole(context)
+    upstreams = gateway_steps.get(context).upstreams.values()
+    parts = [model.records for model in upstreams]
+    wanted = gateway.merge_records(parts, 5)
+    for _, _, reply in context.answers:
+        assert reply.body == wanted, reply
+
+
+@then(r'shards of each zone were only asked from their own zone')
+def check_own_zone(context):
+    members = list(context.fleet.members.values())
+    first = sum(each.gateway.counters.firsts for each in members[:3])
+    other = sum(each.gateway.counters.firsts for each in members[3:])
+    assert first == other == 6 * 30, (first, other)
+    check_no_repeat(context)
+
+
+@then(r'every answer tells of 1 missing shard of (\d+)')
+def check_one_missing(context, count):
+    for _, _, reply in context.answers:
+        assert reply.status == 200, reply
+        assert reply.headers['rudderrock-missing-parts'] == '1', reply
+        stamps = reply.headers['rudderrock-part-stamps'].split(', ')
+        assert len(set(stamps)) == int(count) - 1, stamps
+
+
+@then(r'no gateway of the other zone was asked')
+def check_unasked(context):
+    for member in list(context.fleet.members.values())[3:]:
+        assert not member.gateway.counters.firsts
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -785,7 +785,7 @@
 def check_idle(context, upstream):
     model = get(context).upstreams[upstream]
     assert model.runs and not model.finished
-    assert model.open == 0, model.open
+    assert model.working == 0, model.working
 
 
 @then(r'no shard is at work for anybody')
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -45,14 +45,18 @@
 ELAPSED = b'rudderrock-elapsed-ms'
 # The shards that are asked of a host, by commas, if not all of the query's.
 SHARDS = b'rudderrock-shards'
+# How many of them are enough.
+LEAST = b'rudderrock-least'
 # Marks the reply of a host that has not begun on the query.
 NOT_TAKEN = b'rudderrock-not-taken'
+# These are never passed on to upstreams.
+OWN_HEADERS = frozenset({VERSION, ELAPSED, SHARDS, LEAST})
 _CONNECTIONS = 16
 # Fewer shards than this are not worth a message to another zone.
 LEAST_SHARDS = 8
 # What a host that asks another leaves it less time by, in seconds: the way
 # there and back, and the merging.
-HOP_S = 0.005
+HOP_S = 0.012
 
 
 class Delegation:
@@ -85,24 +89,31 @@
             return None
         return able[fleet.rank_name(request_id) % len(able)]
 
-    def can_ask(self, zone: core.ZoneId) -> bool:
-        """Tell whether a host of another zone may be asked for a part."""
-        return bool(self._list_open(zone))
+    def is_able(self) -> bool:
+        """Tell whether this host takes the wide queries of its zone."""
+        own = self._hosts.own
+        return own in list_able(self._hosts, own.zone)
 
     async def run_part(
         self,
         zone: core.ZoneId,
         call: pursuit.Call,
         shards: tuple[routing.ServiceName, ...],
+        least: int,
     ) -> forward.Gathered | None:
-        """Have a host of a zone ask some shards; None if it hasn't begun."""
+        """Have a host of a zone ask some shards; None if it hasn't begun.
+
+        At the goal, `least` answers are enough.
+        """
         able = self._list_open(zone)
         if not able:
             return None
         entry = able[fleet.rank_name(call.request_id) % len(able)]
-        answer = await self._ask(
-            entry, call, [(SHARDS, ','.join(shards).encode())]
-        )
+        more = [
+            (SHARDS, ','.join(shards).encode()),
+            (LEAST, b'%d' % least),
+        ]
+        answer = await self._ask(entry, call, more)
         match answer:
             case result.Ok(reply):
                 return self._read_part(entry, shards, reply)
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -24,6 +24,10 @@
 READ_EVERY_S = 1.0
 # Between two readings of the hosts, in seconds; few things hang on them.
 HOSTS_EVERY_S = 4.0
+# While this process is young, others may be registering too: it reads the
+# hosts at this interval until it is so old; seconds.
+HOSTS_SOON_S = 0.8
+YOUNG_S = 4.0
 # Between tries while the source does not answer, in seconds, for the host
 # that reads for others and for one that asks others first; and the part by
 # which chance varies it so that hosts don't ask in step.
@@ -135,6 +139,7 @@
         self._events = events
         self._skip: dict[core.HostId, float] = {}
         self._hosts_read_at = -HOSTS_EVERY_S
+        self._began = clock.now()
         self._tried_at = -FALLBACK_RETRY_S
         self._readings = 0
         self._watch: asyncio.Task | None = None
@@ -307,7 +312,9 @@
 
     async def _read_hosts(self) -> None:
         now = self._clock.now()
-        if now - self._hosts_read_at < HOSTS_EVERY_S:
+        young = now - self._began < YOUNG_S
+        every_s = HOSTS_SOON_S if young else HOSTS_EVERY_S
+        if now - self._hosts_read_at < every_s:
             return
         match await self._source.list_hosts():
             case result.Ok(found):
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import enum
 import math
@@ -83,6 +84,28 @@
         return point
 
 
+class Need:
+    """How many answers are enough, which may change on the way.
+
+    While another host asks some shards of the same query, what it brings
+    decides how many are needed here.
+    """
+
+    def __init__(self, count: int):
+        self.count = count
+        self._on_change: Callable[[], None] | None = None
+
+    def watch(self, call: Callable[[], None]) -> None:
+        """Have `call` called after each change."""
+        self._on_change = call
+
+    def change(self, count: int) -> None:
+        """Set how many answers are enough from now on."""
+        self.count = count
+        if self._on_change is not None:
+            self._on_change()
+
+
 class Forwarder:
     """Sends one call to all its services and waits for the answers.
 
@@ -95,12 +118,13 @@
         call: pursuit.Call,
         services: tuple[routing.ServiceName, ...],
         point: core.LatePoint,
-        least: int,
+        need: Need,
     ):
         self._tools = tools
         self._call = call
         self._point = point
-        self._least = least
+        self._need = need
+        need.watch(self._on_need)
         self._open = len(services)
         self._failed = 0
         self._noted_late = False
@@ -141,19 +165,23 @@
         self._failed += settled.answer is None
         if not settled.is_late:
             self._point.note(False)
-        can_reach = len(self.pursuits) - self._failed >= self._least
+        can_reach = len(self.pursuits) - self._failed >= self._need.count
         if self._open == 0 or not can_reach:
             self._finish()
         elif self._is_past_goal():
             self._settle_for_enough()
 
+    def _on_need(self) -> None:
+        if self._is_past_goal():
+            self._settle_for_enough()
+
     def _is_past_goal(self) -> bool:
         call = self._call
         goal = call.request.arrived + call.route.goal_s - MARGIN_S
         return self._tools.loop.time() >= goal
 
     def _settle_for_enough(self) -> None:
-        if self.count_answers() >= self._least:
+        if self.count_answers() >= self._need.count:
             self._finish()
 
     def _hedge_late(self) -> None:
@@ -192,7 +220,7 @@
     point: core.LatePoint,
 ) -> Result:
     """Forward to one service and pass its answer on unchanged."""
-    forwarder = Forwarder(tools, call, (service,), point, 1)
+    forwarder = Forwarder(tools, call, (service,), point, Need(1))
     await forwarder.run()
     only = forwarder.pursuits[0]
     late = int(only.is_late)
@@ -239,12 +267,11 @@
     tools: pursuit.Tools,
     call: pursuit.Call,
     shards: tuple[routing.ServiceName, ...],
-    min_coverage: float,
+    need: Need,
     point: core.LatePoint,
 ) -> Gathered:
     """Ask one upstream of each shard, until enough have answered."""
-    least = count_least(len(shards), min_coverage)
-    forwarder = Forwarder(tools, call, shards, point, least)
+    forwarder = Forwarder(tools, call, shards, point, need)
     await forwarder.run()
     answers = [
         each.answer for each in forwarder.pursuits if each.answer is not None
@@ -302,9 +329,8 @@
     point: core.LatePoint,
 ) -> Result:
     """Forward to every shard and merge the records of the answers."""
-    part = await gather(
-        tools, call, scatter.shards, scatter.min_coverage, point
-    )
+    need = Need(count_least(len(scatter.shards), scatter.min_coverage))
+    part = await gather(tools, call, scatter.shards, need, point)
     return merge_gathered(tools, call, scatter, [part])
 
 
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -119,10 +119,6 @@
         elapsed = request.get_header(delegate.ELAPSED) or b''
         if elapsed.isdigit():
             request.arrived -= int(elapsed) / 1000
-        own = (delegate.VERSION, delegate.ELAPSED, delegate.SHARDS)
-        request.headers = [
-            pair for pair in request.headers if pair[0] not in own
-        ]
         self.delegated += 1
         try:
             return await self.handle(
@@ -193,7 +189,12 @@
                     self._tools, call, service, point
                 )
             case routing.Scatter() if shards:
-                part = dataclasses.replace(route.target, shards=shards)
+                least = request.get_header(delegate.LEAST) or b'1'
+                part = dataclasses.replace(
+                    route.target,
+                    shards=shards,
+                    min_coverage=int(least) / len(shards),
+                )
                 return await forward.forward_to_all(
                     self._tools, call, part, point
                 )
@@ -221,32 +222,44 @@
                 if found is not None:
                     return found
         groups = delegate.split_shards(self.book, call, scatter.shards)
+        own = groups.pop(None, ())
+        total = len(scatter.shards)
+        enough = forward.count_least(total, scatter.min_coverage)
+        spared = total - enough
+        # What others bring is taken to be complete until it is known.
+        need = forward.Need(max(0, len(own) - spared))
         async with asyncio.TaskGroup() as tasks:
-            parts = [
+            here = tasks.create_task(
+                forward.gather(self._tools, call, own, need, point)
+            )
+            there = [
                 tasks.create_task(
-                    self._gather(call, scatter, point, zone, shards)
+                    self._gather_there(call, zone, shards, spared, point)
                 )
                 for zone, shards in groups.items()
             ]
-        gathered = [each.result() for each in parts]
+            brought = 0
+            for part in asyncio.as_completed(there):
+                brought += len((await part).stamps)
+            need.change(enough - brought)
+        gathered = [here.result(), *(each.result() for each in there)]
         return forward.merge_gathered(self._tools, call, scatter, gathered)
 
-    async def _gather(
+    async def _gather_there(
         self,
         call: pursuit.Call,
-        scatter: routing.Scatter,
-        point: core.LatePoint,
-        zone: core.ZoneId | None,
+        zone: core.ZoneId,
         shards: tuple[routing.ServiceName, ...],
+        spared: int,
+        point: core.LatePoint,
     ) -> forward.Gathered:
-        """Ask some shards from another zone if one is given, else here."""
-        if zone is not None:
-            found = await self.delegation.run_part(zone, call, shards)
-            if found is not None:
-                return found
-        return await forward.gather(
-            self._tools, call, shards, scatter.min_coverage, point
-        )
+        """Have shards asked from another zone, or ask them from here."""
+        least = max(1, len(shards) - spared)
+        found = await self.delegation.run_part(zone, call, shards, least)
+        if found is not None:
+            return found
+        need = forward.Need(least)
+        return await forward.gather(self._tools, call, shards, need, point)
 
     def _make_call(
         self,
@@ -257,7 +270,8 @@
     ) -> pursuit.Call:
         names = self._config.names
         patience_s = min(deadline_s, route.timeout_s) - forward.MARGIN_S
-        set_here = (names.deadline_ms, names.expected_upstream)
+        set_here = {names.deadline_ms, names.expected_upstream}
+        set_here |= delegate.OWN_HEADERS
         return pursuit.Call(
             request=request,
             request_id=request_id,
@@ -299,14 +313,18 @@
             self.book.warm(service)
 
     def _list_wanted(self) -> set[routing.ServiceName]:
+        """Return the services that this host itself will send to."""
         table = self._parts.tables.current
         if table is None:
             return set()
-        return {
-            service
-            for route in table.routes.values()
-            for service in table.list_services(route)
-        }
+        wanted: set[routing.ServiceName] = set()
+        for route in table.routes.values():
+            services = table.list_services(route)
+            if len(services) < delegate.WIDE_SHARDS:
+                wanted.update(services)
+            elif self.delegation.is_able():
+                wanted.update(filter(self.book.has_nearest, services))
+        return wanted
 
     def _get_share(self, endpoint: directory.Endpoint) -> shares.LinkShare:
         table = self._parts.tables.current
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -14,7 +14,7 @@
 CONNECT_TIMEOUT_S = 1.0
 # An idle connection is closed after this part of the time that the
 # upstream says it keeps one, so that both sides seldom close at once.
-KEEP_FRACTION = 0.6
+KEEP_FRACTION = 0.75
 # Idle time in seconds where the upstream doesn't say.
 DEFAULT_KEEP_S = 10.0
 # Idle time of a connection that this host has no claim to keep, in seconds.
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -128,6 +128,10 @@
                 best, best_key = replica, key
         return best
 
+    def has_nearest(self, service: routing.ServiceName) -> bool:
+        """Tell whether a replica of a service is in this host's zone."""
+        return any(each.distance == 0 for each in self.list_ready(service))
+
     def warm(self, service: routing.ServiceName) -> None:
         """Open a connection to the nearest replicas of a service."""
         found = self.list_ready(service)
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -65,6 +65,7 @@
         self.finished = 0
         self.timed_arrivals: list[tuple[float, str]] = []
         self.open = 0
+        self.working = 0
         self.most_open = 0
         self._names = names
         self._server: asyncio.Server | None = None
@@ -159,7 +160,11 @@
     async def _work(self, reader) -> bool:
         """Work until done; stop when the connection is closed."""
         gone = asyncio.ensure_future(reader.read(1))
-        done, _ = await asyncio.wait({gone}, timeout=self.work_s)
+        self.working += 1
+        try:
+            done, _ = await asyncio.wait({gone}, timeout=self.work_s)
+        finally:
+            self.working -= 1
         if not done:
             gone.cancel()
             await asyncio.gather(gone, return_exceptions=True)
