Connections: kept ones for hedges, able hosts only for wide queries

Cause: a host to which an upstream is far had a share of less than one connection, so each hedge had to open one (a way there and back and 6 ms of a slot). Change: 0.6 and 0.32 of an upstream's connections for near and far hosts (0.8 and 0.12 before); services that only wide queries ask are shared by the hosts that run these; nothing is warmed before the hosts are known or beyond a whole share; counts and ranks of hosts are worked out once a listing; a host asks two able hosts of a zone, another choice for each. The examples of one scenario state the new shares; what it checks of them (the sum stays below what the upstream accepts) is as it was.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -184,6 +184,6 @@
 
     Examples:
       | accepted | near | far | own | other |
-      | 26       | 5    | 2   | 4   | 1     |
-      | 100      | 3    | 4   | 8   | 3     |
-      | 52       | 20   | 20  | 2   | 1     |
+      | 26       | 5    | 2   | 3   | 4     |
+      | 100      | 3    | 4   | 8   | 8     |
+      | 52       | 20   | 20  | 1   | 1     |
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -243,7 +243,7 @@
         context.endpoints[0],
         tuple(context.endpoints),
         context.accepted,
-        hosts,
+        hosts.count_by_zone(),
         gateway.Place(zone, _REGIONS),
     )
 
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -34,6 +34,9 @@
 # that the loss of one leaves another.
 HOSTS_EACH = 5
 LEAST_HOSTS = 2
+# So many of them, another choice for each host, are asked while they answer:
+# more would need more connections, each of them used less often.
+ASKED_HOSTS = 2
 # A host that didn't take or lost a query is passed over for so long, twice
 # as long for each time in a row, in seconds; so is one that holds a query
 # longer than its goal and a little.
@@ -127,17 +130,22 @@
 
     def choose(self, request_id: bytes) -> fleet.HostEntry | None:
         """Return who shall run a wide query, None for this host itself."""
-        own = self._hosts.own
-        able = self._list_open(own.zone)
-        if any(each.host == own.host for each in able):
+        if self.is_able():
             return None
-        return _pick(able, request_id)
+        return _pick(self._list_open(self._hosts.own.zone), request_id)
 
     def is_able(self) -> bool:
         """Tell whether this host takes the wide queries of its zone."""
         own = self._hosts.own
         return own in list_able(self._hosts, own.zone)
 
+    def count_able(self) -> dict[core.ZoneId, int]:
+        """Return how many hosts of each zone take wide queries."""
+        return {
+            zone: len(list_able(self._hosts, zone))
+            for zone in self._hosts.count_by_zone()
+        }
+
     def has_open(self, zone: core.ZoneId) -> bool:
         """Tell whether a host of a zone may be asked just now."""
         return bool(self._list_open(zone))
@@ -148,7 +156,7 @@
         for zone in self._hosts.count_by_zone():
             if zone == own:
                 continue
-            for entry in list_able(self._hosts, zone):
+            for entry in self._list_asked(zone):
                 self._get_caller(entry).warm(_WARM)
 
     def has_time(self, zone: core.ZoneId, call: pursuit.Call) -> bool:
@@ -199,12 +207,25 @@
                 return self._read_part(shards, reply)
         return answer
 
+    def _list_asked(self, zone: core.ZoneId) -> list[fleet.HostEntry]:
+        """Return those able hosts of a zone that this host prefers."""
+        own = self._hosts.own.host
+        return sorted(
+            list_able(self._hosts, zone),
+            key=lambda each: fleet.rank_name(f'{own}/{each.host}'.encode()),
+        )[:ASKED_HOSTS]
+
     def _list_open(self, zone: core.ZoneId) -> list[fleet.HostEntry]:
+        """Return the able hosts of a zone that may be asked just now."""
+        asked = self._drop_skipped(self._list_asked(zone))
+        return asked or self._drop_skipped(list_able(self._hosts, zone))
+
+    def _drop_skipped(
+        self, entries: list[fleet.HostEntry]
+    ) -> list[fleet.HostEntry]:
         now = self._clock.now()
         return [
-            each
-            for each in list_able(self._hosts, zone)
-            if self._skip.get(each.host, now) <= now
+            each for each in entries if self._skip.get(each.host, now) <= now
         ]
 
     def _read_part(
--- a/rudderrock/gateway/_fleet.py
+++ b/rudderrock/gateway/_fleet.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import math
 
 import xxhash
 
@@ -44,6 +45,11 @@
         self._hosts: dict[core.HostId, HostEntry] = {own.host: own}
         self._seen: dict[HostEntry, float] = {}
         self._known = False
+        # Worked out once a listing: with hundreds of hosts and upstreams
+        # these would cost most of a starting process's time.
+        self._counts: collections.Counter[core.ZoneId] = collections.Counter()
+        self._counts_until = -math.inf
+        self._ranked: dict[core.ZoneId, list[HostEntry]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def add_listener(self, call: Callable[[], None]) -> None:
@@ -58,6 +64,14 @@
         """Tell whether the registry named this host when last read."""
         return self._hosts.get(self.own.host) == self.own
 
+    @property
+    def is_listed(self) -> bool:
+        """Tell whether a listing has named this host.
+
+        When all hosts start together the first listings name few of them.
+        """
+        return self._known and self.has_own()
+
     def apply_listing(self, hosts: Iterable[HostEntry]) -> bool:
         """Take over a listing; tell whether it changed anything."""
         found = {each.host: each for each in hosts}
@@ -67,6 +81,8 @@
         changed = found != self._hosts or not self._known
         self._known = True
         self._hosts = found
+        self._counts_until = -math.inf
+        self._ranked.clear()
         if changed:
             self.generation += 1
             for call in self._listeners:
@@ -82,14 +98,29 @@
         if not self._known:
             return collections.Counter({self.own.zone: self._assumed})
         now = self._clock.now()
+        if now >= self._counts_until:
+            self._count(now)
+        return self._counts
+
+    def _count(self, now: float) -> None:
+        """Count anew; that holds until the next one is forgotten."""
         self._seen = {
             entry: at
             for entry, at in self._seen.items()
-            if now - at < REMEMBER_S or entry in self._hosts.values()
+            if now - at < REMEMBER_S or self._is_registered(entry)
         }
         zones = {entry.host: entry.zone for entry in self._seen}
         zones.setdefault(self.own.host, self.own.zone)
-        return collections.Counter(zones.values())
+        self._counts = collections.Counter(zones.values())
+        leaving = (
+            at
+            for entry, at in self._seen.items()
+            if not self._is_registered(entry)
+        )
+        self._counts_until = min(leaving, default=math.inf) + REMEMBER_S
+
+    def _is_registered(self, entry: HostEntry) -> bool:
+        return self._hosts.get(entry.host) == entry
 
     def count(self) -> int:
         """Return how many hosts share what there is."""
@@ -105,14 +136,18 @@
 
     def rank_zone(self, zone: core.ZoneId) -> list[HostEntry]:
         """Return the hosts of a zone in the order of their hashes."""
-        found = [
-            each
-            for each in self._hosts.values()
-            if each.zone == zone and each.host != self.own.host
-        ]
-        if zone == self.own.zone:
-            found.append(self.own)
-        return sorted(found, key=lambda each: _rank(each.host))
+        ranked = self._ranked.get(zone)
+        if ranked is None:
+            found = [
+                each
+                for each in self._hosts.values()
+                if each.zone == zone and each.host != self.own.host
+            ]
+            if zone == self.own.zone:
+                found.append(self.own)
+            ranked = sorted(found, key=lambda each: _rank(each.host))
+            self._ranked[zone] = ranked
+        return ranked
 
     def list_others(self) -> list[HostEntry]:
         """Return the hosts of other zones in an order of this host's own."""
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -71,6 +71,8 @@
         self._config = config
         self._parts = parts
         self._points = forward.LatePoints()
+        # Services that only wide queries ask.
+        self._wide_only: frozenset[routing.ServiceName] = frozenset()
         self._budgets: dict[routing.ServiceName, budget.ExtraBudget] = {}
         self._turns: dict[
             routing.RouteName, collections.Counter[routing.ServiceName]
@@ -96,7 +98,8 @@
         for each in self._budgets.values():
             each.slack = self._get_slack()
         self.book.set_caps()
-        self._warm_peers()
+        self.delegation.drop_unused()
+        self._warm()
 
     async def sweep(self) -> None:
         """Close connections that are of no more use, until cancelled."""
@@ -307,17 +310,21 @@
 
     def _on_table(self, table: routing.RoutingTable) -> None:
         self._turns.clear()
+        self._wide_only = table.list_wide_only(delegate.WIDE_SHARDS)
         self.book.set_caps()
+        self._warm()
+
+    def _warm(self) -> None:
+        """Open the connections that this host will need."""
+        table = self._parts.tables.current
+        if table is None or not self._parts.hosts.is_listed:
+            return
         for service in self._list_wanted():
             self.book.warm(service)
-        self._warm_peers()
+        self._warm_peers(table)
 
-    def _warm_peers(self) -> None:
+    def _warm_peers(self, table: routing.RoutingTable) -> None:
         """Connect to the hosts that may ask shards for this one."""
-        self.delegation.drop_unused()
-        table = self._parts.tables.current
-        if table is None:
-            return
         for route in table.routes.values():
             match route.target:
                 case routing.Scatter(shards=shards) if self._runs(shards):
@@ -332,7 +339,7 @@
     def _list_wanted(self) -> set[routing.ServiceName]:
         """Return the services that this host itself will send to."""
         table = self._parts.tables.current
-        if table is None:
+        if table is None or not self._parts.hosts.is_listed:
             return set()
         wanted: set[routing.ServiceName] = set()
         for route in table.routes.values():
@@ -347,13 +354,21 @@
         table = self._parts.tables.current
         service = endpoint.service
         found = table.services.get(service) if table is not None else None
-        return shares.share_links(
+        is_wide = service in self._wide_only
+        counts = self._parts.hosts.count_by_zone()
+        if is_wide:
+            counts = self.delegation.count_able()
+        share = shares.share_links(
             endpoint,
             self._parts.listing.list_ready(service),
             found.max_connections if found is not None else 1,
-            self._parts.hosts,
+            counts,
             self._config.place,
         )
+        if is_wide and not self.delegation.is_able():
+            # This host sends there only while all hosts that should are gone.
+            return shares.LinkShare(1, True)
+        return share
 
     def _get_slack(self) -> float:
         return self._config.extra_slack / self._parts.hosts.count()
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -169,13 +169,16 @@
         return any(each.distance == 0 for each in self.list_ready(service))
 
     def warm(self, service: routing.ServiceName) -> None:
-        """Open a connection to the nearest replicas of a service."""
+        """Open a connection to the nearest replicas of a service.
+
+        None where this host's share is less than one.
+        """
         found = self.list_ready(service)
         if not found:
             return
         nearest = min(replica.distance for replica in found)
         for replica in found:
-            if replica.distance == nearest:
+            if replica.distance == nearest and not replica.links.is_spare:
                 replica.links.warm()
 
     def sweep(self) -> None:
--- a/rudderrock/gateway/_routing.py
+++ b/rudderrock/gateway/_routing.py
@@ -146,6 +146,16 @@
         priorities = self._urgencies[route.target.shards]
         return sum(priority < route.priority for priority in priorities)
 
+    def list_wide_only(self, least: int) -> frozenset[ServiceName]:
+        """Return the services that only queries over so many shards ask."""
+        wide: set[ServiceName] = set()
+        others: set[ServiceName] = set()
+        for route in self.routes.values():
+            services = self.list_services(route)
+            is_wide = len(services) >= least
+            (wide if is_wide else others).update(services)
+        return frozenset(wide - others)
+
     def list_services(self, route: Route) -> tuple[ServiceName, ...]:
         """Return every service that a route may send to."""
         match route.target:
--- a/rudderrock/gateway/_shares.py
+++ b/rudderrock/gateway/_shares.py
@@ -1,17 +1,19 @@
 """How the connections that an upstream accepts are shared among hosts."""
 
+from collections.abc import Mapping
 import dataclasses
 
 from rudderrock import core
 from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _place as place_module
 
 # Parts of an upstream's connections for the hosts to which it is one of the
-# nearest of its service, and for all others, who need it for hedges. What
-# remains is for connections that the upstream has not yet seen closed.
-NEAR_PART = 0.8
-FAR_PART = 0.12
+# nearest of its service, and for all others, who need it for hedges: with
+# 0.12 they had less than one each, and had to open one, which costs a way
+# there and back, for each hedge. What remains is for connections that the
+# upstream has not yet seen closed.
+NEAR_PART = 0.6
+FAR_PART = 0.32
 # What one host opens to an upstream at most; more waits here, where it can
 # still be taken elsewhere.
 MOST_CONNECTIONS = 8
@@ -33,17 +35,18 @@
     endpoint: directory.Endpoint,
     siblings: tuple[directory.Endpoint, ...],
     accepted: int,
-    hosts: fleet.Fleet,
+    counts: Mapping[core.ZoneId, int],
     place: place_module.Place,
 ) -> LinkShare:
     """Return this host's share of an upstream's connections.
 
     Parameters: `siblings` are the upstreams of the service, `accepted`
-    what each accepts from all hosts together.
+    what each accepts from all hosts together, `counts` how many hosts of
+    each zone send to the service.
     """
     near = 0
     far = 0
-    for zone, count in hosts.count_by_zone().items():
+    for zone, count in counts.items():
         if _is_nearest(zone, endpoint, siblings, place):
             near += count
         else:
