Callers that don't read, and connections that fall silent

Cause: reading the gateway for what one caller can do to others: requests sent ahead were all run and their answers kept in memory while the caller read nothing (12 of 12 runs, 4.8 MB). And if all open connections to an upstream, a peer or the store fall silent, each was found out by a request of its own. Change: a connection answers no more while its caller doesn't read, and is cut after the time that it may be idle; when a request on a connection has had no answer for 0.3 s and is given up, the idle ones beside it are closed too. Three scenarios failed before: 12 runs instead of at most 3, the connection kept, 504 three times instead of once.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -687,3 +687,28 @@
     And 3 seconds pass
     Then the newest table is in force
     And the log tells of a defect
+
+  Scenario: a caller that doesn't read costs little memory
+    Given an upstream "u1" of "notes" that answers with 400000 bytes
+    And the route "/notes/" to "notes" with a timeout of 10 seconds
+    And a gateway
+    When a caller sends 12 requests for "/notes/1" ahead and reads nothing for 3 seconds
+    Then "u1" ran no more than 3 requests
+    When the caller reads what it was sent
+    Then it got 12 whole answers
+
+  Scenario: a caller that reads nothing for as long as it may be idle is cut
+    Given an upstream "u1" of "notes" that answers with 400000 bytes
+    And the route "/notes/" to "notes"
+    And a gateway
+    When a caller sends 12 requests for "/notes/1" ahead and reads nothing for 20 seconds
+    Then the gateway has no connection of a caller
+
+  Scenario: connections that have all fallen silent cost one request
+    Given an upstream "u1" of "notes" that works for 0.1 seconds
+    And the route "/notes/" to "notes"
+    And a gateway
+    When 4 requests for "/notes/1" are sent at 40 a second
+    And the open connections of "u1" fall silent
+    And 3 callers in turn send GET "/notes/1"
+    Then 2 of the last 3 replies are 200
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -706,3 +706,81 @@
     assert context.outcomes[0].body == b'r', context.outcomes
     assert context.transport.abort.called
     assert not context.freed
+
+
+@given(r'an upstream "([^"]+)" of "([^"]+)" that answers with (\d+) bytes')
+def add_talkative(context, upstream, service, size):
+    bench = get(context)
+    run(
+        context,
+        bench.add_upstream(upstream, service, records=b'x' * int(size)),
+    )
+
+
+@when(
+    r'a caller sends (\d+) requests for "([^"]+)" ahead and reads nothing '
+    r'for ' + _SECONDS
+)
+def send_unread(context, count, path, seconds):
+    raw = b''.join(
+        gateway_bench.make_raw(next_id(context), path, deadline_ms=9000)
+        for _ in range(int(count))
+    )
+    context.ahead = int(count)
+
+    async def send():
+        context.caller = await get(context).connect()
+        context.caller.reader._transport.pause_reading()
+        await context.caller.send(raw)
+        await asyncio.sleep(float(seconds))
+
+    run(context, send())
+
+
+@when(r'the caller reads what it was sent')
+def read_all(context):
+    async def read():
+        context.caller.reader._transport.resume_reading()
+        return [await context.caller.read() for _ in range(context.ahead)]
+
+    context.replies = run(context, read())
+
+
+@then(r'it got (\d+) whole answers')
+def check_whole_answers(context, count):
+    assert len(context.replies) == int(count)
+    for reply in context.replies:
+        assert reply.status == 200, reply.status
+        assert len(reply.body) == 400000, len(reply.body)
+
+
+@then(r'"([^"]+)" ran no more than (\d+) requests')
+def check_few_runs(context, upstream, most):
+    runs = get(context).upstreams[upstream].runs
+    assert len(runs) <= int(most), len(runs)
+
+
+@then(r'the gateway has no connection of a caller')
+def check_no_caller(context):
+    assert 'rudderrock_caller_connections 0' in run(
+        context, get(context).scrape()
+    )
+
+
+@when(r'the open connections of "([^"]+)" fall silent')
+def silence_connections(context, upstream):
+    get(context).upstreams[upstream].silence_connections()
+
+
+@when(r'(\d+) callers in turn send GET "([^"]+)"')
+def send_in_turn(context, count, path):
+    context.replies = []
+    for _ in range(int(count)):
+        raw = gateway_bench.make_raw(next_id(context), path)
+        context.replies.append(run(context, get(context).ask(raw)))
+
+
+@then(r'(\d+) of the last (\d+) replies are (\d+)')
+def check_some(context, wanted, count, status):
+    found = [reply.status for reply in context.replies[-int(count) :]]
+    assert found.count(int(status)) == int(wanted), found
--- a/rudderrock/gateway/_intake.py
+++ b/rudderrock/gateway/_intake.py
@@ -32,6 +32,9 @@
         self._ready: asyncio.Queue[messages.Request | str] = asyncio.Queue()
         self._task: asyncio.Task | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._unread: asyncio.TimerHandle | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
         self._working = False
         self._closing = False
         self._reset()
@@ -72,10 +75,22 @@
         """Take the caller's end as its leaving."""
         return False
 
+    def pause_writing(self) -> None:
+        """Answer no more until the caller has read; cut one that doesn't."""
+        self._writable.clear()
+        idle_s = self._intake.limits.idle_timeout_s
+        self._unread = self._loop.call_later(idle_s, self._transport.abort)
+
+    def resume_writing(self) -> None:
+        """Go on, since the caller reads."""
+        self._writable.set()
+        self._cancel_unread()
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop all work for a caller that has left."""
         self._closing = True
         self._cancel_timer()
+        self._cancel_unread()
         self._intake.links.discard(self)
         if self._task is not None:
             self._task.cancel()
@@ -164,6 +179,7 @@
     async def _serve(self) -> None:
         """Answer one request after another until the caller leaves."""
         while True:
+            await self._writable.wait()
             read = await self._ready.get()
             if isinstance(read, str):
                 reply = messages.Reply(_ERROR_STATUS[read], [])
@@ -203,6 +219,11 @@
         self._cancel_timer()
         self._timer = self._loop.call_later(after_s, call)
 
+    def _cancel_unread(self) -> None:
+        if self._unread is not None:
+            self._unread.cancel()
+            self._unread = None
+
     def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -22,6 +22,10 @@
 # A request that must not run twice can't be sent again after a reset, so
 # it takes a connection that was used this recently, or a new one; seconds.
 FRESH_S = 1.0
+# A connection on which a request had no answer for so long, in seconds, may
+# have fallen silent, and the others with it, with no sign of it on either
+# side. Idle ones are closed then, since a new one costs little.
+SILENT_S = 0.3
 
 
 class Pool:
@@ -109,7 +113,7 @@
         """Give an exchange up; its upstream is told by a closed link."""
         exchange.on_done = None
         if not self.withdraw(exchange) and exchange.link is not None:
-            exchange.link.abort()
+            self._abort_unanswered(exchange)
 
     def leave(self, exchange: link_module.Exchange, patience_s: float) -> None:
         """Let an exchange that nobody waits for come to its end.
@@ -143,7 +147,13 @@
             if exchange is None or exchange.give_up_at is None:
                 continue
             if now >= exchange.give_up_at:
-                link.abort()
+                self._abort_unanswered(exchange)
+
+    def _abort_unanswered(self, exchange: link_module.Exchange) -> None:
+        """Close a connection that owes an answer, and doubt idle ones."""
+        if self._loop.time() - exchange.sent_at >= SILENT_S:
+            self.drop_idle()
+        exchange.link.abort()
 
     def _get_idle_s(self, link: link_module.Link) -> float:
         if self.is_spare:
--- a/rudderrock/standins/_wire_server.py
+++ b/rudderrock/standins/_wire_server.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
+        self._silent: set[asyncio.Task] = set()
 
     async def serve(self, reader, writer) -> None:
         """Serve one connection."""
@@ -64,6 +65,15 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def silence_connections(self) -> None:
+        """Let every open connection fall silent; new ones work."""
+        self._silent = set(self._tasks)
+
+    async def wait_if_silent(self) -> None:
+        """Wait for ever on a connection that has fallen silent."""
+        if asyncio.current_task() in self._silent:
+            await asyncio.Event().wait()
+
     async def _on_connection(self, reader, writer) -> None:
         task = asyncio.current_task()
         self._tasks.add(task)
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -96,6 +96,7 @@
     async def _serve(self, reader, writer) -> None:
         while True:
             head = await wire_server.read_head(reader)
+            await self.wait_if_silent()
             at = asyncio.get_running_loop().time()
             if self.conduct is Conduct.EARLY:
                 writer.write(_make(400, [], b''))
