A host that starts while the store is away learns from its seeds

Cause: left open before: such a host knew no peers and answered 503 until the store was back. Change: peers are served at the address that the platform calls control, where the settings' seeds are; a host that the source refuses and that knows nobody asks the seeds. Without that address all is as before. The scenario of that name tested something else (a host that starts later); it keeps its steps and gets the right name. New: a seventh host is told two addresses that are out of date or its own and two hosts: 200; it failed before (503).

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -8,6 +8,17 @@
     And extra requests are bounded by 0.2, 10 seconds and 54
     And the store is at "10.9.9.9" on 8102
 
+  Scenario: hosts serve peers where the settings' seeds are
+    Given a settings file with the field "listen.control" as "10.0.0.1:8106"
+    When it is read
+    Then they listen at "10.0.0.1" on 8104, 8105 and for peers on 8106
+    And they name no seeds
+
+  Scenario: seeds are read
+    Given a settings file with the field "seeds" as "10.1.0.9:8106,10.2.0.21:8106"
+    When it is read
+    Then they name the seeds "10.1.0.9" and "10.2.0.21" on 8106
+
   Scenario Outline: a settings file that lacks something is refused: <field>
     Given a settings file without the field "<field>"
     When it is read
--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -147,7 +147,21 @@
     And 4 seconds pass
     Then at most 2 of those that are not turned away ask the source
 
-  Scenario: a host that starts while the source is away learns from the others
+  Scenario: a host that starts while the source is away learns from its seeds
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is away for everybody and a seventh gateway starts that is told 2 others
+    And 3 seconds pass
+    Then the seventh gateway answers "/notes/1" with 200
+
+  Scenario: a host that starts while the source is away and has no seeds says when to come back
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is away for everybody and a seventh gateway starts that is told 0 others
+    And 3 seconds pass
+    Then the seventh gateway answers "/notes/1" with 503
+
+  Scenario: a host that starts later is counted by all
     Given 6 gateways in one zone with an upstream "u1" of "notes"
     When 10 seconds pass
     And a seventh gateway starts
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -340,8 +340,14 @@
             await self.add(zone, capacity)
         await asyncio.sleep(1.0)
 
-    async def add(self, zone: str, capacity: float = 1.0) -> None:
-        """Start one more gateway."""
+    async def add(
+        self,
+        zone: str,
+        capacity: float = 1.0,
+        seeds: tuple[tuple[str, int], ...] = (),
+        is_refused: bool = False,
+    ) -> None:
+        """Start one more gateway; the source may refuse it."""
         self._count += 1
         name = f'g{self._count}'
         ip = f'10.0.1.{self._count}'
@@ -358,8 +364,10 @@
             metrics=(ip, _PORT + 2),
             peers=(ip, _PORT + 3),
             capacity=capacity,
+            seeds=seeds,
         )
         source = standins.HostSource(self._bench.source)
+        source.is_refused = is_refused
         events = gateway.EventLog(name, clock)
         process = gateway_root.make_gateway(
             config, source, clock, self._count, events
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -103,6 +103,17 @@
     assert settings.peers == (ip, int(peers))
 
 
+@then(r'they name no seeds')
+def check_no_seeds(context):
+    assert context.boot.ok_value.settings.seeds == ()
+
+
+@then(r'they name the seeds "([^"]+)" and "([^"]+)" on (\d+)')
+def check_seeds(context, first, second, port):
+    wanted = ((first, int(port)), (second, int(port)))
+    assert context.boot.ok_value.settings.seeds == wanted
+
+
 @then(r'extra requests are bounded by ([\d.]+), (\d+) seconds and (\d+)')
 def check_bounds(context, ratio, window, slack):
     settings = context.boot.ok_value.settings
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -82,6 +82,27 @@
     run(context, context.fleet.add(_NORTH))
 
 
+@when(
+    r'the source is away for everybody and a seventh gateway starts that is '
+    r'told (\d+) others'
+)
+def start_with_seeds(context, count):
+    members = list(context.fleet.members.values())
+    for member in members:
+        member.source.is_refused = True
+    # The first may have left long ago, and one may be the host itself.
+    seeds = [('10.0.1.99', 8003), ('10.0.1.7', 8003)]
+    seeds += [(each.address, 8003) for each in members[: int(count)]]
+    run(context, context.fleet.add(_NORTH, 1.0, tuple(seeds), True))
+
+
+@then(r'the seventh gateway answers "([^"]+)" with (\d+)')
+def check_seventh(context, path, status):
+    raw = gateway_bench.make_raw('seventh', path)
+    reply = run(context, context.fleet.ask('g7', raw))
+    assert reply.status == int(status), reply
+
+
 @when(r'the registry loses all hosts')
 def lose_hosts(context):
     gateway_steps.get(context).source.hosts.clear()
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 import random
 
 import result
@@ -58,6 +59,7 @@
         clock: core.Clock,
         chance: random.Random,
         events: log.EventLog,
+        seeds: Iterable[tuple[str, int]] = (),
     ):
         self.lost_at: float | None = None
         self.peer: peers.PeerClient | None = None
@@ -69,6 +71,7 @@
         self._clock = clock
         self._chance = chance
         self._events = events
+        self._seeds = _make_entries(seeds, hosts.own)
         self._skip: dict[core.HostId, float] = {}
         self._hosts_read_at = -HOSTS_EVERY_S
         self._began = clock.now()
@@ -118,7 +121,7 @@
         """Return whom to ask before the source, best first.
 
         Those are the hosts that read before this one; and while the source
-        turns this host away, all others too.
+        turns this host away, all others too, or the seeds if it knows none.
         """
         now = self._clock.now()
         ranked = self._hosts.rank_readers()
@@ -128,6 +131,7 @@
         if self.lost_at is not None:
             wanted = ranked[:place] + ranked[place + 1 :]
             wanted += self._hosts.list_others()
+            wanted = wanted or self._seeds
         return [
             each for each in wanted if self._skip.get(each.host, now) <= now
         ][:MOST_PEERS]
@@ -384,3 +388,19 @@
     async def _pause(self, mean_s: float) -> None:
         spread = 1.0 + _SPREAD * (2 * self._chance.random() - 1.0)
         await asyncio.sleep(mean_s * spread)
+
+
+def _make_entries(
+    seeds: Iterable[tuple[str, int]], own: fleet.HostEntry
+) -> list[fleet.HostEntry]:
+    """Return hosts of which only the addresses are known."""
+    addresses = ['%s:%d' % seed for seed in seeds]
+    return [
+        fleet.HostEntry(
+            host=core.HostId(f'seed {address}'),
+            zone=own.zone,
+            address=address,
+        )
+        for address in addresses
+        if address != own.address
+    ]
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -21,7 +21,9 @@
     seconds at most that part of its requests, plus the slack, over all
     hosts. `stop_s` is how long a planned stop may take before the process
     is killed. `capacity` compares this host with others: the speed of its
-    processor in cores times the bandwidth of its link in Mbit/s.
+    processor in cores times the bandwidth of its link in Mbit/s. `seeds`
+    are where some hosts serve their peers, for a host that starts while the
+    source does not answer; they may be out of date.
     """
 
     host: str
@@ -37,3 +39,4 @@
     stop_s: float = 6.0
     capacity: float = 1.0
     assumed_hosts: int = ASSUMED_HOSTS
+    seeds: tuple[Address, ...] = ()
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -48,6 +48,7 @@
         clock,
         draw('source'),
         events,
+        settings.seeds,
     )
     registration = gateway.Registration(source, hosts, clock, events)
     served = gateway.Gateway(settings, parts)
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -59,8 +59,12 @@
         callers=callers,
         readiness=core.split_address(fields['listen.ready']),
         metrics=(callers[0], METRICS_PORT),
-        # The first of the ports that are free for our own use.
-        peers=(callers[0], int(fields['internal_ports'].split(',')[0])),
+        peers=_get_peers(fields, callers[0]),
+        seeds=tuple(
+            core.split_address(seed)
+            for seed in fields.get('seeds', '').split(',')
+            if seed
+        ),
         names=headers.NAMES,
         extra_ratio=float(fields['bounds.retry_budget_ratio']),
         extra_window_s=float(fields['bounds.retry_window_s']),
@@ -70,6 +74,18 @@
     )
 
 
+def _get_peers(fields: dict[str, str], ip: str) -> tuple[str, int]:
+    """Return where this host serves its peers.
+
+    Seeds are told by the address that the platform calls control; without
+    one there are none, and any of the ports for our own use will do.
+    """
+    control = fields.get('listen.control')
+    if control:
+        return core.split_address(control)
+    return ip, int(fields['internal_ports'].split(',')[0])
+
+
 def _get_capacity(fields: dict[str, str]) -> float:
     # `cores` says how fast the one core is, `cpu_share` how much of it the
     # process may use.
