--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -712,3 +712,12 @@
     And the open connections of "u1" fall silent
     And 3 callers in turn send GET "/notes/1"
     Then 2 of the last 3 replies are 200
+
+  Scenario: the line of a request that timed out names the upstream that had it
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And "u1" is silent
+    And a gateway
+    When a caller sends GET "/notes/1"
+    Then the reply is 504
+    And the line of the last request says "no answer in time from u1"
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -410,3 +410,8 @@
 def check_defect(context):
     lines = get(context).log.lines
     assert any('failed on a defect' in line for line in lines), lines
+
+
+@then(r'the line of the last request says "([^"]+)"')
+def check_last_line(context, text):
+    assert list_lines(context, 'request')[-1]['detail'] == text
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -280,11 +280,19 @@
         call.request_id,
         may_have_run([only]),
         forwarder.timed_out,
-        only.detail,
+        _explain(only),
     )
     return dataclasses.replace(found, late=late)
 
 
+def _explain(only: pursuit.Pursuit) -> str:
+    """Say why there is no answer, and whose is still missing."""
+    if not only.unanswered:
+        return only.detail
+    late = f'no answer in time from {", ".join(only.unanswered)}'
+    return f'{only.detail}; {late}' if only.detail else late
+
+
 def may_have_run(pursuits: list[pursuit.Pursuit]) -> bool:
     """Tell whether any upstream may have run a part of a call."""
     return any(
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -164,6 +164,8 @@
         self.failure: messages.Reply | None = None
         self.may_have_run = False
         self.was_cut = False
+        # Upstreams that had the call when it was given up.
+        self.unanswered: tuple[core.UpstreamId, ...] = ()
         self.detail = ''
         self.sent = 0
         self.is_late = False
@@ -298,6 +300,11 @@
         self.settled = True
         self._cancel_timer()
         self.was_cut = self.is_waiting
+        self.unanswered = tuple(
+            attempt.replica.endpoint.upstream
+            for attempt in self._attempts
+            if attempt.exchange.sent_at is not None
+        )
         for attempt in self._attempts:
             attempt.replica.links.drop(attempt.exchange)
         self._attempts.clear()
