--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -39,8 +39,6 @@
 from rudderrock.gateway._process import GatewayProcess
 from rudderrock.gateway._process import ProcessState
 from rudderrock.gateway._pursuit import Counters
-from rudderrock.gateway._pursuit import judge_outcome
-from rudderrock.gateway._pursuit import Verdict
 from rudderrock.gateway._records import merge_records
 from rudderrock.gateway._registration import Registration
 from rudderrock.gateway._replicas import Replica
@@ -71,6 +69,8 @@
 from rudderrock.gateway._sources import TableReading
 from rudderrock.gateway._sources import Unavailable
 from rudderrock.gateway._sources import UpstreamReading
+from rudderrock.gateway._verdicts import judge_outcome
+from rudderrock.gateway._verdicts import Verdict
 
 __all__ = [
     'ChangeBook',
--- /dev/null
+++ b/rudderrock/gateway/_connections.py
@@ -0,0 +1,91 @@
+"""Which connections this host needs, and how many of them it may open."""
+
+from rudderrock.gateway import _delegate as delegate
+from rudderrock.gateway import _directory as directory
+from rudderrock.gateway import _fleet as fleet
+from rudderrock.gateway import _place as place
+from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway import _routing as routing
+from rudderrock.gateway import _shares as shares
+from rudderrock.gateway import _sources as sources
+
+
+class Connections:
+    """Opens connections before they are needed, within this host's shares."""
+
+    def __init__(
+        self,
+        tables: sources.TableHolder,
+        listing: directory.Directory,
+        hosts: fleet.Fleet,
+        place: place.Place,
+        delegation: delegate.Delegation,
+    ):
+        self._tables = tables
+        self._listing = listing
+        self._hosts = hosts
+        self._place = place
+        self._delegation = delegation
+        # Services that only wide queries ask.
+        self._wide_only: frozenset[routing.ServiceName] = frozenset()
+
+    def take_table(self, table: routing.RoutingTable) -> None:
+        """Take note of a new table."""
+        self._wide_only = table.list_wide_only(delegate.WIDE_SHARDS)
+
+    def warm(self, book: replicas.ReplicaBook) -> None:
+        """Open the connections that this host will need."""
+        self._delegation.drop_unused()
+        for service in self.list_wanted(book):
+            book.warm(service)
+        table = self._tables.current
+        if table is None or not self._hosts.is_listed:
+            return
+        for route in table.routes.values():
+            match route.target:
+                case routing.Scatter(shards=shards) if self.runs(shards):
+                    self._delegation.warm()
+                    return
+
+    def runs(self, shards: tuple[routing.ServiceName, ...]) -> bool:
+        """Tell whether this host itself runs queries over some shards."""
+        is_wide = len(shards) >= delegate.WIDE_SHARDS
+        return not is_wide or self._delegation.able.has_own()
+
+    def list_wanted(
+        self, book: replicas.ReplicaBook
+    ) -> set[routing.ServiceName]:
+        """Return the services that this host itself will send to."""
+        table = self._tables.current
+        if table is None or not self._hosts.is_listed:
+            return set()
+        wanted: set[routing.ServiceName] = set()
+        for route in table.routes.values():
+            services = table.list_services(route)
+            if len(services) < delegate.WIDE_SHARDS:
+                wanted.update(services)
+            elif self.runs(services):
+                wanted.update(filter(book.has_nearest, services))
+        return wanted
+
+    def get_share(self, endpoint: directory.Endpoint) -> shares.LinkShare:
+        """Return what this host may open to one upstream."""
+        table = self._tables.current
+        service = endpoint.service
+        found = table.services.get(service) if table is not None else None
+        is_wide = service in self._wide_only
+        able = self._delegation.able
+        counts = self._hosts.count_by_zone()
+        if is_wide:
+            counts = able.count_by_zone()
+        share = shares.share_links(
+            endpoint,
+            self._listing.list_ready(service),
+            found.max_connections if found is not None else 1,
+            counts,
+            self._place,
+        )
+        if is_wide and not able.has_own():
+            # This host sends there only while all hosts that should are gone.
+            return shares.LinkShare(1, True)
+        return share
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -9,18 +9,16 @@
 """
 
 import asyncio
-import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import math
 
 import result
 
 from rudderrock import core
+from rudderrock.gateway import _able as able
 from rudderrock.gateway import _caller as caller
 from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _messages as messages
@@ -30,20 +28,10 @@
 
 # A query over at least so many shards is wide.
 WIDE_SHARDS = 48
-# One host in so many of a zone takes wide queries, and two at least, so
-# that the loss of one leaves another.
-HOSTS_EACH = 5
-LEAST_HOSTS = 2
-# So many of them, another choice for each host, are asked while they answer:
-# more would need more connections, each of them used less often.
-ASKED_HOSTS = 2
-# A host that didn't take or lost a query is passed over for so long, twice
-# as long for each time in a row, in seconds; so is one that holds a query
-# longer than its goal and a little.
-SKIP_S = 4.0
-LONGEST_SKIP_S = 32.0
-# One that showed no sign of having read a query may just have been busy.
+# One that showed no sign of having read a query may just have been busy: it
+# is passed over for so long at first, in seconds.
 SILENT_SKIP_S = 1.0
+# One that holds a query for so long beyond its goal is passed over; seconds.
 SUSPECT_AFTER_S = 0.1
 # What the asking host sends along: the version of its table, and for how
 # long it has had the query.
@@ -121,38 +109,18 @@
         events: log.EventLog,
         get_version: Callable[[], int],
     ):
+        self.able = able.AbleHosts(hosts, clock, events)
         self._hosts = hosts
         self._names = names
         self._clock = clock
-        self._events = events
         self._get_version = get_version
         self._callers: dict[str, caller.HttpCaller] = {}
-        self._skip: dict[core.HostId, float] = {}
-        self._failures: collections.Counter[core.HostId] = (
-            collections.Counter()
-        )
 
     def choose(self, request_id: bytes) -> fleet.HostEntry | None:
         """Return who shall run a wide query, None for this host itself."""
-        if self.is_able():
+        if self.able.has_own():
             return None
-        return _pick(self._list_open(self._hosts.own.zone), request_id)
-
-    def is_able(self) -> bool:
-        """Tell whether this host takes the wide queries of its zone."""
-        own = self._hosts.own
-        return own in list_able(self._hosts, own.zone)
-
-    def count_able(self) -> dict[core.ZoneId, int]:
-        """Return how many hosts of each zone take wide queries."""
-        return {
-            zone: len(list_able(self._hosts, zone))
-            for zone in self._hosts.count_by_zone()
-        }
-
-    def has_open(self, zone: core.ZoneId) -> bool:
-        """Tell whether a host of a zone may be asked just now."""
-        return bool(self._list_open(zone))
+        return self.able.pick(self._hosts.own.zone, request_id)
 
     def warm(self) -> None:
         """Open connections to hosts that may be asked for parts."""
@@ -160,7 +128,7 @@
         for zone in self._hosts.count_by_zone():
             if zone == own:
                 continue
-            for entry in self._list_asked(zone):
+            for entry in self.able.list_asked(zone):
                 self._get_caller(entry).warm(_WARM)
 
     def has_time(self, zone: core.ZoneId, call: pursuit.Call) -> bool:
@@ -168,11 +136,13 @@
 
         A hedge may go as far again, after a first attempt that was late.
         """
-        known = [
+        open_now = self.able.list_open(zone)
+        if not open_now:
+            return False
+        trip_s = max(
             self._get_caller(entry).round_trip_s or ROUND_TRIP_S
-            for entry in self._list_open(zone)
-        ]
-        trip_s = max(known, default=ROUND_TRIP_S)
+            for entry in open_now
+        )
         left_s = call.goal_at - self._clock.now()
         return left_s - HOP_S >= 2 * trip_s + PART_ROOM * call.late_s
 
@@ -184,12 +154,6 @@
                 peer.close()
                 del self._callers[address]
 
-    def pick(
-        self, zone: core.ZoneId, request_id: bytes
-    ) -> fleet.HostEntry | None:
-        """Return the host of a zone to ask for a part of a query."""
-        return _pick(self._list_open(zone), request_id)
-
     async def ask_part(
         self,
         entry: fleet.HostEntry,
@@ -211,27 +175,6 @@
                 return self._read_part(shards, reply)
         return answer
 
-    def _list_asked(self, zone: core.ZoneId) -> list[fleet.HostEntry]:
-        """Return those able hosts of a zone that this host prefers."""
-        own = self._hosts.own.host
-        return sorted(
-            list_able(self._hosts, zone),
-            key=lambda each: fleet.rank_name(f'{own}/{each.host}'.encode()),
-        )[:ASKED_HOSTS]
-
-    def _list_open(self, zone: core.ZoneId) -> list[fleet.HostEntry]:
-        """Return the able hosts of a zone that may be asked just now."""
-        asked = self._drop_skipped(self._list_asked(zone))
-        return asked or self._drop_skipped(list_able(self._hosts, zone))
-
-    def _drop_skipped(
-        self, entries: list[fleet.HostEntry]
-    ) -> list[fleet.HostEntry]:
-        now = self._clock.now()
-        return [
-            each for each in entries if self._skip.get(each.host, now) <= now
-        ]
-
     def _read_part(
         self, shards: tuple[routing.ServiceName, ...], reply: messages.Reply
     ) -> result.Result[PartAnswer, caller.NoReply]:
@@ -291,7 +234,7 @@
 
         suspect = loop.call_later(
             call.route.goal_s + SUSPECT_AFTER_S,
-            self._skip_host,
+            self.able.skip,
             entry,
             'no answer in time',
         )
@@ -309,14 +252,14 @@
             suspect.cancel()
         match answer:
             case result.Ok(reply) if reply.get_header(NOT_TAKEN) is None:
-                self._failures.pop(entry.host, None)
+                self.able.note_good(entry)
                 return answer
             case result.Ok():
                 problem = caller.NoReply(False, 'did not take a query')
             case result.Err(problem):
                 pass
-        skip_s = SKIP_S if problem.signed else SILENT_SKIP_S
-        self._skip_host(entry, problem.detail, skip_s)
+        skip_s = able.SKIP_S if problem.signed else SILENT_SKIP_S
+        self.able.skip(entry, problem.detail, skip_s)
         return result.Err(problem)
 
     def close(self) -> None:
@@ -358,26 +301,6 @@
             self._callers[entry.address] = found
         return found
 
-    def _skip_host(
-        self, entry: fleet.HostEntry, detail: str, skip_s: float = SKIP_S
-    ) -> None:
-        wait_s = skip_s * 2 ** self._failures[entry.host]
-        self._failures[entry.host] += 1
-        self._skip[entry.host] = self._clock.now() + min(
-            wait_s, LONGEST_SKIP_S
-        )
-        self._events.record(
-            events.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
-        )
-
-
-def list_able(hosts: fleet.Fleet, zone: core.ZoneId) -> list[fleet.HostEntry]:
-    """Return the hosts of a zone that take wide queries, best first."""
-    near = hosts.rank_zone(zone)
-    count = max(LEAST_HOSTS, math.ceil(len(near) / HOSTS_EACH))
-    # A stable sort: equals stay in the order of their hashes.
-    return sorted(near, key=lambda each: -each.capacity)[:count]
-
 
 def name_missing(
     services: Iterable[routing.ServiceName],
@@ -398,12 +321,3 @@
 def refuse_delegated(names: dialect.HeaderNames) -> messages.Reply:
     """Return the reply that sends a query back to the host it came from."""
     return messages.Reply(503, [(NOT_TAKEN, b'1'), (names.not_run, b'1')])
-
-
-def _pick(
-    able: list[fleet.HostEntry], request_id: bytes
-) -> fleet.HostEntry | None:
-    """Return the host that a query falls to, None if there is none."""
-    if not able:
-        return None
-    return able[fleet.rank_name(request_id) % len(able)]
--- a/rudderrock/gateway/_fleet.py
+++ b/rudderrock/gateway/_fleet.py
@@ -168,3 +168,19 @@
 
 def _rank(name: str) -> int:
     return rank_name(name.encode())
+
+
+def make_seed_entries(
+    seeds: Iterable[tuple[str, int]], own: HostEntry
+) -> list[HostEntry]:
+    """Return hosts of which only the addresses are known."""
+    addresses = ['%s:%d' % seed for seed in seeds]
+    return [
+        HostEntry(
+            host=core.HostId(f'seed {address}'),
+            zone=own.zone,
+            address=address,
+        )
+        for address in addresses
+        if address != own.address
+    ]
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -71,7 +71,7 @@
         self._clock = clock
         self._chance = chance
         self._events = events
-        self._seeds = _make_entries(seeds, hosts.own)
+        self._seeds = fleet.make_seed_entries(seeds, hosts.own)
         self._skip: dict[core.HostId, float] = {}
         self._hosts_read_at = -HOSTS_EVERY_S
         self._began = clock.now()
@@ -388,19 +388,3 @@
     async def _pause(self, mean_s: float) -> None:
         spread = 1.0 + _SPREAD * (2 * self._chance.random() - 1.0)
         await asyncio.sleep(mean_s * spread)
-
-
-def _make_entries(
-    seeds: Iterable[tuple[str, int]], own: fleet.HostEntry
-) -> list[fleet.HostEntry]:
-    """Return hosts of which only the addresses are known."""
-    addresses = ['%s:%d' % seed for seed in seeds]
-    return [
-        fleet.HostEntry(
-            host=core.HostId(f'seed {address}'),
-            zone=own.zone,
-            address=address,
-        )
-        for address in addresses
-        if address != own.address
-    ]
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -8,6 +8,7 @@
 from rudderrock import core
 from rudderrock.gateway import _admission as admission
 from rudderrock.gateway import _budget as budget
+from rudderrock.gateway import _connections as connections
 from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
@@ -21,7 +22,6 @@
 from rudderrock.gateway import _results as results
 from rudderrock.gateway import _routing as routing
 from rudderrock.gateway import _settings as settings
-from rudderrock.gateway import _shares as shares
 from rudderrock.gateway import _sources as sources
 
 # How soon a caller may come back to a host that knows no routes yet, or
@@ -48,31 +48,35 @@
     """Routes, forwards and answers the requests of callers."""
 
     def __init__(self, config: settings.GatewaySettings, parts: Parts):
+        self.delegation = delegate.Delegation(
+            parts.hosts,
+            config.names,
+            parts.clock,
+            parts.events,
+            lambda: parts.tables.version,
+        )
+        self._connections = connections.Connections(
+            parts.tables,
+            parts.listing,
+            parts.hosts,
+            config.place,
+            self.delegation,
+        )
         self.book = replicas.ReplicaBook(
             parts.listing,
             config.place,
             config.names,
             parts.clock,
             parts.chance,
-            self._get_share,
-            self._list_wanted,
+            self._connections,
         )
         self.counters = pursuit.Counters()
         self.admission = admission.Admission(parts.clock)
         self.delegated = 0
         self.takes_delegated = True
-        self.delegation = delegate.Delegation(
-            parts.hosts,
-            config.names,
-            parts.clock,
-            parts.events,
-            lambda: parts.tables.version,
-        )
         self._config = config
         self._parts = parts
         self._points = forward.LatePoints()
-        # Services that only wide queries ask.
-        self._wide_only: frozenset[routing.ServiceName] = frozenset()
         self._budgets: dict[routing.ServiceName, budget.ExtraBudget] = {}
         self._turns: dict[
             routing.RouteName, collections.Counter[routing.ServiceName]
@@ -98,8 +102,7 @@
         for each in self._budgets.values():
             each.slack = self._get_slack()
         self.book.set_caps()
-        self.delegation.drop_unused()
-        self._warm()
+        self._connections.warm(self.book)
 
     async def sweep(self) -> None:
         """Close connections that are of no more use, until cancelled."""
@@ -205,7 +208,9 @@
                 )
             case routing.Scatter():
                 rank = table.get_rank(route)
-                if may_delegate and not self._runs(route.target.shards):
+                if may_delegate and not self._connections.runs(
+                    route.target.shards
+                ):
                     entry = self.delegation.choose(request_id)
                     if entry is not None:
                         return await self._hand_over(
@@ -310,65 +315,9 @@
 
     def _on_table(self, table: routing.RoutingTable) -> None:
         self._turns.clear()
-        self._wide_only = table.list_wide_only(delegate.WIDE_SHARDS)
+        self._connections.take_table(table)
         self.book.set_caps()
-        self._warm()
-
-    def _warm(self) -> None:
-        """Open the connections that this host will need."""
-        table = self._parts.tables.current
-        if table is None or not self._parts.hosts.is_listed:
-            return
-        for service in self._list_wanted():
-            self.book.warm(service)
-        self._warm_peers(table)
-
-    def _warm_peers(self, table: routing.RoutingTable) -> None:
-        """Connect to the hosts that may ask shards for this one."""
-        for route in table.routes.values():
-            match route.target:
-                case routing.Scatter(shards=shards) if self._runs(shards):
-                    self.delegation.warm()
-                    return
-
-    def _runs(self, shards: tuple[routing.ServiceName, ...]) -> bool:
-        """Tell whether this host itself runs queries over some shards."""
-        is_wide = len(shards) >= delegate.WIDE_SHARDS
-        return not is_wide or self.delegation.is_able()
-
-    def _list_wanted(self) -> set[routing.ServiceName]:
-        """Return the services that this host itself will send to."""
-        table = self._parts.tables.current
-        if table is None or not self._parts.hosts.is_listed:
-            return set()
-        wanted: set[routing.ServiceName] = set()
-        for route in table.routes.values():
-            services = table.list_services(route)
-            if len(services) < delegate.WIDE_SHARDS:
-                wanted.update(services)
-            elif self._runs(services):
-                wanted.update(filter(self.book.has_nearest, services))
-        return wanted
-
-    def _get_share(self, endpoint: directory.Endpoint) -> shares.LinkShare:
-        table = self._parts.tables.current
-        service = endpoint.service
-        found = table.services.get(service) if table is not None else None
-        is_wide = service in self._wide_only
-        counts = self._parts.hosts.count_by_zone()
-        if is_wide:
-            counts = self.delegation.count_able()
-        share = shares.share_links(
-            endpoint,
-            self._parts.listing.list_ready(service),
-            found.max_connections if found is not None else 1,
-            counts,
-            self._config.place,
-        )
-        if is_wide and not self.delegation.is_able():
-            # This host sends there only while all hosts that should are gone.
-            return shares.LinkShare(1, True)
-        return share
+        self._connections.warm(self.book)
 
     def _get_slack(self) -> float:
         return self._config.extra_slack / self._parts.hosts.count()
--- a/rudderrock/gateway/_parts.py
+++ b/rudderrock/gateway/_parts.py
@@ -49,7 +49,7 @@
         self, delegation: delegate.Delegation, call: pursuit.Call
     ) -> None:
         """Have the shards asked; tell each pursuit what became of it."""
-        entry = delegation.pick(self.zone, call.request_id)
+        entry = delegation.able.pick(self.zone, call.request_id)
         if entry is None:
             self._close_unsent()
             return
@@ -155,9 +155,7 @@
         for replica in found:
             zone = replica.endpoint.zone
             if zone not in able:
-                able[zone] = delegation.has_open(zone) and delegation.has_time(
-                    zone, call
-                )
+                able[zone] = delegation.has_time(zone, call)
             if able[zone]:
                 zones[zone] = replica
         if zones:
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-import enum
 
 from rudderrock import core
 from rudderrock.gateway import _budget as budget
@@ -13,6 +12,7 @@
 from rudderrock.gateway import _place as place
 from rudderrock.gateway import _replicas as replicas
 from rudderrock.gateway import _routing as routing
+from rudderrock.gateway import _verdicts as verdicts
 
 # A request is not sent with less time left than this, in seconds: the
 # upstream could not answer in it.
@@ -28,49 +28,6 @@
 SAME_AGAIN_S = 0.04
 
 
-class Verdict(enum.Enum):
-    """What an outcome of one attempt says."""
-
-    ANSWER = 'answer'
-    FAILURE = 'failure'
-    REJECTED = 'rejected'
-    MISDIRECTED = 'misdirected'
-    SPOILT = 'spoilt'
-    LOST = 'lost'
-    UNSENT = 'unsent'
-
-
-# Verdicts that promise that nothing has run.
-_NOT_RUN = frozenset({Verdict.UNSENT, Verdict.REJECTED, Verdict.MISDIRECTED})
-
-
-def judge_outcome(
-    outcome: link.Outcome, names: dialect.HeaderNames
-) -> Verdict:
-    """Say what an outcome means.
-
-    Only a rejection that says so, or status 421, promises that nothing has
-    run. A success without its signature, or in an encoding that nobody
-    asked for, is not the upstream's answer.
-    """
-    match outcome:
-        case link.Lost(sent=False):
-            return Verdict.UNSENT
-        case link.Lost():
-            return Verdict.LOST
-    if outcome.status == 421:
-        return Verdict.MISDIRECTED
-    if outcome.get_header(names.not_run):
-        return Verdict.REJECTED
-    if outcome.get_header(b'content-encoding') is not None:
-        return Verdict.SPOILT
-    if outcome.status >= 300:
-        return Verdict.FAILURE
-    if outcome.get_header(names.stamp) is None:
-        return Verdict.SPOILT
-    return Verdict.ANSWER
-
-
 @dataclasses.dataclass(slots=True)
 class Counters:
     """What all requests of this host have cost its upstreams."""
@@ -256,7 +213,7 @@
             self._fail(detail)
         elif self._has_attempts_for_all():
             self._tried = ()
-            self._try_again(Verdict.LOST)
+            self._try_again(verdicts.Verdict.LOST)
         else:
             self._fail(detail)
 
@@ -343,37 +300,37 @@
     def _on_outcome(self, attempt: Attempt, outcome: link.Outcome) -> None:
         if attempt in self._attempts:
             self._attempts.remove(attempt)
-        verdict = judge_outcome(outcome, self._tools.names)
+        verdict = verdicts.judge_outcome(outcome, self._tools.names)
         match verdict:
-            case Verdict.ANSWER:
+            case verdicts.Verdict.ANSWER:
                 attempt.replica.note_good()
                 self.answer = outcome
                 self.winner = attempt.replica
                 self._settle()
                 return
-            case Verdict.FAILURE:
+            case verdicts.Verdict.FAILURE:
                 self.may_have_run = True
                 self.failure = outcome
                 if outcome.status < 500:
                     self._settle()
                     return
                 attempt.replica.note_bad()
-            case Verdict.REJECTED:
+            case verdicts.Verdict.REJECTED:
                 attempt.replica.note_bad(replicas.SHED_AVOID_S)
-            case Verdict.MISDIRECTED:
+            case verdicts.Verdict.MISDIRECTED:
                 attempt.replica.note_gone()
-            case Verdict.SPOILT | Verdict.LOST:
+            case verdicts.Verdict.SPOILT | verdicts.Verdict.LOST:
                 self.may_have_run = True
                 attempt.replica.note_bad()
-            case Verdict.UNSENT:
+            case verdicts.Verdict.UNSENT:
                 attempt.replica.note_bad(replicas.UNREACHABLE_AVOID_S)
                 self.sent -= 1
                 self._unsent += 1
-        self.detail = _describe(verdict, outcome)
+        self.detail = verdicts.describe_outcome(verdict, outcome)
         if not self._attempts:
             self._try_again(verdict)
 
-    def _try_again(self, verdict: Verdict) -> None:
+    def _try_again(self, verdict: verdicts.Verdict) -> None:
         if self.may_have_run and not self._repeatable:
             self._fail(self.detail)
             return
@@ -381,13 +338,13 @@
         if self._call.end - now < LEAST_LEFT_S:
             self._fail(f'{self.detail}, and no time is left')
             return
-        if verdict is Verdict.UNSENT and self._unsent >= MOST_UNSENT:
+        if verdict is verdicts.Verdict.UNSENT and self._unsent >= MOST_UNSENT:
             self._fail(self.detail)
             return
         other = self._choose()
         if other is not None:
             self._resend(other)
-        elif verdict in _NOT_RUN:
+        elif verdict in verdicts.NOT_RUN:
             self._timer = self._tools.loop.call_later(
                 SAME_AGAIN_S, self._try_anybody
             )
@@ -431,10 +388,3 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-
-
-def _describe(verdict: Verdict, outcome: link.Outcome) -> str:
-    match outcome:
-        case link.Lost(detail=detail):
-            return f'{verdict.value}: {detail}'
-    return f'{verdict.value}: status {outcome.status}'
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -1,8 +1,8 @@
 """What this host has seen of each upstream, and which one it asks next."""
 
 import asyncio
-from collections.abc import Callable
 import random
+from typing import Protocol
 
 from rudderrock import core
 from rudderrock.gateway import _dialect as dialect
@@ -79,6 +79,16 @@
         self._avoid_until = now + wait_s
 
 
+class ConnectionNeeds(Protocol):
+    """What decides on the connections of a host."""
+
+    def get_share(self, endpoint: directory.Endpoint) -> shares.LinkShare:
+        """Return what this host may open to one upstream."""
+
+    def list_wanted(self, book: 'ReplicaBook') -> set[routing.ServiceName]:
+        """Return the services that this host itself will send to."""
+
+
 class ReplicaBook:
     """All replicas of this host, kept in step with the directory."""
 
@@ -89,8 +99,7 @@
         names: dialect.HeaderNames,
         clock: core.Clock,
         source: random.Random,
-        get_share: Callable[[directory.Endpoint], shares.LinkShare],
-        get_services: Callable[[], set[routing.ServiceName]],
+        needs: ConnectionNeeds,
     ):
         self.dials = 0
         self._listing = listing
@@ -98,8 +107,7 @@
         self._names = names
         self._clock = clock
         self._source = source
-        self._get_share = get_share
-        self._get_services = get_services
+        self._needs = needs
         self._replicas: dict[core.UpstreamId, Replica] = {}
         self._retired: list[Replica] = []
         listing.add_listener(self._on_change)
@@ -230,7 +238,7 @@
                 self._set_cap(replica)
 
     def _set_cap(self, replica: Replica) -> None:
-        share = self._get_share(replica.endpoint)
+        share = self._needs.get_share(replica.endpoint)
         replica.links.cap = share.cap
         replica.links.is_spare = share.is_spare
 
@@ -243,7 +251,7 @@
             if replica is not None:
                 replica.links.retire()
                 self._retired.append(replica)
-        wanted = self._get_services()
+        wanted = self._needs.list_wanted(self)
         for upstream in change.added:
             self._reset_caps(upstream)
         for upstream in change.added:
