--- /dev/null
+++ b/features/steps/gateway_callers.py
@@ -0,0 +1,334 @@
+"""Steps on callers of a gateway: what they send, and when they read."""
+
+import asyncio
+from unittest import mock
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features import gateway_bench
+from features.steps import gateway as gateway_steps
+from features.steps.common import run
+from rudderrock import gateway
+
+use_step_matcher('re')
+
+_SECONDS = r'([\d.]+) seconds?'
+
+
+def send(context, path, **shape):
+    """Send one request and keep its reply for the steps after."""
+    raw = gateway_bench.make_raw(gateway_steps.next_id(context), path, **shape)
+    context.reply = run(context, gateway_steps.get(context).ask(raw))
+
+
+@when(r'a caller sends GET "([^"]+)"')
+def send_get(context, path):
+    send(context, path)
+
+
+@when(r'a caller sends GET "([^"]+)" to the host "([^"]+)"')
+def send_get_host(context, path, host):
+    send(context, path, host=host)
+
+
+@when(r'a caller sends GET "([^"]+)" with ' + _SECONDS)
+def send_get_deadline(context, path, seconds):
+    send(context, path, deadline_ms=round(float(seconds) * 1000))
+
+
+@when(
+    r'a caller sends GET "([^"]+)" with the header "([^"]+)" '
+    r'and the header "([^"]+)"'
+)
+def send_get_headers(context, path, first, second):
+    send(context, path, extra=f'{first}\r\n{second}\r\n')
+
+
+@when(r'a caller sends POST "([^"]+)" with the body "([^"]+)"')
+def send_post(context, path, body):
+    send(context, path, method='POST', body=body.encode())
+
+
+@when(
+    r'a caller sends POST "([^"]+)" with the body "([^"]+)" '
+    r'and the header "([^"]+)"'
+)
+def send_post_header(context, path, body, header):
+    send(
+        context,
+        path,
+        method='POST',
+        body=body.encode(),
+        extra=f'{header}\r\n',
+    )
+
+
+@when(r'a caller sends POST "([^"]+)" in the chunks "([^"]+)" and "([^"]+)"')
+def send_chunks(context, path, first, second):
+    head = gateway_bench.make_raw(
+        gateway_steps.next_id(context),
+        path,
+        method='POST',
+        extra='Transfer-Encoding: chunked\r\n',
+    )
+    body = ''.join(
+        f'{len(piece):x}\r\n{piece}\r\n' for piece in (first, second)
+    )
+    raw = head + body.encode() + b'0\r\n\r\n'
+    context.reply = run(context, gateway_steps.get(context).ask(raw))
+
+
+@when(
+    r'a caller sends GET "([^"]+)" with '
+    + _SECONDS
+    + ' and leaves after '
+    + _SECONDS
+)
+def send_and_leave(context, path, deadline, seconds):
+    raw = gateway_bench.make_raw(
+        gateway_steps.next_id(context),
+        path,
+        deadline_ms=round(float(deadline) * 1000),
+    )
+
+    async def leave():
+        caller = await gateway_steps.get(context).connect()
+        await caller.send(raw)
+        await asyncio.sleep(float(seconds))
+        caller.leave()
+
+    run(context, leave())
+
+
+@when(r'(\d+) requests for "([^"]+)" are sent at (\d+) a second')
+def send_many(context, count, path, rate):
+    seconds = int(count) / float(rate)
+    bench = gateway_steps.get(context)
+    context.replies = run(
+        context, bench.ask_at_rate(path, float(rate), seconds)
+    )
+
+
+@when(
+    r'requests for "([^"]+)" are sent at (\d+) a second for (\d+) seconds '
+    r'while (\d+) new shards take over'
+)
+def send_during_change(context, path, rate, seconds, count):
+    bench = gateway_steps.get(context)
+    old = len(context.shards)
+    new = gateway_steps.add_shards(context, int(count), first=old)
+    context.new_shards = new
+
+    async def change():
+        load = asyncio.create_task(
+            bench.ask_at_rate(path, float(rate), float(seconds))
+        )
+        await asyncio.sleep(float(seconds) / 2)
+        bench.add_route('/all/', gateway.Scatter(tuple(new), 5, 0.5))
+        bench.publish()
+        await asyncio.sleep(2.0)
+        for name in list(bench.source.endpoints):
+            if name.rsplit('-', 1)[0] in context.shards:
+                bench.source.remove_endpoint(name)
+        return await load
+
+    context.replies = run(context, change())
+
+
+@when(r'a caller sends a long head')
+def send_long_head(context):
+    send(context, '/notes/1', method='POST', extra=f'X-A: {"a" * 400}\r\n')
+
+
+@when(r'a caller sends a long body')
+def send_long_body(context):
+    send(context, '/notes/1', method='POST', body=b'b' * 200)
+
+
+@when(r'a caller sends a head too slow')
+def send_slow_head(context):
+    context.reply = run(
+        context, gateway_steps.get(context).ask(b'GET /notes/1 HTT')
+    )
+
+
+@when(r'a caller sends what is not HTTP')
+def send_garbage(context):
+    context.reply = run(
+        context, gateway_steps.get(context).ask(b'\x01\x02\x03\r\n\r\n')
+    )
+
+
+_DOUBTFUL = {
+    'two lengths': 'Content-Length: 3\r\nContent-Length: 6\r\n',
+    'a length and chunks': (
+        'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n'
+    ),
+    'a length that is odd': 'Content-Length: +3\r\n',
+}
+
+
+@when(r'a caller sends a request with (two lengths|a length .+)')
+def send_doubtful(context, what):
+    head = gateway_bench.make_raw(
+        gateway_steps.next_id(context),
+        '/notes/1',
+        method='POST',
+        extra=_DOUBTFUL[what],
+    )
+    context.reply = run(
+        context, gateway_steps.get(context).ask(head + b'0\r\n\r\n')
+    )
+
+
+@when(r'a caller sends a request without an id')
+def send_without_id(context):
+    raw = f'GET /notes/1 HTTP/1.1\r\nHost: {gateway_bench.HOST}\r\n\r\n'
+    context.reply = run(context, gateway_steps.get(context).ask(raw.encode()))
+
+
+@when(r'a caller sends (\d+) requests for "([^"]+)" ahead')
+def send_ahead(context, count, path):
+    context.sent_ids = [
+        gateway_steps.next_id(context) for _ in range(int(count))
+    ]
+    raw = b''.join(
+        gateway_bench.make_raw(each, path) for each in context.sent_ids
+    )
+
+    async def ahead():
+        caller = await gateway_steps.get(context).connect()
+        await caller.send(raw)
+        return [await caller.read() for _ in context.sent_ids]
+
+    context.replies = run(context, ahead())
+
+
+def make_link(context, unsent=0):
+    """Return a link over a mocked transport, at work on one request."""
+    context.outcomes = []
+    context.transport = mock.Mock()
+    context.transport.is_closing.return_value = False
+    context.transport.get_write_buffer_size.return_value = unsent
+    context.freed = []
+    link = gateway.Link(
+        context.loop,
+        gateway_bench.NAMES,
+        on_free=context.freed.append,
+        on_closed=lambda link: None,
+    )
+    link.connection_made(context.transport)
+    exchange = gateway.Exchange(
+        b'q1',
+        lambda: b'',
+        lambda done, outcome: context.outcomes.append(outcome),
+    )
+    link.start(exchange)
+    return link
+
+
+@when(r'a connection brings an answer without a length and is reset')
+def reset_unframed(context):
+    link = make_link(context)
+    link.data_received(
+        b'HTTP/1.1 200 OK\r\nRudderrock-Stamp: s\r\n\r\nrrrrrrrr'
+    )
+    link.connection_lost(ConnectionResetError())
+
+
+@when(r'a connection brings an answer while bytes of its request wait')
+def answer_early(context):
+    link = make_link(context, unsent=10)
+    link.data_received(b'HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nr')
+
+
+@then(r'its answer is taken and the connection is closed')
+def check_closed(context):
+    assert context.outcomes[0].body == b'r', context.outcomes
+    assert context.transport.abort.called
+    assert not context.freed
+
+
+@given(r'an upstream "([^"]+)" of "([^"]+)" that answers with (\d+) bytes')
+def add_talkative(context, upstream, service, size):
+    bench = gateway_steps.get(context)
+    run(
+        context,
+        bench.add_upstream(upstream, service, records=b'x' * int(size)),
+    )
+
+
+@when(
+    r'a caller sends (\d+) requests for "([^"]+)" ahead and reads nothing '
+    r'for ' + _SECONDS
+)
+def send_unread(context, count, path, seconds):
+    raw = b''.join(
+        gateway_bench.make_raw(
+            gateway_steps.next_id(context), path, deadline_ms=9000
+        )
+        for _ in range(int(count))
+    )
+    context.ahead = int(count)
+
+    async def send():
+        context.caller = await gateway_steps.get(context).connect()
+        context.caller.reader._transport.pause_reading()
+        await context.caller.send(raw)
+        await asyncio.sleep(float(seconds))
+
+    run(context, send())
+
+
+@when(r'the caller reads what it was sent')
+def read_all(context):
+    async def read():
+        context.caller.reader._transport.resume_reading()
+        return [await context.caller.read() for _ in range(context.ahead)]
+
+    context.replies = run(context, read())
+
+
+@then(r'it got (\d+) whole answers')
+def check_whole_answers(context, count):
+    assert len(context.replies) == int(count)
+    for reply in context.replies:
+        assert reply.status == 200, reply.status
+        assert len(reply.body) == 400000, len(reply.body)
+
+
+@then(r'"([^"]+)" ran no more than (\d+) requests')
+def check_few_runs(context, upstream, most):
+    runs = gateway_steps.get(context).upstreams[upstream].runs
+    assert len(runs) <= int(most), len(runs)
+
+
+@then(r'the gateway has no connection of a caller')
+def check_no_caller(context):
+    assert 'rudderrock_caller_connections 0' in run(
+        context, gateway_steps.get(context).scrape()
+    )
+
+
+@when(r'the open connections of "([^"]+)" fall silent')
+def silence_connections(context, upstream):
+    gateway_steps.get(context).upstreams[upstream].silence_connections()
+
+
+@when(r'(\d+) callers in turn send GET "([^"]+)"')
+def send_in_turn(context, count, path):
+    context.replies = []
+    for _ in range(int(count)):
+        raw = gateway_bench.make_raw(gateway_steps.next_id(context), path)
+        context.replies.append(
+            run(context, gateway_steps.get(context).ask(raw))
+        )
+
+
+@then(r'(\d+) of the last (\d+) replies are (\d+)')
+def check_some(context, wanted, count, status):
+    found = [reply.status for reply in context.replies[-int(count) :]]
+    assert found.count(int(status)) == int(wanted), found
