A part that was not read is asked from here, whatever the replicas

Change: a host that has not read a part can send once at most before it sees that nobody waits, so one more attempt from here is within the route's bound; a host that doesn't take a query is passed over for 0.3 s. The scenario failed before (502).

--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -135,6 +135,13 @@
     Then every answer is 502
     And no shard got a request more than 1 times
 
+  Scenario: a part that was not read is asked from here, whatever the replicas
+    Given 3 gateways in each of two regions before 20 shards of 3 replicas, 7 in the other
+    When the gateways of the other region read nothing any more on open connections
+    And every gateway of the first zone is asked for all shards
+    Then every answer is whole, from any replica
+    And no shard got a request more than 1 times
+
   Scenario: a frozen host costs no wide query
     Given 6 gateways before 60 shards, of which 2 have a wide link
     When one gateway with a wide link is frozen
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -304,11 +304,15 @@
 
         self.process.peers.handle = hang
 
+    def deafen_peers(self) -> None:
+        """Read nothing more on open connections of peers."""
+        for link in self.process.peers.links:
+            link.data_received = lambda data: None
+
     async def silence_peers(self) -> None:
         """Read nothing of peers any more, as a frozen process would."""
         peers = self.process.peers
-        for link in peers.links:
-            link.data_received = lambda data: None
+        self.deafen_peers()
         peers.stop_accepting()
         await asyncio.sleep(0)
         self.silent = await asyncio.get_running_loop().create_server(
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -445,3 +445,23 @@
 def check_status(context, status):
     for _, _, reply in context.answers:
         assert reply.status == int(status), reply
+
+
+@when(
+    r'the gateways of the other region read nothing any more on open '
+    r'connections'
+)
+def deafen_region(context):
+    for member in list_other(context):
+        member.deafen_peers()
+
+
+@then(r'every answer is whole, from any replica')
+def check_any_replica(context):
+    for _, request_id, reply in context.answers:
+        assert reply.status == 200, reply
+        stamps = reply.headers['rudderrock-part-stamps'].split(', ')
+        found = {
+            stamp.partition('.')[0].rpartition('-')[0] for stamp in stamps
+        }
+        assert found == set(context.shards), (request_id, stamps)
--- a/rudderrock/gateway/_able.py
+++ b/rudderrock/gateway/_able.py
@@ -100,6 +100,15 @@
             events.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
         )
 
+    def pause(
+        self, entry: fleet.HostEntry, detail: str, seconds: float
+    ) -> None:
+        """Pass over a host that is well but of no use for a moment."""
+        self._skip[entry.host] = self._clock.now() + seconds
+        self._events.record(
+            events.LogKind.PEER_SKIPPED, peer=entry.host, detail=detail
+        )
+
     def note_good(self, entry: fleet.HostEntry) -> None:
         """Take note that a host has answered."""
         self._failures.pop(entry.host, None)
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -31,6 +31,9 @@
 # One that showed no sign of having read a query may just have been busy: it
 # is passed over for so long at first, in seconds.
 SILENT_SKIP_S = 1.0
+# One that does not take a query, mostly since its table is another, is passed
+# over for so long: tables are the same again as soon; seconds.
+NOT_TAKEN_PAUSE_S = 0.3
 # One that holds a query for so long beyond its goal is passed over; seconds.
 SUSPECT_AFTER_S = 0.1
 # What the asking host sends along: the version of its table, and for how
@@ -255,12 +258,13 @@
                 self.able.note_good(entry)
                 return answer
             case result.Ok():
-                problem = caller.NoReply(False, 'did not take a query')
+                detail = 'did not take a query'
+                self.able.pause(entry, detail, NOT_TAKEN_PAUSE_S)
+                return result.Err(caller.NoReply(False, detail))
             case result.Err(problem):
-                pass
-        skip_s = able.SKIP_S if problem.signed else SILENT_SKIP_S
-        self.able.skip(entry, problem.detail, skip_s)
-        return result.Err(problem)
+                skip_s = able.SKIP_S if problem.signed else SILENT_SKIP_S
+                self.able.skip(entry, problem.detail, skip_s)
+                return answer
 
     def close(self) -> None:
         """Close the connections to other hosts."""
--- a/rudderrock/gateway/_parts.py
+++ b/rudderrock/gateway/_parts.py
@@ -63,37 +63,40 @@
         except Exception:
             # A defect must cost this part only and leave a trace.
             logging.exception('a part of a query failed on a defect')
-            self._close(None, 'defect')
+            self._lose('defect', pursuit.PartFate.LOST)
             return
         match answer:
             case result.Ok(found):
-                self._close(found, f'missing by {entry.host}')
+                self._take(found, entry.host)
             case result.Err(caller.NoReply(sent=False)):
                 self._close_unsent()
+            case result.Err(caller.NoReply(signed=False, detail=detail)):
+                self._lose(f'{entry.host}: {detail}', pursuit.PartFate.UNREAD)
             case result.Err(problem):
-                detail = f'{entry.host}: {problem.detail}'
-                self._close(None, detail)
+                self._lose(
+                    f'{entry.host}: {problem.detail}', pursuit.PartFate.LOST
+                )
 
     def _close_unsent(self) -> None:
         """Ask from here: nobody has begun on any of them."""
         for each in self._members:
             each.start_here()
 
-    def _close(self, found: delegate.PartAnswer | None, detail: str) -> None:
-        brought = []
-        if found is not None:
-            brought = [
-                each
-                for each in self._members
-                if each.service not in found.missing
-            ]
-        if brought:
+    def _take(self, found: delegate.PartAnswer, host: core.HostId) -> None:
+        """Take what the part has brought."""
+        if len(found.missing) < len(self._members):
             self.answer = found
         for each in self._members:
-            if each in brought:
-                each.take_from_part()
+            if each.service in found.missing:
+                each.miss_elsewhere(
+                    f'missing by {host}', pursuit.PartFate.LACKING
+                )
             else:
-                each.miss_elsewhere(detail, was_asked=found is not None)
+                each.take_from_part()
+
+    def _lose(self, detail: str, fate: pursuit.PartFate) -> None:
+        for each in self._members:
+            each.miss_elsewhere(detail, fate)
 
 
 def plan_parts(
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import enum
 
 from rudderrock import core
 from rudderrock.gateway import _budget as budget
@@ -100,6 +101,14 @@
     exchange: link.Exchange
 
 
+class PartFate(enum.Enum):
+    """Why a part that another host asks for has not brought an answer."""
+
+    LACKING = 'lacking'
+    UNREAD = 'unread'
+    LOST = 'lost'
+
+
 class Pursuit:
     """One service's part of a call.
 
@@ -198,20 +207,21 @@
         self.winner.note_good()
         self._settle()
 
-    def miss_elsewhere(self, detail: str, was_asked: bool) -> None:
-        """Take note that the part is lost, or lacks the answer.
+    def miss_elsewhere(self, detail: str, fate: PartFate) -> None:
+        """Take note that the part lacks the answer, or is lost.
 
-        If the other host has asked and got none, it has tried what there
-        is. If it is lost, so is the count of its attempts; they were no
-        more than there are replicas.
+        A host that has asked and got none has tried what there is. One that
+        has not read it may still do so and then send once, before it sees
+        that it is no longer waited for. If the part is lost later, so is the
+        count of its attempts; they were no more than there are replicas.
         """
         replica, self._elsewhere = self._elsewhere, None
         self.may_have_run = True
         self.detail = detail
-        if was_asked:
+        if fate is PartFate.LACKING:
             replica.note_bad()
             self._fail(detail)
-        elif self._has_attempts_for_all():
+        elif fate is PartFate.UNREAD or self._has_attempts_for_all():
             self._tried = ()
             self._try_again(verdicts.Verdict.LOST)
         else:
