--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -721,3 +721,11 @@
     When a caller sends GET "/notes/1"
     Then the reply is 504
     And the line of the last request says "no answer in time from u1"
+
+  Scenario: an answer to HEAD states no length that is not the upstream's
+    Given an upstream "u1" of "notes" that answers with 400000 bytes
+    And the route "/notes/" to "notes"
+    And a gateway
+    When a caller sends HEAD "/notes/1"
+    Then the reply is 200
+    And it states no length
--- a/features/steps/gateway_callers.py
+++ b/features/steps/gateway_callers.py
@@ -332,3 +332,13 @@
 def check_some(context, wanted, count, status):
     found = [reply.status for reply in context.replies[-int(count) :]]
     assert found.count(int(status)) == int(wanted), found
+
+
+@when(r'a caller sends HEAD "([^"]+)"')
+def send_head(context, path):
+    send(context, path, method='HEAD')
+
+
+@then(r'it states no length')
+def check_no_length(context):
+    assert 'content-length' not in context.reply.headers, context.reply
--- a/rudderrock/gateway/_messages.py
+++ b/rudderrock/gateway/_messages.py
@@ -106,12 +106,12 @@
     """Write a reply in one piece.
 
     `close` announces that the connection ends with it; `headless` leaves
-    out the body, for a HEAD request.
+    out the body and its length, for a HEAD request.
     """
     reason = _REASONS.get(reply.status, b'Unknown')
     lines = [b'HTTP/1.1 %d %b\r\n' % (reply.status, reason)]
     lines += [b'%b: %b\r\n' % pair for pair in reply.headers]
-    if reply.status not in (204, 304):
+    if reply.status not in (204, 304) and not headless:
         lines.append(b'content-length: %d\r\n' % len(reply.body))
     if close:
         lines.append(b'connection: close\r\n')
