--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -148,3 +148,12 @@
     And every gateway is asked for all shards 2 times
     Then every answer is whole
     And no shard got a request twice
+
+  Scenario: a way that seemed long at first is measured again
+    Given 3 gateways in each of two regions before 20 shards, 7 in the other
+    When the ways to the other region seem to take 2 seconds
+    And every gateway of the first zone is asked for all shards
+    And 1 second passes
+    And every gateway of the first zone is asked for all shards
+    Then every answer is whole, with the greatest records
+    And the gateways of the other region were asked
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -465,3 +465,15 @@
             stamp.partition('.')[0].rpartition('-')[0] for stamp in stamps
         }
         assert found == set(context.shards), (request_id, stamps)
+
+
+@when(r'the ways to the other region seem to take ' + _SECONDS)
+def lengthen_ways(context, seconds):
+    for member in list(context.fleet.members.values())[:3]:
+        for peer in member.gateway.delegation.list_callers():
+            peer.round_trip_s = float(seconds)
+
+
+@then(r'the gateways of the other region were asked')
+def check_other_asked(context):
+    assert any(each.gateway.counters.firsts for each in list_other(context))
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -16,6 +16,10 @@
 
 # Connections to one address; each call under way takes one.
 MOST_CONNECTIONS = 4
+# How often the way to an address is measured anew when it seems too long, and
+# the time between two measurements in seconds.
+MOST_MEASURED = 8
+MEASURE_EVERY_S = 1.0
 JSON = (b'content-type', b'application/json')
 # Asks for an interim reply as soon as the head has been read (RFC 9110,
 # 10.1.1).
@@ -51,6 +55,8 @@
         keep_s: float = pool.DEFAULT_KEEP_S,
     ):
         self._loop = asyncio.get_running_loop()
+        self._measured = 0
+        self._measure_at = 0.0
         host, port = address
         self._host = b'%b:%d' % (host.encode('ascii'), port)
         endpoint = directory.Endpoint(
@@ -80,6 +86,10 @@
         """Return the time there and back in seconds, None if unknown."""
         return self._links.round_trip_s
 
+    @round_trip_s.setter
+    def round_trip_s(self, seconds: float) -> None:
+        self._links.round_trip_s = seconds
+
     async def call(
         self,
         method: bytes,
@@ -139,6 +149,18 @@
         """Open the first connections before anybody needs them."""
         self._links.warm(count)
 
+    def measure(self) -> None:
+        """Measure the way there and back again, by one more connection.
+
+        The first ones may have been opened while both sides were starting.
+        Done a few times at most, since the shortest time counts.
+        """
+        now = self._loop.time()
+        if self._measured < MOST_MEASURED and now >= self._measure_at:
+            self._measured += 1
+            self._measure_at = now + MEASURE_EVERY_S
+            self._links.open_more()
+
     def close(self) -> None:
         """Close all connections."""
         self._links.close()
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -142,12 +142,19 @@
         open_now = self.able.list_open(zone)
         if not open_now:
             return False
-        trip_s = max(
-            self._get_caller(entry).round_trip_s or ROUND_TRIP_S
-            for entry in open_now
-        )
         left_s = call.goal_at - self._clock.now()
-        return left_s - HOP_S >= 2 * trip_s + PART_ROOM * call.late_s
+        room_s = (left_s - HOP_S - PART_ROOM * call.late_s) / 2
+        has_time = True
+        for entry in open_now:
+            peer = self._get_caller(entry)
+            if (peer.round_trip_s or ROUND_TRIP_S) > room_s:
+                has_time = False
+                peer.measure()
+        return has_time
+
+    def list_callers(self) -> list[caller.HttpCaller]:
+        """Return the callers of the hosts that have been asked so far."""
+        return list(self._callers.values())
 
     def drop_unused(self) -> None:
         """Forget the connections to hosts that are no longer registered."""
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -135,6 +135,11 @@
             for _ in range(missing):
                 self._dial()
 
+    def open_more(self) -> None:
+        """Open one more connection, within the bound."""
+        if len(self._links) + len(self._dials) < self.cap:
+            self._dial()
+
     def sweep(self) -> None:
         """Close what has idled too long or was left to end and didn't."""
         now = self._loop.time()
