The soak has shards that only one zone has

Cause: reading what the new parts are tried by: every service of the soak had an upstream in each zone, so no host asked another for a part.

--- a/rudderrock/soak/_world.py
+++ b/rudderrock/soak/_world.py
@@ -20,6 +20,10 @@
 WINDOW_S = 10.0
 GRACE_S = 3.0
 SHARDS = 4
+# Shards of each set that only the other zone has upstreams of, so that hosts
+# have them asked by hosts there.
+FAR_SHARDS = 3
+_ZONES = ('north-1', 'south-1')
 ROUTE_TIMEOUT_S = 1.5
 _PORTS = 4
 _FIRST_NET = 10
@@ -189,16 +193,21 @@
             self.register(name, 'north-1', 'draining')
 
     async def add_shards(self, count: int) -> None:
-        """Start the shards of a new set."""
+        """Start the shards of a new set; some are in one zone only."""
         first = len(self.shard_sets) * 100
-        self._shards = [f'shard-{first + each}' for each in range(count)]
-        for shard in self._shards:
+        total = count + FAR_SHARDS
+        self._shards = [f'shard-{first + each}' for each in range(total)]
+        for shard in self._shards[:count]:
             await self.add_service(shard)
+        for shard in self._shards[count:]:
+            await self.add_service(shard, ('south-1', 'south-1'))
         self.shard_sets.append(frozenset(self._shards))
 
-    async def add_service(self, service: str) -> None:
-        """Start an upstream of a service in each zone."""
-        for zone in ('north-1', 'south-1'):
+    async def add_service(
+        self, service: str, zones: tuple[str, ...] = _ZONES
+    ) -> None:
+        """Start an upstream of a service in each of some zones."""
+        for zone in zones:
             await self.add_upstream(service, zone)
 
     async def move_route(self) -> None:
