--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -157,3 +157,13 @@
     And every gateway of the first zone is asked for all shards
     Then every answer is whole, with the greatest records
     And the gateways of the other region were asked
+
+  Scenario: a body reaches the shards of another region unchanged
+    Given 3 gateways in each of two regions before 20 shards, 7 in the other
+    When a gateway of the first zone is asked for all shards by POST with a body of 300000 bytes
+    Then every shard ran it as POST with that body
+
+  Scenario: a long head reaches the shards of another region
+    Given 3 gateways in each of two regions before 20 shards, 7 in the other
+    When a gateway of the first zone is asked for all shards with a head of 16000 bytes
+    Then every shard ran it as GET with that body
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -477,3 +477,41 @@
 @then(r'the gateways of the other region were asked')
 def check_other_asked(context):
     assert any(each.gateway.counters.firsts for each in list_other(context))
+
+
+def ask_raw(context, **shape):
+    """Ask the first gateway for all shards."""
+    name = next(iter(context.fleet.members))
+    raw = gateway_bench.make_raw('raw', '/all/1', deadline_ms=5000, **shape)
+    reply = run(context, context.fleet.ask(name, raw))
+    assert reply.status == 200, reply
+    context.body = shape.get('body', b'')
+
+
+@when(
+    r'a gateway of the first zone is asked for all shards by POST with a '
+    r'body of (\d+) bytes'
+)
+def ask_with_body(context, size):
+    bench = gateway_steps.get(context)
+    bench.limits = gateway.IntakeLimits(max_body_bytes=int(size))
+    bench.publish()
+    run(context, asyncio.sleep(3.0))
+    ask_raw(context, method='POST', body=b'x' * int(size))
+
+
+@when(
+    r'a gateway of the first zone is asked for all shards with a head of '
+    r'(\d+) bytes'
+)
+def ask_with_head(context, size):
+    ask_raw(context, extra=f'X-Long: {"x" * (int(size) - 200)}\r\n')
+
+
+@then(r'every shard ran it as (\w+) with that body')
+def check_bodies(context, method):
+    for model in gateway_steps.get(context).upstreams.values():
+        assert len(model.runs) == 1, (model.upstream, model.runs)
+        found = model.runs[0]
+        assert found.method == method, found.method
+        assert found.body == context.body, len(found.body)
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -112,7 +112,7 @@
             headers = [(b'host', self._host)]
             if make_headers is not None:
                 headers = make_headers()
-            if body:
+            elif body:
                 headers.append(JSON)
             if sign_s is not None:
                 headers.append(EXPECT)
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -58,6 +58,9 @@
 # How long a host keeps the idle connections of its peers, in seconds. They
 # are few, and cost memory only.
 PEER_IDLE_S = 60.0
+# What a peer may send, in bytes: what a caller may, by any table, and more.
+PEER_HEADER_BYTES = 256 * 1024
+PEER_BODY_BYTES = 8 * 1024 * 1024
 # What a host that asks another leaves it less time by, in seconds, beside
 # the way there and back: reading, merging and writing on a busy core.
 HOP_S = 0.006
@@ -230,6 +233,7 @@
         loop = asyncio.get_running_loop()
         peer = self._get_caller(entry)
         round_trip_s = peer.round_trip_s or ROUND_TRIP_S
+        version = self._get_version()
 
         def make_headers() -> messages.Headers:
             now = loop.time()
@@ -237,7 +241,7 @@
             return [
                 *call.head,
                 (self._names.deadline_ms, call.get_left_ms(now)),
-                (VERSION, b'%d' % self._get_version()),
+                (VERSION, b'%d' % version),
                 (ELAPSED, b'%d' % int(elapsed_s * 1000)),
                 *more,
             ]
@@ -252,7 +256,7 @@
             answer = await peer.call(
                 call.request.method,
                 call.request.target,
-                b'',
+                call.request.body,
                 call.end - loop.time(),
                 make_headers,
                 call.request_id,
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -66,7 +66,9 @@
         self._scrapes = intake.Intake(self._answer_scrape)
         self.peers = intake.Intake(self._answer_peer)
         self.peers.limits = routing.IntakeLimits(
-            idle_timeout_s=delegate.PEER_IDLE_S
+            max_header_bytes=delegate.PEER_HEADER_BYTES,
+            max_body_bytes=delegate.PEER_BODY_BYTES,
+            idle_timeout_s=delegate.PEER_IDLE_S,
         )
         self._changes = changes
         self._was_ready = False
