--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -135,11 +135,18 @@
     Then every answer is 502
     And no shard got a request more than 1 times
 
-  Scenario: a part that was not read is asked from here, whatever the replicas
+  Scenario: a part without a sign is not asked again if that might be one attempt too many
     Given 3 gateways in each of two regions before 20 shards of 3 replicas, 7 in the other
     When the gateways of the other region read nothing any more on open connections
     And every gateway of the first zone is asked for all shards
-    Then every answer is whole, from any replica
+    Then every answer is 502
+    And no shard got a request more than 1 times
+
+  Scenario: a wide query without a sign is not run again if that might be one attempt too many
+    Given 6 gateways before 60 shards of 3 replicas, of which 2 have a wide link
+    When one gateway with a wide link is frozen
+    And a gateway with a thin link is asked for all shards until the frozen one is asked
+    Then it is lost
     And no shard got a request more than 1 times
 
   Scenario: a frozen host costs no wide query
--- a/rudderrock/gateway/_parts.py
+++ b/rudderrock/gateway/_parts.py
@@ -70,8 +70,6 @@
                 self._take(found, entry.host)
             case result.Err(caller.NoReply(sent=False)):
                 self._close_unsent()
-            case result.Err(caller.NoReply(signed=False, detail=detail)):
-                self._lose(f'{entry.host}: {detail}', pursuit.PartFate.UNREAD)
             case result.Err(problem):
                 self._lose(
                     f'{entry.host}: {problem.detail}', pursuit.PartFate.LOST
