--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -104,8 +104,8 @@
 
         `make_headers` gives other headers than the usual ones at the moment
         of writing; `request_id` is what a reply that names a request must
-        name. With `sign_s` an interim reply is asked
-        for, and a call that has none after so many seconds is given up.
+        name. With `sign_s` an interim reply is asked for, and a call that has
+        none after so many seconds is given up.
         """
 
         def render() -> bytes:
