--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -102,3 +102,42 @@
     When every gateway of the first zone is asked for all shards
     Then every answer is whole, with the greatest records
     And it took less than 0.1 seconds in all
+
+  Scenario: shards of another region are asked from there, and merged
+    Given 3 gateways in each of two regions before 20 shards, 7 in the other
+    When every gateway of the first zone is asked for all shards
+    Then every answer is whole, with the greatest records
+    And the shards of the other region were asked by its gateways only
+
+  Scenario: two shards of another region are asked from here
+    Given 3 gateways in each of two regions before 20 shards, 2 in the other
+    When every gateway of the first zone is asked for all shards
+    Then every answer is whole, with the greatest records
+    And no gateway of the other zone was asked
+
+  Scenario: frozen hosts of another region are done without
+    Given 3 gateways in each of two regions before 20 shards, 7 in the other
+    When the gateways of the other region are frozen
+    And every gateway of the first zone is asked for all shards
+    Then every answer is whole, with the greatest records
+    And it took less than 0.1 seconds in all
+    And no gateway of the other zone was asked
+
+  Scenario: hosts of another region that are cut off with a part are done without
+    Given 3 gateways in each of two regions before 20 shards, 7 in the other
+    When the gateways of the other region lose their connections while the first zone asks for all shards
+    Then every answer is whole, with the greatest records
+    And no shard got a request more than 2 times
+
+  Scenario: a lost part is not asked again if that might be one attempt too many
+    Given 3 gateways in each of two regions before 20 shards of 3 replicas, 7 in the other
+    When the gateways of the other region lose their connections while the first zone asks for all shards
+    Then every answer is 502
+    And no shard got a request more than 1 times
+
+  Scenario: a frozen host costs no wide query
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When one gateway with a wide link is frozen
+    And every gateway is asked for all shards 2 times
+    Then every answer is whole
+    And no shard got a request twice
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -294,15 +294,32 @@
     gateway: gateway.Gateway
     hosts: gateway.Fleet
     task: asyncio.Task
+    silent: asyncio.Server | None = None
 
     def freeze_peers(self) -> None:
-        """Answer peers no more, as a frozen process would."""
+        """Answer peers no more, as one would that hangs in its work."""
 
         async def hang(request) -> None:
             await asyncio.sleep(3600.0)
 
         self.process.peers.handle = hang
 
+    async def silence_peers(self) -> None:
+        """Read nothing of peers any more, as a frozen process would."""
+        peers = self.process.peers
+        for link in peers.links:
+            link.data_received = lambda data: None
+        peers.stop_accepting()
+        await asyncio.sleep(0)
+        self.silent = await asyncio.get_running_loop().create_server(
+            asyncio.Protocol, self.address, _PORT + 3
+        )
+
+    def cut_peers(self) -> None:
+        """End the connections of peers, as a killed process would."""
+        for link in list(self.process.peers.links):
+            link._transport.abort()
+
 
 class FleetBench:
     """Several gateways over one source and the same upstreams."""
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -251,28 +251,28 @@
     assert gateway.LogKind.REQUEST.value == told[0]['kind']
 
 
-def start_zones(context, count, shards, others):
-    """Start gateways in two zones of a region, and shards in both."""
+def start_zones(context, count, shards, others, zone='north-2', replicas=1):
+    """Start gateways in two zones, and shards in both."""
     bench = gateway_steps.get(context)
     for number in range(shards):
-        zone = 'north-2' if number < others else 'north-1'
         name = f'shard-{number}'
         context.shards.append(name)
-        run(
-            context,
-            bench.add_upstream(
-                f'{name}-0',
-                name,
-                zone=zone,
-                records=b'%016d' % (number * 7919 % 1000),
-            ),
-        )
+        for replica in range(replicas):
+            run(
+                context,
+                bench.add_upstream(
+                    f'{name}-{replica}',
+                    name,
+                    zone=zone if number < others else 'north-1',
+                    records=b'%016d' % (number * 7919 % 1000),
+                ),
+            )
     gateway_steps.add_scatter(
         context, '/all/', least=0.9, timeout_s=6.0, goal_s=0.5
     )
     bench.publish()
     context.fleet = gateway_bench.FleetBench(bench, context.stack)
-    zones = ['north-1'] * count + ['north-2'] * count
+    zones = ['north-1'] * count + [zone] * count
     run(context, context.fleet.start(zones))
     run(context, asyncio.sleep(6.0))
 
@@ -369,3 +369,79 @@
 @then(r'it took less than ([\d.]+) seconds in all')
 def check_took(context, seconds):
     assert context.took < float(seconds), context.took
+
+
+@given(
+    r'(\d+) gateways in each of two regions before (\d+) shards, '
+    r'(\d+) in the other'
+)
+def start_regions(context, count, shards, others):
+    start_zones(context, int(count), int(shards), int(others), zone='south-1')
+
+
+@given(
+    r'(\d+) gateways in each of two regions before (\d+) shards of '
+    r'(\d+) replicas, (\d+) in the other'
+)
+def start_replicated(context, count, shards, replicas, others):
+    start_zones(
+        context,
+        int(count),
+        int(shards),
+        int(others),
+        zone='south-1',
+        replicas=int(replicas),
+    )
+
+
+def list_other(context):
+    """Return the gateways of the other zone."""
+    return list(context.fleet.members.values())[3:]
+
+
+@when(r'the gateways of the other region are frozen')
+def freeze_region(context):
+    for member in list_other(context):
+        run(context, member.silence_peers())
+
+
+@when(r'one gateway with a wide link is frozen')
+def freeze_one(context):
+    run(context, context.fleet.members[context.wide[0]].silence_peers())
+
+
+@when(
+    r'the gateways of the other region lose their connections while the '
+    r'first zone asks for all shards'
+)
+def cut_region(context):
+    async def cut():
+        await asyncio.sleep(0.005)
+        for member in list_other(context):
+            member.cut_peers()
+
+    task = context.loop.create_task(cut())
+    ask_first_zone(context)
+    run(context, task)
+
+
+@then(r'the shards of the other region were asked by its gateways only')
+def check_asked_there(context):
+    members = list(context.fleet.members.values())
+    first = sum(each.gateway.counters.firsts for each in members[:3])
+    other = sum(each.gateway.counters.firsts for each in members[3:])
+    assert (first, other) == (3 * 13, 3 * 7), (first, other)
+    check_no_repeat(context)
+
+
+@then(r'no shard got a request more than (\d+) times?')
+def check_arrivals(context, most):
+    for model in gateway_steps.get(context).upstreams.values():
+        counts = collections.Counter(model.arrivals)
+        assert max(counts.values(), default=0) <= int(most), counts
+
+
+@then(r'every answer is (\d+)')
+def check_status(context, status):
+    for _, _, reply in context.answers:
+        assert reply.status == int(status), reply
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -14,8 +14,6 @@
 from rudderrock.gateway._fleet import Fleet
 from rudderrock.gateway._fleet import HostEntry
 from rudderrock.gateway._follow import Follower
-from rudderrock.gateway._forward import Outcome
-from rudderrock.gateway._forward import Result
 from rudderrock.gateway._gateway import Gateway
 from rudderrock.gateway._gateway import Parts
 from rudderrock.gateway._intake import Intake
@@ -47,6 +45,8 @@
 from rudderrock.gateway._registration import Registration
 from rudderrock.gateway._replicas import Replica
 from rudderrock.gateway._replicas import ReplicaBook
+from rudderrock.gateway._results import Outcome
+from rudderrock.gateway._results import Result
 from rudderrock.gateway._routing import IntakeLimits
 from rudderrock.gateway._routing import NO_VERSION
 from rudderrock.gateway._routing import Repeat
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/_caller.py
@@ -1,6 +1,7 @@
 """Plain HTTP calls to one address, for what is not an upstream."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 import result
@@ -16,14 +17,22 @@
 # Connections to one address; each call under way takes one.
 MOST_CONNECTIONS = 4
 JSON = (b'content-type', b'application/json')
+# Asks for an interim reply as soon as the head has been read (RFC 9110,
+# 10.1.1).
+EXPECT = (b'expect', b'100-continue')
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoReply:
-    """A call that got no reply; `sent` tells if it may have arrived."""
+    """A call that got no reply.
+
+    `sent` tells if it may have arrived, `signed` if an interim reply has
+    shown that it was read.
+    """
 
     sent: bool
     detail: str
+    signed: bool = False
 
 
 class HttpCaller:
@@ -58,48 +67,108 @@
             most,
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Tell whether a call is under way."""
+        return self._links.load > 0
+
+    @property
+    def round_trip_s(self) -> float | None:
+        """Return the time there and back in seconds, None if unknown."""
+        return self._links.round_trip_s
+
     async def call(
         self,
         method: bytes,
         target: bytes,
         body: bytes,
         timeout_s: float,
-        headers: messages.Headers | None = None,
+        make_headers: Callable[[], messages.Headers] | None = None,
         request_id: bytes = b'',
+        sign_s: float | None = None,
     ) -> result.Result[messages.Reply, NoReply]:
         """Send one request and return its reply, or why there is none.
 
-        `headers` replace the usual ones; `request_id` is what a reply that
-        names a request must name.
+        `make_headers` gives other headers than the usual ones at the moment
+        of writing; `request_id` is what a reply that names a request must
+        name. With `sign_s` an interim reply is asked
+        for, and a call that has none after so many seconds is given up.
         """
-        if headers is None:
-            headers = [(b'host', self._host)]
-        if body:
-            headers.append(JSON)
-        written = messages.render_request(method, target, headers, body)
-        done: asyncio.Future[link.Outcome] = self._loop.create_future()
-
-        def on_done(exchange: link.Exchange, outcome: link.Outcome) -> None:
-            if not done.done():
-                done.set_result(outcome)
 
-        exchange = link.Exchange(request_id, lambda: written, on_done)
+        def render() -> bytes:
+            headers = [(b'host', self._host)]
+            if make_headers is not None:
+                headers = make_headers()
+            if body:
+                headers.append(JSON)
+            if sign_s is not None:
+                headers.append(EXPECT)
+            return messages.render_request(method, target, headers, body)
+
+        answer = _Answer(self._loop)
+        exchange = link.Exchange(
+            request_id, render, answer.finish, on_sign=answer.sign
+        )
         self._links.submit(exchange)
         try:
-            async with asyncio.timeout(timeout_s):
-                outcome = await done
+            outcome = await answer.wait(timeout_s, sign_s)
         except TimeoutError:
             sent = exchange.sent_at is not None
-            return result.Err(NoReply(sent, 'no reply in time'))
+            return result.Err(
+                NoReply(sent, 'no reply in time', answer.is_signed)
+            )
         finally:
-            if not done.done() or done.cancelled():
+            if not answer.is_done:
                 self._links.drop(exchange)
             self._links.sweep()
         match outcome:
             case link.Lost(sent=sent, detail=detail):
-                return result.Err(NoReply(sent, detail))
+                return result.Err(NoReply(sent, detail, answer.is_signed))
         return result.Ok(outcome)
 
+    def warm(self) -> None:
+        """Open a first connection before anybody needs it."""
+        self._links.warm()
+
     def close(self) -> None:
         """Close all connections."""
         self._links.close()
+
+
+class _Answer:
+    """Waits for the outcome of one exchange, and before for its sign."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop):
+        self.is_signed = False
+        self._loop = loop
+        self._outcome: link.Outcome | None = None
+        self._news = asyncio.Event()
+
+    @property
+    def is_done(self) -> bool:
+        """Tell whether the outcome is there."""
+        return self._outcome is not None
+
+    def sign(self) -> None:
+        """Take note of an interim reply."""
+        self.is_signed = True
+        self._news.set()
+
+    def finish(self, exchange: link.Exchange, outcome: link.Outcome) -> None:
+        """Take the outcome."""
+        self._outcome = outcome
+        self._news.set()
+
+    async def wait(
+        self, timeout_s: float, sign_s: float | None
+    ) -> link.Outcome:
+        """Return the outcome; raise TimeoutError if there is none."""
+        end = self._loop.time() + timeout_s
+        if sign_s is not None:
+            async with asyncio.timeout(min(sign_s, timeout_s)):
+                await self._news.wait()
+        while self._outcome is None:
+            self._news.clear()
+            async with asyncio.timeout_at(end):
+                await self._news.wait()
+        return self._outcome
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/_delegate.py
@@ -4,13 +4,15 @@
 a connection to each shard. If a few hosts of a zone send all wide queries,
 their connections are used often enough to stay open, what they learn of slow
 upstreams serves more queries, and a host with a thin link carries only the
-merged answer. Where the nearest upstreams of many shards are in the other
-zone of the region, a host there asks them and sends back merged records.
+merged answer. Where the nearest upstreams of some shards are in another
+zone, one of these hosts there asks them and sends back merged records.
 """
 
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 import math
 
 import result
@@ -20,12 +22,10 @@
 from rudderrock.gateway import _dialect as dialect
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _fleet as fleet
-from rudderrock.gateway import _forward as forward
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _place as place
 from rudderrock.gateway import _pursuit as pursuit
-from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway import _results as results
 from rudderrock.gateway import _routing as routing
 
 # A query over at least so many shards is wide.
@@ -48,23 +48,52 @@
 SHARDS = b'rudderrock-shards'
 # How many of them are enough.
 LEAST = b'rudderrock-least'
+# The shards, by commas, that the reply lacks.
+MISSING = b'rudderrock-missing-shards'
 # Marks the reply of a host that has not begun on the query.
 NOT_TAKEN = b'rudderrock-not-taken'
 # These are never passed on to upstreams.
 OWN_HEADERS = frozenset({VERSION, ELAPSED, SHARDS, LEAST})
 _CONNECTIONS = 16
-# Fewer shards than this are not worth a message to another zone.
-LEAST_SHARDS = 8
-# What a host that asks another leaves it less time by, in seconds: the way
-# there and back, and the merging.
-HOP_S = 0.012
+# What a host that asks another leaves it less time by, in seconds, beside
+# the way there and back: reading, merging and writing on a busy core.
+HOP_S = 0.006
+# The way there and back while it has not been measured, in seconds.
+ROUND_TRIP_S = 0.006
+# How much longer than there and back a host may take to show that it has
+# read a query, in seconds: one that is frozen or cut off shows nothing, and
+# one that is busy reads between two pieces of work.
+SIGN_S = 0.02
 # What another host's failure is to the log of this one; else it is lost.
 _OUTCOMES = {
-    503: forward.Outcome.NOT_RUN,
-    504: forward.Outcome.TIMED_OUT,
+    503: results.Outcome.NOT_RUN,
+    504: results.Outcome.TIMED_OUT,
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartAnswer:
+    """What a host of another zone brings of some shards.
+
+    `stamps` sign the answers whose records are merged in `body`; `missing`
+    are the shards that are not in.
+    """
+
+    stamps: list[bytes]
+    body: bytes
+    missing: frozenset[routing.ServiceName]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unbegun:
+    """A host has shown no sign of having begun on a query.
+
+    If it was `sent`, that may still come when the host wakes.
+    """
+
+    sent: bool
+
+
 class Delegation:
     """Chooses a host for each wide query and brings back its answer."""
 
@@ -100,20 +129,44 @@
         own = self._hosts.own
         return own in list_able(self._hosts, own.zone)
 
-    async def run_part(
+    def has_open(self, zone: core.ZoneId) -> bool:
+        """Tell whether a host of a zone may be asked just now."""
+        return bool(self._list_open(zone))
+
+    def warm(self) -> None:
+        """Open connections to hosts that may be asked for parts."""
+        own = self._hosts.own.zone
+        for zone in self._hosts.count_by_zone():
+            if zone == own:
+                continue
+            for entry in list_able(self._hosts, zone):
+                self._get_caller(entry).warm()
+
+    def drop_unused(self) -> None:
+        """Forget the connections to hosts that are no longer registered."""
+        known = {each.address for each in self._hosts.list_hosts()}
+        for address, peer in list(self._callers.items()):
+            if address not in known and not peer.is_busy:
+                peer.close()
+                del self._callers[address]
+
+    def pick(
+        self, zone: core.ZoneId, request_id: bytes
+    ) -> fleet.HostEntry | None:
+        """Return the host of a zone to ask for a part of a query."""
+        return _pick(self._list_open(zone), request_id)
+
+    async def ask_part(
         self,
-        zone: core.ZoneId,
+        entry: fleet.HostEntry,
         call: pursuit.Call,
         shards: tuple[routing.ServiceName, ...],
         least: int,
-    ) -> forward.Gathered | None:
-        """Have a host of a zone ask some shards; None if it hasn't begun.
+    ) -> result.Result[PartAnswer, caller.NoReply]:
+        """Have a host ask some shards and merge what they answer.
 
         At the goal, `least` answers are enough.
         """
-        entry = _pick(self._list_open(zone), call.request_id)
-        if entry is None:
-            return None
         more = [
             (SHARDS, ','.join(shards).encode()),
             (LEAST, b'%d' % least),
@@ -121,11 +174,8 @@
         answer = await self._ask(entry, call, more)
         match answer:
             case result.Ok(reply):
-                return self._read_part(entry, shards, reply)
-            case result.Err(caller.NoReply(sent=False)):
-                return None
-            case result.Err(problem):
-                return _miss_all(shards, f'{entry.host}: {problem.detail}')
+                return self._read_part(shards, reply)
+        return answer
 
     def _list_open(self, zone: core.ZoneId) -> list[fleet.HostEntry]:
         now = self._clock.now()
@@ -136,40 +186,32 @@
         ]
 
     def _read_part(
-        self,
-        entry: fleet.HostEntry,
-        shards: tuple[routing.ServiceName, ...],
-        reply: messages.Reply,
-    ) -> forward.Gathered:
-        if reply.status != 200:
-            return _miss_all(shards, f'{entry.host}: status {reply.status}')
-        stamps = reply.get_header(self._names.part_stamps) or b''
-        signed = [each.strip() for each in stamps.split(b',')]
-        missing = len(shards) - len(signed)
-        detail = f'{missing} missing by {entry.host}' if missing else ''
-        return forward.Gathered(
-            stamps=signed,
-            bodies=[reply.body],
-            shards=len(shards),
-            late=0,
-            far=0,
-            detail=detail,
-            may_have_run=True,
-        )
+        self, shards: tuple[routing.ServiceName, ...], reply: messages.Reply
+    ) -> result.Result[PartAnswer, caller.NoReply]:
+        """Return a part, if its stamps and missing shards make it up."""
+        lacking = reply.get_header(MISSING)
+        if reply.status != 200 or lacking is None:
+            return result.Err(caller.NoReply(True, f'status {reply.status}'))
+        signed = reply.get_header(self._names.part_stamps) or b''
+        stamps = [each.strip() for each in signed.split(b',') if each]
+        missing = frozenset(split_names(lacking))
+        if len(stamps) + len(missing) != len(shards):
+            return result.Err(caller.NoReply(True, 'parts do not add up'))
+        return result.Ok(PartAnswer(stamps, reply.body, missing))
 
     async def run(
         self, entry: fleet.HostEntry, call: pursuit.Call
-    ) -> forward.Result | None:
-        """Have a host run a query; None if it has not begun on it."""
+    ) -> results.Result | Unbegun:
+        """Have a host run a query, unless it does not begin on it."""
         answer = await self._ask(entry, call, [])
         match answer:
             case result.Ok(reply):
                 return self._read(entry, reply)
-            case result.Err(caller.NoReply(sent=False)):
-                return None
+            case result.Err(caller.NoReply(signed=False) as problem):
+                return Unbegun(problem.sent)
             case result.Err(problem):
                 timed_out = self._clock.now() >= call.end
-                return forward.fail(
+                return results.fail(
                     self._names, call.request_id, timed_out, problem.detail
                 )
 
@@ -184,15 +226,20 @@
         A host that has not begun on it counts as one that got nothing.
         """
         loop = asyncio.get_running_loop()
-        now = loop.time()
-        elapsed_s = now - call.request.arrived + HOP_S
-        headers = [
-            *call.head,
-            (self._names.deadline_ms, call.get_left_ms(now)),
-            (VERSION, b'%d' % self._get_version()),
-            (ELAPSED, b'%d' % int(elapsed_s * 1000)),
-            *more,
-        ]
+        peer = self._get_caller(entry)
+        round_trip_s = peer.round_trip_s or ROUND_TRIP_S
+
+        def make_headers() -> messages.Headers:
+            now = loop.time()
+            elapsed_s = now - call.request.arrived + round_trip_s + HOP_S
+            return [
+                *call.head,
+                (self._names.deadline_ms, call.get_left_ms(now)),
+                (VERSION, b'%d' % self._get_version()),
+                (ELAPSED, b'%d' % int(elapsed_s * 1000)),
+                *more,
+            ]
+
         suspect = loop.call_later(
             call.route.goal_s + SUSPECT_AFTER_S,
             self._skip_host,
@@ -200,13 +247,14 @@
             'no answer in time',
         )
         try:
-            answer = await self._get_caller(entry).call(
+            answer = await peer.call(
                 call.request.method,
                 call.request.target,
                 b'',
-                call.end - now,
-                headers,
+                call.end - loop.time(),
+                make_headers,
                 call.request_id,
+                sign_s=2 * round_trip_s + SIGN_S,
             )
         finally:
             suspect.cancel()
@@ -228,19 +276,19 @@
 
     def _read(
         self, entry: fleet.HostEntry, reply: messages.Reply
-    ) -> forward.Result:
+    ) -> results.Result:
         passed = messages.pass_on(reply)
         detail = f'by {entry.host}'
         if reply.status != 200:
-            outcome = _OUTCOMES.get(reply.status, forward.Outcome.LOST)
-            return forward.Result(passed, outcome, detail)
+            outcome = _OUTCOMES.get(reply.status, results.Outcome.LOST)
+            return results.Result(passed, outcome, detail)
         missing = int(reply.get_header(self._names.missing_parts) or b'0')
         stamps = reply.get_header(self._names.part_stamps) or b''
         answered = stamps.count(b',') + 1
-        outcome = forward.Outcome.ANSWERED
+        outcome = results.Outcome.ANSWERED
         if missing:
-            outcome = forward.Outcome.PARTIAL
-        return forward.Result(
+            outcome = results.Outcome.PARTIAL
+        return results.Result(
             passed,
             outcome,
             detail,
@@ -268,29 +316,6 @@
         )
 
 
-def split_shards(
-    book: replicas.ReplicaBook,
-    call: pursuit.Call,
-    shards: tuple[routing.ServiceName, ...],
-) -> dict[core.ZoneId | None, tuple[routing.ServiceName, ...]]:
-    """Group shards by the zone of this region that shall ask them.
-
-    None stands for this host itself: for shards with an upstream in its
-    own zone, or with none in the region.
-    """
-    groups: dict[core.ZoneId | None, list[routing.ServiceName]] = {}
-    for shard in shards:
-        best = book.choose(shard, call.late_s)
-        zone = None
-        if best is not None and best.distance == place.SAME_REGION:
-            zone = best.endpoint.zone
-        groups.setdefault(zone, []).append(shard)
-    for zone, group in list(groups.items()):
-        if zone is not None and len(group) < LEAST_SHARDS:
-            groups.setdefault(None, []).extend(groups.pop(zone))
-    return {zone: tuple(group) for zone, group in groups.items()}
-
-
 def list_able(hosts: fleet.Fleet, zone: core.ZoneId) -> list[fleet.HostEntry]:
     """Return the hosts of a zone that take wide queries, best first."""
     near = hosts.rank_zone(zone)
@@ -299,6 +324,22 @@
     return sorted(near, key=lambda each: -each.capacity)[:count]
 
 
+def name_missing(
+    services: Iterable[routing.ServiceName],
+) -> tuple[bytes, bytes]:
+    """Return the header that names the shards which a part lacks."""
+    return MISSING, ','.join(services).encode()
+
+
+def split_names(listed: bytes) -> tuple[routing.ServiceName, ...]:
+    """Return the services that a header names."""
+    return tuple(
+        routing.ServiceName(name)
+        for name in listed.decode('latin-1').split(',')
+        if name
+    )
+
+
 def refuse_delegated(names: dialect.HeaderNames) -> messages.Reply:
     """Return the reply that sends a query back to the host it came from."""
     return messages.Reply(503, [(NOT_TAKEN, b'1'), (names.not_run, b'1')])
@@ -311,9 +352,3 @@
     if not able:
         return None
     return able[fleet.rank_name(request_id) % len(able)]
-
-
-def _miss_all(
-    shards: tuple[routing.ServiceName, ...], detail: str
-) -> forward.Gathered:
-    return forward.Gathered([], [], len(shards), 0, 0, detail, True)
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -12,16 +12,17 @@
 from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _forward as forward
+from rudderrock.gateway import _gather as gather
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _messages as messages
 from rudderrock.gateway import _metrics as metrics
 from rudderrock.gateway import _pursuit as pursuit
 from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway import _results as results
 from rudderrock.gateway import _routing as routing
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway import _shares as shares
 from rudderrock.gateway import _sources as sources
-from rudderrock.gateway import _wide as wide
 
 # How soon a caller may come back to a host that knows no routes yet, or
 # that is about to stop; seconds.
@@ -81,7 +82,6 @@
             self._get_budget,
             self.counters,
         )
-        self.wide = wide.WideQueries(self._tools, self.delegation)
         parts.tables.add_listener(self._on_table)
         parts.hosts.add_listener(self._on_hosts)
 
@@ -96,6 +96,7 @@
         for each in self._budgets.values():
             each.slack = self._get_slack()
         self.book.set_caps()
+        self._warm_peers()
 
     async def sweep(self) -> None:
         """Close connections that are of no more use, until cancelled."""
@@ -126,7 +127,9 @@
         self.delegated += 1
         try:
             return await self.handle(
-                request, may_delegate=False, shards=_split_names(listed)
+                request,
+                may_delegate=False,
+                shards=delegate.split_names(listed or b''),
             )
         finally:
             self.delegated -= 1
@@ -143,9 +146,9 @@
         """
         table = self._parts.tables.current
         route = self._find_route(table, request)
-        found = forward.Result(
+        found = results.Result(
             messages.Reply(503, []),
-            forward.Outcome.CALLER_LEFT,
+            results.Outcome.CALLER_LEFT,
             'the caller closed its connection',
         )
         try:
@@ -163,20 +166,20 @@
         request: messages.Request,
         may_delegate: bool,
         shards: tuple[routing.ServiceName, ...],
-    ) -> forward.Result:
+    ) -> results.Result:
         names = self._config.names
         request_id = request.get_header(names.request_id)
         if request_id is None:
-            return _reject(400, forward.Outcome.INVALID, 'no request id')
+            return _reject(400, results.Outcome.INVALID, 'no request id')
         if table is None or not self.is_ready:
-            return forward.refuse(
+            return results.refuse(
                 names,
                 request_id,
                 NOT_READY_RETRY_S,
-                forward.Outcome.NOT_READY,
+                results.Outcome.NOT_READY,
             )
         if route is None:
-            return _reject(404, forward.Outcome.UNROUTED, 'no such route')
+            return _reject(404, results.Outcome.UNROUTED, 'no such route')
         deadline_s = _read_deadline(request.get_header(names.deadline_ms))
         if deadline_s is None:
             deadline_s = route.timeout_s
@@ -194,49 +197,60 @@
                 )
             case routing.Scatter() if shards:
                 least = request.get_header(delegate.LEAST) or b'1'
-                part = dataclasses.replace(
-                    route.target,
-                    shards=shards,
-                    min_coverage=int(least) / len(shards),
-                )
-                return await forward.forward_to_all(
-                    self._tools, call, part, point
+                return await gather.answer_portion(
+                    self._tools, call, route.target, point, shards, int(least)
                 )
             case routing.Scatter():
-                if may_delegate:
-                    found = await self.wide.hand_over(call, route.target)
-                    if found is not None:
-                        return found
+                rank = table.get_rank(route)
+                if may_delegate and not self._runs(route.target.shards):
+                    entry = self.delegation.choose(request_id)
+                    if entry is not None:
+                        return await self._hand_over(
+                            entry, call, route.target, point, rank
+                        )
                 return await self._run_admitted(
-                    call, route.target, point, table.get_rank(route)
+                    call, route.target, point, rank
                 )
 
+    async def _hand_over(
+        self,
+        entry: fleet.HostEntry,
+        call: pursuit.Call,
+        scatter: routing.Scatter,
+        point: core.LatePoint,
+        rank: int,
+    ) -> results.Result:
+        """Have a wide query run by another host, or here if it doesn't."""
+        match await self.delegation.run(entry, call):
+            case delegate.Unbegun(sent=sent):
+                call = dataclasses.replace(call, is_again=sent)
+                return await self._run_admitted(call, scatter, point, rank)
+            case found:
+                return found
+
     async def _run_admitted(
         self,
         call: pursuit.Call,
         scatter: routing.Scatter,
         point: core.LatePoint,
         rank: int,
-    ) -> forward.Result:
+    ) -> results.Result:
         """Run a query over shards, if there is room for it."""
         gate = self.admission.get_gate(scatter.shards)
         if not self.admission.try_enter(gate, rank):
-            return forward.refuse(
+            return results.refuse(
                 self._config.names,
                 call.request_id,
                 admission.RETRY_AFTER_S,
-                forward.Outcome.OVERLOADED,
+                results.Outcome.OVERLOADED,
                 f'{gate.under_way} under way, limit {gate.limit:.1f}, '
                 f'rank {rank}',
             )
         congested = None
         try:
-            if len(scatter.shards) < delegate.WIDE_SHARDS:
-                found = await forward.forward_to_all(
-                    self._tools, call, scatter, point
-                )
-            else:
-                found = await self.wide.run(call, scatter, point)
+            found = await gather.forward_to_all(
+                self._tools, call, scatter, point, self.delegation
+            )
             elapsed_s = self._parts.clock.now() - call.request.arrived
             congested = admission.is_congested(
                 found.late, found.shards, elapsed_s, call.route.goal_s
@@ -295,6 +309,24 @@
         self.book.set_caps()
         for service in self._list_wanted():
             self.book.warm(service)
+        self._warm_peers()
+
+    def _warm_peers(self) -> None:
+        """Connect to the hosts that may ask shards for this one."""
+        self.delegation.drop_unused()
+        table = self._parts.tables.current
+        if table is None:
+            return
+        for route in table.routes.values():
+            match route.target:
+                case routing.Scatter(shards=shards) if self._runs(shards):
+                    self.delegation.warm()
+                    return
+
+    def _runs(self, shards: tuple[routing.ServiceName, ...]) -> bool:
+        """Tell whether this host itself runs queries over some shards."""
+        is_wide = len(shards) >= delegate.WIDE_SHARDS
+        return not is_wide or self.delegation.is_able()
 
     def _list_wanted(self) -> set[routing.ServiceName]:
         """Return the services that this host itself will send to."""
@@ -306,7 +338,7 @@
             services = table.list_services(route)
             if len(services) < delegate.WIDE_SHARDS:
                 wanted.update(services)
-            elif self.delegation.is_able():
+            elif self._runs(services):
                 wanted.update(filter(self.book.has_nearest, services))
         return wanted
 
@@ -342,7 +374,7 @@
         table: routing.RoutingTable | None,
         route: routing.Route | None,
         request: messages.Request,
-        found: forward.Result,
+        found: results.Result,
     ) -> None:
         elapsed_s = self._parts.clock.now() - request.arrived
         name = route.name if route is not None else None
@@ -350,7 +382,7 @@
         request_id = request.get_header(self._config.names.request_id) or b''
         listing = self._parts.listing
         self._parts.events.record_request(
-            found.outcome is forward.Outcome.ANSWERED,
+            found.outcome is results.Outcome.ANSWERED,
             request_id=request_id.decode('latin-1'),
             route=name,
             table_version=table.version if table is not None else None,
@@ -368,20 +400,9 @@
 
 
 def _reject(
-    status: int, outcome: forward.Outcome, detail: str
-) -> forward.Result:
-    return forward.Result(messages.Reply(status, []), outcome, detail)
-
-
-def _split_names(
-    listed: bytes | None,
-) -> tuple[routing.ServiceName, ...]:
-    if listed is None:
-        return ()
-    return tuple(
-        routing.ServiceName(name)
-        for name in listed.decode('latin-1').split(',')
-    )
+    status: int, outcome: results.Outcome, detail: str
+) -> results.Result:
+    return results.Result(messages.Reply(status, []), outcome, detail)
 
 
 def _read_deadline(value: bytes | None) -> float | None:
--- /dev/null
+++ b/rudderrock/gateway/_gather.py
@@ -0,0 +1,124 @@
+"""Queries over many shards: asking all, and merging what they answer."""
+
+import collections
+import dataclasses
+import math
+
+from rudderrock import core
+from rudderrock.gateway import _delegate as delegate
+from rudderrock.gateway import _forward as forward
+from rudderrock.gateway import _messages as messages
+from rudderrock.gateway import _pursuit as pursuit
+from rudderrock.gateway import _records as records
+from rudderrock.gateway import _results as results
+from rudderrock.gateway import _routing as routing
+
+
+def count_least(shards: int, min_coverage: float) -> int:
+    """Return how many of some shards an answer must contain."""
+    return max(1, math.ceil(shards * min_coverage - 1e-9))
+
+
+async def forward_to_all(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    scatter: routing.Scatter,
+    point: core.LatePoint,
+    delegation: delegate.Delegation,
+) -> results.Result:
+    """Forward to every shard and merge the records of the answers."""
+    total = len(scatter.shards)
+    least = count_least(total, scatter.min_coverage)
+    call = dataclasses.replace(call, spared=total - least)
+    forwarder = forward.Forwarder(
+        tools,
+        call,
+        scatter.shards,
+        point,
+        forward.Whole(total, least),
+        delegation,
+    )
+    await forwarder.run()
+    merged = _merge(tools, call, scatter, forwarder)
+    if merged.answered >= least:
+        return merged
+    failed = results.explain_failure(
+        tools.names,
+        call.request_id,
+        forward.may_have_run(forwarder.pursuits),
+        tools.loop.time() >= call.end,
+        merged.detail,
+    )
+    return dataclasses.replace(
+        merged, reply=failed.reply, outcome=failed.outcome
+    )
+
+
+async def answer_portion(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    scatter: routing.Scatter,
+    point: core.LatePoint,
+    shards: tuple[routing.ServiceName, ...],
+    least: int,
+) -> results.Result:
+    """Ask some shards for another host, and name those that are missing.
+
+    `least` answers are enough at the goal.
+    """
+    extent = forward.Portion(len(scatter.shards), least)
+    forwarder = forward.Forwarder(tools, call, shards, point, extent)
+    await forwarder.run()
+    merged = _merge(tools, call, scatter, forwarder)
+    missing = [
+        each.service for each in forwarder.pursuits if not each.has_answer
+    ]
+    merged.reply.headers.append(delegate.name_missing(missing))
+    return merged
+
+
+def _merge(
+    tools: pursuit.Tools,
+    call: pursuit.Call,
+    scatter: routing.Scatter,
+    forwarder: forward.Forwarder,
+) -> results.Result:
+    """Make one answer of what the shards and the parts have brought."""
+    pursuits = forwarder.pursuits
+    own = [each.answer for each in pursuits if each.answer is not None]
+    brought = [
+        part.answer for part in forwarder.parts if part.answer is not None
+    ]
+    stamps = [each.get_header(tools.names.stamp) for each in own]
+    bodies = [each.body for each in own]
+    for each in brought:
+        stamps += each.stamps
+        bodies.append(each.body)
+    missing = len(pursuits) - forwarder.count_answers()
+    headers = [
+        (tools.names.request_id, call.request_id),
+        (tools.names.part_stamps, b', '.join(stamps)),
+        (tools.names.missing_parts, b'%d' % missing),
+    ]
+    return results.Result(
+        messages.Reply(
+            200, headers, records.merge_records(bodies, scatter.top_k)
+        ),
+        results.Outcome.PARTIAL if missing else results.Outcome.ANSWERED,
+        _list_missing(pursuits),
+        shards=len(pursuits),
+        answered=len(stamps),
+        late=sum(each.is_late for each in pursuits),
+        far=forward.count_far(pursuits),
+    )
+
+
+def _list_missing(pursuits: list[pursuit.Pursuit]) -> str:
+    reasons = collections.Counter(
+        each.detail or 'no answer in time'
+        for each in pursuits
+        if not each.has_answer
+    )
+    return '; '.join(
+        f'{count} x {reason}' for reason, count in reasons.most_common(3)
+    )
--- a/rudderrock/gateway/_link.py
+++ b/rudderrock/gateway/_link.py
@@ -38,7 +38,8 @@
 
     `render` is called when the request is written, so that the time left
     which it states is that of the moment. `on_done` is called once, unless
-    the exchange was dropped before.
+    the exchange was dropped before, and `on_sign` with each interim reply,
+    which shows that the other side has read the request (RFC 9110, 15.2).
     """
 
     __slots__ = (
@@ -47,6 +48,7 @@
         'headless',
         'fresh',
         'on_done',
+        'on_sign',
         'sent_at',
         'give_up_at',
         'link',
@@ -60,12 +62,14 @@
         *,
         headless: bool = False,
         fresh: bool = False,
+        on_sign: Callable[[], None] | None = None,
     ):
         self.request_id = request_id
         self.render = render
         self.headless = headless
         self.fresh = fresh
         self.on_done = on_done
+        self.on_sign = on_sign
         self.sent_at: float | None = None
         self.give_up_at: float | None = None
         self.link: 'Link | None' = None
@@ -209,6 +213,8 @@
         self._in_message = False
         status = self._parser.get_status_code()
         if status < 200:
+            if self.exchange.on_sign is not None:
+                self.exchange.on_sign()
             return
         named = messages.find_header(self._headers, self._names.request_id)
         self._keeps = self._parser.should_keep_alive()
--- a/rudderrock/gateway/_metrics.py
+++ b/rudderrock/gateway/_metrics.py
@@ -4,7 +4,7 @@
 
 from hdrh import histogram
 
-from rudderrock.gateway import _forward as forward
+from rudderrock.gateway import _results as results
 from rudderrock.gateway import _routing as routing
 
 _MICROS = 1_000_000
@@ -27,7 +27,7 @@
     def note(
         self,
         route: routing.RouteName | None,
-        result: forward.Result,
+        result: results.Result,
         elapsed_s: float,
     ) -> None:
         """Count one finished request."""
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/_pool.py
@@ -43,6 +43,8 @@
         self.endpoint = endpoint
         self.cap = cap
         self.is_spare = False
+        # The shortest time in seconds in which a connection was opened.
+        self.round_trip_s: float | None = None
         self._loop = loop
         self._names = names
         self._count_dial = count_dial
@@ -186,6 +188,7 @@
 
     async def _connect(self) -> None:
         host, port = self.endpoint.address
+        began = self._loop.time()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 _, link = await self._loop.create_connection(
@@ -194,6 +197,8 @@
         except (OSError, TimeoutError) as error:
             self._fail_waiting(str(error) or 'connect timed out')
             return
+        took_s = self._loop.time() - began
+        self.round_trip_s = min(took_s, self.round_trip_s or took_s)
         self._links.add(link)
         # The task still counts as a dial while it runs.
         self._dials.discard(asyncio.current_task())
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -97,7 +97,9 @@
     """One request of a caller, as its pursuits see it.
 
     `end` is the loop time at which it is given up, `late_s` the time in
-    seconds after which an attempt counts as late.
+    seconds after which an attempt counts as late. `spared` of its services
+    may be missing. `is_again` tells that another host has been sent the
+    request and may have begun on it, so that each attempt is an extra one.
     """
 
     request: messages.Request
@@ -106,6 +108,8 @@
     end: float
     late_s: float
     head: messages.Headers
+    spared: int = 0
+    is_again: bool = False
 
     def get_left_ms(self, now: float) -> bytes:
         """Return the time that is left as a header says it, 1 at least."""
@@ -141,8 +145,9 @@
     """One service's part of a call.
 
     After `start`, `on_settled` is called once: then either `answer` is
-    set, or the pursuit has failed and `failure`, `may_have_run` and
-    `detail` say how.
+    set, or the answer is among a part that another host has brought and
+    `in_part` is set, or the pursuit has failed and `failure`,
+    `may_have_run` and `detail` say how.
     """
 
     def __init__(
@@ -160,12 +165,15 @@
         self.detail = ''
         self.sent = 0
         self.is_late = False
+        self.in_part = False
+        self.was_elsewhere = False
         self.settled = False
         self.winner: replicas.Replica | None = None
         self._tools = tools
         self._call = call
         self._on_settled = on_settled
         self._attempts: list[Attempt] = []
+        self._elsewhere: replicas.Replica | None = None
         self._tried: tuple[core.UpstreamId, ...] = ()
         self._unsent = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -175,19 +183,83 @@
     @property
     def is_waiting(self) -> bool:
         """Tell whether an upstream may be at work on it."""
-        return any(
+        return self.is_elsewhere or any(
             attempt.exchange.sent_at is not None for attempt in self._attempts
         )
 
+    @property
+    def has_answer(self) -> bool:
+        """Tell whether there is an answer, of its own or in a part."""
+        return self.answer is not None or self.in_part
+
+    @property
+    def is_elsewhere(self) -> bool:
+        """Tell whether another host is asking and has not replied yet."""
+        return self._elsewhere is not None
+
     def start(self) -> None:
         """Send the first attempt."""
-        self._budget.note_request()
         replica = self._choose()
         if replica is None:
             self._fail(NO_UPSTREAM)
-            return
-        self._tools.counters.firsts += 1
-        self._send(replica)
+        elif not self._call.is_again:
+            self._budget.note_request()
+            self._tools.counters.firsts += 1
+            self._send(replica)
+        elif self._may_send_again():
+            self._tools.counters.retries += 1
+            self._send(replica)
+        else:
+            self._fail('no budget to ask again')
+
+    def start_elsewhere(self, replica: replicas.Replica) -> None:
+        """Take note that a host of a replica's zone asks for it.
+
+        That host counts it as a request of its own, and hedges.
+        """
+        self.was_elsewhere = True
+        self.sent = 1
+        self._tried = (replica.endpoint.upstream,)
+        self._elsewhere = replica
+
+    def start_here(self) -> None:
+        """Send the first attempt after all; nobody else has begun."""
+        self._elsewhere = None
+        self.was_elsewhere = False
+        self.sent = 0
+        self._tried = ()
+        self.start()
+
+    def take_from_part(self) -> None:
+        """Settle: the part that another host has brought has the answer."""
+        self.in_part = True
+        self.winner, self._elsewhere = self._elsewhere, None
+        self.winner.note_good()
+        self._settle()
+
+    def miss_elsewhere(self, detail: str, was_asked: bool) -> None:
+        """Take note that the part is lost, or lacks the answer.
+
+        If the other host has asked and got none, it has tried what there
+        is. If it is lost, so is the count of its attempts; they were no
+        more than there are replicas.
+        """
+        replica, self._elsewhere = self._elsewhere, None
+        self.may_have_run = True
+        self.detail = detail
+        if was_asked:
+            replica.note_bad()
+            self._fail(detail)
+        elif self._has_attempts_for_all():
+            self._tried = ()
+            self._try_again(Verdict.LOST)
+        else:
+            self._fail(detail)
+
+    def _has_attempts_for_all(self) -> bool:
+        """Tell whether each replica of the service may be sent the call."""
+        ready = self._tools.book.list_ready(self.service)
+        return len(ready) <= self._call.route.max_attempts
 
     def skip(self, detail: str) -> None:
         """Settle without having sent anything."""
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/_replicas.py
@@ -145,6 +145,25 @@
                 best, best_key = replica, key
         return best
 
+    def list_nearest(
+        self, service: routing.ServiceName, late_s: float
+    ) -> list[Replica]:
+        """Return the replicas nearest of those that nothing speaks against."""
+        now = self._clock.now()
+        found = [
+            replica
+            for replica in self.list_ready(service)
+            if not replica.is_gone(now)
+            and not replica.is_suspect(now, late_s)
+            and not replica.links.is_full
+        ]
+        least = min((replica.distance for replica in found), default=0)
+        return [replica for replica in found if replica.distance == least]
+
+    def get_distance(self, zone: core.ZoneId) -> int:
+        """Return how far another zone is."""
+        return self._place.get_distance(zone)
+
     def has_nearest(self, service: routing.ServiceName) -> bool:
         """Tell whether a replica of a service is in this host's zone."""
         return any(each.distance == 0 for each in self.list_ready(service))
