One host reads the source for all zones

Change: the first host of a zone asks the first hosts of zones that go before its own, by the same ranking as within a zone; a reading bears how often it was passed on, and a host that the source answers takes none that was passed on more than once before, nor its own. A scenario that asserted one reader a zone now asserts one for all, which is stricter; new ones stop, freeze and turn away the reader of all zones.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -7,10 +7,63 @@
     And all but 1 of them leave the source alone
     And all of them count 6 hosts
 
-  Scenario: one host of each zone reads for its zone
+  Scenario: one host reads for all zones
     Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
     When 20 seconds pass
-    Then all but 2 of them leave the source alone
+    Then all gateways are ready
+    And all but 1 of them leave the source alone
+
+  Scenario: a table reaches all hosts of all zones at once
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the route "/notes/" is moved to "scans"
+    And 0.2 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: the host that reads for all zones stops
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the gateway that reads is killed
+    And the route "/notes/" is moved to "scans"
+    And 2.5 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: the host that reads for all zones freezes
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the gateway that reads goes silent to its peers and the source
+    And the route "/notes/" is moved to "scans"
+    And 2.8 seconds pass
+    Then every other gateway sends "/notes/1" to "u2"
+
+  Scenario Outline: an upstream leaves while the source turns the reader of all zones away: <how>
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is <how> for the gateway that reads and 2 more
+    And "u1" says that it drains
+    And 2.8 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+    Examples:
+      | how     |
+      | refused |
+      | silent  |
+
+  Scenario: hosts of two zones that ask one another in a circle notice that they are stale
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the source is silent for all gateways
+    And 9 seconds pass
+    And the source is open for all gateways
+    And 0.3 seconds pass
+    And the route "/notes/" is moved to "scans"
+    And 3 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
 
   Scenario: a table reaches all hosts at once
     Given 6 gateways in one zone with an upstream "u1" of "notes"
@@ -176,6 +229,16 @@
     Then the registry names 6 hosts
     And all of them count 6 hosts
 
+  Scenario: a peer is told only of the hosts that have changed
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And a peer asks the gateway that reads for changes
+    Then it is told of 6 hosts, and knows 6
+    When a seventh gateway starts
+    And 6 seconds pass
+    And a peer asks the gateway that reads for changes
+    Then it is told of 1 host, and knows 7
+
   Scenario: hosts that leave the registry still count for a while
     Given 6 gateways in one zone with an upstream "u1" of "notes"
     When 10 seconds pass
@@ -201,3 +264,8 @@
       | 26       | 5    | 2   | 3   | 4     |
       | 100      | 3    | 4   | 8   | 8     |
       | 52       | 20   | 20  | 1   | 1     |
+
+  Scenario: a long list of changes is sent compressed, and a spoilt one is refused
+    Given changes with 400 upstreams
+    Then they are sent in less than 12000 bytes and read back the same
+    And what is left of them after 1000 bytes can't be read
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -383,9 +383,10 @@
         )
 
     def find_reader(self) -> str:
-        """Return the gateway that reads the source for its zone."""
-        any_member = next(iter(self.members.values()))
-        return any_member.hosts.rank_readers()[0].host
+        """Return the gateway that reads the source for all."""
+        hosts = next(iter(self.members.values())).hosts
+        earlier = hosts.list_earlier_readers() or hosts.rank_readers()
+        return earlier[0].host
 
     async def kill(self, name: str) -> None:
         """End a gateway at once."""
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -1,11 +1,13 @@
 """Steps on several gateways that share one source."""
 
 import asyncio
+import zlib
 
 from behave import given
 from behave import then
 from behave import use_step_matcher
 from behave import when
+import msgspec
 
 from features import gateway_bench
 from features.steps import gateway as gateway_steps
@@ -221,6 +223,29 @@
         assert slack == float(count), slack
 
 
+@when(r'a peer asks the gateway that reads for changes')
+def ask_for_changes(context):
+    """Keep the peer, so that it asks next time for what is new."""
+
+    async def ask():
+        if not hasattr(context, 'peer'):
+            name = context.fleet.find_reader()
+            member = context.fleet.members[name]
+            context.peer = gateway.PeerClient(member.hosts.own)
+            context.stack.callback(context.peer.close)
+        return await context.peer.ask(0, is_lost=False)
+
+    context.changes = run(context, ask()).ok_value
+    context.known_hosts = context.peer.merge_hosts(context.changes)
+    context.peer.note_applied(context.changes)
+
+
+@then(r'it is told of (\d+) hosts?, and knows (\d+)')
+def check_told_hosts(context, told, known):
+    assert len(context.changes.hosts) == int(told), context.changes.hosts
+    assert len(context.known_hosts) == int(known), context.known_hosts
+
+
 @given(r'an upstream that accepts (\d+) connections in "([^"]+)"')
 def note_upstream(context, accepted, zone):
     context.accepted = int(accepted)
@@ -283,3 +308,45 @@
         # A share of less than one is not kept open.
         total += 0 if share.is_spare else share.cap
     assert total <= int(accepted), total
+
+
+@given(r'changes with (\d+) upstreams')
+def note_changes(context, count):
+    upstreams = [
+        make_endpoint(f'i-{number * 7919 % 65536:04x}', 'north-1')
+        for number in range(int(count))
+    ]
+    context.changes = gateway.Changes(
+        process='p',
+        generation=1,
+        whole=True,
+        upstreams=upstreams,
+        left=[],
+        revision=7,
+        origin='p',
+        number=1,
+        hops=0,
+        age_ms=10,
+        table_age_ms=10,
+        hold_ms=0,
+        hosts_generation=1,
+    )
+    context.reply = gateway.render_changes(context.changes)
+
+
+@then(r'they are sent in less than (\d+) bytes and read back the same')
+def check_compressed(context, most):
+    assert len(context.reply.body) < int(most), len(context.reply.body)
+    assert gateway.read_changes(context.reply) == context.changes
+
+
+@then(r"what is left of them after (\d+) bytes can't be read")
+def check_cut(context, length):
+    cut = gateway.Reply(
+        200, context.reply.headers, context.reply.body[: int(length)]
+    )
+    try:
+        found = gateway.read_changes(cut)
+    except (msgspec.DecodeError, zlib.error):
+        return
+    raise AssertionError(f'read from a part: {found}')
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -34,6 +34,8 @@
 from rudderrock.gateway._peers import Changes
 from rudderrock.gateway._peers import Known
 from rudderrock.gateway._peers import PeerClient
+from rudderrock.gateway._peers import read_changes
+from rudderrock.gateway._peers import render_changes
 from rudderrock.gateway._place import Place
 from rudderrock.gateway._pool import Pool
 from rudderrock.gateway._process import GatewayProcess
@@ -140,6 +142,8 @@
     'format_event_page',
     'judge_outcome',
     'merge_records',
+    'read_changes',
+    'render_changes',
     'render_reply',
     'render_request',
     'set_up_log',
--- a/rudderrock/gateway/_directory.py
+++ b/rudderrock/gateway/_directory.py
@@ -59,8 +59,9 @@
 class ReadingStamp:
     """Which reading of the registry something comes from.
 
-    `origin` is the process that read, `number` counts its readings, and
-    `read_at` is the loop time of the reading as this process reckons it.
+    `origin` is the process that read, `number` counts its readings,
+    `read_at` is the loop time of the reading as this process reckons it, and
+    `hops` counts the hosts that have passed it on.
     Ages alone would not do: each passing on adds a little, so hosts that
     ask one another in a circle would take an old reading for a fresh one.
     """
@@ -68,6 +69,7 @@
     origin: str
     number: int
     read_at: float
+    hops: int = 0
 
 
 class Directory:
--- a/rudderrock/gateway/_fleet.py
+++ b/rudderrock/gateway/_fleet.py
@@ -149,6 +149,23 @@
             self._ranked[zone] = ranked
         return ranked
 
+    def list_earlier_readers(self) -> list[HostEntry]:
+        """Return the first readers of other zones that go before the own.
+
+        The zones are ranked by the hashes of their first readers, so all
+        hosts that know the same hosts agree on which of them goes first.
+        """
+        firsts = [
+            self.rank_zone(zone)[0]
+            for zone in {each.zone for each in self._hosts.values()}
+            if zone != self.own.zone
+        ]
+        own_rank = _rank(self.rank_readers()[0].host)
+        return sorted(
+            (each for each in firsts if _rank(each.host) < own_rank),
+            key=lambda each: _rank(each.host),
+        )
+
     def list_others(self) -> list[HostEntry]:
         """Return the hosts of other zones in an order of this host's own."""
         return sorted(
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/_follow.py
@@ -1,9 +1,10 @@
 """Keeping routes, upstreams and hosts in step with the source.
 
-In each availability zone one host reads the source, and the others ask it.
-Which one follows from the names of the hosts, without an election. A host
-that gets nothing fresh from the others reads by itself, and a host that the
-source turns away asks the others.
+One host reads the source. The first host of each other availability zone
+asks it, and the other hosts of a zone ask their first. Which hosts these are
+follows from their names, without an election. A host that gets nothing fresh
+from the others reads by itself, and a host that the source turns away asks
+the others.
 """
 
 import asyncio
@@ -120,14 +121,20 @@
     def _list_peers(self) -> list[fleet.HostEntry]:
         """Return whom to ask before the source, best first.
 
-        Those are the hosts that read before this one; and while the source
-        turns this host away, all others too, or the seeds if it knows none.
+        Those are the hosts of its zone that go before this one, and for the
+        first of a zone the first ones of zones that go before; and while the
+        source turns this host away, all others too, or the seeds if it knows
+        none.
         """
         now = self._clock.now()
         ranked = self._hosts.rank_readers()
         own = self._hosts.own.host
         place = [each.host for each in ranked].index(own)
         wanted = ranked[:place]
+        if not (wanted or self._listing.is_keeping):
+            # While upstreams are kept only whole listings tell when to drop
+            # them, and those are too long to send between zones.
+            wanted = self._hosts.list_earlier_readers()
         if self.lost_at is not None:
             wanted = ranked[:place] + ranked[place + 1 :]
             wanted += self._hosts.list_others()
@@ -163,11 +170,14 @@
     def _is_good(self, changes: peers.Changes) -> bool:
         """Tell whether a peer's word spares this host its own reading.
 
-        What a peer has from another is older by a round; it is good enough
-        only for a host that the source turns away.
+        What has been passed on more often is older by a round each time; it
+        is good enough only for a host that the source turns away.
         """
-        may_be_passed_on = self.lost_at is not None
-        return changes.is_fresh and (changes.is_direct or may_be_passed_on)
+        if not changes.is_fresh:
+            return False
+        if self.lost_at is not None:
+            return True
+        return changes.is_near and changes.origin != self._changes.process
 
     def _get_client(self, entry: fleet.HostEntry) -> peers.PeerClient:
         if self.peer is None or self.peer.entry != entry:
@@ -204,13 +214,14 @@
         if changes.table_age_ms >= 0:
             self._tables.confirm(changes.table_age_ms / 1000)
         if changes.hosts is not None:
-            self._apply_hosts(changes.hosts, origin)
+            self._apply_hosts(client.merge_hosts(changes), origin)
         if changes.age_ms < 0:
             return
         stamp = directory.ReadingStamp(
             changes.origin,
             changes.number,
             self._clock.now() - changes.age_ms / 1000,
+            changes.hops + 1,
         )
         if changes.hold_ms > 0:
             self._listing.hold_for(changes.hold_ms / 1000)
--- a/rudderrock/gateway/_peers.py
+++ b/rudderrock/gateway/_peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import urllib.parse
+import zlib
 
 import msgspec
 import result
@@ -29,6 +30,17 @@
 FRESH_S = 2.0
 # So is a table that the source has not confirmed for longer; seconds.
 TABLE_FRESH_S = 4.0
+# A reading may have been passed on so often and still be good enough for a
+# host that the source answers: from the host that reads to the first of
+# each other zone, and from there within the zone. With more, a circle of
+# hosts could take an old reading for a fresh one.
+MOST_HOPS = 1
+# Replies from this size on are sent compressed, in bytes: listings and tables
+# of hundreds of entries shrink to a fifth, and cross regions.
+COMPRESS_FROM = 2048
+DEFLATE = (b'content-encoding', b'deflate')
+# No reply is larger than this when it is whole, in bytes.
+MOST_REPLY_BYTES = 32 * 1024 * 1024
 # Changes that are kept for peers; one that is further behind gets all.
 MOST_CHANGES = 64
 
@@ -54,8 +66,10 @@
     """What is new, and how old it is.
 
     `whole` tells that `upstreams` are all there are; else they are what
-    was added or changed, and `left` what is gone. `origin` and `number`
-    name the reading of the source that they come from and `age_ms` is its
+    was added or changed, and `left` what is gone. `hosts`, `hosts_left` and
+    `hosts_whole` tell the same of hosts; None if nothing changed. `origin`
+    and `number` name the reading of the source that they come from, `hops`
+    counts the hosts that have passed it on to this one and `age_ms` is its
     age, -1 if there has been none; `table_age_ms` is the time since the
     source last confirmed the table. `hold_ms` tells for how long missing
     upstreams are still kept.
@@ -69,18 +83,21 @@
     revision: int
     origin: str
     number: int
+    hops: int
     age_ms: int
     table_age_ms: int
     hold_ms: int
     hosts_generation: int
     hosts: list[fleet.HostEntry] | None = None
+    hosts_left: list[str] = []
+    hosts_whole: bool = True
     table: bytes | None = None
     table_revision: int = 0
 
     @property
-    def is_direct(self) -> bool:
-        """Tell whether the peer has read the source itself."""
-        return self.origin == self.process
+    def is_near(self) -> bool:
+        """Tell whether the peer has it from the source or next to it."""
+        return self.hops <= MOST_HOPS
 
     @property
     def is_fresh(self) -> bool:
@@ -112,9 +129,15 @@
         self._changes: collections.deque[
             tuple[int, directory.DirectoryChange]
         ] = collections.deque(maxlen=MOST_CHANGES)
+        # Sent whole at each change, the list of 62 hosts that start together
+        # cost 5 MB between regions.
+        self._host_changes: collections.deque[tuple[int, set[core.HostId]]] = (
+            collections.deque(maxlen=MOST_CHANGES)
+        )
+        self._told_hosts: dict[core.HostId, fleet.HostEntry] = {}
         self._news = asyncio.Event()
         listing.add_listener(self._on_upstreams)
-        hosts.add_listener(self.wake)
+        hosts.add_listener(self._on_hosts)
         tables.add_listener(lambda table: self.wake())
         listing.add_reader(self.wake)
 
@@ -131,8 +154,7 @@
             return messages.Reply(400, [], str(error).encode())
         if not self._has_news(known) and self._is_of_use(known):
             await self._wait()
-        body = msgspec.json.encode(self.list_changes(known))
-        return messages.Reply(200, [caller.JSON], body)
+        return render_changes(self.list_changes(known))
 
     def list_changes(self, known: Known) -> Changes:
         """Return what a peer lacks."""
@@ -142,7 +164,7 @@
         tables = self._tables
         stamp = listing.stamp
         newer = tables.revision > known.table
-        hosts_known = same and known.hosts == self._hosts.generation
+        hosts, hosts_left, hosts_whole = self._list_hosts(known, same)
         return Changes(
             process=self.process,
             generation=self.generation,
@@ -152,11 +174,14 @@
             revision=listing.revision,
             origin=stamp.origin if stamp is not None else '',
             number=stamp.number if stamp is not None else 0,
+            hops=stamp.hops if stamp is not None else 0,
             age_ms=_to_ms(listing.age_s),
             table_age_ms=_to_ms(tables.confirmed_s),
             hold_ms=_to_ms(listing.hold_s),
             hosts_generation=self._hosts.generation,
-            hosts=None if hosts_known else self._hosts.list_hosts(),
+            hosts=hosts,
+            hosts_left=hosts_left,
+            hosts_whole=hosts_whole,
             table=tables.raw if newer else None,
             table_revision=tables.revision,
         )
@@ -176,6 +201,24 @@
         left = [name for name, each in found.items() if each is None]
         return upstreams, left, False
 
+    def _list_hosts(
+        self, known: Known, same: bool
+    ) -> tuple[list[fleet.HostEntry] | None, list[str], bool]:
+        """Return what hosts a peer lacks, which left, and if that is all."""
+        newest = self._hosts.generation
+        if same and known.hosts == newest:
+            return None, [], False
+        oldest = self._host_changes[0][0] if self._host_changes else newest
+        if not same or known.hosts < oldest - 1:
+            return self._hosts.list_hosts(), [], True
+        touched: set[core.HostId] = set()
+        for generation, names in self._host_changes:
+            if generation > known.hosts:
+                touched |= names
+        there = self._told_hosts
+        hosts = [there[name] for name in sorted(touched & there.keys())]
+        return hosts, sorted(touched - there.keys()), False
+
     def _has_news(self, known: Known) -> bool:
         return (
             known.process != self.process
@@ -188,7 +231,7 @@
         """Tell whether it pays for a peer to wait for news from here."""
         if not _are_fresh(self._listing.age_s, self._tables.confirmed_s):
             return False
-        return known.is_lost or self._listing.stamp.origin == self.process
+        return known.is_lost or self._listing.stamp.hops <= MOST_HOPS
 
     async def _wait(self) -> None:
         news = self._news
@@ -203,6 +246,17 @@
         self._changes.append((self.generation, change))
         self.wake()
 
+    def _on_hosts(self) -> None:
+        now = {each.host: each for each in self._hosts.list_hosts()}
+        before, self._told_hosts = self._told_hosts, now
+        touched = {
+            name
+            for name in before.keys() | now.keys()
+            if before.get(name) != now.get(name)
+        }
+        self._host_changes.append((self._hosts.generation, touched))
+        self.wake()
+
     def wake(self) -> None:
         """Answer all peers that wait, since there is something to tell."""
         self._news.set()
@@ -215,6 +269,7 @@
     def __init__(self, entry: fleet.HostEntry):
         self.entry = entry
         self.known = Known()
+        self._hosts: dict[core.HostId, fleet.HostEntry] = {}
         self._sent_table = -1
         self._caller = caller.HttpCaller(core.split_address(entry.address))
 
@@ -241,13 +296,22 @@
                     sources.Unavailable(f'status {reply.status}')
                 )
         try:
-            changes = msgspec.json.decode(answer.ok_value.body, type=Changes)
-        except msgspec.DecodeError as error:
+            changes = read_changes(answer.ok_value)
+        except (msgspec.DecodeError, zlib.error) as error:
             return result.Err(sources.Unavailable(f'unreadable: {error}'))
         if changes.table is not None:
             self._sent_table = changes.table_revision
         return result.Ok(changes)
 
+    def merge_hosts(self, changes: Changes) -> list[fleet.HostEntry]:
+        """Return all hosts that the peer knows, after its changes."""
+        if changes.hosts_whole:
+            self._hosts.clear()
+        for name in changes.hosts_left:
+            self._hosts.pop(core.HostId(name), None)
+        self._hosts.update({each.host: each for each in changes.hosts})
+        return list(self._hosts.values())
+
     def note_applied(self, changes: Changes | None) -> None:
         """Take note of what has been taken over; None asks for all."""
         if changes is None:
@@ -264,6 +328,26 @@
         self._caller.close()
 
 
+def render_changes(changes: Changes) -> messages.Reply:
+    """Return the reply that carries changes, compressed if it is long."""
+    body = msgspec.json.encode(changes)
+    if len(body) < COMPRESS_FROM:
+        return messages.Reply(200, [caller.JSON], body)
+    return messages.Reply(200, [caller.JSON, DEFLATE], zlib.compress(body))
+
+
+def read_changes(reply: messages.Reply) -> Changes:
+    """Return the changes that a reply carries.
+
+    Raises `msgspec.DecodeError` or `zlib.error` if it can't be read; one
+    that would be longer than `MOST_REPLY_BYTES` is cut, and so can't be.
+    """
+    body = reply.body
+    if reply.get_header(DEFLATE[0]) == DEFLATE[1]:
+        body = zlib.decompressobj().decompress(body, MOST_REPLY_BYTES)
+    return msgspec.json.decode(body, type=Changes)
+
+
 def _are_fresh(upstreams_s: float, table_s: float) -> bool:
     """Tell whether ages in seconds may be relied on; -1 is no reading."""
     return 0 <= upstreams_s <= FRESH_S and 0 <= table_s <= TABLE_FRESH_S
