Hosts that run wide queries share the slack of their budget

Cause: the slack of extra requests was split over all 62 hosts, though 13 of them ask the shards; in heavy seconds hedges were denied while most of the slack lay with hosts that never use it. Change: for services that only wide queries ask, hosts that run these share 0.6 of the slack, the others 0.25 (a host that hands a query over may have to ask again), the rest is for hosts that take the place of others.

--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -24,6 +24,11 @@
     And every gateway is asked for all shards
     Then every answer is whole
 
+  Scenario: the hosts that run wide queries share most of the slack of their budget
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    Then a gateway with a wide link may send 6 extra requests to a shard, of a slack of 20
+    And a gateway with a thin link may send 1.25 extra requests to a shard, of a slack of 20
+
   Scenario: all able hosts are gone
     Given 6 gateways before 60 shards, of which 2 have a wide link
     When both gateways with a wide link are killed
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -529,3 +529,18 @@
         found = model.runs[0]
         assert found.method == method, found.method
         assert found.body == context.body, len(found.body)
+
+
+@then(
+    r'a gateway with a (wide|thin) link may send ([\d.]+) extra requests to a '
+    r'shard, of a slack of 20'
+)
+def check_wide_slack(context, link, count):
+    wide = {'wide': True, 'thin': False}[link]
+    found = [
+        member.gateway.get_extra_slack(context.shards[0])
+        for name, member in context.fleet.members.items()
+        if (name in context.wide) is wide
+    ]
+    assert found
+    assert set(found) == {float(count)}, found
--- a/rudderrock/gateway/_connections.py
+++ b/rudderrock/gateway/_connections.py
@@ -9,6 +9,13 @@
 from rudderrock.gateway import _shares as shares
 from rudderrock.gateway import _sources as sources
 
+# The slack of extra requests to services that only wide queries ask: the part
+# that the hosts which run such queries share, and the part that all others
+# do, for queries that a host has not begun on. What is left is for hosts that
+# take the place of others within the window of the budget.
+ABLE_SLACK_PART = 0.6
+OTHER_SLACK_PART = 0.25
+
 
 class Connections:
     """Opens connections before they are needed, within this host's shares."""
@@ -52,6 +59,22 @@
         is_wide = len(shards) >= delegate.WIDE_SHARDS
         return not is_wide or self._delegation.able.has_own()
 
+    def share_slack(self, service: routing.ServiceName, slack: float) -> float:
+        """Return this host's part of the extra requests to a service.
+
+        `slack` is what all hosts together may send beyond what their
+        requests earn. Services that only wide queries ask are asked by few
+        hosts, so these share most of it.
+        """
+        if service not in self._wide_only:
+            return slack / self._hosts.count()
+        able = self._delegation.able
+        hosts = sum(able.count_by_zone().values())
+        if able.has_own():
+            return ABLE_SLACK_PART * slack / max(1, hosts)
+        others = max(1, self._hosts.count() - hosts)
+        return OTHER_SLACK_PART * slack / others
+
     def list_wanted(
         self, book: replicas.ReplicaBook
     ) -> set[routing.ServiceName]:
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -99,11 +99,14 @@
 
     def _on_hosts(self) -> None:
         """Share budgets and connections anew among the hosts."""
-        for each in self._budgets.values():
-            each.slack = self._get_slack()
+        self._share_slack()
         self.book.set_caps()
         self._connections.warm(self.book)
 
+    def _share_slack(self) -> None:
+        for service, each in self._budgets.items():
+            each.slack = self.get_extra_slack(service)
+
     async def sweep(self) -> None:
         """Close connections that are of no more use, until cancelled."""
         while True:
@@ -316,11 +319,13 @@
     def _on_table(self, table: routing.RoutingTable) -> None:
         self._turns.clear()
         self._connections.take_table(table)
+        self._share_slack()
         self.book.set_caps()
         self._connections.warm(self.book)
 
-    def _get_slack(self) -> float:
-        return self._config.extra_slack / self._parts.hosts.count()
+    def get_extra_slack(self, service: routing.ServiceName) -> float:
+        """Return the extra requests that are always allowed in a window."""
+        return self._connections.share_slack(service, self._config.extra_slack)
 
     def _get_budget(self, service: routing.ServiceName) -> budget.ExtraBudget:
         found = self._budgets.get(service)
@@ -329,7 +334,7 @@
                 self._parts.clock,
                 self._config.extra_ratio,
                 self._config.extra_window_s,
-                self._get_slack(),
+                self.get_extra_slack(service),
             )
             self._budgets[service] = found
         return found
