The line of a query names its missing shards, and what it waited for

Cause: a count of reasons did not tell which shards a query lacked, nor what held it beyond its goal. Change: `detail` names shards and reasons, 8 at most; `waited_for` what was missing at the goal and who had been asked for how long; `extras` and `denied` count what the budget allowed and did not.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -339,6 +339,24 @@
     Then the reply is 200
     And 1 shards are missing and 9 are signed
 
+  Scenario: the line of a query names the shards that are missing, and why
+    Given 10 shards of 2 replicas
+    And the route "/all/" to all shards, at least 0.9 of them
+    And every upstream of shard 3 is failing
+    And a gateway
+    When a caller sends GET "/all/1"
+    Then the line of the last request has the detail "shard-3: failure: status 500"
+    And the line of the last request has 1 extras and 0 denied
+
+  Scenario: the line of a late query names what was missing at its goal
+    Given 10 shards
+    And the route "/all/" to all shards, at least 0.9 of them
+    And every upstream of shard 3 is silent
+    And every upstream of shard 4 is silent
+    And a gateway
+    When a caller sends GET "/all/1"
+    Then the line of the last request waited for "shard-3: shard-3-0 182 ms; shard-4: shard-4-0 182 ms"
+
   Scenario: too little coverage is a failure, at once
     Given 10 shards
     And the route "/all/" to all shards, at least 0.9 of them
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -415,3 +415,22 @@
 @then(r'the line of the last request says "([^"]+)"')
 def check_last_line(context, text):
     assert list_lines(context, 'request')[-1]['detail'] == text
+
+
+@then(r'the line of the last request has the detail "([^"]+)"')
+def check_detail(context, detail):
+    assert list_lines(context, 'request')[-1]['detail'] == detail, list_lines(
+        context, 'request'
+    )[-1]
+
+
+@then(r'the line of the last request has (\d+) extras and (\d+) denied')
+def check_extras(context, extras, denied):
+    line = list_lines(context, 'request')[-1]
+    assert (line['extras'], line['denied']) == (int(extras), int(denied)), line
+
+
+@then(r'the line of the last request waited for "([^"]+)"')
+def check_waited_for(context, waited_for):
+    line = list_lines(context, 'request')[-1]
+    assert line['waited_for'] == waited_for, line
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -106,9 +106,12 @@
     ),
     LogKind.REQUEST: KindInfo(
         'One request of a caller and how it ended. `late` shards were '
-        'later than the late point, `far` answers came from other regions, '
-        '`detail` gives the reasons of what is missing. Lines of complete '
-        'answers are left out first when there are too many.',
+        'later than the late point, `far` answers came from other regions. '
+        '`extras` were sent beyond the first request of each shard, `denied` '
+        'were not, for want of budget. `detail` names what is missing and '
+        'why; `waited_for` what was missing at the goal, if that was too much '
+        'to answer, and who had been asked. Lines of complete answers are '
+        'left out first when there are too many.',
         (
             'request_id',
             'route',
@@ -122,6 +125,9 @@
             'answered',
             'late',
             'far',
+            'extras',
+            'denied',
+            'waited_for',
             'elapsed_ms',
         ),
     ),
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/_forward.py
@@ -108,6 +108,8 @@
         ]
         self.parts: list[parts.Part] = []
         self.timed_out = False
+        # What was missing at the goal, if that was too much.
+        self.waited_for = ''
         self._tools = tools
         self._call = call
         self._point = point
@@ -203,6 +205,12 @@
     def _settle_for_enough(self) -> None:
         if self.count_answers() >= self._extent.least:
             self._finish()
+        elif not self.waited_for:
+            self.waited_for = results.join_some(
+                each.describe_wait()
+                for each in self.pursuits
+                if not each.has_answer
+            )
 
     def _list_waiting(self) -> list[pursuit.Pursuit]:
         """Return what this host itself has sent and has no answer to."""
@@ -280,19 +288,11 @@
         call.request_id,
         may_have_run([only]),
         forwarder.timed_out,
-        _explain(only),
+        only.explain(),
     )
     return dataclasses.replace(found, late=late)
 
 
-def _explain(only: pursuit.Pursuit) -> str:
-    """Say why there is no answer, and whose is still missing."""
-    if not only.unanswered:
-        return only.detail
-    late = f'no answer in time from {", ".join(only.unanswered)}'
-    return f'{only.detail}; {late}' if only.detail else late
-
-
 def may_have_run(pursuits: list[pursuit.Pursuit]) -> bool:
     """Tell whether any upstream may have run a part of a call."""
     return any(
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/_gateway.py
@@ -364,6 +364,9 @@
             answered=found.answered,
             late=found.late,
             far=found.far,
+            extras=found.extras,
+            denied=found.denied,
+            waited_for=found.waited_for,
             upstreams_age_ms=round(listing.age_s * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
         )
--- a/rudderrock/gateway/_gather.py
+++ b/rudderrock/gateway/_gather.py
@@ -1,6 +1,5 @@
 """Queries over many shards: asking all, and merging what they answer."""
 
-import collections
 import dataclasses
 import math
 
@@ -110,15 +109,16 @@
         answered=len(stamps),
         late=sum(each.is_late for each in pursuits),
         far=forward.count_far(pursuits),
+        extras=sum(each.extras for each in pursuits),
+        denied=sum(each.denied for each in pursuits),
+        waited_for=forwarder.waited_for,
     )
 
 
 def _list_missing(pursuits: list[pursuit.Pursuit]) -> str:
-    reasons = collections.Counter(
-        each.detail or 'no answer in time'
+    """Name the shards that are missing, and why each one is."""
+    return results.join_some(
+        f'{each.service}: {each.explain()}'
         for each in pursuits
         if not each.has_answer
     )
-    return '; '.join(
-        f'{count} x {reason}' for reason, count in reasons.most_common(3)
-    )
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/_pursuit.py
@@ -95,10 +95,17 @@
 
 @dataclasses.dataclass(slots=True)
 class Attempt:
-    """One exchange with one replica."""
+    """One exchange with one replica, asked for at the loop time `began`."""
 
     replica: replicas.Replica
     exchange: link.Exchange
+    began: float
+
+    def describe(self, now: float) -> str:
+        """Say who is asked, and for how long."""
+        sent = '' if self.exchange.sent_at is not None else ', not sent'
+        waited_ms = 1000 * (now - self.began)
+        return f'{self.replica.endpoint.upstream} {waited_ms:.0f} ms{sent}'
 
 
 class PartFate(enum.Enum):
@@ -133,6 +140,9 @@
         self.unanswered: tuple[core.UpstreamId, ...] = ()
         self.detail = ''
         self.sent = 0
+        # Extra attempts made, and those that the budget did not allow.
+        self.extras = 0
+        self.denied = 0
         self.is_late = False
         self.in_part = False
         self.was_elsewhere = False
@@ -166,6 +176,21 @@
         """Tell whether another host is asking and has not replied yet."""
         return self._elsewhere is not None
 
+    def explain(self) -> str:
+        """Say why there is no answer, and whose is still missing."""
+        if not self.unanswered:
+            return self.detail or 'no answer in time'
+        late = f'no answer in time from {", ".join(self.unanswered)}'
+        return f'{self.detail}; {late}' if self.detail else late
+
+    def describe_wait(self) -> str:
+        """Say which service is missing, and who has been asked."""
+        now = self._tools.loop.time()
+        if self._elsewhere is not None:
+            return f'{self.service} in a part'
+        asked = [each.describe(now) for each in self._attempts]
+        return f'{self.service}: {", ".join(asked) or self.detail}'
+
     def start(self) -> None:
         """Send the first attempt."""
         replica = self._choose()
@@ -284,7 +309,9 @@
         if self.sent >= self._call.route.max_attempts:
             return False
         if self._budget.try_spend():
+            self.extras += 1
             return True
+        self.denied += 1
         self._tools.counters.denied += 1
         return False
 
@@ -301,7 +328,7 @@
             headless=call.request.method == b'HEAD',
             fresh=not self._repeatable,
         )
-        attempt = Attempt(replica, exchange)
+        attempt = Attempt(replica, exchange, tools.loop.time())
         self._attempts.append(attempt)
         self.sent += 1
         replica.links.submit(exchange)
--- a/rudderrock/gateway/_results.py
+++ b/rudderrock/gateway/_results.py
@@ -1,5 +1,6 @@
 """How a request ended, and the answers that the tier gives itself."""
 
+from collections.abc import Iterable
 import dataclasses
 import enum
 
@@ -9,6 +10,8 @@
 # How soon a caller may come back after a request that did not run, in
 # seconds: long enough for a passing shortage, well inside a deadline.
 RETRY_AFTER_S = 0.1
+# Shards that the line of a query names, so that it stays short.
+MOST_NAMED = 8
 
 
 class Outcome(enum.Enum):
@@ -38,6 +41,18 @@
     answered: int = 0
     late: int = 0
     far: int = 0
+    extras: int = 0
+    denied: int = 0
+    waited_for: str = ''
+
+
+def join_some(items: Iterable[str]) -> str:
+    """Return the first of some items, and how many more there are."""
+    listed = list(items)
+    named = listed[:MOST_NAMED]
+    if len(listed) > MOST_NAMED:
+        named.append(f'{len(listed) - MOST_NAMED} more')
+    return '; '.join(named)
 
 
 def refuse(
