The gateway's modules in four rooms: http, knowledge, decisions, forwarding

Cause: 35 modules stood side by side; a newcomer could not tell where a replica is chosen from where a reading is taken over. At most 9 modules in a folder (35 before). No behaviour changes: imports only.

--- a/rudderrock/gateway/_metrics.py
+++ b/rudderrock/gateway/_metrics.py
@@ -4,8 +4,8 @@
 
 from hdrh import histogram
 
-from rudderrock.gateway import _results as results
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.knowledge import _routing as routing
 
 _MICROS = 1_000_000
 _HIGHEST = 120 * _MICROS
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -9,18 +9,18 @@
 from absl import logging
 
 from rudderrock import core
-from rudderrock.gateway import _delegate as delegate
 from rudderrock.gateway import _events as events
-from rudderrock.gateway import _fleet as fleet
-from rudderrock.gateway import _follow as follow
-from rudderrock.gateway import _gateway as gateway
-from rudderrock.gateway import _intake as intake
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _peers as peers
-from rudderrock.gateway import _registration as registration_module
-from rudderrock.gateway import _routing as routing
 from rudderrock.gateway import _settings as settings
-from rudderrock.gateway import _sources as sources
+from rudderrock.gateway.forwarding import _delegate as delegate
+from rudderrock.gateway.forwarding import _gateway as gateway
+from rudderrock.gateway.http import _intake as intake
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _follow as follow
+from rudderrock.gateway.knowledge import _peers as peers
+from rudderrock.gateway.knowledge import _registration as registration_module
+from rudderrock.gateway.knowledge import _routing as routing
+from rudderrock.gateway.knowledge import _sources as sources
 
 # Part of the time that a planned stop may take during which new
 # connections are still accepted: the balancer asks once a second and goes
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _place as place_module
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.knowledge import _place as place_module
 
 Address = tuple[str, int]
 
--- a/rudderrock/gateway/_able.py
+++ b/rudderrock/gateway/decisions/_able.py
@@ -5,8 +5,8 @@
 
 from rudderrock import core
 from rudderrock.gateway import _events as events
-from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
+from rudderrock.gateway.knowledge import _fleet as fleet
 
 # One host in so many of a zone takes wide queries, and two at least, so
 # that the loss of one leaves another.
--- a/rudderrock/gateway/_replicas.py
+++ b/rudderrock/gateway/decisions/_replicas.py
@@ -5,12 +5,12 @@
 from typing import Protocol
 
 from rudderrock import core
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _place as place
-from rudderrock.gateway import _pool as pool
-from rudderrock.gateway import _routing as routing
-from rudderrock.gateway import _shares as shares
+from rudderrock.gateway.decisions import _shares as shares
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _pool as pool
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _place as place
+from rudderrock.gateway.knowledge import _routing as routing
 
 # After a late or failed answer an upstream is passed over for this long,
 # doubled for each more in a row up to the longest; seconds. A pause of an
--- a/rudderrock/gateway/_shares.py
+++ b/rudderrock/gateway/decisions/_shares.py
@@ -4,8 +4,8 @@
 import dataclasses
 
 from rudderrock import core
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _place as place_module
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _place as place_module
 
 # Parts of an upstream's connections for the hosts to which it is one of the
 # nearest of its service, and for all others, who need it for hedges: with
--- a/rudderrock/gateway/_connections.py
+++ b/rudderrock/gateway/forwarding/_connections.py
@@ -1,13 +1,13 @@
 """Which connections this host needs, and how many of them it may open."""
 
-from rudderrock.gateway import _delegate as delegate
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _fleet as fleet
-from rudderrock.gateway import _place as place
-from rudderrock.gateway import _replicas as replicas
-from rudderrock.gateway import _routing as routing
-from rudderrock.gateway import _shares as shares
-from rudderrock.gateway import _sources as sources
+from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.decisions import _shares as shares
+from rudderrock.gateway.forwarding import _delegate as delegate
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _place as place
+from rudderrock.gateway.knowledge import _routing as routing
+from rudderrock.gateway.knowledge import _sources as sources
 
 # The slack of extra requests to services that only wide queries ask: the part
 # that the hosts which run such queries share, and the part that all others
--- a/rudderrock/gateway/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -16,15 +16,15 @@
 import result
 
 from rudderrock import core
-from rudderrock.gateway import _able as able
-from rudderrock.gateway import _caller as caller
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _pursuit as pursuit
-from rudderrock.gateway import _results as results
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.decisions import _able as able
+from rudderrock.gateway.forwarding import _pursuit as pursuit
+from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.http import _caller as caller
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _routing as routing
 
 # A query over at least so many shards is wide.
 WIDE_SHARDS = 48
--- a/rudderrock/gateway/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -4,13 +4,13 @@
 import dataclasses
 
 from rudderrock import core
-from rudderrock.gateway import _delegate as delegate
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _parts as parts
-from rudderrock.gateway import _place as place
-from rudderrock.gateway import _pursuit as pursuit
-from rudderrock.gateway import _results as results
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.forwarding import _delegate as delegate
+from rudderrock.gateway.forwarding import _parts as parts
+from rudderrock.gateway.forwarding import _pursuit as pursuit
+from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.knowledge import _place as place
+from rudderrock.gateway.knowledge import _routing as routing
 
 # The part of first attempts that shall be late, and so be hedged. Extra
 # requests are bounded by their budget; this keeps hedges well within it.
--- a/rudderrock/gateway/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -6,23 +6,23 @@
 import random
 
 from rudderrock import core
-from rudderrock.gateway import _admission as admission
-from rudderrock.gateway import _budget as budget
-from rudderrock.gateway import _connections as connections
-from rudderrock.gateway import _delegate as delegate
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _fleet as fleet
-from rudderrock.gateway import _forward as forward
-from rudderrock.gateway import _gather as gather
 from rudderrock.gateway import _log as log
-from rudderrock.gateway import _messages as messages
 from rudderrock.gateway import _metrics as metrics
-from rudderrock.gateway import _pursuit as pursuit
-from rudderrock.gateway import _replicas as replicas
-from rudderrock.gateway import _results as results
-from rudderrock.gateway import _routing as routing
 from rudderrock.gateway import _settings as settings
-from rudderrock.gateway import _sources as sources
+from rudderrock.gateway.decisions import _admission as admission
+from rudderrock.gateway.decisions import _budget as budget
+from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.forwarding import _connections as connections
+from rudderrock.gateway.forwarding import _delegate as delegate
+from rudderrock.gateway.forwarding import _forward as forward
+from rudderrock.gateway.forwarding import _gather as gather
+from rudderrock.gateway.forwarding import _pursuit as pursuit
+from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _routing as routing
+from rudderrock.gateway.knowledge import _sources as sources
 
 # How soon a caller may come back to a host that knows no routes yet, or
 # that is about to stop; seconds.
--- a/rudderrock/gateway/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -4,13 +4,13 @@
 import math
 
 from rudderrock import core
-from rudderrock.gateway import _delegate as delegate
-from rudderrock.gateway import _forward as forward
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _pursuit as pursuit
-from rudderrock.gateway import _records as records
-from rudderrock.gateway import _results as results
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.forwarding import _delegate as delegate
+from rudderrock.gateway.forwarding import _forward as forward
+from rudderrock.gateway.forwarding import _pursuit as pursuit
+from rudderrock.gateway.forwarding import _records as records
+from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.knowledge import _routing as routing
 
 
 def count_least(shards: int, min_coverage: float) -> int:
--- a/rudderrock/gateway/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -11,12 +11,12 @@
 import result
 
 from rudderrock import core
-from rudderrock.gateway import _caller as caller
-from rudderrock.gateway import _delegate as delegate
-from rudderrock.gateway import _fleet as fleet
-from rudderrock.gateway import _place as place
-from rudderrock.gateway import _pursuit as pursuit
-from rudderrock.gateway import _replicas as replicas
+from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.forwarding import _delegate as delegate
+from rudderrock.gateway.forwarding import _pursuit as pursuit
+from rudderrock.gateway.http import _caller as caller
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _place as place
 
 # Fewer shards than this are not worth a message to another zone of the
 # region, and fewer than that to another region, where bytes cost more.
--- a/rudderrock/gateway/_pursuit.py
+++ b/rudderrock/gateway/forwarding/_pursuit.py
@@ -6,13 +6,13 @@
 import enum
 
 from rudderrock import core
-from rudderrock.gateway import _budget as budget
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _link as link
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _replicas as replicas
-from rudderrock.gateway import _routing as routing
-from rudderrock.gateway import _verdicts as verdicts
+from rudderrock.gateway.decisions import _budget as budget
+from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _link as link
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.http import _verdicts as verdicts
+from rudderrock.gateway.knowledge import _routing as routing
 
 # A request is not sent with less time left than this, in seconds: the
 # upstream could not answer in it.
--- a/rudderrock/gateway/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -4,8 +4,8 @@
 import dataclasses
 import enum
 
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _messages as messages
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _messages as messages
 
 # How soon a caller may come back after a request that did not run, in
 # seconds: long enough for a passing shortage, well inside a deadline.
--- a/rudderrock/gateway/_caller.py
+++ b/rudderrock/gateway/http/_caller.py
@@ -7,12 +7,12 @@
 import result
 
 from rudderrock import core
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _link as link
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _pool as pool
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _link as link
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.http import _pool as pool
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _routing as routing
 
 # Connections to one address; each call under way takes one.
 MOST_CONNECTIONS = 4
--- a/rudderrock/gateway/_link.py
+++ b/rudderrock/gateway/http/_link.py
@@ -12,8 +12,8 @@
 
 import httptools
 
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _messages as messages
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _messages as messages
 
 # A reply larger than this is treated as spoilt; bytes.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
--- a/rudderrock/gateway/_pool.py
+++ b/rudderrock/gateway/http/_pool.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 import math
 
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _link as link_module
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _link as link_module
+from rudderrock.gateway.knowledge import _directory as directory
 
 # How long opening a connection may take, in seconds. Between regions it
 # takes some 30 ms; a lost opening packet is sent again after a second.
--- a/rudderrock/gateway/_verdicts.py
+++ b/rudderrock/gateway/http/_verdicts.py
@@ -2,8 +2,8 @@
 
 import enum
 
-from rudderrock.gateway import _dialect as dialect
-from rudderrock.gateway import _link as link
+from rudderrock.gateway.http import _dialect as dialect
+from rudderrock.gateway.http import _link as link
 
 
 class Verdict(enum.Enum):
--- a/rudderrock/gateway/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -6,7 +6,7 @@
 import enum
 
 from rudderrock import core
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.knowledge import _routing as routing
 
 # Upstreams whose registration lapsed while the registry was away register
 # again within about two seconds of its return, says the registry's
--- a/rudderrock/gateway/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -14,12 +14,12 @@
 import result
 
 from rudderrock import core
-from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _events as events
-from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
-from rudderrock.gateway import _peers as peers
-from rudderrock.gateway import _sources as sources
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _peers as peers
+from rudderrock.gateway.knowledge import _sources as sources
 
 # Between two readings of the upstreams, in seconds. A leaving upstream must
 # get no new work some seconds after it said so, and each reading is paid.
--- a/rudderrock/gateway/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -14,11 +14,11 @@
 import result
 
 from rudderrock import core
-from rudderrock.gateway import _caller as caller
-from rudderrock.gateway import _directory as directory
-from rudderrock.gateway import _fleet as fleet
-from rudderrock.gateway import _messages as messages
-from rudderrock.gateway import _sources as sources
+from rudderrock.gateway.http import _caller as caller
+from rudderrock.gateway.http import _messages as messages
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _sources as sources
 
 PATH = '/v1/changes'
 # How long a peer may hold a question that has no news, and how much longer
--- a/rudderrock/gateway/_registration.py
+++ b/rudderrock/gateway/knowledge/_registration.py
@@ -7,9 +7,9 @@
 
 from rudderrock import core
 from rudderrock.gateway import _events as events
-from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
-from rudderrock.gateway import _sources as sources
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _sources as sources
 
 # A registration lasts this long without renewal, and is renewed this
 # often, in seconds.
--- a/rudderrock/gateway/_sources.py
+++ b/rudderrock/gateway/knowledge/_sources.py
@@ -7,11 +7,11 @@
 import result
 
 from rudderrock import core
-from rudderrock.gateway import _directory as directory
 from rudderrock.gateway import _events as events
-from rudderrock.gateway import _fleet as fleet
 from rudderrock.gateway import _log as log
-from rudderrock.gateway import _routing as routing
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _routing as routing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
