--- /dev/null
+++ b/features/steps/load.py
@@ -0,0 +1,77 @@
+"""Steps that play load with faults, and check what callers get."""
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features.steps import gateway as gateway_steps
+from features.steps.common import run
+from rudderrock import standins
+
+use_step_matcher('re')
+
+# Pauses begin this part of their period after one another, so that upstreams
+# that follow one another seldom pause together (the golden ratio's fraction).
+_PHASE_PART = 0.618
+
+
+@given(
+    r'(\d+) shards of (\d+) replicas that pause for ([\d.]+) seconds each '
+    r'([\d.]+) seconds'
+)
+def add_pausing(context, count, replicas, length_s, every_s):
+    bench = gateway_steps.get(context)
+    context.shards += gateway_steps.add_shards(
+        context, int(count), int(replicas), work_s=0.02
+    )
+    for number, model in enumerate(bench.upstreams.values()):
+        model.pauses = standins.Pauses(
+            float(length_s),
+            float(every_s),
+            number * _PHASE_PART * float(every_s),
+        )
+
+
+@when(r'callers ask for "([^"]+)" (\d+) times a second for (\d+) seconds')
+def ask_at_rate(context, path, rate, seconds):
+    bench = gateway_steps.get(context)
+    context.load = run(
+        context, bench.ask_at_rate(path, float(rate), float(seconds))
+    )
+
+
+@then(r'([\d.]+) of the answers come by the goal of ([\d.]+) seconds')
+def check_in_time(context, part, goal_s):
+    in_time = [
+        each
+        for each in context.load
+        if each.status == 200 and each.elapsed <= float(goal_s)
+    ]
+    assert len(in_time) >= float(part) * len(context.load), (
+        len(in_time),
+        len(context.load),
+    )
+
+
+@then(r'they lack ([\d.]+) of the shards or less')
+def check_lacking(context, part):
+    missing = sum(
+        int(each.headers['rudderrock-missing-parts']) for each in context.load
+    )
+    shards = len(context.shards) * len(context.load)
+    assert missing <= float(part) * shards, (missing, shards)
+
+
+@then(r'no shard got more than ([\d.]+) extra requests a query, and (\d+)')
+def check_extra_load(context, ratio, slack):
+    bench = gateway_steps.get(context)
+    queries = len(context.load)
+    for shard in context.shards:
+        arrivals = sum(
+            len(model.arrivals)
+            for name, model in bench.upstreams.items()
+            if name.rpartition('-')[0] == shard
+        )
+        allowed = queries * (1 + float(ratio)) + int(slack)
+        assert arrivals <= allowed, (shard, arrivals, queries)
--- a/rudderrock/standins/__init__.py
+++ b/rudderrock/standins/__init__.py
@@ -34,6 +34,7 @@
 from rudderrock.standins._upstream import UpstreamFaults
 from rudderrock.standins._upstream import UpstreamModel
 from rudderrock.standins._wire_upstream import Conduct
+from rudderrock.standins._wire_upstream import Pauses
 from rudderrock.standins._wire_upstream import WireRun
 from rudderrock.standins._wire_upstream import WireUpstream
 
@@ -64,6 +65,7 @@
     'RunningHost',
     'UpstreamFaults',
     'UpstreamModel',
+    'Pauses',
     'WireRun',
     'WireUpstream',
     'make_host_list_app',
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -29,6 +29,23 @@
     SAYING_421 = 'misdirected'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pauses:
+    """When an upstream does nothing: `length_s` in each `every_s` seconds.
+
+    `phase_s` shifts the first one, so that upstreams pause one by one.
+    """
+
+    length_s: float
+    every_s: float
+    phase_s: float = 0.0
+
+    def get_left(self, now: float) -> float:
+        """Return for how long a pause still lasts, 0 without one."""
+        since_s = (now + self.phase_s) % self.every_s
+        return max(0.0, self.length_s - since_s)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WireRun:
     """One request that an upstream began to work on; time in seconds."""
@@ -46,7 +63,8 @@
 
     Parameters: `records` is the body of each answer, or makes it from the
     request's id; `work_s` is how long it works on a request, `slots` of
-    them at once. It stops working when the connection closes.
+    them at once. With `pauses` it begins on nothing while one lasts. It stops
+    working when the connection closes.
     """
 
     def __init__(
@@ -57,6 +75,7 @@
         work_s: float = 0.01,
         most_connections: int = 1000,
         slots: int = 1000,
+        pauses: Pauses | None = None,
     ):
         super().__init__()
         self.upstream = upstream
@@ -71,6 +90,7 @@
         self.working = 0
         self.most_open = 0
         self._names = names
+        self.pauses = pauses
         self._slots = asyncio.Semaphore(slots)
 
     @property
@@ -145,7 +165,8 @@
         self.working += 1
         try:
             async with self._slots:
-                done, _ = await asyncio.wait({gone}, timeout=self.work_s)
+                work_s = self.work_s + self._get_pause()
+                done, _ = await asyncio.wait({gone}, timeout=work_s)
         finally:
             self.working -= 1
         if not done:
@@ -155,6 +176,11 @@
             return True
         return False
 
+    def _get_pause(self) -> float:
+        if self.pauses is None:
+            return 0.0
+        return self.pauses.get_left(asyncio.get_running_loop().time())
+
     async def _answer(self, run: WireRun, writer) -> bool:
         names = self._names
         echo = (names.request_id, run.request_id.encode())
