--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -15,9 +15,9 @@
 from rudderrock.gateway.decisions._replicas import ReplicaBook
 from rudderrock.gateway.decisions._shares import LinkShare
 from rudderrock.gateway.decisions._shares import share_links
+from rudderrock.gateway.forwarding._calls import Counters
 from rudderrock.gateway.forwarding._gateway import Gateway
 from rudderrock.gateway.forwarding._gateway import Parts
-from rudderrock.gateway.forwarding._pursuit import Counters
 from rudderrock.gateway.forwarding._records import merge_records
 from rudderrock.gateway.forwarding._results import Outcome
 from rudderrock.gateway.forwarding._results import Result
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -18,7 +18,7 @@
 from rudderrock import core
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _able as able
-from rudderrock.gateway.forwarding import _pursuit as pursuit
+from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _caller as caller
 from rudderrock.gateway.http import _dialect as dialect
@@ -137,7 +137,7 @@
             for entry in self.able.list_asked(zone):
                 self._get_caller(entry).warm(_WARM)
 
-    def has_time(self, zone: core.ZoneId, call: pursuit.Call) -> bool:
+    def has_time(self, zone: core.ZoneId, call: calls.Call) -> bool:
         """Tell whether a host of a zone could hedge and still be in time.
 
         A hedge may go as far again, after a first attempt that was late.
@@ -170,7 +170,7 @@
     async def ask_part(
         self,
         entry: fleet.HostEntry,
-        call: pursuit.Call,
+        call: calls.Call,
         shards: tuple[routing.ServiceName, ...],
         least: int,
     ) -> result.Result[PartAnswer, caller.NoReply]:
@@ -203,7 +203,7 @@
         return result.Ok(PartAnswer(stamps, reply.body, missing))
 
     async def run(
-        self, entry: fleet.HostEntry, call: pursuit.Call
+        self, entry: fleet.HostEntry, call: calls.Call
     ) -> results.Result | Unbegun:
         """Have a host run a query, unless it does not begin on it."""
         answer = await self._ask(entry, call, [])
@@ -223,7 +223,7 @@
     async def _ask(
         self,
         entry: fleet.HostEntry,
-        call: pursuit.Call,
+        call: calls.Call,
         more: messages.Headers,
     ) -> result.Result[messages.Reply, caller.NoReply]:
         """Send a query to a host, and suspect it if it takes too long.
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from rudderrock import core
+from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _delegate as delegate
 from rudderrock.gateway.forwarding import _parts as parts
 from rudderrock.gateway.forwarding import _pursuit as pursuit
@@ -92,8 +93,8 @@
 
     def __init__(
         self,
-        tools: pursuit.Tools,
-        call: pursuit.Call,
+        tools: calls.Tools,
+        call: calls.Call,
         services: tuple[routing.ServiceName, ...],
         point: core.LatePoint,
         extent: Extent,
@@ -255,8 +256,8 @@
 
 
 async def forward_to_one(
-    tools: pursuit.Tools,
-    call: pursuit.Call,
+    tools: calls.Tools,
+    call: calls.Call,
     service: routing.ServiceName,
     point: core.LatePoint,
 ) -> results.Result:
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -12,11 +12,11 @@
 from rudderrock.gateway.decisions import _admission as admission
 from rudderrock.gateway.decisions import _budget as budget
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _connections as connections
 from rudderrock.gateway.forwarding import _delegate as delegate
 from rudderrock.gateway.forwarding import _forward as forward
 from rudderrock.gateway.forwarding import _gather as gather
-from rudderrock.gateway.forwarding import _pursuit as pursuit
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
@@ -70,7 +70,7 @@
             parts.chance,
             self._connections,
         )
-        self.counters = pursuit.Counters()
+        self.counters = calls.Counters()
         self.admission = admission.Admission(parts.clock)
         self.delegated = 0
         self.takes_delegated = True
@@ -81,7 +81,7 @@
         self._turns: dict[
             routing.RouteName, collections.Counter[routing.ServiceName]
         ] = {}
-        self._tools = pursuit.Tools(
+        self._tools = calls.Tools(
             asyncio.get_running_loop(),
             config.names,
             self.book,
@@ -226,7 +226,7 @@
     async def _hand_over(
         self,
         entry: fleet.HostEntry,
-        call: pursuit.Call,
+        call: calls.Call,
         scatter: routing.Scatter,
         point: core.LatePoint,
         rank: int,
@@ -241,7 +241,7 @@
 
     async def _run_admitted(
         self,
-        call: pursuit.Call,
+        call: calls.Call,
         scatter: routing.Scatter,
         point: core.LatePoint,
         rank: int,
@@ -276,12 +276,12 @@
         request_id: bytes,
         route: routing.Route,
         deadline_s: float,
-    ) -> pursuit.Call:
+    ) -> calls.Call:
         names = self._config.names
         patience_s = min(deadline_s, route.timeout_s) - forward.MARGIN_S
         set_here = {names.deadline_ms, names.expected_upstream}
         set_here |= delegate.OWN_HEADERS
-        return pursuit.Call(
+        return calls.Call(
             request=request,
             request_id=request_id,
             route=route,
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -4,6 +4,7 @@
 import math
 
 from rudderrock import core
+from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _delegate as delegate
 from rudderrock.gateway.forwarding import _forward as forward
 from rudderrock.gateway.forwarding import _pursuit as pursuit
@@ -19,8 +20,8 @@
 
 
 async def forward_to_all(
-    tools: pursuit.Tools,
-    call: pursuit.Call,
+    tools: calls.Tools,
+    call: calls.Call,
     scatter: routing.Scatter,
     point: core.LatePoint,
     delegation: delegate.Delegation,
@@ -54,8 +55,8 @@
 
 
 async def answer_portion(
-    tools: pursuit.Tools,
-    call: pursuit.Call,
+    tools: calls.Tools,
+    call: calls.Call,
     scatter: routing.Scatter,
     point: core.LatePoint,
     shards: tuple[routing.ServiceName, ...],
@@ -77,8 +78,8 @@
 
 
 def _merge(
-    tools: pursuit.Tools,
-    call: pursuit.Call,
+    tools: calls.Tools,
+    call: calls.Call,
     scatter: routing.Scatter,
     forwarder: forward.Forwarder,
 ) -> results.Result:
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -12,6 +12,7 @@
 
 from rudderrock import core
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _delegate as delegate
 from rudderrock.gateway.forwarding import _pursuit as pursuit
 from rudderrock.gateway.http import _caller as caller
@@ -46,7 +47,7 @@
             each.start_elsewhere(replica)
 
     async def fetch(
-        self, delegation: delegate.Delegation, call: pursuit.Call
+        self, delegation: delegate.Delegation, call: calls.Call
     ) -> None:
         """Have the shards asked; tell each pursuit what became of it."""
         entry = delegation.able.pick(self.zone, call.request_id)
@@ -99,7 +100,7 @@
 
 def plan_parts(
     book: replicas.ReplicaBook,
-    call: pursuit.Call,
+    call: calls.Call,
     pursuits: list[pursuit.Pursuit],
     delegation: delegate.Delegation,
 ) -> list[Part]:
@@ -141,7 +142,7 @@
 
 def _find_nearest(
     book: replicas.ReplicaBook,
-    call: pursuit.Call,
+    call: calls.Call,
     pursuits: list[pursuit.Pursuit],
     delegation: delegate.Delegation,
 ) -> dict[pursuit.Pursuit, dict[core.ZoneId, replicas.Replica]]:
