--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -129,8 +129,8 @@
         self._changes: collections.deque[
             tuple[int, directory.DirectoryChange]
         ] = collections.deque(maxlen=MOST_CHANGES)
-        # Sent whole at each change, the list of 62 hosts that start together
-        # cost 5 MB between regions.
+        # 62 hosts that start together change their list some 60 times. Sent
+        # whole, 7 KB, to the first hosts of 5 zones, that is 2 MB (by sums).
         self._host_changes: collections.deque[tuple[int, set[core.HostId]]] = (
             collections.deque(maxlen=MOST_CHANGES)
         )
