--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -71,7 +71,7 @@
 # How much longer than there and back a host may take to show that it has
 # read a query, in seconds: one that is frozen or cut off shows nothing, and
 # one that is busy reads between two pieces of work. With 20 ms, a quiet day of
-# khetdin-search-grown cost 0.076 for bytes between zones, with 50 ms 0.046:
+# 84 hosts cost 0.076 of its worth for bytes between zones, with 50 ms 0.046:
 # each host without a sign has its shards asked from the other zone.
 SIGN_S = 0.05
 # What another host's failure is to the log of this one; else it is lost.
