--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -250,7 +250,19 @@
     When the source is open for all gateways
     And 1 second passes
     And the route "/notes/" is moved to "scans"
-    And 2 seconds pass
+    And 1 second passes
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: a table is in force 2 seconds after an outage, whatever the order of events
+    Given each call to the source takes one turn of the loop more
+    And 3 gateways and 45 that are told of them start together with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the source is refused for all gateways and 20 seconds pass
+    And the source is open for all gateways
+    And 1 second passes
+    And the route "/notes/" is moved to "scans"
+    And 1 second passes
     Then every gateway sends "/notes/1" to "u2"
 
   Scenario: a host whose seeds are gone reads the source
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -153,11 +153,18 @@
     run(context, start_all(context, range(1, count + 1)))
 
 
+@given(r'each call to the source takes one turn of the loop more')
+def lengthen_calls(context):
+    context.source_delay_s = 0.0
+
+
 async def start_all(context, numbers):
     """Start gateways one after the other, all told the same seeds."""
     for number in numbers:
         zone = context.zones[number]
         await context.fleet.add(zone, seeds=context.seeds, number=number)
+        source = context.fleet.members[f'g{number}'].source
+        source.delay_s = getattr(context, 'source_delay_s', None)
         await asyncio.sleep(0.005)
 
 
--- a/rudderrock/standins/_host_source.py
+++ b/rudderrock/standins/_host_source.py
@@ -27,7 +27,7 @@
     `is_refused` makes calls fail at once, `is_silent` makes them hang for
     `patience_s`, as if the host's packets were dropped. A call that is
     under way when the way becomes silent gets no answer either. Each call
-    takes `delay_s` longer, as by a thin link.
+    takes `delay_s` longer, as by a thin link; 0 is one turn of the loop.
     """
 
     def __init__(
@@ -35,7 +35,7 @@
     ):
         self.is_refused = False
         self.is_silent = False
-        self.delay_s = 0.0
+        self.delay_s: float | None = None
         self.calls = 0
         self._source = source
         self._patience_s = patience_s
@@ -49,7 +49,7 @@
         self.calls += 1
         if self.is_refused:
             return result.Err(gateway.Unavailable('refused'))
-        if self.delay_s > 0:
+        if self.delay_s is not None:
             await asyncio.sleep(self.delay_s)
         if not self.is_silent:
             answer = await getattr(self._source, name)(*arguments)
