The two older waits with a bound use the shared one

Cause: core.wait_for_event does what a host's stop and its claims did by hand. Change: both call it; the same bounds, the same events.

--- a/rudderrock/coordination/_claims.py
+++ b/rudderrock/coordination/_claims.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Callable
-import contextlib
 import dataclasses
 import enum
 import math
@@ -17,6 +16,7 @@
 import result
 import xxhash
 
+from rudderrock import core
 from rudderrock import protocol
 from rudderrock import state
 from rudderrock import transport
@@ -172,9 +172,8 @@
 
     async def _wait_for_turn(self) -> None:
         """Let a group gather: until one is urgent, and for the pace."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._settings.record_delay_s):
-                await self._urgent.wait()
+        delay_s = self._settings.record_delay_s
+        await core.wait_for_event(self._urgent, delay_s)
         await asyncio.sleep(self._settings.group_delay_s)
         while (wait_s := self._pace.get_wait_s(1.0)) > 0:
             await asyncio.sleep(max(wait_s, _SHORTEST_WAIT_S))
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -6,6 +6,7 @@
 
 import result
 
+from rudderrock import core
 from rudderrock import protocol
 from rudderrock import state
 from rudderrock.coordination import _admission as admission
@@ -96,7 +97,8 @@
             self.lifecycle.leave()
             self.membership.announce_leaving()
             await self.membership.spread(configs.SPREAD_FANOUT)
-            await self._wait_unless_hurried(self.settings.drain.balancer_lag_s)
+            lag_s = self.settings.drain.balancer_lag_s
+            await core.wait_for_event(self._hurry, lag_s)
             self.lifecycle.drain()
             end = self._clock.now() + self.settings.drain.bound_s
             while self._active and self._clock.now() < end:
@@ -116,11 +118,6 @@
         if self._active:
             await asyncio.wait(self._active, timeout=1.0)
 
-    async def _wait_unless_hurried(self, seconds: float) -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(seconds):
-                await self._hurry.wait()
-
     async def _serve_when_ready(self) -> None:
         await self.config.wait_until_read()
         if self.lifecycle.state is lifecycle.HostState.STARTING:
