--- a/rudderrock/gateway/decisions/_replicas.py
+++ b/rudderrock/gateway/decisions/_replicas.py
@@ -14,8 +14,9 @@
 
 # After a late or failed answer an upstream is passed over for this long,
 # doubled for each more in a row up to the longest; seconds. A pause of an
-# upstream lasts some 150 to 250 ms. Passing it over only from the second
-# late answer on cost 0.014 of a day's worth on both sites (trials).
+# upstream lasts some 150 to 250 ms. Passed over only from the second late
+# answer on, fewer requests were served (docs/benchmarks.md, figures of
+# thresholds).
 FIRST_AVOID_S = 0.25
 LONGEST_AVOID_S = 6.0
 # An upstream that can't be reached is passed over for longer; seconds.
--- a/rudderrock/gateway/forwarding/_connections.py
+++ b/rudderrock/gateway/forwarding/_connections.py
@@ -13,8 +13,8 @@
 # that the hosts which run such queries share, and the part that all others
 # do, for queries that a host has not begun on. What is left is for hosts that
 # take the place of others within the window of the budget. Split over all 62
-# hosts the slack left hedges denied in heavy seconds: 0.882 instead of 0.896
-# of the credit of a day was earned.
+# hosts the slack left hedges denied in heavy seconds (docs/benchmarks.md,
+# figures of thresholds).
 REGULAR_SLACK_PART = 0.6
 OTHER_SLACK_PART = 0.25
 
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -78,9 +78,10 @@
 PART_ROOM = 1.1
 # How much longer than there and back a host may take to show that it has
 # read a query, in seconds: one that is frozen or cut off shows nothing, and
-# one that is busy reads between two pieces of work. With 20 ms, a quiet day of
-# 84 hosts cost 0.076 of its worth for bytes between zones, with 50 ms 0.046:
-# each host without a sign has its shards asked from the other zone.
+# one that is busy reads between two pieces of work. Each host without a sign
+# has its shards asked from the other zone: with 20 ms instead of 50, bytes
+# between zones cost 1.65 times as much (docs/benchmarks.md, figures of
+# thresholds).
 SIGN_S = 0.05
 # What another host's failure is to the log of this one; else it is lost.
 _OUTCOMES = {
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -30,7 +30,8 @@
 # An answer leaves this long before the goal or the end, in seconds, for the
 # way back to the caller, the way there that its own clock has counted, and a
 # busy core. With 12 ms a third more answers were late, with 23 ms the shards
-# that were given up cost more (trials on both sites).
+# that were given up outweighed the answers gained (docs/benchmarks.md, figures
+# of thresholds).
 MARGIN_S = 0.018
 
 
@@ -232,8 +233,9 @@
         if self._is_common(len(late)):
             self._look_again()
             return
-        # Each one is worth an extra request, also into another region: sparing
-        # wide queries one of them cost 0.02 to 0.11 of a day with 62 hosts.
+        # Each one is worth an extra request, also into another region: where
+        # wide queries were spared one of them, 1,101 of 1,531 answers left
+        # shards out, not some 500 of 1,540 (single runs with 62 hosts).
         for each in late:
             each.hedge()
 
