--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -335,13 +335,16 @@
         self._count = 0
 
     async def start(
-        self, zones: list[str], capacities: list[float] | None = None
+        self,
+        zones: list[str],
+        capacities: list[float] | None = None,
+        link_bytes_s: float = 0.0,
     ) -> None:
         """Start one gateway for each zone that is given."""
         self._bench.keep_log()
         capacities = capacities or [1.0] * len(zones)
         for zone, capacity in zip(zones, capacities, strict=True):
-            await self.add(zone, capacity)
+            await self.add(zone, capacity, link_bytes_s=link_bytes_s)
         await asyncio.sleep(1.0)
 
     async def add(
@@ -350,6 +353,7 @@
         capacity: float = 1.0,
         seeds: tuple[tuple[str, int], ...] = (),
         is_refused: bool = False,
+        link_bytes_s: float = 0.0,
     ) -> None:
         """Start one more gateway; the source may refuse it."""
         self._count += 1
@@ -368,6 +372,7 @@
             metrics=(ip, _PORT + 2),
             peers=(ip, _PORT + 3),
             capacity=capacity,
+            link_bytes_s=link_bytes_s,
             seeds=seeds,
         )
         source = standins.HostSource(self._bench.source)
--- /dev/null
+++ b/features/steps/wide_load.py
@@ -0,0 +1,154 @@
+"""Steps on the load of wide queries, and how it is spread over hosts."""
+
+import asyncio
+import collections
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features import gateway_bench
+from features.steps import delegate
+from features.steps import gateway as gateway_steps
+from features.steps import gateway_checks
+from features.steps.common import run
+from rudderrock import gateway
+from rudderrock import state
+
+use_step_matcher('re')
+
+_KIND = gateway.WorkKind(gateway.RouteName('all'), is_part=False)
+_RECORD_BYTES = 16
+
+
+def start_links(context, zones, link_bytes_s, shards, part_bytes, place):
+    """Start gateways with links of one speed before shards of one zone."""
+    bench = gateway_steps.get(context)
+    records = b'r' * _RECORD_BYTES * (part_bytes // _RECORD_BYTES)
+    for number in range(shards):
+        name = f'shard-{number}'
+        context.shards.append(name)
+        run(
+            context,
+            bench.add_upstream(
+                f'{name}-0', name, zone=place, records=records, work_s=0.01
+            ),
+        )
+    gateway_steps.add_scatter(
+        context, '/all/', least=0.9, timeout_s=6.0, goal_s=0.3
+    )
+    bench.publish()
+    context.fleet = gateway_bench.FleetBench(bench, context.stack)
+    run(context, context.fleet.start(zones, link_bytes_s=link_bytes_s))
+    run(context, asyncio.sleep(6.0))
+
+
+@given(
+    r'(\d+) gateways with links of (\d+) bytes a second before (\d+) shards '
+    r'with parts of (\d+) bytes'
+)
+def start_one_zone(context, count, link, shards, part):
+    zones = ['north-1'] * int(count)
+    start_links(context, zones, int(link), int(shards), int(part), 'north-1')
+
+
+@given(
+    r'(\d+) gateways with links of (\d+) bytes a second in each of two zones '
+    r'before (\d+) shards with parts of (\d+) bytes, all in the other'
+)
+def start_two_zones(context, count, link, shards, part):
+    zones = ['north-1'] * int(count) + ['north-2'] * int(count)
+    start_links(context, zones, int(link), int(shards), int(part), 'north-2')
+
+
+def ask_in_turn(context, names, rate, seconds):
+    """Ask gateways in turn at a steady rate, whatever comes back."""
+
+    async def go():
+        asked = []
+        for number in range(round(rate * seconds)):
+            name = names[number % len(names)]
+            asked.append(asyncio.create_task(delegate.ask(context, name)))
+            await asyncio.sleep(1.0 / rate)
+        return await asyncio.gather(*asked)
+
+    context.answers = run(context, go())
+
+
+@when(
+    r'the gateways (of the first zone )?are asked for all shards (\d+) times '
+    r'a second for (\d+) seconds'
+)
+def ask_at_rate(context, first_zone, rate, seconds):
+    names = list(context.fleet.members)
+    if first_zone:
+        names = names[: len(names) // 2]
+    ask_in_turn(context, names, int(rate), int(seconds))
+
+
+@when(r'each gateway in turn is asked for all shards, ([\d.]+) seconds apart')
+def ask_apart(context, seconds):
+    context.sent_before = count_sent(context)
+    names = list(context.fleet.members)
+    apart_s = float(seconds)
+    ask_in_turn(context, names, 1 / apart_s, len(names) * apart_s)
+
+
+def count_sent(context):
+    """Return how many requests each gateway has sent to shards."""
+    return collections.Counter(
+        {
+            name: member.gateway.counters.firsts
+            for name, member in context.fleet.members.items()
+        }
+    )
+
+
+@then(r'only (\d+) gateways sent to the shards since then')
+def check_sent_since(context, count):
+    sent = count_sent(context) - context.sent_before
+    assert len(sent) == int(count), sent
+
+
+@then(r'no gateway ran more than ([\d.]+) of the queries')
+def check_spread(context, part):
+    shards = len(context.shards)
+    most = max(count_sent(context).values()) / shards
+    assert most <= float(part) * len(context.answers), count_sent(context)
+
+
+@then(r'the log says whom gateways ask from then on, and by what load')
+def check_changes(context):
+    lines = gateway_checks.list_lines(context, 'coordinators_changed')
+    told = [line for line in lines if 'full' in line['detail']]
+    assert told, lines
+    assert all(line['hosts'] != line['before'] for line in told), told
+
+
+@given(r'a host of ([\d.]+) cores with a link of (\d+) bytes a second')
+def make_meter(context, cores, link):
+    clock = state.Clock(context.loop)
+    context.meter = gateway.WorkMeter(clock, float(cores), float(link))
+
+
+@given(r'its queries ask (\d+) shards and receive (\d+) bytes')
+def note_queries(context, shards, size):
+    context.meter.note_ended(_KIND, int(shards), int(size))
+
+
+@when(r'it begins (\d+) queries at once')
+def begin(context, count):
+    for _ in range(int(count)):
+        context.meter.note_begun(_KIND, 1)
+
+
+@then(r'the next is delayed by ([\d.]+) ms')
+def check_delay(context, delay_ms):
+    found = round(1000 * context.meter.get_delay_s(), 1)
+    assert found == float(delay_ms), found
+
+
+@then(r'a query with a goal of ([\d.]+) seconds has (room|none)')
+def check_room(context, goal_s, answer):
+    assert context.meter.has_room(float(goal_s)) is (answer == 'room')
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -15,6 +15,8 @@
 from rudderrock.gateway.decisions._replicas import ReplicaBook
 from rudderrock.gateway.decisions._shares import LinkShare
 from rudderrock.gateway.decisions._shares import share_links
+from rudderrock.gateway.decisions._work import Kind as WorkKind
+from rudderrock.gateway.decisions._work import WorkMeter
 from rudderrock.gateway.forwarding._calls import Counters
 from rudderrock.gateway.forwarding._gateway import Gateway
 from rudderrock.gateway.forwarding._gateway import Parts
@@ -138,6 +140,8 @@
     'Unavailable',
     'UpstreamReading',
     'Verdict',
+    'WorkKind',
+    'WorkMeter',
     'drop_connection_headers',
     'format_event_page',
     'judge_outcome',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -28,6 +28,7 @@
     HOSTS_CHANGED = 'hosts_changed'
     READING_FROM = 'reading_from'
     PEER_SKIPPED = 'peer_skipped'
+    COORDINATORS_CHANGED = 'coordinators_changed'
     SOURCE_FAILED = 'source_failed'
     REQUEST = 'request'
     UNREADABLE = 'unreadable'
@@ -78,10 +79,17 @@
         ('peer', 'zone'),
     ),
     LogKind.PEER_SKIPPED: KindInfo(
-        'Another host failed to answer, or had nothing fresh: the ages are '
-        'those of its upstreams and of its table, -1 for none.',
+        'Another host failed to answer, had nothing fresh (the ages are '
+        'those of its upstreams and of its table, -1 for none), or did not '
+        'take a query.',
         ('peer', 'detail'),
     ),
+    LogKind.COORDINATORS_CHANGED: KindInfo(
+        'The hosts of a zone that this one now asks to run wide queries, and '
+        'the ones `before`; `detail` says why each that is no longer asked is '
+        'passed over.',
+        ('zone', 'before', 'hosts', 'detail'),
+    ),
     LogKind.TABLE_IN_FORCE: KindInfo(
         'A routing table has replaced the one `before`; `origin` is whom '
         'it came from.',
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -20,8 +20,9 @@
     a service beyond the first of each request: in any window of so many
     seconds at most that part of its requests, plus the slack, over all
     hosts. `stop_s` is how long a planned stop may take before the process
-    is killed. `capacity` compares this host with others: the speed of its
-    processor in cores times the bandwidth of its link in Mbit/s. `seeds`
+    is killed. `cores` is the speed of this host's processor in whole cores and
+    `link_bytes_s` that of its link, 0 if unknown; `capacity` compares it with
+    other hosts: cores times the bandwidth of the link in Mbit/s. `seeds`
     are where some hosts serve their peers, for a host that starts while the
     source does not answer; they may be out of date.
     """
@@ -37,6 +38,8 @@
     extra_window_s: float = 10.0
     extra_slack: float = 20.0
     stop_s: float = 6.0
+    cores: float = 1.0
+    link_bytes_s: float = 0.0
     capacity: float = 1.0
     assumed_hosts: int = ASSUMED_HOSTS
     seeds: tuple[Address, ...] = ()
--- a/rudderrock/gateway/forwarding/_connections.py
+++ b/rudderrock/gateway/forwarding/_connections.py
@@ -15,7 +15,7 @@
 # take the place of others within the window of the budget. Split over all 62
 # hosts the slack left hedges denied in heavy seconds: 0.882 instead of 0.896
 # of the credit of a day was earned.
-ABLE_SLACK_PART = 0.6
+REGULAR_SLACK_PART = 0.6
 OTHER_SLACK_PART = 0.25
 
 
@@ -56,10 +56,15 @@
                     self._delegation.warm()
                     return
 
+    def is_wide(self, shards: tuple[routing.ServiceName, ...]) -> bool:
+        """Tell whether queries over some shards are run by few hosts."""
+        return len(shards) >= delegate.WIDE_SHARDS
+
     def runs(self, shards: tuple[routing.ServiceName, ...]) -> bool:
         """Tell whether this host itself runs queries over some shards."""
-        is_wide = len(shards) >= delegate.WIDE_SHARDS
-        return not is_wide or self._delegation.able.has_own()
+        return (
+            not self.is_wide(shards) or self._delegation.coordinators.has_own()
+        )
 
     def share_slack(self, service: routing.ServiceName, slack: float) -> float:
         """Return this host's part of the extra requests to a service.
@@ -70,10 +75,10 @@
         """
         if service not in self._wide_only:
             return slack / self._hosts.count()
-        able = self._delegation.able
-        hosts = sum(able.count_by_zone().values())
-        if able.has_own():
-            return ABLE_SLACK_PART * slack / max(1, hosts)
+        coordinators = self._delegation.coordinators
+        hosts = sum(coordinators.count_by_zone().values())
+        if coordinators.has_own():
+            return REGULAR_SLACK_PART * slack / max(1, hosts)
         others = max(1, self._hosts.count() - hosts)
         return OTHER_SLACK_PART * slack / others
 
@@ -99,10 +104,10 @@
         service = endpoint.service
         found = table.services.get(service) if table is not None else None
         is_wide = service in self._wide_only
-        able = self._delegation.able
+        coordinators = self._delegation.coordinators
         counts = self._hosts.count_by_zone()
         if is_wide:
-            counts = able.count_by_zone()
+            counts = coordinators.count_by_zone()
         share = shares.share_links(
             endpoint,
             self._listing.list_ready(service),
@@ -110,7 +115,8 @@
             counts,
             self._place,
         )
-        if is_wide and not able.has_own():
-            # This host sends there only while all hosts that should are gone.
+        if is_wide and not coordinators.has_own():
+            # This host sends there only while those that should have no room
+            # or are gone; its connections close soon after.
             return shares.LinkShare(1, True)
         return share
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -12,12 +12,13 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import enum
 
 import result
 
 from rudderrock import core
 from rudderrock.gateway import _log as log
-from rudderrock.gateway.decisions import _able as able
+from rudderrock.gateway.decisions import _coordinators as coordinators
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _caller as caller
@@ -34,6 +35,10 @@
 # One that does not take a query, mostly since its table is another, is passed
 # over for so long: tables are the same again as soon; seconds.
 NOT_TAKEN_PAUSE_S = 0.3
+# One that is full is passed over for so long, in seconds: the work that it
+# has begun is a tenth of a goal, some 10 to 30 ms, and it is asked again soon
+# after, so that the others are left alone when a burst is over.
+FULL_PAUSE_S = 0.1
 # One that holds a query for so long beyond its goal is passed over; seconds.
 SUSPECT_AFTER_S = 0.1
 # What the asking host sends along: the version of its table, and for how
@@ -46,10 +51,12 @@
 LEAST = b'rudderrock-least'
 # The shards, by commas, that the reply lacks.
 MISSING = b'rudderrock-missing-shards'
-# Marks the reply of a host that has not begun on the query.
+# Tells a host to run the query also while it is full.
+MUST_RUN = b'rudderrock-must-run'
+# Marks the reply of a host that has not begun on the query, and says why.
 NOT_TAKEN = b'rudderrock-not-taken'
 # These are never passed on to upstreams.
-OWN_HEADERS = frozenset({VERSION, ELAPSED, SHARDS, LEAST})
+OWN_HEADERS = frozenset({VERSION, ELAPSED, SHARDS, LEAST, MUST_RUN})
 _CONNECTIONS = 16
 # Connections to a host of another zone that are opened before they are
 # needed: opening one costs a way there and back, which is a third of some
@@ -81,6 +88,22 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turn:
+    """Whose turn it is to run a query or a part; the last must take it."""
+
+    entry: fleet.HostEntry
+    is_last: bool
+
+
+class NotTaken(enum.Enum):
+    """Why a host has not begun on a query."""
+
+    STOPPING = 'stopping'
+    TABLE = 'another table'
+    FULL = 'full'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartAnswer:
     """What a host of another zone brings of some shards.
@@ -115,18 +138,47 @@
         events: log.EventLog,
         get_version: Callable[[], int],
     ):
-        self.able = able.AbleHosts(hosts, clock, events)
+        self.coordinators = coordinators.Coordinators(hosts, clock, events)
         self._hosts = hosts
         self._names = names
         self._clock = clock
         self._get_version = get_version
         self._callers: dict[str, caller.HttpCaller] = {}
 
-    def choose(self, request_id: bytes) -> fleet.HostEntry | None:
-        """Return who shall run a wide query, None for this host itself."""
-        if self.able.has_own():
+    def choose(
+        self,
+        request_id: bytes,
+        has_room: bool,
+        tried: tuple[core.HostId, ...],
+    ) -> Turn | None:
+        """Return who shall run a wide query, None for this host itself.
+
+        This host runs it if it is one of those that may be asked and has
+        room, or if nobody is left.
+        """
+        own = self._hosts.own
+        if self.coordinators.has_own() and has_room:
+            return None
+        if not has_room:
+            tried = (*tried, own.host)
+        entry = self.coordinators.pick(own.zone, request_id, tried)
+        if entry is None or entry == own:
+            return None
+        return Turn(entry, len(tried) + 1 >= coordinators.MOST_TURNS)
+
+    def choose_far(
+        self,
+        zone: core.ZoneId,
+        request_id: bytes,
+        tried: tuple[core.HostId, ...],
+    ) -> Turn | None:
+        """Return who in another zone shall ask for a part, None for nobody."""
+        if len(tried) >= coordinators.MOST_FAR_TURNS:
+            return None
+        entry = self.coordinators.pick(zone, request_id, tried)
+        if entry is None:
             return None
-        return self.able.pick(self._hosts.own.zone, request_id)
+        return Turn(entry, len(tried) + 1 >= coordinators.MOST_FAR_TURNS)
 
     def warm(self) -> None:
         """Open connections to hosts that may be asked for parts."""
@@ -134,7 +186,7 @@
         for zone in self._hosts.count_by_zone():
             if zone == own:
                 continue
-            for entry in self.able.list_asked(zone):
+            for entry in self.coordinators.list_regular(zone):
                 self._get_caller(entry).warm(_WARM)
 
     def has_time(self, zone: core.ZoneId, call: calls.Call) -> bool:
@@ -142,7 +194,7 @@
 
         A hedge may go as far again, after a first attempt that was late.
         """
-        open_now = self.able.list_open(zone)
+        open_now = self.coordinators.list_open(zone)
         if not open_now:
             return False
         left_s = call.goal_at - self._clock.now()
@@ -169,7 +221,7 @@
 
     async def ask_part(
         self,
-        entry: fleet.HostEntry,
+        turn: Turn,
         call: calls.Call,
         shards: tuple[routing.ServiceName, ...],
         least: int,
@@ -182,7 +234,7 @@
             (SHARDS, ','.join(shards).encode()),
             (LEAST, b'%d' % least),
         ]
-        answer = await self._ask(entry, call, more)
+        answer = await self._ask(turn, call, more)
         match answer:
             case result.Ok(reply):
                 return self._read_part(shards, reply)
@@ -203,13 +255,13 @@
         return result.Ok(PartAnswer(stamps, reply.body, missing))
 
     async def run(
-        self, entry: fleet.HostEntry, call: calls.Call
+        self, turn: Turn, call: calls.Call
     ) -> results.Result | Unbegun:
         """Have a host run a query, unless it does not begin on it."""
-        answer = await self._ask(entry, call, [])
+        answer = await self._ask(turn, call, [])
         match answer:
             case result.Ok(reply):
-                return self._read(entry, reply)
+                return self._read(turn.entry, reply)
             case result.Err(caller.NoReply(signed=False) as problem):
                 return Unbegun(problem.sent)
             case result.Err(problem):
@@ -222,7 +274,7 @@
 
     async def _ask(
         self,
-        entry: fleet.HostEntry,
+        turn: Turn,
         call: calls.Call,
         more: messages.Headers,
     ) -> result.Result[messages.Reply, caller.NoReply]:
@@ -231,6 +283,9 @@
         A host that has not begun on it counts as one that got nothing.
         """
         loop = asyncio.get_running_loop()
+        entry = turn.entry
+        if turn.is_last:
+            more = [*more, (MUST_RUN, b'1')]
         peer = self._get_caller(entry)
         round_trip_s = peer.round_trip_s or ROUND_TRIP_S
         version = self._get_version()
@@ -248,7 +303,7 @@
 
         suspect = loop.call_later(
             call.route.goal_s + SUSPECT_AFTER_S,
-            self.able.skip,
+            self.coordinators.skip,
             entry,
             'no answer in time',
         )
@@ -266,17 +321,28 @@
             suspect.cancel()
         match answer:
             case result.Ok(reply) if reply.get_header(NOT_TAKEN) is None:
-                self.able.note_good(entry)
+                self.coordinators.note_good(entry)
                 return answer
-            case result.Ok():
-                detail = 'did not take a query'
-                self.able.pause(entry, detail, NOT_TAKEN_PAUSE_S)
-                return result.Err(caller.NoReply(False, detail))
+            case result.Ok(reply):
+                return self._note_not_taken(entry, reply)
             case result.Err(problem):
-                skip_s = able.SKIP_S if problem.signed else SILENT_SKIP_S
-                self.able.skip(entry, problem.detail, skip_s)
+                skip_s = (
+                    coordinators.SKIP_S if problem.signed else SILENT_SKIP_S
+                )
+                self.coordinators.skip(entry, problem.detail, skip_s)
                 return answer
 
+    def _note_not_taken(
+        self, entry: fleet.HostEntry, reply: messages.Reply
+    ) -> result.Err[caller.NoReply]:
+        """Pass over a host that has sent a query back, by its reason."""
+        why = (reply.get_header(NOT_TAKEN) or b'').decode('latin-1')
+        detail = f'did not take a query: {why}'
+        is_full = why.startswith(NotTaken.FULL.value)
+        pause_s = FULL_PAUSE_S if is_full else NOT_TAKEN_PAUSE_S
+        self.coordinators.pause(entry, detail, pause_s)
+        return result.Err(caller.NoReply(False, detail))
+
     def close(self) -> None:
         """Close the connections to other hosts."""
         for each in self._callers.values():
@@ -333,6 +399,9 @@
     )
 
 
-def refuse_delegated(names: dialect.HeaderNames) -> messages.Reply:
+def refuse_delegated(
+    names: dialect.HeaderNames, why: NotTaken, detail: str = ''
+) -> messages.Reply:
     """Return the reply that sends a query back to the host it came from."""
-    return messages.Reply(503, [(NOT_TAKEN, b'1'), (names.not_run, b'1')])
+    said = f'{why.value} {detail}'.strip().encode('latin-1')
+    return messages.Reply(503, [(NOT_TAKEN, said), (names.not_run, b'1')])
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -12,6 +12,7 @@
 from rudderrock.gateway.decisions import _admission as admission
 from rudderrock.gateway.decisions import _budget as budget
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.decisions import _work as work
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _connections as connections
 from rudderrock.gateway.forwarding import _delegate as delegate
@@ -72,6 +73,9 @@
         )
         self.counters = calls.Counters()
         self.admission = admission.Admission(parts.clock)
+        self.work = work.WorkMeter(
+            parts.clock, config.cores, config.link_bytes_s
+        )
         self.delegated = 0
         self.takes_delegated = True
         self._config = config
@@ -118,18 +122,26 @@
     ) -> messages.Reply:
         """Answer a wide query that another host has handed over.
 
-        It is sent back if this host stops, or has an older table.
+        It is sent back if this host stops, has an older table or no room.
         """
         version = request.get_header(delegate.VERSION) or b''
+        names = self._config.names
         table = self._parts.tables.current
-        known = table is not None and version.isdigit()
-        if not (known and self.takes_delegated):
-            return delegate.refuse_delegated(self._config.names)
+        if not self.takes_delegated:
+            return delegate.refuse_delegated(names, delegate.NotTaken.STOPPING)
+        if table is None or not version.isdigit():
+            return delegate.refuse_delegated(names, delegate.NotTaken.TABLE)
         listed = request.get_header(delegate.SHARDS)
         # Some shards are named by the very table that the other host uses.
         newer = listed is None and table.version > int(version)
         if table.version != int(version) and not newer:
-            return delegate.refuse_delegated(self._config.names)
+            return delegate.refuse_delegated(names, delegate.NotTaken.TABLE)
+        if not self._takes_now(table, request):
+            return delegate.refuse_delegated(
+                names,
+                delegate.NotTaken.FULL,
+                f'{1000 * self.work.get_delay_s():.0f} ms',
+            )
         elapsed = request.get_header(delegate.ELAPSED) or b''
         if elapsed.isdigit():
             request.arrived -= int(elapsed) / 1000
@@ -143,6 +155,15 @@
         finally:
             self.delegated -= 1
 
+    def _takes_now(
+        self, table: routing.RoutingTable, request: messages.Request
+    ) -> bool:
+        """Tell whether a query that is handed over has room here."""
+        route = self._find_route(table, request)
+        if route is None or request.get_header(delegate.MUST_RUN) is not None:
+            return True
+        return self.work.has_room(route.goal_s)
+
     async def handle(
         self,
         request: messages.Request,
@@ -205,39 +226,50 @@
                     self._tools, call, service, point
                 )
             case routing.Scatter() if shards:
+                kind = work.Kind(route.name, is_part=True)
+                self.work.note_begun(kind, len(shards))
                 least = request.get_header(delegate.LEAST) or b'1'
-                return await gather.answer_portion(
+                found = await gather.answer_portion(
                     self._tools, call, route.target, point, shards, int(least)
                 )
+                self.work.note_ended(kind, found.asked, found.received)
+                return found
             case routing.Scatter():
                 rank = table.get_rank(route)
-                if may_delegate and not self._connections.runs(
+                if may_delegate and self._connections.is_wide(
                     route.target.shards
                 ):
-                    entry = self.delegation.choose(request_id)
-                    if entry is not None:
-                        return await self._hand_over(
-                            entry, call, route.target, point, rank
-                        )
+                    match await self._hand_over(call):
+                        case results.Result() as found:
+                            return found
+                        case call:
+                            pass
                 return await self._run_admitted(
                     call, route.target, point, rank
                 )
 
     async def _hand_over(
-        self,
-        entry: fleet.HostEntry,
-        call: calls.Call,
-        scatter: routing.Scatter,
-        point: core.LatePoint,
-        rank: int,
-    ) -> results.Result:
-        """Have a wide query run by another host, or here if it doesn't."""
-        match await self.delegation.run(entry, call):
-            case delegate.Unbegun(sent=sent):
-                call = dataclasses.replace(call, is_again=sent)
-                return await self._run_admitted(call, scatter, point, rank)
-            case found:
-                return found
+        self, call: calls.Call
+    ) -> results.Result | calls.Call:
+        """Have a wide query run by a host that has room.
+
+        Returns the call if it is to be run here.
+        """
+        tried: tuple[core.HostId, ...] = ()
+        while True:
+            has_room = self.work.has_room(call.route.goal_s)
+            turn = self.delegation.choose(call.request_id, has_room, tried)
+            if turn is None:
+                return call
+            match await self.delegation.run(turn, call):
+                case delegate.Unbegun(sent=True):
+                    return dataclasses.replace(call, is_again=True)
+                case delegate.Unbegun():
+                    tried = (*tried, turn.entry.host)
+                case found:
+                    return found
+            if turn.is_last:
+                return call
 
     async def _run_admitted(
         self,
@@ -258,10 +290,13 @@
                 f'rank {rank}',
             )
         congested = None
+        kind = work.Kind(call.route.name, is_part=False)
+        self.work.note_begun(kind, len(scatter.shards))
         try:
             found = await gather.forward_to_all(
                 self._tools, call, scatter, point, self.delegation
             )
+            self.work.note_ended(kind, found.asked, found.received)
             elapsed_s = self._parts.clock.now() - call.request.arrived
             congested = admission.is_congested(
                 found.late, found.shards, elapsed_s, call.route.goal_s
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -108,6 +108,9 @@
         _list_missing(pursuits),
         shards=len(pursuits),
         answered=len(stamps),
+        asked=sum(not each.was_elsewhere for each in pursuits)
+        + len(forwarder.parts),
+        received=sum(len(each) for each in bodies),
         late=sum(each.is_late for each in pursuits),
         far=forward.count_far(pursuits),
         extras=sum(each.extras for each in pursuits),
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -24,6 +24,11 @@
 LEAST_SHARDS = 8
 LEAST_FAR_SHARDS = 3
 
+# Who was asked for a part, and what became of it.
+_PartOutcome = tuple[
+    core.HostId, result.Result[delegate.PartAnswer, caller.NoReply]
+]
+
 
 class Part:
     """Some shards of one query, and the host that asks them.
@@ -50,31 +55,38 @@
         self, delegation: delegate.Delegation, call: calls.Call
     ) -> None:
         """Have the shards asked; tell each pursuit what became of it."""
-        entry = delegation.able.pick(self.zone, call.request_id)
-        if entry is None:
-            self._close_unsent()
-            return
         try:
-            answer = await delegation.ask_part(
-                entry,
-                call,
-                tuple(each.service for each in self._members),
-                max(1, len(self._members) - call.spared),
-            )
+            answer = await self._ask_in_turn(delegation, call)
         except Exception:
             # A defect must cost this part only and leave a trace.
             logging.exception('a part of a query failed on a defect')
             self._lose('defect', pursuit.PartFate.LOST)
             return
         match answer:
-            case result.Ok(found):
-                self._take(found, entry.host)
-            case result.Err(caller.NoReply(sent=False)):
+            case None:
                 self._close_unsent()
-            case result.Err(problem):
-                self._lose(
-                    f'{entry.host}: {problem.detail}', pursuit.PartFate.LOST
-                )
+            case host, result.Ok(found):
+                self._take(found, host)
+            case host, result.Err(problem):
+                detail = f'{host}: {problem.detail}'
+                self._lose(detail, pursuit.PartFate.LOST)
+
+    async def _ask_in_turn(
+        self, delegation: delegate.Delegation, call: calls.Call
+    ) -> _PartOutcome | None:
+        """Ask hosts of the zone until one has begun; None if none has."""
+        shards = tuple(each.service for each in self._members)
+        least = max(1, len(shards) - call.spared)
+        tried: tuple[core.HostId, ...] = ()
+        while turn := delegation.choose_far(self.zone, call.request_id, tried):
+            host = turn.entry.host
+            answer = await delegation.ask_part(turn, call, shards, least)
+            match answer:
+                case result.Err(caller.NoReply(sent=False)):
+                    tried = (*tried, host)
+                case _:
+                    return host, answer
+        return None
 
     def _close_unsent(self) -> None:
         """Ask from here: nobody has begun on any of them."""
--- a/rudderrock/gateway/forwarding/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -32,13 +32,19 @@
 
 @dataclasses.dataclass(slots=True)
 class Result:
-    """The reply to a caller and how it came about."""
+    """The reply to a caller and how it came about.
+
+    This host has `asked` so many upstreams and hosts, and `received` so many
+    bytes of records from them.
+    """
 
     reply: messages.Reply
     outcome: Outcome
     detail: str = ''
     shards: int = 1
     answered: int = 0
+    asked: int = 0
+    received: int = 0
     late: int = 0
     far: int = 0
     extras: int = 0
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -12,6 +12,7 @@
 # The platform names no address for metrics in the settings; the deploy
 # file names this port.
 METRICS_PORT = 9464
+_BYTES_PER_MBIT = 125_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,7 +71,9 @@
         extra_window_s=float(fields['bounds.retry_window_s']),
         extra_slack=float(fields['bounds.retry_slack']),
         stop_s=float(fields['bounds.grace_s']),
-        capacity=_get_capacity(fields),
+        cores=_get_cores(fields),
+        link_bytes_s=_get_link_mbps(fields) * _BYTES_PER_MBIT,
+        capacity=_get_cores(fields) * (_get_link_mbps(fields) or 1.0),
     )
 
 
@@ -86,9 +89,12 @@
     return ip, int(fields['internal_ports'].split(',')[0])
 
 
-def _get_capacity(fields: dict[str, str]) -> float:
+def _get_cores(fields: dict[str, str]) -> float:
     # `cores` says how fast the one core is, `cpu_share` how much of it the
     # process may use.
     share = float(fields.get('limits.cpu_share', '1'))
-    speed = float(fields.get('limits.cores', '1'))
-    return share * speed * float(fields.get('limits.link_mbps', '1'))
+    return share * float(fields.get('limits.cores', '1'))
+
+
+def _get_link_mbps(fields: dict[str, str]) -> float:
+    return float(fields.get('limits.link_mbps', '0'))
