--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -214,6 +214,79 @@
     And 3 seconds pass
     Then the seventh gateway answers "/notes/1" with 503
 
+  Scenario: a host that starts learns all from a seed and asks the source to register only
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And a seventh gateway starts that is told 2 others
+    And 3 seconds pass
+    Then the seventh gateway answers "/notes/1" with 200
+    And all of them count 7 hosts
+    And the seventh gateway has called the source 1 times
+
+  Scenario: hosts that start together learn from the seeds among them
+    Given 3 gateways and 21 that are told of them start together with an upstream "u1" of "notes"
+    When 6 seconds pass
+    Then all gateways are ready
+    And all of them count 24 hosts
+    And all of them together have called the source at most 90 times
+    And all but 1 of them leave the source alone
+
+  Scenario: hosts that are lost together and start again learn from the seeds among them
+    Given 3 gateways and 45 that are told of them start together with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And all gateways are killed and start again together
+    And 6 seconds pass
+    Then all gateways are ready
+    And all of them count 48 hosts
+    And all of them together have called the source at most 130 times
+    And all but 1 of them leave the source alone
+
+  Scenario: many hosts together try a source that is away no more often than few
+    Given 3 gateways and 45 that are told of them start together with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When 10 seconds pass
+    And the source is refused for all gateways and 20 seconds pass
+    Then they have called it at most 600 times in that time
+    When the source is open for all gateways
+    And 1 second passes
+    And the route "/notes/" is moved to "scans"
+    And 1 second passes
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: a host whose seeds are gone reads the source
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And a seventh gateway starts that is told 0 others
+    And 1.6 seconds pass
+    Then all gateways are ready
+
+  Scenario: a caller that comes while a host looks for its seeds is served
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And a seventh gateway starts that is told 0 others
+    And 0.01 seconds pass
+    Then the seventh gateway answers "/notes/1" with 200
+    And that answer took less than 0.1 seconds
+
+  Scenario: a caller of a host that can learn from nobody is told at once, but for the first second
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is away for everybody and a seventh gateway starts that is told 0 others
+    And 0.01 seconds pass
+    Then the seventh gateway answers "/notes/1" with 503
+    And that answer took less than 0.21 seconds
+    When 2 seconds pass
+    Then the seventh gateway answers "/notes/1" with 503
+    And that answer took less than 0.01 seconds
+
+  Scenario: a reply that is kept for other peers tells its age
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And a new peer asks the gateway that reads for changes
+    And 0.08 seconds pass
+    And a new peer asks the gateway that reads for changes
+    Then the second was told of a reading 0.08 seconds older
+
   Scenario: a host that starts later is counted by all
     Given 6 gateways in one zone with an upstream "u1" of "notes"
     When 10 seconds pass
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -354,11 +354,17 @@
         seeds: tuple[tuple[str, int], ...] = (),
         is_refused: bool = False,
         link_bytes_s: float = 0.0,
+        number: int | None = None,
     ) -> None:
-        """Start one more gateway; the source may refuse it."""
-        self._count += 1
-        name = f'g{self._count}'
-        ip = f'10.0.1.{self._count}'
+        """Start one more gateway; the source may refuse it.
+
+        With the `number` of an earlier one it takes that one's place.
+        """
+        if number is None:
+            self._count += 1
+            number = self._count
+        name = f'g{number}'
+        ip = f'10.0.1.{number}'
         clock = state.Clock(asyncio.get_running_loop())
         place = gateway.Place(
             state.ZoneId(zone),
@@ -379,7 +385,7 @@
         source.is_refused = is_refused
         events = gateway.EventLog(name, clock)
         process = gateway_root.make_gateway(
-            config, source, clock, self._count, events
+            config, source, clock, number, events
         )
         task = asyncio.create_task(process.run())
         self._stack.push_async_callback(core.end_task, task)
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -19,6 +19,7 @@
 
 _NORTH = state.ZoneId('north-1')
 _SOUTH = state.ZoneId('south-1')
+_ZONES = [_NORTH, state.ZoneId('north-2'), _SOUTH]
 _REGIONS = {_NORTH: 'north', _SOUTH: 'south'}
 
 
@@ -73,6 +74,25 @@
         set_way(member.source, how)
 
 
+@when(r'the source is refused for all gateways and (\d+) seconds pass')
+def bar_for(context, seconds):
+    before = count_calls(context)
+    bar_all(context, 'refused')
+    run(context, asyncio.sleep(float(seconds)))
+    context.made = count_calls(context) - before
+
+
+def count_calls(context):
+    """Return how often all gateways have called the source."""
+    members = context.fleet.members.values()
+    return sum(each.source.calls for each in members)
+
+
+@then(r'they have called it at most (\d+) times in that time')
+def check_made(context, most):
+    assert context.made <= int(most), context.made
+
+
 def set_way(source, how):
     """Bar or open one host's way to the source."""
     source.is_refused = how == 'refused'
@@ -98,13 +118,100 @@
     run(context, context.fleet.add(_NORTH, 1.0, tuple(seeds), True))
 
 
+@when(r'a seventh gateway starts that is told (\d+) others')
+def start_told(context, count):
+    members = list(context.fleet.members.values())
+    # The first has left long ago.
+    seeds = [('10.0.1.99', 8003)]
+    seeds += [(each.address, 8003) for each in members[: int(count)]]
+    run(context, context.fleet.add(_NORTH, seeds=tuple(seeds)))
+
+
+@given(
+    r'(\d+) gateways and (\d+) that are told of them start together with an '
+    r'upstream "([^"]+)" of "([^"]+)"'
+)
+def start_together(context, seeds, others, upstream, service):
+    bench = gateway_steps.get(context)
+    bench.add_route('/notes/', gateway.Single(service))
+    run(context, bench.add_upstream(upstream, service))
+    bench.publish()
+    context.fleet = gateway_bench.FleetBench(bench, context.stack)
+    bench.keep_log()
+    context.seeds = tuple(
+        (f'10.0.1.{number}', 8003) for number in range(1, int(seeds) + 1)
+    )
+    count = int(seeds) + int(others)
+    context.zones = _ZONES * count
+    run(context, start_all(context, range(1, count + 1)))
+
+
+async def start_all(context, numbers):
+    """Start gateways one after the other, all told the same seeds."""
+    for number in numbers:
+        zone = context.zones[number]
+        await context.fleet.add(zone, seeds=context.seeds, number=number)
+        await asyncio.sleep(0.005)
+
+
+@when(r'all gateways are killed and start again together')
+def restart_all(context):
+    names = list(context.fleet.members)
+    for name in names:
+        run(context, context.fleet.kill(name))
+    numbers = sorted(int(name[1:]) for name in names)
+    # Those that others look to first come last.
+    run(context, start_all(context, reversed(numbers)))
+
+
 @then(r'the seventh gateway answers "([^"]+)" with (\d+)')
 def check_seventh(context, path, status):
     raw = gateway_bench.make_raw('seventh', path)
+    began = context.loop.time()
     reply = run(context, context.fleet.ask('g7', raw))
+    context.took = context.loop.time() - began
     assert reply.status == int(status), reply
 
 
+@then(r'that answer took less than ([\d.]+) seconds')
+def check_took(context, seconds):
+    assert context.took < float(seconds), context.took
+
+
+@then(r'the seventh gateway has called the source (\d+) times')
+def check_seventh_calls(context, count):
+    found = context.fleet.members['g7'].source.calls
+    assert found == int(count), found
+
+
+@then(r'all of them together have called the source at most (\d+) times')
+def check_all_calls(context, most):
+    assert count_calls(context) <= int(most), count_calls(context)
+
+
+@when(r'a new peer asks the gateway that reads for changes')
+def ask_anew(context):
+    async def ask():
+        member = context.fleet.members[context.fleet.find_reader()]
+        peer = gateway.PeerClient(member.hosts.own)
+        context.stack.callback(peer.close)
+        return await peer.ask(-1, is_lost=False)
+
+    context.told = getattr(context, 'told', [])
+    context.told.append(run(context, ask()).ok_value)
+
+
+@then(r'the second was told of a reading ([\d.]+) seconds older')
+def check_older(context, seconds):
+    first, second = context.told
+    assert (first.number, first.generation) == (
+        second.number,
+        second.generation,
+    )
+    older_ms = second.age_ms - first.age_ms
+    assert abs(older_ms - 1000 * float(seconds)) <= 2, (first, second)
+
+
 @when(r'the registry loses all hosts')
 def lose_hosts(context):
     gateway_steps.get(context).source.hosts.clear()
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -43,6 +43,7 @@
 from rudderrock.gateway.knowledge._directory import Endpoint
 from rudderrock.gateway.knowledge._directory import Phase
 from rudderrock.gateway.knowledge._directory import ReadingStamp
+from rudderrock.gateway.knowledge._first import FirstKnowledge
 from rudderrock.gateway.knowledge._fleet import Fleet
 from rudderrock.gateway.knowledge._fleet import HostEntry
 from rudderrock.gateway.knowledge._follow import Follower
@@ -86,6 +87,7 @@
     'EventLog',
     'Exchange',
     'ExtraBudget',
+    'FirstKnowledge',
     'Fleet',
     'Follower',
     'Gateway',
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -21,6 +21,7 @@
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _routing as routing
 from rudderrock.gateway.knowledge import _sources as sources
@@ -39,6 +40,7 @@
     tables: sources.TableHolder
     listing: directory.Directory
     hosts: fleet.Fleet
+    first: first.FirstKnowledge
     events: log.EventLog
     figures: metrics.GatewayMetrics
     clock: core.Clock
@@ -98,8 +100,7 @@
     @property
     def is_ready(self) -> bool:
         """Tell whether routes and upstreams are known."""
-        known = self._parts.listing.stamp is not None
-        return known and self._parts.tables.current is not None
+        return self._parts.first.is_complete
 
     def _on_hosts(self) -> None:
         """Share budgets and connections anew among the hosts."""
@@ -174,6 +175,8 @@
 
         `shards` are the only ones to ask, if there are any.
         """
+        if not self.is_ready:
+            await self._parts.first.wait()
         table = self._parts.tables.current
         route = self._find_route(table, request)
         found = results.Result(
--- /dev/null
+++ b/rudderrock/gateway/knowledge/_first.py
@@ -0,0 +1,68 @@
+"""Whether a host knows enough to serve, and if callers wait for that."""
+
+import asyncio
+
+from rudderrock import core
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _sources as sources
+
+# A process is young for so long, in seconds. Most know routes and upstreams
+# 0.1 s after they listen, so what comes meanwhile is better kept for that
+# than sent away for longer. In an older one something is amiss.
+YOUNG_S = 1.0
+# How long a request waits in a young process, in seconds. Goals start at
+# some 0.1 s, and a caller that is sent away comes back after 0.3 s.
+WAIT_S = 0.2
+
+
+class FirstKnowledge:
+    """Tells when routes and upstreams are known for the first time."""
+
+    def __init__(
+        self,
+        tables: sources.TableHolder,
+        listing: directory.Directory,
+        clock: core.Clock,
+    ):
+        self._tables = tables
+        self._listing = listing
+        self._clock = clock
+        self._began = clock.now()
+        self._complete = asyncio.Event()
+        self._wanted = asyncio.Event()
+        tables.add_listener(lambda table: self._check())
+        listing.add_reader(self._check)
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether routes and upstreams are known."""
+        return self._complete.is_set()
+
+    async def wait(self) -> bool:
+        """Wait a little for a young process; tell whether all is known.
+
+        Whoever looks for knowledge is told that callers wait.
+        """
+        self._wanted.set()
+        age_s = self._clock.now() - self._began
+        if self.is_complete or age_s >= YOUNG_S:
+            return self.is_complete
+        return await self.wait_for(WAIT_S)
+
+    async def wait_for(self, seconds: float) -> bool:
+        """Wait at most so long; tell whether all is known."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._complete.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def wait_wanted(self) -> None:
+        """Wait until a caller waits for what is not known yet."""
+        await self._wanted.wait()
+
+    def _check(self) -> None:
+        known = self._tables.current is not None
+        if known and self._listing.stamp is not None:
+            self._complete.set()
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -1,14 +1,16 @@
 """Keeping routes, upstreams and hosts in step with the source.
 
-One host reads the source. The first host of each other availability zone
-asks it, and the other hosts of a zone ask their first. Which hosts these are
-follows from their names, without an election. A host that gets nothing fresh
-from the others reads by itself, and a host that the source turns away asks
-the others.
+A host that starts asks the hosts that its settings name, and the source
+only if they have nothing for it or a caller waits. After that one host reads
+the source. The first host of each other availability zone asks it, and the
+other hosts of a zone ask their first. Which hosts these are follows from
+their names, without an election. A host that gets nothing fresh from the
+others reads by itself, and a host that the source turns away asks the others.
 """
 
 import asyncio
 from collections.abc import Iterable
+import contextlib
 import random
 
 import result
@@ -17,6 +19,7 @@
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _peers as peers
 from rudderrock.gateway.knowledge import _sources as sources
@@ -35,13 +38,32 @@
 # which chance varies it so that hosts don't ask in step.
 RETRY_S = 0.5
 FALLBACK_RETRY_S = 2.0
+# All hosts that ask others first make so many tries a second together, at
+# most: whoever finds the source back tells the rest. With a try each 2 s, 195
+# hosts made 1,600 calls in an outage of 17 s.
+FALLBACK_TRIES_PER_S = 5.0
 _SPREAD = 0.15
 # A peer that failed is passed over for this long, in seconds, and one that
 # had nothing fresh for a shorter time, since it is looking for a source too.
 SKIP_S = 4.0
 SKIP_STALE_S = 1.2
+# For so long, in seconds, hosts that start together take what has been passed
+# on often: those that were not up yet are passed over for `SKIP_S`.
+SETTLE_S = SKIP_S + 2.0
 # Peers asked in a row before the source is tried.
 MOST_PEERS = 3
+# How long a host that starts looks for knowledge at its seeds while no caller
+# waits, in seconds, how long one of them may take, and the pause before they
+# are tried again: hosts that start together listen within some 0.3 s of each
+# other. Each host that reads the source at its start makes four calls of it,
+# so 195 that start together some 780, in the second in which all callers wait.
+SEEDS_S = 1.5
+SEED_ANSWER_S = 0.8
+SEEDS_AGAIN_S = 0.1
+# The pause after a peer's answer, in seconds, which nobody notices. Without it
+# two peers that each had something newer than the other were asked in turn
+# without an end.
+NEWS_PAUSE_S = 0.02
 # How long one watch waits at the source, in seconds. A watch that a cut has
 # silenced is thus noticed before a table has to be in force everywhere.
 WATCH_S = 2.0
@@ -56,6 +78,7 @@
         tables: sources.TableHolder,
         listing: directory.Directory,
         hosts: fleet.Fleet,
+        first_knowledge: first.FirstKnowledge,
         changes: peers.ChangeBook,
         clock: core.Clock,
         chance: random.Random,
@@ -68,35 +91,78 @@
         self._tables = tables
         self._listing = listing
         self._hosts = hosts
+        self._first = first_knowledge
         self._changes = changes
         self._clock = clock
         self._chance = chance
         self._events = events
+        seeds = list(seeds)
         self._seeds = fleet.make_seed_entries(seeds, hosts.own)
+        # Seeds that looked to one another would all wait.
+        self._is_seed = len(self._seeds) < len(seeds)
+        # The seed that this host has learnt from at its start.
+        self._helper: fleet.HostEntry | None = None
         self._skip: dict[core.HostId, float] = {}
         self._hosts_read_at = -HOSTS_EVERY_S
         self._began = clock.now()
         self._tried_at = -FALLBACK_RETRY_S
+        # Part of the time between two tries; chance draws another each time.
+        self._retry_part = 1.0
         self._readings = 0
         self._watch: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Follow until cancelled."""
         try:
-            await self._read_source()
+            if not await self._start_from_seeds():
+                await self._read_source()
             while True:
                 await self._step()
         finally:
             self._drop_peer()
             self._stop_watch()
 
+    async def _start_from_seeds(self) -> bool:
+        """Learn all for the first time from a seed; tell whether it did."""
+        if self._is_seed or not self._seeds:
+            return False
+        asking = asyncio.create_task(self._ask_seeds())
+        wanted = asyncio.create_task(self._first.wait_wanted())
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(core.end_task, asking)
+            stack.push_async_callback(core.end_task, wanted)
+            await asyncio.wait(
+                {asking, wanted},
+                timeout=SEEDS_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            return asking.done() and asking.result()
+
+    async def _ask_seeds(self) -> bool:
+        """Ask seeds in an order of chance until one has something fresh."""
+        seeds = list(self._seeds)
+        self._chance.shuffle(seeds)
+        while True:
+            for entry in seeds:
+                client = self._get_client(entry)
+                answer = await client.ask(
+                    self._tables.revision, True, SEED_ANSWER_S
+                )
+                match answer:
+                    case result.Ok(changes):
+                        self._take_over(client, changes)
+                        if changes.is_fresh and self._first.is_complete:
+                            self._helper = entry
+                            return True
+            await asyncio.sleep(SEEDS_AGAIN_S)
+
     async def _step(self) -> None:
         """Learn once more, from the best that there is just now."""
         first = self._is_first_reader()
         if not (first and self._is_due(FALLBACK_RETRY_S)):
             if await self._ask_peers():
                 return
-        retry_s = RETRY_S if first else FALLBACK_RETRY_S
+        retry_s = RETRY_S if first else self._get_fallback_retry_s()
         if self.lost_at is not None and not self._is_due(retry_s):
             await self._pause(RETRY_S)
             return
@@ -105,6 +171,11 @@
         else:
             await self._pause(RETRY_S)
 
+    def _get_fallback_retry_s(self) -> float:
+        """Return the time between two tries of a host that asks others."""
+        all_s = self._hosts.count() / FALLBACK_TRIES_PER_S
+        return max(FALLBACK_RETRY_S, all_s * self._retry_part)
+
     def _is_due(self, retry_s: float) -> bool:
         """Tell whether a source that is lost is to be tried again.
 
@@ -127,10 +198,18 @@
         none.
         """
         now = self._clock.now()
+        if self._hosts.is_listed:
+            # For good: the next peer's list may be older and lack this host,
+            # and to go back and forth would be without a pause.
+            self._helper = None
         ranked = self._hosts.rank_readers()
         own = self._hosts.own.host
         place = [each.host for each in ranked].index(own)
         wanted = ranked[:place]
+        if self._helper is not None:
+            # Until the registry names this host its list is short of others
+            # that have started with it, and the order is not theirs.
+            wanted = [self._helper, *wanted]
         if not (wanted or self._listing.is_keeping):
             # While upstreams are kept only whole listings tell when to drop
             # them, and those are too long to send between zones.
@@ -147,15 +226,13 @@
         """Ask peers in turn until one has something fresh."""
         for entry in self._list_peers():
             client = self._get_client(entry)
-            answer = await client.ask(
-                self._tables.revision, self.lost_at is not None
-            )
+            answer = await client.ask(self._tables.revision, self._takes_any())
             match answer:
                 case result.Ok(changes):
                     self._take_over(client, changes)
                     if self._is_good(changes):
-                        if self._listing.is_keeping:
-                            await self._pause(RETRY_S)
+                        keeping = self._listing.is_keeping
+                        await self._pause(RETRY_S if keeping else NEWS_PAUSE_S)
                         return True
                     ages = f'{changes.age_ms}, {changes.table_age_ms} ms'
                     skip_s = SKIP_S if changes.is_fresh else SKIP_STALE_S
@@ -175,10 +252,30 @@
         """
         if not changes.is_fresh:
             return False
-        if self.lost_at is not None:
+        if self._takes_any():
             return True
         return changes.is_near and changes.origin != self._changes.process
 
+    def _takes_any(self) -> bool:
+        """Tell whether what has been passed on often is good enough.
+
+        It is while the source turns this host away, and at its start: hosts
+        that start together find their order only then, and each would read
+        the source instead.
+        """
+        return self.lost_at is not None or self._is_settling()
+
+    def _is_settling(self) -> bool:
+        return self._clock.now() - self._began < SETTLE_S
+
+    def _is_behind(self, found: list[fleet.HostEntry]) -> bool:
+        """Tell whether a peer that has just started knows fewer hosts.
+
+        With its list this host would know nobody to ask but the source.
+        """
+        named = any(each.host == self._hosts.own.host for each in found)
+        return self._is_settling() and self._hosts.is_listed and not named
+
     def _get_client(self, entry: fleet.HostEntry) -> peers.PeerClient:
         if self.peer is None or self.peer.entry != entry:
             self._drop_peer()
@@ -214,7 +311,9 @@
         if changes.table_age_ms >= 0:
             self._tables.confirm(changes.table_age_ms / 1000)
         if changes.hosts is not None:
-            self._apply_hosts(client.merge_hosts(changes), origin)
+            found = client.merge_hosts(changes)
+            if not self._is_behind(found):
+                self._apply_hosts(found, origin)
         if changes.age_ms < 0:
             return
         stamp = directory.ReadingStamp(
@@ -243,6 +342,7 @@
     async def _read_source(self) -> bool:
         """Read what is due from the source; tell whether it answered."""
         self._tried_at = self._clock.now()
+        self._retry_part = self._chance.uniform(0.5, 1.5)
         match await self._source.list_upstreams():
             case result.Err(problem):
                 self._note_lost('upstreams', problem.detail)
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import collections
+import dataclasses
 import urllib.parse
 import zlib
 
@@ -17,6 +18,7 @@
 from rudderrock.gateway.http import _caller as caller
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _sources as sources
 
@@ -35,6 +37,14 @@
 # each other zone, and from there within the zone. With more, a circle of
 # hosts could take an old reading for a fresh one.
 MOST_HOPS = 1
+# How long a host that has just started holds a question until it knows
+# something, in seconds; it does 0.1 s after it listens.
+FIRST_HOLD_S = 0.5
+# How long a reply that tells all is given to other peers too, in seconds.
+# Hundreds of hosts that start together ask for it at once; to make one of
+# 450 upstreams takes some 3 ms. `KEPT_MS` says how old it is.
+WHOLE_KEPT_S = 0.1
+KEPT_MS = b'rudderrock-kept-ms'
 # Replies from this size on are sent compressed, in bytes: listings and tables
 # of hundreds of entries shrink to a fifth, and cross regions.
 COMPRESS_FROM = 2048
@@ -118,6 +128,7 @@
         listing: directory.Directory,
         hosts: fleet.Fleet,
         tables: sources.TableHolder,
+        first: first.FirstKnowledge,
         clock: core.Clock,
     ):
         self.generation = 0
@@ -125,7 +136,9 @@
         self._listing = listing
         self._hosts = hosts
         self._tables = tables
+        self._first = first
         self._clock = clock
+        self._whole: _WholeReply | None = None
         self._changes: collections.deque[
             tuple[int, directory.DirectoryChange]
         ] = collections.deque(maxlen=MOST_CHANGES)
@@ -152,10 +165,28 @@
             )
         except msgspec.ValidationError as error:
             return messages.Reply(400, [], str(error).encode())
-        if not self._has_news(known) and self._is_of_use(known):
+        if not self._first.is_complete:
+            # It has nothing to tell yet, and will soon.
+            await self._first.wait_for(FIRST_HOLD_S)
+        elif not self._has_news(known) and self._is_of_use(known):
             await self._wait()
+        if known.process != self.process:
+            return self._render_whole(known)
         return render_changes(self.list_changes(known))
 
+    def _render_whole(self, known: Known) -> messages.Reply:
+        """Return all that there is, made once for peers that ask together."""
+        now = self._clock.now()
+        made = self._whole
+        if made is None or made.known != known or now >= made.until:
+            reply = render_changes(self.list_changes(known))
+            kept_s = WHOLE_KEPT_S if self._first.is_complete else 0.0
+            made = _WholeReply(known, now, now + kept_s, reply)
+            self._whole = made
+        late_ms = _to_ms(now - made.made_at)
+        headers = [*made.reply.headers, (KEPT_MS, b'%d' % late_ms)]
+        return messages.Reply(200, headers, made.reply.body)
+
     def list_changes(self, known: Known) -> Changes:
         """Return what a peer lacks."""
         same = known.process == self.process
@@ -263,6 +294,16 @@
         self._news = asyncio.Event()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _WholeReply:
+    """The reply to a question, made at one loop time and kept to another."""
+
+    known: Known
+    made_at: float
+    until: float
+    reply: messages.Reply
+
+
 class PeerClient:
     """Asks one peer for changes, again and again."""
 
@@ -274,7 +315,10 @@
         self._caller = caller.HttpCaller(core.split_address(entry.address))
 
     async def ask(
-        self, table: int, is_lost: bool
+        self,
+        table: int,
+        is_lost: bool,
+        timeout_s: float = HOLD_S + SLACK_S,
     ) -> result.Result[Changes, sources.Unavailable]:
         """Return what is new; `table` is the revision in force here."""
         known = msgspec.structs.replace(
@@ -286,7 +330,7 @@
         fields['is_lost'] = int(is_lost)
         query = urllib.parse.urlencode(fields)
         answer = await self._caller.call(
-            b'GET', f'{PATH}?{query}'.encode(), b'', HOLD_S + SLACK_S
+            b'GET', f'{PATH}?{query}'.encode(), b'', timeout_s
         )
         match answer:
             case result.Err(problem):
@@ -345,7 +389,20 @@
     body = reply.body
     if reply.get_header(DEFLATE[0]) == DEFLATE[1]:
         body = zlib.decompressobj().decompress(body, MOST_REPLY_BYTES)
-    return msgspec.json.decode(body, type=Changes)
+    changes = msgspec.json.decode(body, type=Changes)
+    kept = reply.get_header(KEPT_MS) or b''
+    if not kept.isdigit() or int(kept) == 0:
+        return changes
+    return msgspec.structs.replace(
+        changes,
+        age_ms=_grow_older(changes.age_ms, int(kept)),
+        table_age_ms=_grow_older(changes.table_age_ms, int(kept)),
+    )
+
+
+def _grow_older(age_ms: int, by_ms: int) -> int:
+    """Return an age after some time; -1 stays, as there is no reading."""
+    return age_ms + by_ms if age_ms >= 0 else age_ms
 
 
 def _are_fresh(upstreams_s: float, table_s: float) -> bool:
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -28,22 +28,25 @@
         capacity=settings.capacity,
     )
     hosts = gateway.Fleet(own, settings.assumed_hosts, clock)
+    first = gateway.FirstKnowledge(tables, listing, clock)
     parts = gateway.Parts(
         tables=tables,
         listing=listing,
         hosts=hosts,
+        first=first,
         events=events,
         figures=gateway.GatewayMetrics(),
         clock=clock,
         chance=draw('replicas'),
     )
     process = f'{settings.host}/{draw("process").getrandbits(64):x}'
-    changes = gateway.ChangeBook(process, listing, hosts, tables, clock)
+    changes = gateway.ChangeBook(process, listing, hosts, tables, first, clock)
     follower = gateway.Follower(
         source,
         tables,
         listing,
         hosts,
+        first,
         changes,
         clock,
         draw('source'),
