--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -36,6 +36,27 @@
     When it is read
     Then the problem names "soon"
 
+  Scenario Outline: the strength of a host is read: <share> of <cores>, <link> Mbit/s
+    Given a settings file that says cpu_share <share>, cores <cores> and link_mbps <link>
+    When it is read
+    Then the host has <speed> cores, a link of <bytes> bytes a second and the capacity <capacity>
+
+    Examples:
+      | share | cores | link | speed | bytes    | capacity |
+      | 0.5   | 3     | 100  | 1.5   | 12500000 | 150      |
+      | 0.25  | 2     | none | 0.5   | 0        | 0.5      |
+
+  Scenario Outline: a strength that can't be is refused: <field> <value>
+    Given a settings file with the field "<field>" as "<value>"
+    When it is read
+    Then the problem names "<field> must be above 0, not <value>"
+
+    Examples:
+      | field            | value |
+      | limits.cpu_share | 0     |
+      | limits.cores     | -1    |
+      | limits.link_mbps | inf   |
+
   Scenario: a settings file that is not there is refused
     When a settings file that is not there is read
     Then the problem names "No such file"
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -64,6 +64,34 @@
     write_file(context, text)
 
 
+@given(
+    r'a settings file that says cpu_share (\S+), cores (\S+) and link_mbps '
+    r'(\S+)'
+)
+def make_strong_file(context, share, cores, link):
+    fields = {
+        'limits.cpu_share': share,
+        'limits.cores': cores,
+        'limits.link_mbps': link,
+    }
+    told = {name: value for name, value in fields.items() if value != 'none'}
+    text = platform_standins.make_boot(
+        '10.0.0.1', 8104, '%s:%d' % _STORE, **told
+    )
+    write_file(context, text)
+
+
+@then(
+    r'the host has ([\d.]+) cores, a link of (\d+) bytes a second and the '
+    r'capacity ([\d.]+)'
+)
+def check_strength(context, cores, link, capacity):
+    settings = context.boot.ok_value.settings
+    assert settings.cores == float(cores), settings
+    assert settings.link_bytes_s == float(link), settings
+    assert settings.capacity == float(capacity), settings
+
+
 @given(r'a settings file without the field "([^"]+)"')
 def make_short_file(context, field):
     text = platform_standins.make_boot('10.0.0.1', 8104, '%s:%d' % _STORE)
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -23,13 +23,18 @@
 _REGIONS = {_NORTH: 'north', _SOUTH: 'south'}
 
 
-def start_fleet(context, north, south, upstream, service):
-    """Start gateways in two zones over one source, and one route."""
+def make_fleet(context, upstream, service):
+    """Make a source with one upstream and one route, for gateways."""
     bench = gateway_steps.get(context)
     bench.add_route('/notes/', gateway.Single(service))
     run(context, bench.add_upstream(upstream, service))
     bench.publish()
     context.fleet = gateway_bench.FleetBench(bench, context.stack)
+
+
+def start_fleet(context, north, south, upstream, service):
+    """Start gateways in two zones over one source, and one route."""
+    make_fleet(context, upstream, service)
     zones = [_NORTH] * north + [_SOUTH] * south
     run(context, context.fleet.start(zones))
 
@@ -132,12 +137,8 @@
     r'upstream "([^"]+)" of "([^"]+)"'
 )
 def start_together(context, seeds, others, upstream, service):
-    bench = gateway_steps.get(context)
-    bench.add_route('/notes/', gateway.Single(service))
-    run(context, bench.add_upstream(upstream, service))
-    bench.publish()
-    context.fleet = gateway_bench.FleetBench(bench, context.stack)
-    bench.keep_log()
+    make_fleet(context, upstream, service)
+    gateway_steps.get(context).keep_log()
     context.seeds = tuple(
         (f'10.0.1.{number}', 8003) for number in range(1, int(seeds) + 1)
     )
--- a/features/steps/wide_load.py
+++ b/features/steps/wide_load.py
@@ -152,3 +152,21 @@
 @then(r'a query with a goal of ([\d.]+) seconds has (room|none)')
 def check_room(context, goal_s, answer):
     assert context.meter.has_room(float(goal_s)) is (answer == 'room')
+
+
+@when(r'one gateway with a wide link sends queries back with nonsense')
+def send_nonsense(context):
+    async def refuse(request):
+        return gateway.Reply(
+            503, [(b'rudderrock-not-taken', b'full ' + b'nonsense' * 500)]
+        )
+
+    context.fleet.members[context.wide[0]].process.peers.handle = refuse
+
+
+@then(r'lines say that it gave no reason that is known')
+def check_no_nonsense(context):
+    lines = gateway_checks.list_lines(context, 'peer_skipped')
+    told = [line['detail'] for line in lines if 'query' in line['detail']]
+    assert told
+    assert set(told) == {'did not take a query: no reason that is known'}, told
--- a/features/wide_load.feature
+++ b/features/wide_load.feature
@@ -48,3 +48,10 @@
     And its queries ask 87 shards and receive 87000 bytes
     When it begins 1 queries at once
     Then the next is delayed by 2.6 ms
+
+  Scenario: what a host says that is no reason is not repeated in the log
+    Given 6 gateways before 60 shards, of which 2 have a wide link
+    When one gateway with a wide link sends queries back with nonsense
+    And every gateway is asked for all shards 2 times
+    Then every answer is whole
+    And lines say that it gave no reason that is known
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -13,6 +13,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import re
 
 import result
 
@@ -104,6 +105,12 @@
     FULL = 'full'
 
 
+# What a host may say in `NOT_TAKEN`; anything else is not repeated in a line.
+_REASON = re.compile(
+    '|'.join(each.value for each in NotTaken) + r'( \d{1,6} ms)?'
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PartAnswer:
     """What a host of another zone brings of some shards.
@@ -337,6 +344,8 @@
     ) -> result.Err[caller.NoReply]:
         """Pass over a host that has sent a query back, by its reason."""
         why = (reply.get_header(NOT_TAKEN) or b'').decode('latin-1')
+        if not _REASON.fullmatch(why):
+            why = 'no reason that is known'
         detail = f'did not take a query: {why}'
         is_full = why.startswith(NotTaken.FULL.value)
         pause_s = FULL_PAUSE_S if is_full else NOT_TAKEN_PAUSE_S
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -1,6 +1,7 @@
 """The platform's settings file: lines of `a.b=value`, lists by commas."""
 
 import dataclasses
+import math
 import pathlib
 
 import result
@@ -92,9 +93,20 @@
 def _get_cores(fields: dict[str, str]) -> float:
     # `cores` says how fast the one core is, `cpu_share` how much of it the
     # process may use.
-    share = float(fields.get('limits.cpu_share', '1'))
-    return share * float(fields.get('limits.cores', '1'))
+    share = _get_positive(fields, 'limits.cpu_share', 1.0)
+    return share * _get_positive(fields, 'limits.cores', 1.0)
 
 
 def _get_link_mbps(fields: dict[str, str]) -> float:
-    return float(fields.get('limits.link_mbps', '0'))
+    """Return the speed of the link, 0 if it is not told."""
+    return _get_positive(fields, 'limits.link_mbps', 0.0)
+
+
+def _get_positive(fields: dict[str, str], name: str, default: float) -> float:
+    """Return a number above 0, or the default where none is given."""
+    if name not in fields:
+        return default
+    value = float(fields[name])
+    if not 0 < value < math.inf:
+        raise ValueError(f'{name} must be above 0, not {fields[name]}')
+    return value
