--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -128,6 +128,114 @@
     Then it finds 3 ready and 0 draining ones
     And one problem is told
 
+  Scenario Outline: an entry of another writer names no upstream: <what>
+    Given a platform store
+    And 3 servers are registered, 0 of them draining
+    And a server's entry has <what>
+    When the source lists the upstreams
+    Then it finds 3 ready and 0 draining ones
+    And one problem is told
+
+    Examples:
+      | what                                   |
+      | no service                             |
+      | no address                             |
+      | no zone                                |
+      | no version                             |
+      | no slots                               |
+      | no state                               |
+      | no warmup_left_ms                      |
+      | no sequence                            |
+      | {"state": "resting"} in place          |
+      | {"slots": "two"} in place              |
+      | {"sequence": 1.5} in place             |
+      | {"sequence": 1e400} in place           |
+      | {"born": "now"} in place               |
+      | {"born": 1.5} in place                 |
+      | {"warmup_left_ms": -1} in place        |
+      | {"address": "nowhere"} in place        |
+      | {"address": 7} in place                |
+      | {"zone": null} in place                |
+      | an unknown field nested too deep       |
+      | bytes that are not text                |
+      | a value that is not base64             |
+
+  Scenario: an entry may say when its upstream was born and how long it is cold
+    Given a platform store
+    And a server's entry has {"born": 1790000000123, "warmup_left_ms": 1500, "sequence": 7} in place
+    When the source lists the upstreams
+    Then the upstream was born at 1790000000123, is at sequence 7 and cold for 1.5 seconds
+
+  Scenario: whatever an entry holds, it is an upstream or a problem
+    Then 500 entries of any kind are decoded to an upstream or a problem
+
+  Scenario: an odd entry is told once while it lasts
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    And 3 servers are registered, 0 of them draining
+    And a server's entry has no zone
+    And a gateway over the store whose log is kept
+    When 6 seconds pass
+    Then the log has 1 line of the kind "entry_rejected"
+
+  Scenario: regions and warm-up figures are read
+    Given a platform store
+    And the operator writes a route within "sierra" and "costa" whose service stands 4.5 a second for 3 seconds
+    When the source reads the table
+    Then the route is within "sierra" and "costa"
+    And its service is cold for 3 seconds and stands 4.5 a second
+
+  Scenario Outline: a warm-up that can't be is told as a problem: <figure> of <value>
+    Given a platform store
+    And the operator writes a service with <figure> of <value>
+    When the source reads the table
+    Then the reading has a problem and no table
+
+    Examples:
+      | figure       | value |
+      | warmup_s     | -1    |
+      | warmup_per_s | -0.5  |
+      | warmup_per_s | 1e999 |
+
+  Scenario: evacuations are read with the table
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    And the operator evacuates "north-1"
+    When the source reads the table
+    Then the table has version 7 and 3 routes
+    And the evacuated zones are "north-1"
+
+  Scenario: evacuations are read where there is no table yet
+    Given a platform store
+    And the operator evacuates "north-1"
+    When the source reads the table
+    Then there is no table and no problem
+    And the evacuated zones are "north-1"
+
+  Scenario Outline: a watch tells of evacuations: <what>
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    And the operator evacuates "north-1"
+    When the operator <what> while the source watches
+    Then the evacuated zones are "<zones>"
+
+    Examples:
+      | what                   | zones           |
+      | evacuates "south-1"    | north-1,south-1 |
+      | gives "north-1" back   |                 |
+
+  Scenario Outline: bounds of cold upstreams that can't be are refused: <field> <value>
+    Given a settings file with the field "<field>" as "<value>"
+    When it is read
+    Then the problem names "<field> must"
+
+    Examples:
+      | field                  | value |
+      | bounds.warmup_overage  | 0     |
+      | bounds.warmup_overage  | nan   |
+      | bounds.warmup_slack    | -1    |
+      | bounds.warmup_slack    | inf   |
+
   Scenario: a host registers, renews and withdraws
     Given a platform store
     When a host registers for 3 seconds
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -11,6 +11,7 @@
 from rudderrock.gateway._process import ProcessState
 from rudderrock.gateway._settings import GatewaySettings
 from rudderrock.gateway.decisions._budget import ExtraBudget
+from rudderrock.gateway.decisions._cold import ColdLimits
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaBook
 from rudderrock.gateway.decisions._shares import LinkShare
@@ -43,6 +44,8 @@
 from rudderrock.gateway.knowledge._directory import Endpoint
 from rudderrock.gateway.knowledge._directory import Phase
 from rudderrock.gateway.knowledge._directory import ReadingStamp
+from rudderrock.gateway.knowledge._evacuations import EvacuationHolder
+from rudderrock.gateway.knowledge._evacuations import Evacuations
 from rudderrock.gateway.knowledge._first import FirstKnowledge
 from rudderrock.gateway.knowledge._fleet import Fleet
 from rudderrock.gateway.knowledge._fleet import HostEntry
@@ -53,7 +56,11 @@
 from rudderrock.gateway.knowledge._peers import PeerClient
 from rudderrock.gateway.knowledge._peers import read_changes
 from rudderrock.gateway.knowledge._peers import render_changes
+from rudderrock.gateway.knowledge._place import Anywhere
 from rudderrock.gateway.knowledge._place import Place
+from rudderrock.gateway.knowledge._place import RegionId
+from rudderrock.gateway.knowledge._place import Residency
+from rudderrock.gateway.knowledge._place import Within
 from rudderrock.gateway.knowledge._registration import Registration
 from rudderrock.gateway.knowledge._routing import IntakeLimits
 from rudderrock.gateway.knowledge._routing import NO_VERSION
@@ -78,12 +85,16 @@
 from rudderrock.gateway.knowledge._sources import UpstreamReading
 
 __all__ = [
+    'Anywhere',
     'ChangeBook',
     'Changes',
+    'ColdLimits',
     'Counters',
     'Directory',
     'DirectoryChange',
     'Endpoint',
+    'EvacuationHolder',
+    'Evacuations',
     'EventLog',
     'Exchange',
     'ExtraBudget',
@@ -117,6 +128,7 @@
     'Place',
     'Pool',
     'ProcessState',
+    'RegionId',
     'Registration',
     'ReadingStamp',
     'Repeat',
@@ -124,6 +136,7 @@
     'ReplicaBook',
     'Reply',
     'Request',
+    'Residency',
     'Result',
     'Route',
     'RouteName',
@@ -142,6 +155,7 @@
     'Unavailable',
     'UpstreamReading',
     'Verdict',
+    'Within',
     'WorkKind',
     'WorkMeter',
     'drop_connection_headers',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -25,6 +25,7 @@
     TABLE_REJECTED = 'table_rejected'
     UPSTREAMS_CHANGED = 'upstreams_changed'
     ENTRY_REJECTED = 'entry_rejected'
+    EVACUATIONS_CHANGED = 'evacuations_changed'
     HOSTS_CHANGED = 'hosts_changed'
     READING_FROM = 'reading_from'
     PEER_SKIPPED = 'peer_skipped'
@@ -107,6 +108,12 @@
     LogKind.ENTRY_REJECTED: KindInfo(
         'The registration of an upstream can not be read.', ('problem',)
     ),
+    LogKind.EVACUATIONS_CHANGED: KindInfo(
+        'Zones whose upstreams get nothing from now on (`begun`) or get work '
+        'again (`ended`), as of a revision of the source; `unknown` are '
+        'evacuated zones that the settings do not name.',
+        ('revision', 'begun', 'ended', 'unknown', 'origin'),
+    ),
     LogKind.HOSTS_CHANGED: KindInfo(
         'The registered hosts, and how many count for budgets and '
         'connections.',
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -22,7 +22,9 @@
     hosts. `stop_s` is how long a planned stop may take before the process
     is killed. `cores` is the speed of this host's processor in whole cores and
     `link_bytes_s` that of its link, 0 if unknown; `capacity` compares it with
-    other hosts: cores times the bandwidth of the link in Mbit/s. `seeds`
+    other hosts: cores times the bandwidth of the link in Mbit/s. All hosts
+    together may send to a cold upstream, in any one second, `warmup_overage`
+    times the rate that its service names and `warmup_slack` more. `seeds`
     are where some hosts serve their peers, for a host that starts while the
     source does not answer; they may be out of date.
     """
@@ -37,6 +39,8 @@
     extra_ratio: float = 0.2
     extra_window_s: float = 10.0
     extra_slack: float = 20.0
+    warmup_overage: float = 1.0
+    warmup_slack: float = 0.0
     stop_s: float = 6.0
     cores: float = 1.0
     link_bytes_s: float = 0.0
--- a/rudderrock/gateway/decisions/_replicas.py
+++ b/rudderrock/gateway/decisions/_replicas.py
@@ -5,6 +5,7 @@
 from typing import Protocol
 
 from rudderrock import core
+from rudderrock.gateway.decisions import _cold as cold
 from rudderrock.gateway.decisions import _shares as shares
 from rudderrock.gateway.http import _dialect as dialect
 from rudderrock.gateway.http import _pool as pool
@@ -101,8 +102,10 @@
         clock: core.Clock,
         source: random.Random,
         needs: ConnectionNeeds,
+        cold_limits: cold.ColdLimits,
     ):
         self.dials = 0
+        self._cold = cold_limits
         self._listing = listing
         self._place = place
         self._names = names
@@ -113,20 +116,32 @@
         self._retired: list[Replica] = []
         listing.add_listener(self._on_change)
 
-    def list_ready(self, service: routing.ServiceName) -> list[Replica]:
-        """Return the replicas of a service that take new work."""
+    def list_ready(
+        self, service: routing.ServiceName, residency: place.Residency
+    ) -> list[Replica]:
+        """Return the replicas of a service that may be sent a request.
+
+        They take new work and are where the request may be handled.
+        """
         return [
             self._get_replica(endpoint)
             for endpoint in self._listing.list_ready(service)
+            if self._place.allows(residency, endpoint.zone)
         ]
 
-    def has_ready(self, service: routing.ServiceName) -> bool:
-        """Tell whether a service has an upstream that takes new work."""
-        return bool(self._listing.list_ready(service))
+    def has_ready(
+        self, service: routing.ServiceName, residency: place.Residency
+    ) -> bool:
+        """Tell whether a service has an upstream for a request."""
+        return any(
+            self._place.allows(residency, endpoint.zone)
+            for endpoint in self._listing.list_ready(service)
+        )
 
     def choose(
         self,
         service: routing.ServiceName,
+        residency: place.Residency,
         late_s: float,
         tried: tuple[core.UpstreamId, ...] = (),
     ) -> Replica | None:
@@ -138,9 +153,11 @@
         now = self._clock.now()
         best = None
         best_key = None
-        for replica in self.list_ready(service):
+        for replica in self.list_ready(service, residency):
             if replica.endpoint.upstream in tried or replica.is_gone(now):
                 continue
+            if not self._cold.admits(replica.endpoint):
+                continue
             suspect = replica.is_suspect(now, late_s)
             key = (
                 suspect,
@@ -155,13 +172,16 @@
         return best
 
     def list_nearest(
-        self, service: routing.ServiceName, late_s: float
+        self,
+        service: routing.ServiceName,
+        residency: place.Residency,
+        late_s: float,
     ) -> list[Replica]:
         """Return the replicas nearest of those that nothing speaks against."""
         now = self._clock.now()
         found = [
             replica
-            for replica in self.list_ready(service)
+            for replica in self.list_ready(service, residency)
             if not replica.is_gone(now)
             and not replica.is_suspect(now, late_s)
             and not replica.links.is_full
@@ -175,14 +195,17 @@
 
     def has_nearest(self, service: routing.ServiceName) -> bool:
         """Tell whether a replica of a service is in this host's zone."""
-        return any(each.distance == 0 for each in self.list_ready(service))
+        return any(
+            self._place.get_distance(endpoint.zone) == 0
+            for endpoint in self._listing.list_ready(service)
+        )
 
     def warm(self, service: routing.ServiceName) -> None:
         """Open a connection to the nearest replicas of a service.
 
         None where this host's share is less than one.
         """
-        found = self.list_ready(service)
+        found = self.list_ready(service, place.Anywhere())
         if not found:
             return
         nearest = min(replica.distance for replica in found)
@@ -203,6 +226,10 @@
         for replica in self._replicas.values():
             replica.links.drop_idle()
 
+    def note_sent(self, endpoint: directory.Endpoint) -> None:
+        """Take note of a request that is sent to an upstream."""
+        self._cold.note_sent(endpoint)
+
     def set_caps(self) -> None:
         """Bring all pools to the present bounds on connections."""
         for replica in self._replicas.values():
--- a/rudderrock/gateway/forwarding/_connections.py
+++ b/rudderrock/gateway/forwarding/_connections.py
@@ -1,5 +1,6 @@
 """Which connections this host needs, and how many of them it may open."""
 
+from rudderrock import core
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.decisions import _shares as shares
 from rudderrock.gateway.forwarding import _delegate as delegate
@@ -98,11 +99,30 @@
                 wanted.update(filter(book.has_nearest, services))
         return wanted
 
+    def find_service(
+        self, service: routing.ServiceName
+    ) -> routing.Service | None:
+        """Return what the table in force says of a service, if anything."""
+        table = self._tables.current
+        return table.services.get(service) if table is not None else None
+
+    def list_senders(self, endpoint: directory.Endpoint) -> list[core.HostId]:
+        """Return the hosts that send to an upstream while it is cold.
+
+        They are the ones of its zone, which are the nearest and ask it for
+        others; all hosts where that zone has none.
+        """
+        zone = endpoint.zone
+        if endpoint.service in self._wide_only:
+            found = self._delegation.coordinators.list_regular(zone)
+        else:
+            found = self._hosts.rank_zone(zone)
+        return [each.host for each in found or self._hosts.list_hosts()]
+
     def get_share(self, endpoint: directory.Endpoint) -> shares.LinkShare:
         """Return what this host may open to one upstream."""
-        table = self._tables.current
         service = endpoint.service
-        found = table.services.get(service) if table is not None else None
+        found = self.find_service(service)
         is_wide = service in self._wide_only
         coordinators = self._delegation.coordinators
         counts = self._hosts.count_by_zone()
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -170,7 +170,9 @@
         """
         book = self._tools.book
         lacking = [
-            each for each in self.pursuits if not book.has_ready(each.service)
+            each
+            for each in self.pursuits
+            if not book.has_ready(each.service, self._call.route.residency)
         ]
         if self._may_suffice(len(lacking)):
             return False
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -11,6 +11,7 @@
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway.decisions import _admission as admission
 from rudderrock.gateway.decisions import _budget as budget
+from rudderrock.gateway.decisions import _cold as cold
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.decisions import _work as work
 from rudderrock.gateway.forwarding import _calls as calls
@@ -21,6 +22,7 @@
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _routing as routing
@@ -38,6 +40,7 @@
     """What the composition root has made for a gateway."""
 
     tables: sources.TableHolder
+    evacuations: evacuations.EvacuationHolder
     listing: directory.Directory
     hosts: fleet.Fleet
     first: first.FirstKnowledge
@@ -65,6 +68,15 @@
             config.place,
             self.delegation,
         )
+        self.cold_limits = cold.ColdLimits(
+            parts.listing,
+            parts.clock,
+            parts.hosts.own.host,
+            config.warmup_overage,
+            config.warmup_slack,
+            self._connections.list_senders,
+            self._connections.find_service,
+        )
         self.book = replicas.ReplicaBook(
             parts.listing,
             config.place,
@@ -72,6 +84,7 @@
             parts.clock,
             parts.chance,
             self._connections,
+            self.cold_limits,
         )
         self.counters = calls.Counters()
         self.admission = admission.Admission(parts.clock)
@@ -96,6 +109,7 @@
         )
         parts.tables.add_listener(self._on_table)
         parts.hosts.add_listener(self._on_hosts)
+        parts.evacuations.add_listener(self._on_evacuations)
 
     @property
     def is_ready(self) -> bool:
@@ -239,9 +253,7 @@
                 return found
             case routing.Scatter():
                 rank = table.get_rank(route)
-                if may_delegate and self._connections.is_wide(
-                    route.target.shards
-                ):
+                if may_delegate and self._may_hand_over(route):
                     return await self._run_wide(
                         call, route.target, point, rank
                     )
@@ -249,6 +261,17 @@
                     call, route.target, point, rank
                 )
 
+    def _may_hand_over(self, route: routing.Route) -> bool:
+        """Tell whether another host of this zone may run a query.
+
+        Where its data must not be, only the host that the caller has chosen
+        may have it.
+        """
+        config = self._config.place
+        return self._connections.is_wide(
+            route.target.shards
+        ) and config.allows(route.residency, config.zone)
+
     async def _run_wide(
         self,
         call: calls.Call,
@@ -362,6 +385,22 @@
         self.book.set_caps()
         self._connections.warm(self.book)
 
+    def _on_evacuations(self, found: evacuations.Evacuations) -> None:
+        """Leave evacuated zones, and enter those that are given back.
+
+        Upstreams there may have become cold just before, and their entries
+        tell of it later.
+        """
+        listing = self._parts.listing
+        change = listing.set_evacuated(found.zones)
+        if change is None:
+            return
+        for upstream in change.added:
+            entry = listing.get_endpoint(upstream)
+            service = self._connections.find_service(entry.service)
+            if service is not None and service.warmup_per_s > 0.0:
+                listing.note_cold(upstream, service.warmup_s)
+
     def get_extra_slack(self, service: routing.ServiceName) -> float:
         """Return the extra requests that are always allowed in a window."""
         return self._connections.share_slack(service, self._config.extra_slack)
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -162,7 +162,9 @@
     nearest = {}
     able: dict[core.ZoneId, bool] = {}
     for each in pursuits:
-        found = book.list_nearest(each.service, call.late_s)
+        found = book.list_nearest(
+            each.service, call.route.residency, call.late_s
+        )
         if not found or found[0].distance == 0:
             continue
         zones = {}
--- a/rudderrock/gateway/forwarding/_pursuit.py
+++ b/rudderrock/gateway/forwarding/_pursuit.py
@@ -187,7 +187,9 @@
 
     def _has_attempts_for_all(self) -> bool:
         """Tell whether each replica of the service may be sent the call."""
-        ready = self._tools.book.list_ready(self.service)
+        ready = self._tools.book.list_ready(
+            self.service, self._call.route.residency
+        )
         return len(ready) <= self._call.route.max_attempts
 
     def skip(self, detail: str) -> None:
@@ -229,7 +231,10 @@
 
     def _choose(self) -> replicas.Replica | None:
         return self._tools.book.choose(
-            self.service, self._call.late_s, self._tried
+            self.service,
+            self._call.route.residency,
+            self._call.late_s,
+            self._tried,
         )
 
     def _may_send_again(self) -> bool:
@@ -258,6 +263,7 @@
         attempt = Attempt(replica, exchange, tools.loop.time())
         self._attempts.append(attempt)
         self.sent += 1
+        tools.book.note_sent(replica.endpoint)
         replica.links.submit(exchange)
 
     def _on_outcome(self, attempt: Attempt, outcome: link.Outcome) -> None:
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -16,6 +16,9 @@
 # there was a reading this lately, of this host or of a peer, the registry
 # was not away for long enough to lose one that lives.
 SHORT_GAP_S = 2.2
+# Ids that have left and whose last entries are remembered. A day of 600
+# upstreams that are all replaced once needs as many.
+MOST_REMEMBERED = 4096
 
 
 class Phase(enum.Enum):
@@ -29,8 +32,13 @@
 class Endpoint:
     """One registered upstream.
 
-    `address` is an IP number and a port. `upstream` is the id of one
-    incarnation: a restarted upstream registers under another id.
+    `address` is an IP number and a port. `born` is the start of the
+    upstream's life as a Unix time in milliseconds, 0 if it does not say:
+    an upstream may start again under its id, and then knows nothing of
+    before. `sequence` counts what it has said in that life, so of two
+    entries the one with the greater `life_order` was written later, whatever
+    the order in which they came. It is no change by itself. For
+    `warmup_left_s` from the reading on it is cold.
     """
 
     upstream: core.UpstreamId
@@ -39,14 +47,32 @@
     zone: core.ZoneId
     slots: int
     phase: Phase
+    born: int = 0
+    sequence: int = dataclasses.field(default=0, compare=False)
+    warmup_left_s: float = 0.0
+
+    @property
+    def life_order(self) -> tuple[int, int]:
+        """Return what orders the entries of one id."""
+        return self.born, self.sequence
+
+    def is_same_life(self, other: 'Endpoint') -> bool:
+        """Tell whether what was known of another entry still holds."""
+        return (self.born, self.address, self.service) == (
+            other.born,
+            other.address,
+            other.service,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class DirectoryChange:
     """What one reading changed; ids of upstreams.
 
-    `left` are those that no longer take new work, `held` those that the
-    reading lacked and that are kept, `touched` all that differ.
+    `added` are those that take new work from now on, `left` those that no
+    longer do, `held` those that the reading lacked and that are kept,
+    `touched` all that differ. One that has started again under its id is
+    among `left` for its former life and among `added` for the new one.
     """
 
     added: tuple[core.UpstreamId, ...]
@@ -77,6 +103,7 @@
 
     A reading that follows an outage of the registry may lack upstreams
     that live; these are kept until the time given to `hold_for` is over.
+    Those in evacuated zones are known and take no new work.
     """
 
     def __init__(self, clock: core.Clock):
@@ -84,6 +111,11 @@
         self.revision = 0
         self._clock = clock
         self._endpoints: dict[core.UpstreamId, Endpoint] = {}
+        self._evacuated: frozenset[core.ZoneId] = frozenset()
+        # The last that was said under each id, also by those that are gone,
+        # so that an entry from before is not taken for a new one.
+        self._last_said: dict[core.UpstreamId, tuple[int, int]] = {}
+        self._cold_until: dict[core.UpstreamId, float] = {}
         self._ready: dict[routing.ServiceName, tuple[Endpoint, ...]] = {}
         self._hold_until = 0.0
         self._held: frozenset[core.UpstreamId] = frozenset()
@@ -128,6 +160,37 @@
         """Return every upstream that is registered or kept."""
         return tuple(self._endpoints.values())
 
+    def get_cold_s(self, upstream: core.UpstreamId) -> float:
+        """Return for how long an upstream is still cold, 0 if it is not."""
+        until = self._cold_until.get(upstream, 0.0)
+        return max(0.0, until - self._clock.now())
+
+    def count_cold(self) -> int:
+        """Return how many upstreams are cold."""
+        now = self._clock.now()
+        return sum(until > now for until in self._cold_until.values())
+
+    def note_cold(self, upstream: core.UpstreamId, seconds: float) -> None:
+        """Take an upstream to be cold for so long from now, or longer."""
+        until = self._clock.now() + seconds
+        self._cold_until[upstream] = max(
+            until, self._cold_until.get(upstream, 0.0)
+        )
+
+    def set_evacuated(
+        self, zones: frozenset[core.ZoneId]
+    ) -> DirectoryChange | None:
+        """Give no new work to the upstreams of some zones, and to no others.
+
+        Returns what that changed, if anything.
+        """
+        if zones == self._evacuated:
+            return None
+        self._evacuated = zones
+        change = self._compare(self._endpoints, self._held, regroup=True)
+        self._tell(change)
+        return change
+
     def hold_for(self, seconds: float) -> None:
         """Keep upstreams that readings lack for this long from now."""
         until = self._clock.now() + seconds
@@ -174,62 +237,124 @@
             self._seen[stamp.origin] = stamp.number
             if self.stamp is None or stamp.read_at > self.stamp.read_at:
                 self.stamp = stamp
-        change = self._compare(found)
-        if change is not None:
-            for call in self._listeners:
-                call(change)
+        change = self._update(self._keep_newest(found), self._hold(found))
         if is_new:
             for read in self._readers:
                 read()
         return change
 
-    def _compare(
+    def _hold(
         self, found: dict[core.UpstreamId, Endpoint]
-    ) -> DirectoryChange | None:
+    ) -> frozenset[core.UpstreamId]:
+        """Return what is kept though a reading lacks it."""
         missing = self._endpoints.keys() - found.keys()
-        held = frozenset(missing if self.hold_s > 0 else ())
-        self._held = held
-        for upstream in held:
-            found[upstream] = self._endpoints[upstream]
-        if found == self._endpoints:
+        self._held = frozenset(missing if self.hold_s > 0 else ())
+        return self._held
+
+    def _keep_newest(
+        self, found: dict[core.UpstreamId, Endpoint]
+    ) -> dict[core.UpstreamId, Endpoint]:
+        """Return a reading without what was said before something known.
+
+        An entry that was written late may be in the registry after a newer
+        one; it would have a draining upstream take new work again.
+        """
+        newest = {}
+        for upstream, entry in found.items():
+            if entry.life_order >= self._last_said.get(upstream, (0, 0)):
+                newest[upstream] = entry
+            elif upstream in self._endpoints:
+                newest[upstream] = self._endpoints[upstream]
+        self._remember(newest)
+        return newest
+
+    def _remember(self, found: dict[core.UpstreamId, Endpoint]) -> None:
+        self._last_said.update(
+            {name: entry.life_order for name, entry in found.items()}
+        )
+        excess = len(self._last_said) - len(found) - MOST_REMEMBERED
+        if excess > 0:
+            gone = [name for name in self._last_said if name not in found]
+            for name in gone[:excess]:
+                del self._last_said[name]
+
+    def _update(
+        self,
+        found: dict[core.UpstreamId, Endpoint],
+        held: frozenset[core.UpstreamId],
+    ) -> DirectoryChange | None:
+        """Put what is there in force; tell listeners if it is a change."""
+        before = self._endpoints
+        kept = {upstream: before[upstream] for upstream in held}
+        self._endpoints = {**found, **kept}
+        change = self._compare(before, held)
+        self._tell(change)
+        return change
+
+    def _tell(self, change: DirectoryChange | None) -> None:
+        if change is not None:
+            for call in self._listeners:
+                call(change)
+
+    def _compare(
+        self,
+        before: dict[core.UpstreamId, Endpoint],
+        held: frozenset[core.UpstreamId],
+        regroup: bool = False,
+    ) -> DirectoryChange | None:
+        """Return what has changed; group the upstreams anew if needed."""
+        now = self._endpoints
+        touched = [
+            upstream
+            for upstream in before.keys() | now.keys()
+            if before.get(upstream) != now.get(upstream)
+        ]
+        if not (touched or regroup):
             return None
-        before, self._endpoints = self._endpoints, found
-        self._ready = _group_ready(found.values())
-        return _compare(before, found, held)
-
-
-def _compare(
-    before: dict[core.UpstreamId, Endpoint],
-    now: dict[core.UpstreamId, Endpoint],
-    held: Iterable[core.UpstreamId],
-) -> DirectoryChange:
-    left = [
-        upstream
-        for upstream, old in before.items()
-        if old.phase is Phase.READY and not _is_ready(now.get(upstream))
-    ]
-    touched = [
-        upstream
-        for upstream in before.keys() | now.keys()
-        if before.get(upstream) != now.get(upstream)
-    ]
-    return DirectoryChange(
-        added=tuple(sorted(now.keys() - before.keys())),
-        left=tuple(sorted(left)),
-        held=tuple(sorted(held)),
-        touched=tuple(sorted(touched)),
-    )
-
-
-def _is_ready(endpoint: Endpoint | None) -> bool:
-    return endpoint is not None and endpoint.phase is Phase.READY
-
-
-def _group_ready(
-    endpoints: Iterable[Endpoint],
-) -> dict[routing.ServiceName, tuple[Endpoint, ...]]:
-    grouped: dict[routing.ServiceName, list[Endpoint]] = {}
-    for endpoint in endpoints:
-        if endpoint.phase is Phase.READY:
-            grouped.setdefault(endpoint.service, []).append(endpoint)
-    return {service: tuple(found) for service, found in grouped.items()}
+        self._note_warmups(touched)
+        usable_before = _list_grouped(self._ready)
+        self._ready = self._group_ready()
+        usable = _list_grouped(self._ready)
+        reborn = {
+            upstream
+            for upstream in usable.keys() & usable_before.keys()
+            if not usable[upstream].is_same_life(usable_before[upstream])
+        }
+        added = usable.keys() - usable_before.keys() | reborn
+        left = usable_before.keys() - usable.keys() | reborn
+        return DirectoryChange(
+            added=tuple(sorted(added)),
+            left=tuple(sorted(left)),
+            held=tuple(sorted(held)),
+            touched=tuple(sorted(touched)),
+        )
+
+    def _note_warmups(self, touched: Iterable[core.UpstreamId]) -> None:
+        """Take over how long changed entries say they are still cold."""
+        read_at = self.stamp.read_at if self.stamp else self._clock.now()
+        for upstream in touched:
+            entry = self._endpoints.get(upstream)
+            if entry is None or entry.warmup_left_s <= 0.0:
+                self._cold_until.pop(upstream, None)
+            else:
+                self._cold_until[upstream] = read_at + entry.warmup_left_s
+
+    def _group_ready(
+        self,
+    ) -> dict[routing.ServiceName, tuple[Endpoint, ...]]:
+        grouped: dict[routing.ServiceName, list[Endpoint]] = {}
+        for entry in self._endpoints.values():
+            if entry.phase is not Phase.READY:
+                continue
+            if entry.zone not in self._evacuated:
+                grouped.setdefault(entry.service, []).append(entry)
+        return {service: tuple(found) for service, found in grouped.items()}
+
+
+def _list_grouped(
+    ready: dict[routing.ServiceName, tuple[Endpoint, ...]],
+) -> dict[core.UpstreamId, Endpoint]:
+    """Return the upstreams of all services by id."""
+    return {
+        entry.upstream: entry for found in ready.values() for entry in found
+    }
--- a/rudderrock/gateway/knowledge/_first.py
+++ b/rudderrock/gateway/knowledge/_first.py
@@ -1,9 +1,13 @@
-"""Whether a host knows enough to serve, and if callers wait for that."""
+"""Whether a host knows enough to serve, and if callers wait for that.
+
+It serves once it knows routes, upstreams and which zones are evacuated.
+"""
 
 import asyncio
 
 from rudderrock import core
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _sources as sources
 
 # A process is young for so long, in seconds. What comes meanwhile is better
@@ -23,9 +27,11 @@
         self,
         tables: sources.TableHolder,
         listing: directory.Directory,
+        evacuated: evacuations.EvacuationHolder,
         clock: core.Clock,
     ):
         self._tables = tables
+        self._evacuated = evacuated
         self._listing = listing
         self._clock = clock
         self._began = clock.now()
@@ -33,10 +39,11 @@
         self._wanted = asyncio.Event()
         tables.add_listener(lambda table: self._check())
         listing.add_reader(self._check)
+        evacuated.add_listener(lambda found: self._check())
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether routes and upstreams are known."""
+        """Tell whether routes, upstreams and evacuations are known."""
         return self._complete.is_set()
 
     async def wait(self) -> None:
@@ -57,6 +64,6 @@
         await self._wanted.wait()
 
     def _check(self) -> None:
-        known = self._tables.current is not None
+        known = self._tables.current is not None and self._evacuated.is_known
         if known and self._listing.stamp is not None:
             self._complete.set()
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -19,6 +19,7 @@
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _peers as peers
@@ -76,6 +77,7 @@
         self,
         source: sources.SourcePort,
         tables: sources.TableHolder,
+        evacuated: evacuations.EvacuationHolder,
         listing: directory.Directory,
         hosts: fleet.Fleet,
         first_knowledge: first.FirstKnowledge,
@@ -89,6 +91,7 @@
         self.peer: peers.PeerClient | None = None
         self._source = source
         self._tables = tables
+        self._evacuated = evacuated
         self._listing = listing
         self._hosts = hosts
         self._first = first_knowledge
@@ -109,6 +112,7 @@
         # Part of the time between two tries; chance draws another each time.
         self._retry_part = 1.0
         self._readings = 0
+        self._problems: frozenset[str] = frozenset()
         self._watch: asyncio.Task | None = None
 
     async def run(self) -> None:
@@ -153,7 +157,10 @@
         """Learn what a seed knows; tell whether that is enough to serve."""
         client = self._get_client(entry)
         answer = await client.ask(
-            self._tables.revision, is_lost=True, timeout_s=SEED_ANSWER_S
+            self._tables.revision,
+            is_lost=True,
+            timeout_s=SEED_ANSWER_S,
+            evacuated=self._evacuated.current.revision,
         )
         if answer.is_err():
             return False
@@ -223,15 +230,27 @@
             wanted = ranked[:place] + ranked[place + 1 :]
             wanted += self._hosts.list_others()
             wanted = wanted or self._seeds
+            if self.peer is not None:
+                # The one that had something fresh, as long as it has: one that
+                # goes before it may have that from this very host, and two
+                # hosts that ask each other learn nothing new until their
+                # readings are too old.
+                wanted = [self.peer.entry, *wanted]
         return [
-            each for each in wanted if self._skip.get(each.host, now) <= now
+            each
+            for each in dict.fromkeys(wanted)
+            if self._skip.get(each.host, now) <= now
         ][:MOST_PEERS]
 
     async def _ask_peers(self) -> bool:
         """Ask peers in turn until one has something fresh."""
         for entry in self._list_peers():
             client = self._get_client(entry)
-            answer = await client.ask(self._tables.revision, self._takes_any())
+            answer = await client.ask(
+                self._tables.revision,
+                self._takes_any(),
+                evacuated=self._evacuated.current.revision,
+            )
             match answer:
                 case result.Ok(changes):
                     self._take_over(client, changes)
@@ -313,6 +332,13 @@
                 changes.table, changes.table_revision
             )
             self._tables.apply_reading(reading, origin)
+        self._evacuated.apply(
+            evacuations.Evacuations(
+                changes.evacuations_revision,
+                frozenset(map(core.ZoneId, changes.evacuated)),
+            ),
+            origin,
+        )
         if changes.table_age_ms >= 0:
             self._tables.confirm(changes.table_age_ms / 1000)
         if changes.hosts is not None:
@@ -398,10 +424,21 @@
         if answer.is_err():
             return answer
         reading = answer.ok_value
-        self._tables.apply_reading(reading, 'source')
-        self._tables.confirm()
+        self._apply_operators(reading, 'source')
         return result.Ok(reading.revision)
 
+    def _apply_operators(
+        self, reading: sources.TableReading, origin: str
+    ) -> None:
+        """Put in force what operators have written."""
+        self._tables.apply_reading(reading, origin)
+        self._tables.confirm()
+        if reading.evacuated is not None:
+            found = evacuations.Evacuations(
+                reading.revision, reading.evacuated
+            )
+            self._evacuated.apply(found, origin)
+
     async def _follow_table(self, revision: int) -> int | None:
         """Watch until the table has to be read anew, and read it.
 
@@ -414,8 +451,7 @@
                     # this one may have missed comes then.
                     self._tables.confirm()
                 case result.Ok(reading):
-                    self._tables.apply_reading(reading, 'watch')
-                    self._tables.confirm()
+                    self._apply_operators(reading, 'watch')
                     revision = reading.revision
                 case result.Err(sources.HistoryGone()):
                     break
@@ -449,8 +485,7 @@
             )
 
     def _apply_upstreams(self, reading: sources.UpstreamReading) -> None:
-        for problem in reading.problems:
-            self._events.record(events.LogKind.ENTRY_REJECTED, problem=problem)
+        self._note_problems(reading.problems)
         self._readings += 1
         stamp = directory.ReadingStamp(
             self._changes.process, self._readings, self._clock.now()
@@ -460,6 +495,13 @@
         )
         self._note_change(change, 'source')
 
+    def _note_problems(self, problems: Iterable[str]) -> None:
+        """Log each entry that can't be used, once while it lasts."""
+        found = frozenset(problems)
+        for problem in sorted(found - self._problems):
+            self._events.record(events.LogKind.ENTRY_REJECTED, problem=problem)
+        self._problems = found
+
     def _note_change(
         self, change: directory.DirectoryChange | None, origin: str
     ) -> None:
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -18,6 +18,7 @@
 from rudderrock.gateway.http import _caller as caller
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _sources as sources
@@ -63,7 +64,8 @@
     whether it could use it or not: else it would be sent again at once.
 
     `is_lost` tells that the source turns it away, so that it also takes
-    what the peer has from others.
+    what the peer has from others. `evacuations` is the revision of the
+    evacuations that it knows.
     """
 
     process: str = ''
@@ -71,6 +73,7 @@
     hosts: int = 0
     table: int = -1
     is_lost: bool = False
+    evacuations: int = evacuations.UNKNOWN
 
 
 class Changes(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,7 +86,8 @@
     counts the hosts that have passed it on to this one and `age_ms` is its
     age, -1 if there has been none; `table_age_ms` is the time since the
     source last confirmed the table. `hold_ms` tells for how long missing
-    upstreams are still kept.
+    upstreams are still kept. `evacuated` are all evacuated zones as of
+    `evacuations_revision`.
     """
 
     process: str
@@ -104,6 +108,8 @@
     hosts_whole: bool = True
     table: bytes | None = None
     table_revision: int = 0
+    evacuated: list[str] = []
+    evacuations_revision: int = evacuations.UNKNOWN
 
     @property
     def is_near(self) -> bool:
@@ -129,10 +135,12 @@
         listing: directory.Directory,
         hosts: fleet.Fleet,
         tables: sources.TableHolder,
+        evacuated: evacuations.EvacuationHolder,
         first_knowledge: first.FirstKnowledge,
         clock: core.Clock,
     ):
         self.generation = 0
+        self._evacuated = evacuated
         self.process = process
         self._listing = listing
         self._hosts = hosts
@@ -154,6 +162,7 @@
         hosts.add_listener(self._on_hosts)
         tables.add_listener(lambda table: self.wake())
         listing.add_reader(self.wake)
+        evacuated.add_listener(lambda found: self.wake())
 
     async def answer(self, request: messages.Request) -> messages.Reply:
         """Answer a peer's question."""
@@ -216,6 +225,8 @@
             hosts_whole=hosts_whole,
             table=tables.raw if newer else None,
             table_revision=tables.revision,
+            evacuated=sorted(self._evacuated.current.zones),
+            evacuations_revision=self._evacuated.current.revision,
         )
 
     def _list_upstreams(
@@ -257,6 +268,7 @@
             or known.upstreams != self.generation
             or known.hosts != self._hosts.generation
             or known.table < self._tables.revision
+            or known.evacuations < self._evacuated.changed_at
         )
 
     def _is_of_use(self, known: Known) -> bool:
@@ -318,12 +330,18 @@
         table: int,
         is_lost: bool,
         timeout_s: float = HOLD_S + SLACK_S,
+        evacuated: int = evacuations.UNKNOWN,
     ) -> result.Result[Changes, sources.Unavailable]:
-        """Return what is new; `table` is the revision in force here."""
+        """Return what is new.
+
+        `table` and `evacuated` are the revisions of the table and of the
+        evacuations in force here.
+        """
         known = msgspec.structs.replace(
             self.known,
             table=max(table, self._sent_table),
             is_lost=is_lost,
+            evacuations=evacuated,
         )
         fields = msgspec.to_builtins(known)
         fields['is_lost'] = int(is_lost)
--- a/rudderrock/gateway/knowledge/_routing.py
+++ b/rudderrock/gateway/knowledge/_routing.py
@@ -9,6 +9,8 @@
 import enum
 from typing import NewType
 
+from rudderrock.gateway.knowledge import _place as place
+
 ServiceName = NewType('ServiceName', str)
 RouteName = NewType('RouteName', str)
 TableVersion = NewType('TableVersion', int)
@@ -68,7 +70,8 @@
     `timeout_s` is the longest that a request may be kept waiting, `goal_s`
     the latency that the operators aim at, both in seconds. Priority 0 is
     the most urgent. `max_attempts` bounds the upstreams that one request
-    is sent to, for each shard.
+    is sent to, for each shard. `residency` says in which regions its
+    requests may be handled.
     """
 
     name: RouteName
@@ -80,6 +83,7 @@
     goal_s: float
     priority: int
     max_attempts: int
+    residency: place.Residency = place.Anywhere()
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,10 +91,14 @@
     """What holds for all upstreams of one service.
 
     `max_connections` is what one upstream accepts from all hosts together.
+    One that has just started is cold for `warmup_s` seconds and stands
+    `warmup_per_s` requests a second meanwhile; 0 sets no bound.
     """
 
     name: ServiceName
     max_connections: int
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/rudderrock/gateway/knowledge/_sources.py
+++ b/rudderrock/gateway/knowledge/_sources.py
@@ -33,16 +33,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableReading:
-    """The routing table at a revision of the source.
+    """What operators have written, at a revision of the source.
 
     `table` is None if there is none, and `problem` says why one that is
     there can't be used. `raw` is the table as the source has it.
+    `evacuated` are the zones that are evacuated, None if the reading does
+    not tell.
     """
 
     table: routing.RoutingTable | None
     revision: int
     problem: str = ''
     raw: bytes = b''
+    evacuated: frozenset[core.ZoneId] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,12 +61,16 @@
     """What a gateway asks of the service that keeps its configuration."""
 
     async def read_table(self) -> result.Result[TableReading, Unavailable]:
-        """Return the newest table."""
+        """Return the newest table and the evacuated zones."""
 
     async def watch_table(
         self, after: int, wait_s: float
     ) -> result.Result[TableReading | None, Unavailable | HistoryGone]:
-        """Wait for a table later than a revision; None if none came."""
+        """Wait for what operators write after a revision.
+
+        None if nothing came. The reading tells of the table, of the
+        evacuated zones or of both.
+        """
 
     def decode_table(self, raw: bytes, revision: int) -> TableReading:
         """Return a table that another host has read."""
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -27,10 +27,12 @@
         address='%s:%d' % settings.peers,
         capacity=settings.capacity,
     )
+    evacuated = gateway.EvacuationHolder(settings.place.regions, events)
     hosts = gateway.Fleet(own, settings.assumed_hosts, clock)
-    first = gateway.FirstKnowledge(tables, listing, clock)
+    first = gateway.FirstKnowledge(tables, listing, evacuated, clock)
     parts = gateway.Parts(
         tables=tables,
+        evacuations=evacuated,
         listing=listing,
         hosts=hosts,
         first=first,
@@ -40,10 +42,13 @@
         chance=draw('replicas'),
     )
     process = f'{settings.host}/{draw("process").getrandbits(64):x}'
-    changes = gateway.ChangeBook(process, listing, hosts, tables, first, clock)
+    changes = gateway.ChangeBook(
+        process, listing, hosts, tables, evacuated, first, clock
+    )
     follower = gateway.Follower(
         source,
         tables,
+        evacuated,
         listing,
         hosts,
         first,
--- a/rudderrock/platform/_boot.py
+++ b/rudderrock/platform/_boot.py
@@ -73,6 +73,8 @@
         extra_ratio=float(fields['bounds.retry_budget_ratio']),
         extra_window_s=float(fields['bounds.retry_window_s']),
         extra_slack=float(fields['bounds.retry_slack']),
+        warmup_overage=_get_positive(fields, 'bounds.warmup_overage', 1.0),
+        warmup_slack=_get_bound(fields, 'bounds.warmup_slack', 0.0),
         stop_s=float(fields['bounds.grace_s']),
         cores=cores,
         link_bytes_s=link_mbps * _BYTES_PER_MBIT,
@@ -104,6 +106,14 @@
     return _get_positive(fields, 'limits.link_mbps', 0.0)
 
 
+def _get_bound(fields: dict[str, str], name: str, default: float) -> float:
+    """Return a number that is not below 0, or the default."""
+    value = float(fields.get(name, default))
+    if not 0 <= value < math.inf:
+        raise ValueError(f'{name} must not be below 0, not {fields[name]}')
+    return value
+
+
 def _get_positive(fields: dict[str, str], name: str, default: float) -> float:
     """Return a number above 0, or the default where none is given."""
     if name not in fields:
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+import enum
+import math
 
 import msgspec
 import result
@@ -11,6 +13,9 @@
 
 # What `decode_value` raises.
 BAD_VALUE = (binascii.Error, ValueError)
+# What reading JSON of another writer raises; values nested too deep are not
+# a decoding error to the library.
+BAD_JSON = (msgspec.DecodeError, ValueError, RecursionError)
 
 
 class _WeightedService(msgspec.Struct):
@@ -18,6 +23,11 @@
     weight: float
 
 
+class _ServerState(enum.Enum):
+    READY = 'ready'
+    DRAINING = 'draining'
+
+
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -34,12 +44,18 @@
     gather: list[str] | None = None
     top_k: int = 0
     min_coverage: float = 1.0
+    # Empty: all regions.
+    allowed_regions: list[str] | None = None
 
 
 class _Service(msgspec.Struct):
     name: str
     # Connections that one upstream accepts from all hosts together.
     max_conns: int = 1
+    # How long an upstream is cold after its start, and the requests a
+    # second that it stands meanwhile; 0 sets no bound.
+    warmup_s: float = 0.0
+    warmup_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -57,12 +73,20 @@
 
 
 class _Server(msgspec.Struct):
+    """An upstream's entry; each upstream writes all fields but `born`."""
+
     service: str
     address: str
     zone: str
-    slots: int = 1
-    # `ready` or `draining`.
-    state: str = 'ready'
+    # The version of the upstream's software, of no use here.
+    version: str
+    slots: int
+    state: _ServerState
+    # How much longer the upstream is cold.
+    warmup_left_ms: float
+    sequence: int
+    # The Unix millisecond of its start; on some deployments it is not told.
+    born: int = 0
 
 
 def decode_value(text: str) -> bytes:
@@ -82,14 +106,9 @@
     try:
         config = msgspec.json.decode(raw, type=_Config)
         routes = [_make_route(each) for each in config.routes]
-    except (msgspec.DecodeError, ValueError) as error:
+        services = _make_services(config.services)
+    except BAD_JSON as error:
         return result.Err(str(error))
-    services = {}
-    for each in config.services:
-        name = gateway.ServiceName(each.name)
-        services[name] = gateway.Service(
-            name=name, max_connections=each.max_conns
-        )
     limits = config.limits
     return result.Ok(
         gateway.RoutingTable(
@@ -106,6 +125,28 @@
     )
 
 
+def _make_services(
+    listed: list[_Service],
+) -> dict[gateway.ServiceName, gateway.Service]:
+    services = {}
+    for each in listed:
+        name = gateway.ServiceName(each.name)
+        services[name] = gateway.Service(
+            name=name,
+            max_connections=each.max_conns,
+            warmup_s=_check_warmup(each.warmup_s),
+            warmup_per_s=_check_warmup(each.warmup_per_s),
+        )
+    return services
+
+
+def _check_warmup(value: float) -> float:
+    """Return a warm-up figure; raise ValueError if it can't be one."""
+    if not 0 <= value < math.inf:
+        raise ValueError(f'a warm-up figure must not be {value:g}')
+    return value
+
+
 def decode_upstream(
     upstream: str, raw: bytes
 ) -> result.Result[gateway.Endpoint, str]:
@@ -113,9 +154,10 @@
     try:
         server = msgspec.json.decode(raw, type=_Server)
         address = core.split_address(server.address)
-    except (msgspec.DecodeError, ValueError) as error:
+        _check_warmup(server.warmup_left_ms)
+    except BAD_JSON as error:
         return result.Err(f'{upstream}: {error}')
-    ready = server.state == 'ready'
+    is_ready = server.state is _ServerState.READY
     return result.Ok(
         gateway.Endpoint(
             upstream=core.UpstreamId(upstream),
@@ -123,7 +165,10 @@
             address=address,
             zone=core.ZoneId(server.zone),
             slots=max(1, server.slots),
-            phase=gateway.Phase.READY if ready else gateway.Phase.DRAINING,
+            phase=gateway.Phase.READY if is_ready else gateway.Phase.DRAINING,
+            born=server.born,
+            sequence=server.sequence,
+            warmup_left_s=server.warmup_left_ms / 1000,
         )
     )
 
@@ -141,6 +186,15 @@
         goal_s=goal_ms / 1000,
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
+        residency=_make_residency(route),
+    )
+
+
+def _make_residency(route: _Route) -> gateway.Residency:
+    if not route.allowed_regions:
+        return gateway.Anywhere()
+    return gateway.Within(
+        frozenset(map(gateway.RegionId, route.allowed_regions))
     )
 
 
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -1,11 +1,13 @@
 """The platform's store: its calls, and the gateway's source made of them."""
 
+import dataclasses
 import urllib.parse
 
 from absl import logging
 import msgspec
 import result
 
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock.platform import _decode as decode
 
@@ -14,7 +16,11 @@
 CALL_TIMEOUT_S = 1.0
 # How much longer than it was asked to wait a watch may take, in seconds.
 WATCH_SLACK_S = 1.0
+# All that operators write, the configuration, and a key for each zone that is
+# evacuated. One watch tells of them all.
+_OPERATORS_PREFIX = 'op/'
 _CONFIG_KEY = 'op/config'
+_EVACUATIONS_PREFIX = 'op/evacuate/'
 _SERVERS_PREFIX = 'servers/'
 # Where rudderrock keeps what is its own.
 _HOSTS_PREFIX = 'rudderrock/hosts/'
@@ -29,8 +35,6 @@
     lease_id: int = 0
     # Only in an event: the item has been deleted, or its history dropped.
     compacted: bool = False
-    # Only with a single item: the store's own revision.
-    at_revision: int = 0
 
 
 class _Page(msgspec.Struct):
@@ -58,21 +62,21 @@
     async def read_table(
         self,
     ) -> result.Result[gateway.TableReading, gateway.Unavailable]:
-        """Return the newest configuration."""
-        target = _make_target('/kv-key', key=_CONFIG_KEY)
-        answer = await self._get(target, CALL_TIMEOUT_S)
-        match answer:
-            case result.Err():
-                return answer
-            case result.Ok(reply) if reply.status == 404:
-                return result.Ok(gateway.TableReading(None, 0))
-        match _decode_body(answer.ok_value, _Item):
-            case result.Err(problem):
-                return result.Err(problem)
-            case result.Ok(item):
-                return result.Ok(
-                    self._make_table_reading(item, item.at_revision)
-                )
+        """Return the newest configuration and the evacuated zones."""
+        listed = await self._list_items(_OPERATORS_PREFIX)
+        if listed.is_err():
+            return listed
+        items, revision = listed.ok_value
+        found = gateway.TableReading(None, revision)
+        for item in items:
+            if item.key == _CONFIG_KEY:
+                found = self._make_table_reading(item, revision)
+        evacuated = frozenset(
+            core.ZoneId(item.key.removeprefix(_EVACUATIONS_PREFIX))
+            for item in items
+            if item.key.startswith(_EVACUATIONS_PREFIX)
+        )
+        return result.Ok(dataclasses.replace(found, evacuated=evacuated))
 
     async def watch_table(
         self, after: int, wait_s: float
@@ -80,10 +84,14 @@
         gateway.TableReading | None,
         gateway.Unavailable | gateway.HistoryGone,
     ]:
-        """Wait for a configuration written after a revision."""
+        """Wait for what operators write after a revision.
+
+        Where that is about evacuations, all is read again: an event tells of
+        one key only.
+        """
         target = _make_target(
             '/kv-watch',
-            prefix=_CONFIG_KEY,
+            prefix=_OPERATORS_PREFIX,
             after=str(after),
             wait_ms=str(round(wait_s * 1000)),
         )
@@ -99,7 +107,12 @@
             case result.Err(problem):
                 return result.Err(problem)
             case result.Ok(found):
-                return result.Ok(self._pick_newest(found))
+                pass
+        if any(
+            event.key.startswith(_EVACUATIONS_PREFIX) for event in found.events
+        ):
+            return await self.read_table()
+        return result.Ok(self._pick_newest(found))
 
     async def list_upstreams(
         self,
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -4,6 +4,7 @@
 
 import result
 
+from rudderrock import core
 from rudderrock import gateway
 
 
@@ -12,6 +13,7 @@
 
     def __init__(self) -> None:
         self.table: gateway.RoutingTable | None = None
+        self.evacuated: set[core.ZoneId] = set()
         self.endpoints: dict[str, gateway.Endpoint] = {}
         self.revision = 1
         self.table_revision = 1
@@ -33,6 +35,18 @@
         self._change()
         self.table_revision = self.revision
 
+    def evacuate(self, zone: core.ZoneId) -> None:
+        """Evacuate a zone."""
+        self.evacuated.add(zone)
+        self._change()
+        self.table_revision = self.revision
+
+    def give_back(self, zone: core.ZoneId) -> None:
+        """Take an evacuation back."""
+        self.evacuated.discard(zone)
+        self._change()
+        self.table_revision = self.revision
+
     def set_endpoint(self, endpoint: gateway.Endpoint) -> None:
         """Register an upstream, or change its registration."""
         self.endpoints[endpoint.upstream] = endpoint
@@ -142,7 +156,12 @@
 
     def _read(self) -> gateway.TableReading:
         raw = b'%d' % self.table.version if self.table is not None else b''
-        return gateway.TableReading(self.table, self.revision, raw=raw)
+        return gateway.TableReading(
+            self.table,
+            self.revision,
+            raw=raw,
+            evacuated=frozenset(self.evacuated),
+        )
 
     def _change(self) -> None:
         self.revision += 1
--- a/rudderrock/standins/platform/_store.py
+++ b/rudderrock/standins/platform/_store.py
@@ -55,6 +55,8 @@
         self.page = page
         self.calls: collections.Counter[str] = collections.Counter()
         self.items: dict[str, _Item] = {}
+        # Keys whose values are shown as what is not base64.
+        self.spoilt: set[str] = set()
         self.revision = 0
         self._history: list[tuple[str, int, bytes | None, int]] = []
         self._oldest = 0
@@ -76,6 +78,14 @@
         """Write the configuration, as the operator does."""
         self.put('op/config', raw)
 
+    def evacuate(self, zone: str) -> None:
+        """Evacuate a zone, as the operator does."""
+        self.put(f'op/evacuate/{zone}', b'{}')
+
+    def give_back(self, zone: str) -> None:
+        """Take an evacuation back, as the operator does."""
+        self.remove(f'op/evacuate/{zone}')
+
     def put_server(self, upstream: str, raw: bytes) -> None:
         """Write an upstream's entry, as the upstream does."""
         self.put(f'servers/{upstream}', raw)
@@ -169,9 +179,10 @@
 
     def _show(self, key: str) -> dict:
         item = self.items[key]
+        value = base64.b64encode(item.value).decode()
         return {
             'key': key,
-            'value': base64.b64encode(item.value).decode(),
+            'value': '*' if key in self.spoilt else value,
             'revision': item.revision,
             'created_revision': item.created,
             'lease_id': item.lease,
--- a/rudderrock/standins/platform/_values.py
+++ b/rudderrock/standins/platform/_values.py
@@ -62,19 +62,26 @@
     zone: str = 'north-1',
     state: str = 'ready',
     sequence: int = 1,
+    **fields: Any,
 ) -> bytes:
-    """Return an upstream's entry in the registry."""
+    """Return an upstream's entry in the registry.
+
+    `fields` are added, or take the place of those that are there; one that
+    is None is left out.
+    """
+    entry = {
+        'service': service,
+        'address': address,
+        'zone': zone,
+        'version': 'v1',
+        'slots': 2,
+        'state': state,
+        'warmup_left_ms': 0,
+        'sequence': sequence,
+        **fields,
+    }
     return msgspec.json.encode(
-        {
-            'service': service,
-            'address': address,
-            'zone': zone,
-            'version': 'v1',
-            'slots': 2,
-            'state': state,
-            'warmup_left_ms': 0,
-            'sequence': sequence,
-        }
+        {name: value for name, value in entry.items() if value is not None}
     )
 
 
