A connection to one far replica of each shard is kept for hedges

Cause: of the shards that answers lacked in calm seconds nine in ten had been hedged, and the hedge was still under way.

Test: features/hedges.feature, a load of 60 shards that pause one by one: 43 shards missing from 100 answers before, 2 after; at most 1 far connection a shard. Features hedges, gateway, delegate, wide_load and zones: 173 passed.

--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -104,7 +104,11 @@
                 (self.peers, config.peers),
             ):
                 await stack.enter_async_context(served.listen(*address))
-            for work in (self._follower.run, self.gateway.sweep):
+            for work in (
+                self._follower.run,
+                self.gateway.sweep,
+                self.gateway.warm_hedges,
+            ):
                 task = asyncio.create_task(_keep_running(work))
                 stack.push_async_callback(core.end_task, task)
             self.state = ProcessState.SERVING
--- a/rudderrock/gateway/decisions/_replicas.py
+++ b/rudderrock/gateway/decisions/_replicas.py
@@ -10,6 +10,7 @@
 from rudderrock.gateway.http import _dialect as dialect
 from rudderrock.gateway.http import _pool as pool
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _place as place
 from rudderrock.gateway.knowledge import _routing as routing
 
@@ -103,9 +104,11 @@
         source: random.Random,
         needs: ConnectionNeeds,
         cold_limits: cold.ColdLimits,
+        own: core.HostId,
     ):
         self.dials = 0
         self._cold = cold_limits
+        self._own = own
         self._listing = listing
         self._place = place
         self._names = names
@@ -147,8 +150,14 @@
     ) -> Replica | None:
         """Return the replica to ask next, or None if none is left.
 
-        Nothing speaking against it comes first, then nearness, then how
-        little this host has under way there; chance breaks ties.
+        Nothing speaking against it comes first, then nearness, then, beyond
+        this zone, a connection that is open, then how little this host has
+        under way there; chance breaks ties.
+
+        To open a connection into another region takes two thirds as long as
+        the exchange itself: half of all hedges that came back took 28 ms on an
+        open one and 51 ms on a new one, and 41 in 100 had to open one (12 s of
+        24 queries a second over 90 shards, three replicas in three regions).
         """
         now = self._clock.now()
         best = None
@@ -164,6 +173,7 @@
                 replica.strikes if suspect else 0,
                 replica.links.is_full,
                 replica.distance,
+                replica.distance > 0 and not replica.links.is_idle,
                 replica.links.load / replica.endpoint.slots,
                 self._source.random(),
             )
@@ -213,6 +223,32 @@
             if replica.distance == nearest and not replica.links.is_spare:
                 replica.links.warm()
 
+    def warm_hedge(self, service: routing.ServiceName) -> None:
+        """Keep a connection to one replica beyond the nearest.
+
+        One, since each must be opened again whenever it has idled too long;
+        hosts choose it by their own names, so that the replicas share them.
+        With it answers to 935 queries over 135 shards that left shards out
+        fell from 791 to 582, with no more connections opened, and the part of
+        requests in time rose from 0.89 to 0.91 (one heavy day of 60 hosts).
+        """
+        found = self.list_ready(service, place.Anywhere())
+        nearest = min((each.distance for each in found), default=0)
+        others = [
+            each
+            for each in found
+            if each.distance > nearest and not each.links.is_spare
+        ]
+        if not others or any(each.links.is_open for each in others):
+            return
+        best = max(
+            others,
+            key=lambda each: fleet.rank_name(
+                f'{self._own}/{each.endpoint.upstream}'.encode()
+            ),
+        )
+        best.links.warm()
+
     def sweep(self) -> None:
         """Close connections that are no longer of use."""
         for replica in self._replicas.values():
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -33,6 +33,9 @@
 NOT_READY_RETRY_S = 0.3
 # How often connections that are of no more use are looked for, seconds.
 SWEEP_EVERY_S = 0.25
+# How often connections for hedges are looked after, in seconds: an idle one is
+# closed after 7.5 s, so for a seventh of that at most there is none.
+WARM_EVERY_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +88,7 @@
             parts.chance,
             self._connections,
             self.cold_limits,
+            parts.hosts.own.host,
         )
         self.counters = calls.Counters()
         self.admission = admission.Admission(parts.clock)
@@ -132,6 +136,13 @@
             await asyncio.sleep(SWEEP_EVERY_S)
             self.book.sweep()
 
+    async def warm_hedges(self) -> None:
+        """Keep the connections that hedges will need, until cancelled."""
+        while True:
+            await asyncio.sleep(WARM_EVERY_S)
+            for service in self._connections.list_wanted(self.book):
+                self.book.warm_hedge(service)
+
     async def handle_delegated(
         self, request: messages.Request
     ) -> messages.Reply:
--- a/rudderrock/gateway/http/_pool.py
+++ b/rudderrock/gateway/http/_pool.py
@@ -69,6 +69,16 @@
         busy = len(self._links) - len(self._free)
         return busy + len(self._waiting)
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether a connection is there or being opened."""
+        return bool(self._links or self._dials)
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether a connection waits for an exchange."""
+        return bool(self._free)
+
     @property
     def is_full(self) -> bool:
         """Tell whether one more exchange would wait for more than one."""
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -63,8 +63,9 @@
 
     Parameters: `records` is the body of each answer, or makes it from the
     request's id; `work_s` is how long it works on a request, `slots` of
-    them at once. With `pauses` it begins on nothing while one lasts. It stops
-    working when the connection closes.
+    them at once. With `pauses` it begins on nothing while one lasts, and it
+    reads nothing of a new connection for `connect_s`. It stops working when
+    the connection closes.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         most_connections: int = 1000,
         slots: int = 1000,
         pauses: Pauses | None = None,
+        connect_s: float = 0.0,
     ):
         super().__init__()
         self.upstream = upstream
@@ -91,6 +93,7 @@
         self.most_open = 0
         self._names = names
         self.pauses = pauses
+        self.connect_s = connect_s
         self._slots = asyncio.Semaphore(slots)
 
     @property
@@ -114,6 +117,8 @@
             self.open -= 1
 
     async def _serve(self, reader, writer) -> None:
+        if self.connect_s:
+            await asyncio.sleep(self.connect_s)
         while True:
             head = await wire_server.read_head(reader)
             await self.wait_if_silent()
