A region that does not exist is named in the log

Cause: a route that names a region which the settings do not know is refused everywhere without a line that says why. Each such region of a table in force now has a line regions_unknown with its routes; the table holds. Ruled out: to reject the table (the store takes only valid ones, and the other routes are good). Test: zones.feature. zones and gateway: 134 passed.

--- a/features/zones.feature
+++ b/features/zones.feature
@@ -43,6 +43,15 @@
       | south   |
       | nowhere |
 
+  Scenario: a region that does not exist is named in the log, and the table holds
+    Given an upstream "near" of "notes" in "north-1"
+    And the route "/notes/" to "notes" within "nowhere"
+    And the route "/other/" to "notes"
+    And a gateway
+    When a caller sends GET "/other/1"
+    Then "near" ran it and nobody else
+    And the log has a line "regions_unknown"
+
   Scenario: a query over shards stays in its regions
     Given 6 shards of 2 replicas
     And the route "/all/" to all shards within "south"
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -23,6 +23,7 @@
     DEPENDENCY_BACK = 'dependency_back'
     TABLE_IN_FORCE = 'table_in_force'
     TABLE_REJECTED = 'table_rejected'
+    REGIONS_UNKNOWN = 'regions_unknown'
     UPSTREAMS_CHANGED = 'upstreams_changed'
     ENTRY_REJECTED = 'entry_rejected'
     EVACUATIONS_CHANGED = 'evacuations_changed'
@@ -100,6 +101,11 @@
         'A routing table can not be used; the one before stays in force.',
         ('problem', 'revision', 'origin'),
     ),
+    LogKind.REGIONS_UNKNOWN: KindInfo(
+        'Routes of a table name a region that the settings do not; no '
+        'upstream is there.',
+        ('version', 'region', 'routes'),
+    ),
     LogKind.UPSTREAMS_CHANGED: KindInfo(
         'Upstreams were added, or take no more new work (`left`), or are '
         'kept though the reading lacked them (`held`).',
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -6,6 +6,7 @@
 import random
 
 from rudderrock import core
+from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _metrics as metrics
 from rudderrock.gateway import _settings as settings
@@ -25,6 +26,7 @@
 from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _place as place
 from rudderrock.gateway.knowledge import _routing as routing
 from rudderrock.gateway.knowledge import _sources as sources
 
@@ -410,11 +412,26 @@
 
     def _on_table(self, table: routing.RoutingTable) -> None:
         self._turns.clear()
+        self._note_unknown_regions(table)
         self._connections.take_table(table)
         self._share_slack()
         self.book.set_caps()
         self._connections.warm(self.book)
 
+    def _note_unknown_regions(self, table: routing.RoutingTable) -> None:
+        """Log the regions that routes name and the settings do not."""
+        unknown: dict[place.RegionId, list[routing.RouteName]] = {}
+        for route in table.routes.values():
+            for region in self._config.place.list_unknown(route.residency):
+                unknown.setdefault(region, []).append(route.name)
+        for region, routes in unknown.items():
+            self._parts.events.record(
+                events.LogKind.REGIONS_UNKNOWN,
+                version=table.version,
+                region=region,
+                routes=routes,
+            )
+
     def _on_evacuations(self, found: evacuations.Evacuations) -> None:
         """Leave evacuated zones, and enter those that are given back.
 
--- a/rudderrock/gateway/knowledge/_place.py
+++ b/rudderrock/gateway/knowledge/_place.py
@@ -50,6 +50,14 @@
             case Within(regions=regions):
                 return self.regions.get(zone) in regions
 
+    def list_unknown(self, residency: Residency) -> list[RegionId]:
+        """Return the regions that no zone of the settings is in."""
+        match residency:
+            case Anywhere():
+                return []
+            case Within(regions=regions):
+                return sorted(regions - frozenset(self.regions.values()))
+
     def compare_zones(self, one: core.ZoneId, other: core.ZoneId) -> int:
         """Return the distance between two zones, 0 to 2."""
         if one == other:
