Operators' keys are watched in a module of their own; other keys there are passed over

Found on reading: the watch covers all of op/ since evacuations are read, and an event about another key there made it return at once and begin at the same revision, again and again. Such an event now moves the revision on (a scenario in adapter.feature).

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -224,6 +224,12 @@
       | evacuates "south-1"    | north-1,south-1 |
       | gives "north-1" back   |                 |
 
+  Scenario: a watch passes over what operators write under other keys
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    When the operator writes "op/other" while the source watches
+    Then the watch brings no table, and the next one begins after it
+
   Scenario Outline: bounds of cold upstreams that can't be are refused: <field> <value>
     Given a settings file with the field "<field>" as "<value>"
     When it is read
--- a/features/steps/entries.py
+++ b/features/steps/entries.py
@@ -14,7 +14,6 @@
 
 from features import gateway_bench
 from features.steps import adapter
-from features.steps.common import run
 from rudderrock import core
 from rudderrock import gateway
 from rudderrock import platform
@@ -207,22 +206,41 @@
     assert reading.evacuated == wanted, reading.evacuated
 
 
+def watch(context, write):
+    """Have the source watch while something is written."""
+
+    async def go():
+        context.revision = (
+            await context.source.read_table()
+        ).ok_value.revision
+        watching = asyncio.create_task(
+            context.source.watch_table(context.revision, 2.0)
+        )
+        await asyncio.sleep(0.1)
+        write()
+        return await watching
+
+    adapter.call(context, go())
+
+
 @when(
     r'the operator (evacuates|gives) "([^"]+)"(?: back)? while the source '
     r'watches'
 )
 def watch_evacuation(context, what, zone):
-    async def watch():
-        revision = (await context.source.read_table()).ok_value.revision
-        watching = asyncio.create_task(
-            context.source.watch_table(revision, 2.0)
-        )
-        await asyncio.sleep(0.1)
-        if what == 'gives':
-            context.store.give_back(zone)
-        else:
-            context.store.evacuate(zone)
-        return await watching
+    store = context.store
+    change = store.give_back if what == 'gives' else store.evacuate
+    watch(context, lambda: change(zone))
 
-    adapter.call(context, watch())
-    run(context, asyncio.sleep(0))
+
+@when(r'the operator writes "([^"]+)" while the source watches')
+def watch_other(context, key):
+    watch(context, lambda: context.store.put(key, b'{}'))
+
+
+@then(r'the watch brings no table, and the next one begins after it')
+def check_other(context):
+    reading = context.answer.ok_value
+    assert reading.table is None and not reading.problem, reading
+    assert reading.evacuated is None, reading
+    assert reading.revision > context.revision, reading
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -6,7 +6,6 @@
 import random
 
 from rudderrock import core
-from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _metrics as metrics
 from rudderrock.gateway import _settings as settings
@@ -21,12 +20,12 @@
 from rudderrock.gateway.forwarding import _forward as forward
 from rudderrock.gateway.forwarding import _gather as gather
 from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.forwarding import _zones as zones
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
 from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
-from rudderrock.gateway.knowledge import _place as place
 from rudderrock.gateway.knowledge import _routing as routing
 from rudderrock.gateway.knowledge import _sources as sources
 
@@ -115,7 +114,14 @@
         )
         parts.tables.add_listener(self._on_table)
         parts.hosts.add_listener(self._on_hosts)
-        parts.evacuations.add_listener(self._on_evacuations)
+        operated = zones.Zones(
+            parts.listing,
+            config.place,
+            self._connections.find_service,
+            parts.events,
+        )
+        parts.tables.add_listener(operated.check_table)
+        parts.evacuations.add_listener(operated.apply_evacuations)
 
     @property
     def is_ready(self) -> bool:
@@ -412,42 +418,11 @@
 
     def _on_table(self, table: routing.RoutingTable) -> None:
         self._turns.clear()
-        self._note_unknown_regions(table)
         self._connections.take_table(table)
         self._share_slack()
         self.book.set_caps()
         self._connections.warm(self.book)
 
-    def _note_unknown_regions(self, table: routing.RoutingTable) -> None:
-        """Log the regions that routes name and the settings do not."""
-        unknown: dict[place.RegionId, list[routing.RouteName]] = {}
-        for route in table.routes.values():
-            for region in self._config.place.list_unknown(route.residency):
-                unknown.setdefault(region, []).append(route.name)
-        for region, routes in unknown.items():
-            self._parts.events.record(
-                events.LogKind.REGIONS_UNKNOWN,
-                version=table.version,
-                region=region,
-                routes=routes,
-            )
-
-    def _on_evacuations(self, found: evacuations.Evacuations) -> None:
-        """Leave evacuated zones, and enter those that are given back.
-
-        Upstreams there may have become cold just before, and their entries
-        tell of it later.
-        """
-        listing = self._parts.listing
-        change = listing.set_evacuated(found.zones)
-        if change is None:
-            return
-        for upstream in change.added:
-            entry = listing.get_endpoint(upstream)
-            service = self._connections.find_service(entry.service)
-            if service is not None and service.warmup_per_s > 0.0:
-                listing.note_cold(upstream, service.warmup_s)
-
     def get_extra_slack(self, service: routing.ServiceName) -> float:
         """Return the extra requests that are always allowed in a window."""
         return self._connections.share_slack(service, self._config.extra_slack)
--- /dev/null
+++ b/rudderrock/gateway/forwarding/_zones.py
@@ -0,0 +1,59 @@
+"""What operators say of zones and regions, put into effect."""
+
+from collections.abc import Callable
+
+from rudderrock.gateway import _events as events
+from rudderrock.gateway import _log as log
+from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _evacuations as evacuations
+from rudderrock.gateway.knowledge import _place as place_module
+from rudderrock.gateway.knowledge import _routing as routing
+
+
+class Zones:
+    """Leaves evacuated zones, and names regions that do not exist.
+
+    Parameters: `find_service` returns what the table in force says of a
+    service, if anything.
+    """
+
+    def __init__(
+        self,
+        listing: directory.Directory,
+        place: place_module.Place,
+        find_service: Callable[[routing.ServiceName], routing.Service | None],
+        events: log.EventLog,
+    ):
+        self._listing = listing
+        self._place = place
+        self._find_service = find_service
+        self._events = events
+
+    def apply_evacuations(self, found: evacuations.Evacuations) -> None:
+        """Leave evacuated zones, and enter those that are given back.
+
+        Upstreams there may have become cold just before, and their entries
+        tell of it later.
+        """
+        change = self._listing.set_evacuated(found.zones)
+        if change is None:
+            return
+        for upstream in change.added:
+            entry = self._listing.get_endpoint(upstream)
+            service = self._find_service(entry.service)
+            if service is not None and service.warmup_per_s > 0.0:
+                self._listing.note_cold(upstream, service.warmup_s)
+
+    def check_table(self, table: routing.RoutingTable) -> None:
+        """Log each region that routes name and the settings do not."""
+        unknown: dict[place_module.RegionId, list[routing.RouteName]] = {}
+        for route in table.routes.values():
+            for region in self._place.list_unknown(route.residency):
+                unknown.setdefault(region, []).append(route.name)
+        for region, routes in unknown.items():
+            self._events.record(
+                events.LogKind.REGIONS_UNKNOWN,
+                version=table.version,
+                region=region,
+                routes=routes,
+            )
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -22,6 +22,7 @@
 from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _operators as operators
 from rudderrock.gateway.knowledge import _peers as peers
 from rudderrock.gateway.knowledge import _sources as sources
 
@@ -65,9 +66,6 @@
 # two peers that each had something newer than the other were asked in turn
 # without an end.
 NEWS_PAUSE_S = 0.02
-# How long one watch waits at the source, in seconds. A watch that a cut has
-# silenced is thus noticed before a table has to be in force everywhere.
-WATCH_S = 2.0
 
 
 class Follower:
@@ -113,7 +111,9 @@
         self._retry_part = 1.0
         self._readings = 0
         self._problems: frozenset[str] = frozenset()
-        self._watch: asyncio.Task | None = None
+        self._operators = operators.OperatorWatch(
+            source, tables, evacuated, events
+        )
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -124,7 +124,7 @@
                 await self._step()
         finally:
             self._drop_peer()
-            self._stop_watch()
+            self._operators.stop()
 
     async def _start_from_seeds(self) -> bool:
         """Learn all for the first time from a seed; tell whether it did."""
@@ -304,7 +304,7 @@
         if self.peer is None or self.peer.entry != entry:
             self._drop_peer()
             self.peer = peers.PeerClient(entry)
-            self._stop_watch()
+            self._operators.stop()
             self._events.record(
                 events.LogKind.READING_FROM, peer=entry.host, zone=entry.zone
             )
@@ -385,7 +385,9 @@
             self._drop_peer()
             self._events.record(events.LogKind.READING_FROM, peer='', zone='')
         await self._read_hosts()
-        await self._keep_watch()
+        match await self._operators.keep():
+            case result.Err(problem):
+                self._note_lost('table', problem.detail)
         return True
 
     async def _read_hosts(self) -> None:
@@ -401,80 +403,6 @@
             case result.Err(problem):
                 self._note_lost('hosts', problem.detail)
 
-    async def _keep_watch(self) -> None:
-        """See that a watch on the table is under way."""
-        revision = None
-        if self._watch is not None:
-            if not self._watch.done():
-                return
-            # A watch that has ended has read what it may have missed.
-            revision = self._watch.result()
-        if revision is None:
-            match await self._read_table():
-                case result.Ok(revision):
-                    pass
-                case result.Err(problem):
-                    self._note_lost('table', problem.detail)
-                    return
-        self._watch = asyncio.create_task(self._follow_table(revision))
-
-    async def _read_table(self) -> result.Result[int, sources.Unavailable]:
-        """Read the table; return the source's revision."""
-        answer = await self._source.read_table()
-        if answer.is_err():
-            return answer
-        reading = answer.ok_value
-        self._apply_operators(reading, 'source')
-        return result.Ok(reading.revision)
-
-    def _apply_operators(
-        self, reading: sources.TableReading, origin: str
-    ) -> None:
-        """Put in force what operators have written."""
-        self._tables.apply_reading(reading, origin)
-        self._tables.confirm()
-        if reading.evacuated is not None:
-            found = evacuations.Evacuations(
-                reading.revision, reading.evacuated
-            )
-            self._evacuated.apply(found, origin)
-
-    async def _follow_table(self, revision: int) -> int | None:
-        """Watch until the table has to be read anew, and read it.
-
-        Returns the revision to watch from, None if it could not be read.
-        """
-        while True:
-            match await self._source.watch_table(revision, WATCH_S):
-                case result.Ok(None):
-                    # The next watch begins at the same revision, so what
-                    # this one may have missed comes then.
-                    self._tables.confirm()
-                case result.Ok(reading):
-                    self._apply_operators(reading, 'watch')
-                    revision = reading.revision
-                case result.Err(sources.HistoryGone()):
-                    break
-                case result.Err(problem):
-                    self._note_failed('watch', problem.detail)
-                    break
-        match await self._read_table():
-            case result.Ok(revision):
-                return revision
-            case result.Err(problem):
-                self._note_failed('table', problem.detail)
-        return None
-
-    def _note_failed(self, call: str, detail: str) -> None:
-        self._events.record(
-            events.LogKind.SOURCE_FAILED, call=call, detail=detail
-        )
-
-    def _stop_watch(self) -> None:
-        if self._watch is not None:
-            self._watch.cancel()
-            self._watch = None
-
     def _apply_hosts(self, found: list[fleet.HostEntry], origin: str) -> None:
         if self._hosts.apply_listing(found):
             self._events.record(
@@ -536,7 +464,7 @@
         if self._listing.age_s > directory.SHORT_GAP_S:
             self._listing.hold_for(directory.RETURN_GRACE_S)
         # The watch may have been cut without a sign.
-        self._stop_watch()
+        self._operators.stop()
         self._events.record(
             events.LogKind.DEPENDENCY_BACK,
             dependency='source',
--- /dev/null
+++ b/rudderrock/gateway/knowledge/_operators.py
@@ -0,0 +1,107 @@
+"""Reading and watching what operators write: the table and evacuations."""
+
+import asyncio
+
+import result
+
+from rudderrock.gateway import _events as events
+from rudderrock.gateway import _log as log
+from rudderrock.gateway.knowledge import _evacuations as evacuations
+from rudderrock.gateway.knowledge import _sources as sources
+
+# How long one watch waits at the source, in seconds. A watch that a cut has
+# silenced is thus noticed before a table has to be in force everywhere.
+WATCH_S = 2.0
+
+
+class OperatorWatch:
+    """Keeps the table and the evacuations in step with the source.
+
+    One watch runs at a time, as a task of its own.
+    """
+
+    def __init__(
+        self,
+        source: sources.SourcePort,
+        tables: sources.TableHolder,
+        evacuated: evacuations.EvacuationHolder,
+        events: log.EventLog,
+    ):
+        self._source = source
+        self._tables = tables
+        self._evacuated = evacuated
+        self._events = events
+        self._task: asyncio.Task | None = None
+
+    async def keep(self) -> result.Result[None, sources.Unavailable]:
+        """See that a watch is under way, after a reading if there was none."""
+        revision = None
+        if self._task is not None:
+            if not self._task.done():
+                return result.Ok(None)
+            # A watch that has ended has read what it may have missed.
+            revision = self._task.result()
+        if revision is None:
+            match await self._read():
+                case result.Ok(revision):
+                    pass
+                case result.Err() as failed:
+                    return failed
+        self._task = asyncio.create_task(self._follow(revision))
+        return result.Ok(None)
+
+    def stop(self) -> None:
+        """End the watch; what is known stays."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = None
+
+    async def _read(self) -> result.Result[int, sources.Unavailable]:
+        """Read all; return the source's revision."""
+        answer = await self._source.read_table()
+        if answer.is_err():
+            return answer
+        reading = answer.ok_value
+        self._apply(reading, 'source')
+        return result.Ok(reading.revision)
+
+    def _apply(self, reading: sources.TableReading, origin: str) -> None:
+        """Put in force what operators have written."""
+        self._tables.apply_reading(reading, origin)
+        self._tables.confirm()
+        if reading.evacuated is not None:
+            found = evacuations.Evacuations(
+                reading.revision, reading.evacuated
+            )
+            self._evacuated.apply(found, origin)
+
+    async def _follow(self, revision: int) -> int | None:
+        """Watch until all has to be read anew, and read it.
+
+        Returns the revision to watch from, None if it could not be read.
+        """
+        while True:
+            match await self._source.watch_table(revision, WATCH_S):
+                case result.Ok(None):
+                    # The next watch begins at the same revision, so what
+                    # this one may have missed comes then.
+                    self._tables.confirm()
+                case result.Ok(reading):
+                    self._apply(reading, 'watch')
+                    revision = reading.revision
+                case result.Err(sources.HistoryGone()):
+                    break
+                case result.Err(problem):
+                    self._note_failed('watch', problem.detail)
+                    break
+        match await self._read():
+            case result.Ok(revision):
+                return revision
+            case result.Err(problem):
+                self._note_failed('table', problem.detail)
+        return None
+
+    def _note_failed(self, call: str, detail: str) -> None:
+        self._events.record(
+            events.LogKind.SOURCE_FAILED, call=call, detail=detail
+        )
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -225,13 +225,16 @@
         return self.decode_table(raw, revision)
 
     def _pick_newest(self, found: _Events) -> gateway.TableReading | None:
+        if not found.events:
+            return None
         written = [
             event
             for event in found.events
             if event.key == _CONFIG_KEY and not event.compacted
         ]
         if not written:
-            return None
+            # About other keys of operators; the next watch begins after them.
+            return gateway.TableReading(None, found.at_revision)
         return self._make_table_reading(written[-1], found.at_revision)
 
     async def _list_items(
