--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -16,8 +16,8 @@
 # there was a reading this lately, of this host or of a peer, the registry
 # was not away for long enough to lose one that lives.
 SHORT_GAP_S = 2.2
-# Ids that have left and whose last entries are remembered. A day of 600
-# upstreams that are all replaced once needs as many.
+# Ids that have left and whose last entries are remembered: those of 2,400
+# upstreams that are all replaced once, and more.
 MOST_REMEMBERED = 4096
 
 
