An entry with a negative sequence or birth names no upstream; names read better

Found on reading the diff: a negative born ordered below everything known, so the entry was passed over without a line. Two examples in adapter.feature. Renamed, behaviour the same: what keeps zones, what updates the held ones. adapter and zones: 112 passed.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -150,7 +150,9 @@
       | {"slots": "two"} in place              |
       | {"sequence": 1.5} in place             |
       | {"sequence": 1e400} in place           |
+      | {"sequence": -1} in place              |
       | {"born": "now"} in place               |
+      | {"born": -1} in place                  |
       | {"born": 1.5} in place                 |
       | {"warmup_left_ms": -1} in place        |
       | {"address": "nowhere"} in place        |
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -114,14 +114,14 @@
         )
         parts.tables.add_listener(self._on_table)
         parts.hosts.add_listener(self._on_hosts)
-        operated = zones.Zones(
+        zone_keeper = zones.Zones(
             parts.listing,
             config.place,
             self._connections.find_service,
             parts.events,
         )
-        parts.tables.add_listener(operated.check_table)
-        parts.evacuations.add_listener(operated.apply_evacuations)
+        parts.tables.add_listener(zone_keeper.check_table)
+        parts.evacuations.add_listener(zone_keeper.apply_evacuations)
 
     @property
     def is_ready(self) -> bool:
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -237,16 +237,18 @@
             self._seen[stamp.origin] = stamp.number
             if self.stamp is None or stamp.read_at > self.stamp.read_at:
                 self.stamp = stamp
-        change = self._update(self._keep_newest(found), self._hold(found))
+        change = self._update(
+            self._keep_newest(found), self._update_held(found)
+        )
         if is_new:
             for read in self._readers:
                 read()
         return change
 
-    def _hold(
+    def _update_held(
         self, found: dict[core.UpstreamId, Endpoint]
     ) -> frozenset[core.UpstreamId]:
-        """Return what is kept though a reading lacks it."""
+        """Take note of what is kept though a reading lacks it."""
         missing = self._endpoints.keys() - found.keys()
         self._held = frozenset(missing if self.hold_s > 0 else ())
         return self._held
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -4,6 +4,7 @@
 import binascii
 import enum
 import math
+from typing import Annotated
 
 import msgspec
 import result
@@ -18,6 +19,9 @@
 BAD_JSON = (msgspec.DecodeError, ValueError, RecursionError)
 
 
+_NotNegative = Annotated[int, msgspec.Meta(ge=0)]
+
+
 class _WeightedService(msgspec.Struct):
     service: str
     weight: float
@@ -84,9 +88,9 @@
     state: _ServerState
     # How much longer the upstream is cold.
     warmup_left_ms: float
-    sequence: int
+    sequence: _NotNegative
     # The Unix millisecond of its start; on some deployments it is not told.
-    born: int = 0
+    born: _NotNegative = 0
 
 
 def decode_value(text: str) -> bytes:
