A request's line tells its digest and the attempts it lost

Cause: a line named the caller's attempt only, so copies of one request could not be told from other requests, nor how many upstreams ended under it. Change: `digest` (method, host, target, body, team, credentials) on the lines of requests that lost attempts, and `lost`; no decision goes by them.

--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -129,9 +129,11 @@
         'One request of a caller and how it ended. `late` shards were '
         'later than the late point, `far` answers came from other regions. '
         '`extras` were sent beyond the first request of each shard, `denied` '
-        'were not, for want of budget. `detail` names what is missing and '
-        'why; `waited_for` what was missing at the goal, if that was too much '
-        'to answer, and who had been asked. Lines of complete answers are '
+        'were not, for want of budget; `lost` ended with the connection after '
+        'they had been sent, and then `digest` is the same for all requests '
+        'that ask for the same on behalf of the same team. `detail` names '
+        'what is missing and why; `waited_for` what was missing at the goal, '
+        'if that was too much to answer, and who had been asked. Lines of complete answers are '
         'left out first when there are too many.',
         (
             'request_id',
@@ -148,6 +150,8 @@
             'far',
             'extras',
             'denied',
+            'lost',
+            'digest',
             'waited_for',
             'elapsed_ms',
         ),
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -277,12 +277,17 @@
             results.Outcome.ANSWERED,
             answered=1,
             late=late,
+            lost=only.lost,
             far=count_far([only]),
         )
     if only.failure is not None:
         reply = messages.pass_on(only.failure)
         return results.Result(
-            reply, results.Outcome.UPSTREAM_FAILED, only.detail, late=late
+            reply,
+            results.Outcome.UPSTREAM_FAILED,
+            only.detail,
+            late=late,
+            lost=only.lost,
         )
     found = results.explain_failure(
         tools.names,
@@ -291,7 +296,7 @@
         forwarder.timed_out,
         only.explain(),
     )
-    return dataclasses.replace(found, late=late)
+    return dataclasses.replace(found, late=late, lost=only.lost)
 
 
 def may_have_run(pursuits: list[pursuit.Pursuit]) -> bool:
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -21,6 +21,7 @@
 from rudderrock.gateway.forwarding import _gather as gather
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.forwarding import _zones as zones
+from rudderrock.gateway.http import _digest as digest
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.knowledge import _directory as directory
 from rudderrock.gateway.knowledge import _evacuations as evacuations
@@ -395,6 +396,14 @@
             ],
         )
 
+    def _digest_if_lost(
+        self, request: messages.Request, found: results.Result
+    ) -> str:
+        """Return what tells copies of a request that lost upstreams."""
+        if not found.lost:
+            return ''
+        return digest.digest_request(request, self._config.names)
+
     def _find_route(
         self, table: routing.RoutingTable | None, request: messages.Request
     ) -> routing.Route | None:
@@ -466,6 +475,8 @@
             far=found.far,
             extras=found.extras,
             denied=found.denied,
+            lost=found.lost,
+            digest=self._digest_if_lost(request, found),
             waited_for=found.waited_for,
             upstreams_age_ms=round(listing.age_s * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -115,6 +115,7 @@
         far=forward.count_far(pursuits),
         extras=sum(each.extras for each in pursuits),
         denied=sum(each.denied for each in pursuits),
+        lost=sum(each.lost for each in pursuits),
         waited_for=forwarder.waited_for,
     )
 
--- a/rudderrock/gateway/forwarding/_pursuit.py
+++ b/rudderrock/gateway/forwarding/_pursuit.py
@@ -77,6 +77,8 @@
         # Extra attempts made, and those that the budget did not allow.
         self.extras = 0
         self.denied = 0
+        # Attempts that ended with the connection after they had been sent.
+        self.lost = 0
         self.is_late = False
         self.in_part = False
         self.was_elsewhere = False
@@ -290,6 +292,7 @@
                 attempt.replica.note_gone()
             case verdicts.Verdict.SPOILT | verdicts.Verdict.LOST:
                 self.may_have_run = True
+                self.lost += verdict is verdicts.Verdict.LOST
                 attempt.replica.note_bad()
             case verdicts.Verdict.UNSENT:
                 attempt.replica.note_bad(replicas.UNREACHABLE_AVOID_S)
--- a/rudderrock/gateway/forwarding/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -35,7 +35,8 @@
     """The reply to a caller and how it came about.
 
     This host has `asked` so many upstreams and hosts, and `received` so many
-    bytes of records from them.
+    bytes of records from them. `lost` of its attempts ended with the
+    connection, after they had been sent.
     """
 
     reply: messages.Reply
@@ -49,6 +50,7 @@
     far: int = 0
     extras: int = 0
     denied: int = 0
+    lost: int = 0
     waited_for: str = ''
 
 
--- a/rudderrock/gateway/http/_dialect.py
+++ b/rudderrock/gateway/http/_dialect.py
@@ -16,7 +16,7 @@
     that may run the request; `stamp` signs an answer; `not_run` marks a
     rejection as one that ran nothing; `part_stamps` lists the stamps of
     the parts of a merged answer and `missing_parts` counts the shards that
-    are left out of it.
+    are left out of it. `team` names the team that asks, where callers say so.
     """
 
     request_id: bytes = b'rudderrock-request-id'
@@ -26,3 +26,4 @@
     not_run: bytes = b'rudderrock-not-run'
     part_stamps: bytes = b'rudderrock-part-stamps'
     missing_parts: bytes = b'rudderrock-missing-parts'
+    team: bytes = b'rudderrock-team'
--- a/rudderrock/standins/_wire_server.py
+++ b/rudderrock/standins/_wire_server.py
@@ -41,6 +41,8 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._silent: set[asyncio.Task] = set()
+        self._address = ('', 0)
+        self._restart: asyncio.Task | None = None
 
     async def serve(self, reader, writer) -> None:
         """Serve one connection."""
@@ -48,17 +50,37 @@
 
     async def start(self, host: str, port: int) -> None:
         """Listen at an address."""
+        self._address = (host, port)
         self._server = await asyncio.start_server(
             self._on_connection, host, port
         )
 
     async def stop(self) -> None:
         """Stop listening and cut every connection."""
+        if self._restart is not None:
+            self._restart.cancel()
+        self._stop_listening()
+        self.cut_connections()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def crash(self, down_s: float) -> None:
+        """Go down for so many seconds, then listen again.
+
+        The caller's own connection is cut when it returns.
+        """
+        self._stop_listening()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+        self._restart = asyncio.create_task(self._start_again(down_s))
+
+    async def _start_again(self, down_s: float) -> None:
+        await asyncio.sleep(down_s)
+        await self.start(*self._address)
+
+    def _stop_listening(self) -> None:
         if self._server is not None:
             self._server.close()
             self._server = None
-        self.cut_connections()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut_connections(self) -> None:
         """Cut every connection and go on listening."""
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -9,6 +9,10 @@
 from rudderrock.standins import _wire_server as wire_server
 
 
+# For how long an upstream that has crashed is down, in seconds.
+DOWN_S = 3.0
+
+
 class Conduct(enum.Enum):
     """How an upstream treats the requests that it gets."""
 
@@ -65,7 +69,8 @@
     request's id; `work_s` is how long it works on a request, `slots` of
     them at once. With `pauses` it begins on nothing while one lasts, and it
     reads nothing of a new connection for `connect_s`. It stops working when
-    the connection closes.
+    the connection closes. It crashes when it has run a request whose target
+    is in `lethal`, and is back `DOWN_S` later.
     """
 
     def __init__(
@@ -84,6 +89,8 @@
         self.records = records
         self.work_s = work_s
         self.conduct = Conduct.GOOD
+        self.lethal: frozenset[str] = frozenset()
+        self.crashes: list[float] = []
         self.most_connections = most_connections
         self.runs: list[WireRun] = []
         self.finished = 0
@@ -162,6 +169,10 @@
         self.runs.append(run)
         if not await self._work(reader):
             return False
+        if run.target in self.lethal:
+            self.crashes.append(asyncio.get_running_loop().time())
+            self.crash(DOWN_S)
+            return False
         return await self._answer(run, writer)
 
     async def _work(self, reader) -> bool:
