--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -133,8 +133,8 @@
         'they had been sent, and then `digest` is the same for all requests '
         'that ask for the same on behalf of the same team. `detail` names '
         'what is missing and why; `waited_for` what was missing at the goal, '
-        'if that was too much to answer, and who had been asked. Lines of complete answers are '
-        'left out first when there are too many.',
+        'if that was too much to answer, and who had been asked. Lines of '
+        'complete answers are left out first when there are too many.',
         (
             'request_id',
             'route',
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -8,7 +8,6 @@
 from rudderrock import gateway
 from rudderrock.standins import _wire_server as wire_server
 
-
 # For how long an upstream that has crashed is down, in seconds.
 DOWN_S = 3.0
 
