Programs run on the clock that counts time in which a host is suspended

Cause: all times of a host came from the loop's monotonic clock, which stands still while a machine is suspended: ages, leases and deadlines were taken for younger, and wall time, derived once at start, lagged until the next start. Before: after a suspension of 7.5 s a timer of 5 s had not run (the scenario fails on asyncio's own loop); after: it runs, the clock and wall time are right. Conclusion: a suspension is to a process what a freeze is.

--- a/features/steps/timeline.py
+++ b/features/steps/timeline.py
@@ -1,10 +1,15 @@
-"""Steps on the hybrid logical clock and the ring of events."""
+"""Steps on clocks and the ring of events."""
+
+import asyncio
+import time
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import use_step_matcher
 from behave import when
 
+from rudderrock import core
 from rudderrock import state
 
 use_step_matcher('re')
@@ -71,3 +76,54 @@
 def check_stamps(context):
     stamps = [event.stamp for event in context.events]
     assert stamps == sorted(set(stamps)), stamps[:5]
+
+
+class SuspendedMachine:
+    """Clocks of a machine whose monotonic clock stands still meanwhile."""
+
+    def __init__(self) -> None:
+        self.slept = 0.0
+        self._read = time.clock_gettime
+
+    def read(self, clock):
+        """Return what `time.clock_gettime` would."""
+        asleep = self.slept if clock == time.CLOCK_BOOTTIME else 0.0
+        return self._read(clock) + asleep
+
+
+@given(r'a loop as the programs have it, and a timer in ([\d.]+) seconds')
+def make_program_loop(context, seconds):
+    context.machine = SuspendedMachine()
+    patch = mock.patch.object(time, 'clock_gettime', context.machine.read)
+    context.stack.enter_context(patch)
+    context.slept_loop = core.SuspendAwareLoop()
+    context.stack.callback(context.slept_loop.close)
+    offset = time.time() - context.slept_loop.time()
+    context.slept_clock = core.Clock(context.slept_loop, offset)
+    context.slept_from = context.slept_clock.now()
+    context.rung = []
+    context.slept_loop.call_later(float(seconds), context.rung.append, 1)
+
+
+@when(r'the machine is suspended for ([\d.]+) seconds')
+def suspend(context, seconds):
+    context.machine.slept += float(seconds)
+    context.slept_loop.run_until_complete(asyncio.sleep(0))
+
+
+@then(r'the timer has run')
+def check_rung(context):
+    assert context.rung == [1]
+
+
+@then(r'its clock says that ([\d.]+) seconds have passed')
+def check_slept(context, seconds):
+    passed = context.slept_clock.now() - context.slept_from
+    assert float(seconds) <= passed < float(seconds) + 1.0, passed
+
+
+@then(r'its wall time is right')
+def check_wall(context):
+    # The time of day of a machine goes on while it is suspended.
+    right = time.time() + context.machine.slept
+    assert abs(context.slept_clock.wall() - right) < 0.5
--- a/features/timeline.feature
+++ b/features/timeline.feature
@@ -24,3 +24,12 @@
     Given host "a" whose clock is right
     When "a" records 1000 events at one instant
     Then their stamps are all different and in order
+
+  # On the monotonic clock the timer had not run, and ages, leases and wall
+  # time were 7.5 s behind from then on.
+  Scenario: a host that was suspended knows how long
+    Given a loop as the programs have it, and a timer in 5 seconds
+    When the machine is suspended for 7.5 seconds
+    Then the timer has run
+    And its clock says that 7.5 seconds have passed
+    And its wall time is right
--- a/rudderrock/core/__init__.py
+++ b/rudderrock/core/__init__.py
@@ -21,6 +21,8 @@
 from rudderrock.core._ids import ZoneId
 from rudderrock.core._latency import FadingMean
 from rudderrock.core._latency import LatePoint
+from rudderrock.core._loop import run_loop
+from rudderrock.core._loop import SuspendAwareLoop
 from rudderrock.core._tasks import end_task
 from rudderrock.core._tasks import wait_for_event
 
@@ -37,11 +39,13 @@
     'RequestId',
     'Revision',
     'ShardId',
+    'SuspendAwareLoop',
     'TeamId',
     'UpstreamId',
     'ZoneId',
     'end_task',
     'make_random',
+    'run_loop',
     'split_address',
     'wait_for_event',
 ]
--- a/rudderrock/core/_clock.py
+++ b/rudderrock/core/_clock.py
@@ -15,7 +15,7 @@
 
 
 class Clock:
-    """The loop's monotonic time, and a wall time derived from it.
+    """The loop's steady time, and a wall time derived from it.
 
     Parameters: `loop` supplies the monotonic time in seconds; `wall_offset`
     in seconds is what must be added to it to give Unix time. The offset is
--- a/rudderrock/programs/entry.py
+++ b/rudderrock/programs/entry.py
@@ -7,6 +7,7 @@
 import defopt
 import result
 
+from rudderrock import core
 from rudderrock import frontend
 from rudderrock import state
 from rudderrock.programs import _exits as exits
@@ -36,7 +37,7 @@
         case result.Err(message):
             exits.fail(message, exits.Exit.USAGE)
         case result.Ok(read):
-            asyncio.run(_serve(settings, read))
+            core.run_loop(_serve(settings, read))
 
 
 async def _serve(settings: state.Settings, read: frontend.Secrets) -> None:
--- a/rudderrock/programs/gateway.py
+++ b/rudderrock/programs/gateway.py
@@ -10,6 +10,7 @@
 from absl import logging
 import result
 
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock import gateway_root
 from rudderrock import platform
@@ -38,7 +39,7 @@
         case result.Err(message):
             exits.fail(message, exits.Exit.USAGE)
         case result.Ok(boot):
-            asyncio.run(_serve(boot, path))
+            core.run_loop(_serve(boot, path))
 
 
 async def _serve(boot: platform.Boot, path: pathlib.Path) -> None:
