The soak sends copies of a request that crashes upstreams

Change: one request in ten is such a copy from some moment on; the proxy before an upstream that has crashed refuses connections as it does. The promise: 4 s after the third crash no copy that was sent in a calm moment reaches any.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -34,6 +34,7 @@
       | extra load is bounded              | 80 extra requests reach one service   |
       | a table never goes back            | a host serves by an older version     |
       | a planned stop cuts nothing        | a request is cut in a calm moment     |
+      | a request that crashes upstreams is kept from them | a copy of a lethal request comes late   |
 
   Scenario: the soak's checks pass what is right
     Given the records of a soak in which nothing is wrong
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -126,6 +126,19 @@
         context.records.runs.append((name, make_run('q1')))
 
 
+@when(r'a copy of a lethal request comes late')
+def send_lethal_late(context):
+    late = 1.0 + checks.LETHAL_KNOWN_S
+    copy = make_sent('c1', '/moved/lethal', late, status=502)
+    context.records.sent.append(copy)
+    context.records.arrivals['moved-0'].append((late + 0.1, 'c1'))
+    context.records = dataclasses.replace(
+        context.records,
+        crashes=[0.8, 0.9, 1.0],
+        lethal=frozenset({'/moved/lethal'}),
+    )
+
+
 @when(r"an answer is another request's")
 def cross_answers(context):
     sent = context.records.sent[0]
--- a/rudderrock/soak/_checks.py
+++ b/rudderrock/soak/_checks.py
@@ -12,6 +12,9 @@
 MOST_ATTEMPTS = 2
 # Statuses that promise that a request has not run and never will.
 PROMISES = frozenset({408, 421, 429, 503})
+# From so long after the third upstream has crashed under a request no copy of
+# it that was sent in a calm moment may reach any; seconds.
+LETHAL_KNOWN_S = 4.0
 _RECORDS = 6
 _RECORD_BYTES = 16
 
@@ -73,7 +76,8 @@
 
     `shard_sets` are the sets of shards that any version named, `services`
     gives the service of each upstream, `moves` the order of the services
-    that the moved route had.
+    that the moved route had. `crashes` are the times at which upstreams
+    crashed under requests for the `lethal` targets.
     """
 
     sent: list[Sent]
@@ -85,6 +89,8 @@
     ratio: float
     slack: float
     window_s: float
+    crashes: list[float] = dataclasses.field(default_factory=list)
+    lethal: frozenset[str] = frozenset()
 
 
 def check_records(records: Records) -> list[Broken]:
@@ -99,6 +105,7 @@
     broken += _check_unasked(by_id, records.runs)
     broken += _check_budget(records, by_id)
     broken += _check_order(records)
+    broken += _check_lethal(records)
     return broken
 
 
@@ -227,3 +234,25 @@
         if number > seen:
             newest[process] = (number, sent.ended)
     return broken
+
+
+def _check_lethal(records: Records) -> list[Broken]:
+    """See that a request which crashes upstreams is kept from them."""
+    if len(records.crashes) < 3:
+        return []
+    known = records.crashes[2] + LETHAL_KNOWN_S
+    copies = {
+        each.request_id
+        for each in records.sent
+        if each.target in records.lethal and each.calm
+    }
+    late = {
+        request_id
+        for arrivals in records.arrivals.values()
+        for at, request_id in arrivals
+        if at > known and request_id in copies
+    }
+    if not late:
+        return []
+    promise = 'a request that crashes upstreams is kept from them'
+    return [Broken(promise, f'{len(late)} copies after {known:.1f}: {late}')]
--- a/rudderrock/soak/_plan.py
+++ b/rudderrock/soak/_plan.py
@@ -28,6 +28,7 @@
     UPSTREAM_DRAINS = 'upstream_drains'
     MOVE_ROUTE = 'move_route'
     REPARTITION = 'repartition'
+    LETHAL_REQUEST = 'lethal_request'
 
 
 class WayFault(enum.Enum):
@@ -43,6 +44,11 @@
 
 # Faults that come as planned work; the others are unplanned.
 PLANNED = frozenset({FaultKind.STOP, FaultKind.RELOAD, FaultKind.MOVE_ROUTE})
+# Drawn apart from the others, once a seed.
+_DRAWN = [each for each in FaultKind if each is not FaultKind.LETHAL_REQUEST]
+# The latest part of a seed's length at which a request begins to come that
+# crashes the upstreams which run it: its copies come until the end.
+_LETHAL_BY = 0.4
 _CONDUCTS = [
     each
     for each in standins.Conduct
@@ -80,12 +86,15 @@
     faults: list[Fault] = []
     at = 0.5
     while at < length - 1.0:
-        kind = chance.choice(list(FaultKind))
+        kind = chance.choice(_DRAWN)
         for step in range(chance.choice((1, 1, 1, 2, 3))):
             start = at + 0.4 * step
             if start < length - 1.0:
                 faults.append(_draw_fault(chance, start, kind))
         at += chance.uniform(0.2, 1.5)
+    apart = core.make_random(seed, 'lethal')
+    began = apart.uniform(0.1, _LETHAL_BY) * length
+    faults.append(_draw_fault(apart, began, FaultKind.LETHAL_REQUEST))
     faults.sort(key=lambda fault: fault.at)
     return Plan(seed, length, hosts, tuple(faults))
 
--- a/rudderrock/soak/_proxy.py
+++ b/rudderrock/soak/_proxy.py
@@ -3,6 +3,7 @@
 import asyncio
 import struct
 
+from rudderrock import core
 from rudderrock.soak import _plan as plan
 
 _CHUNK_BYTES = 65536
@@ -19,6 +20,7 @@
         self.port = 0
         self._target = target
         self._server: asyncio.Server | None = None
+        self._restart: asyncio.Task | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -31,11 +33,24 @@
 
     async def stop(self) -> None:
         """Close all."""
+        if self._restart is not None:
+            await core.end_task(self._restart)
         self._server.close()
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def go_down(self, seconds: float) -> None:
+        """Refuse connections for a while, as the server behind it does."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        self._restart = asyncio.create_task(self._start_again(seconds))
+
+    async def _start_again(self, after_s: float) -> None:
+        await asyncio.sleep(after_s)
+        await self.start(self.port)
+
     def set_fault(self, fault: plan.WayFault) -> None:
         """Begin or end a fault; a reset strikes what is open."""
         self.fault = fault
--- a/rudderrock/soak/_run.py
+++ b/rudderrock/soak/_run.py
@@ -19,6 +19,8 @@
 
 CALLERS = 6
 _GAP_S = 0.04
+# Part of the callers' requests that are copies of a lethal one, once it comes.
+_LETHAL_PART = 0.1
 _DEADLINE_MS = 1200
 # What an answer may take beyond the caller's own deadline before the caller
 # counts the connection as ended.
@@ -104,6 +106,10 @@
             ratio=world_module.RATIO,
             slack=world_module.SLACK,
             window_s=world_module.WINDOW_S,
+            crashes=sorted(
+                at for each in world.upstreams.values() for at in each.crashes
+            ),
+            lethal=world.lethal,
         )
 
     async def _call(self, chance: random.Random) -> None:
@@ -148,10 +154,15 @@
         body = b''
         if kind == 'once':
             body = b'note %d' % self._count
+        target = f'/{kind}/{self._count}?n={chance.randrange(100)}'
+        if self._world.lethal and not self._over:
+            if chance.random() < _LETHAL_PART:
+                (target,) = self._world.lethal
+                kind, body = target.split('/')[1], b''
         return checks.Sent(
             request_id=f's{self._plan.seed}-{self._count}',
             method='POST' if kind == 'once' else 'GET',
-            target=f'/{kind}/{self._count}?n={chance.randrange(100)}',
+            target=target,
             body=body,
             host=host.number,
             incarnation=host.incarnation,
@@ -213,6 +224,10 @@
                 world.upstreams[name].cut_connections()
             case kinds.UPSTREAM_DRAINS:
                 world.drain(name)
+            case kinds.LETHAL_REQUEST:
+                routes = ('all', 'once', 'moved')
+                route = routes[fault.target % len(routes)]
+                world.make_lethal(f'/{route}/lethal')
             case kinds.MOVE_ROUTE:
                 await world.move_route()
             case kinds.REPARTITION:
--- a/rudderrock/soak/_world.py
+++ b/rudderrock/soak/_world.py
@@ -122,6 +122,8 @@
         self.draining: set[str] = set()
         self.shard_sets: list[frozenset[str]] = []
         self.moves: list[str] = []
+        # Targets that crash each upstream which runs them.
+        self.lethal: frozenset[str] = frozenset()
         self._folder = folder
         self._log = log
         self._version = 0
@@ -165,6 +167,8 @@
         way = proxy.Proxy(('127.0.0.1', port))
         await way.start()
         self._stack.push_async_callback(way.stop)
+        model.lethal = self.lethal
+        model.on_crash = lambda: way.go_down(standins.DOWN_S)
         self.upstreams[name] = model
         self.services[name] = service
         self.ways[name] = way
@@ -180,6 +184,12 @@
         )
         self.store.put_server(name, raw)
 
+    def make_lethal(self, target: str) -> None:
+        """Have each upstream crash that runs a request for a target."""
+        self.lethal |= {target}
+        for model in self.upstreams.values():
+            model.lethal = self.lethal
+
     def drain(self, name: str) -> None:
         """Have an upstream say that it leaves, unless it is the last."""
         service = self.services[name]
--- a/rudderrock/standins/__init__.py
+++ b/rudderrock/standins/__init__.py
@@ -34,11 +34,13 @@
 from rudderrock.standins._upstream import UpstreamFaults
 from rudderrock.standins._upstream import UpstreamModel
 from rudderrock.standins._wire_upstream import Conduct
+from rudderrock.standins._wire_upstream import DOWN_S
 from rudderrock.standins._wire_upstream import Pauses
 from rudderrock.standins._wire_upstream import WireRun
 from rudderrock.standins._wire_upstream import WireUpstream
 
 __all__ = [
+    'DOWN_S',
     'Conduct',
     'DEFAULT_MAX_QUEUE',
     'Deployment',
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -90,6 +90,8 @@
         self.conduct = Conduct.GOOD
         self.lethal: frozenset[str] = frozenset()
         self.crashes: list[float] = []
+        # Called when it crashes, for what stands before it.
+        self.on_crash: Callable[[], None] = lambda: None
         self.most_connections = most_connections
         self.runs: list[WireRun] = []
         self.finished = 0
@@ -171,6 +173,7 @@
         if run.target in self.lethal:
             self.crashes.append(asyncio.get_running_loop().time())
             self.crash(DOWN_S)
+            self.on_crash()
             return False
         return await self._answer(run, writer)
 
