--- a/features/soak.feature
+++ b/features/soak.feature
@@ -14,6 +14,18 @@
       | 1    |
       | 7    |
 
+  # Both: the two hosts of a zone had started again, one asked the other, which
+  # read the source and asked the first, and neither heard from the other zone
+  # which request crashes upstreams. Copies of it reached some in a calm moment.
+  Scenario Outline: a seed that broke a promise: seed <seed>
+    When the soak plays seed <seed> for 12 seconds with 4 hosts
+    Then it found no broken promise
+
+    Examples:
+      | seed |
+      | 2012 |
+      | 2016 |
+
   Scenario Outline: the soak's checks see a broken promise: <promise>
     Given the records of a soak in which nothing is wrong
     When <what>
