--- a/rudderrock/gateway/knowledge/_announcer.py
+++ b/rudderrock/gateway/knowledge/_announcer.py
@@ -32,7 +32,7 @@
 AGAIN_S = 0.5
 MOST_TIMES = 20
 # Hosts that are told at the same time. With 580 hosts, a way there and back of
-# 20 ms and a new connection each, all are told in some 0.7 s.
+# 20 ms and a new connection each, all are told in some 0.7 s (by sums).
 MOST_AT_ONCE = 32
 # How often a host that reads the source asks another one what it has missed,
 # in seconds: it may just have started, or been frozen or cut off for longer
