The soak counts the upstreams that a request was sent to, not its runs

The bound is on the upstreams that one request is sent to, so the case is allowed; three upstreams still break the promise, as the scenario for it shows. Ruled out: the quarantine (no line of that request has a digest or a loss). Conclusion: the check says what the promise says; a scenario keeps the case.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -48,6 +48,13 @@
       | a planned stop cuts nothing        | a request is cut in a calm moment     |
       | a request that crashes upstreams is kept from them | a copy of a lethal request comes late   |
 
+  # Seed 2116: a part of a query, hedged at the host that had it, was asked again
+  # by the other, which had seen no sign of it in time on a busy machine.
+  Scenario: the soak's checks pass a request that two upstreams ran, one of them twice
+    Given the records of a soak in which nothing is wrong
+    When a request ran twice at one upstream and once at another
+    Then the checks say nothing
+
   Scenario: the soak's checks pass what is right
     Given the records of a soak in which nothing is wrong
     Then the checks say nothing
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -120,6 +120,12 @@
     context.records.sent[1].status = 503
 
 
+@when(r'a request ran twice at one upstream and once at another')
+def run_again(context):
+    for name in ('i-1', 'i-2'):
+        context.records.runs.append((name, make_run('q1')))
+
+
 @when(r'a request ran at three upstreams')
 def run_thrice(context):
     for name in ('i-2', 'i-3'):
--- a/rudderrock/soak/_checks.py
+++ b/rudderrock/soak/_checks.py
@@ -119,7 +119,10 @@
         note('at most once', f'ran {len(runs)} times')
     if sent.is_once and runs and sent.status in PROMISES:
         note('a refusal is true', f'{sent.status} but it ran')
-    counts = collections.Counter(records.services[name] for name, _ in runs)
+    # What is bounded is the upstreams that a request is sent to: where a host
+    # that asks a shard for another shows no sign, each may run it again.
+    upstreams = {name for name, _ in runs}
+    counts = collections.Counter(records.services[name] for name in upstreams)
     if counts and max(counts.values()) > MOST_ATTEMPTS:
         note('attempts are bounded', str(counts))
     if sent.status == 200:
