--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -244,7 +244,6 @@
 )
 def tell_late(context, seconds, target):
     first, *_, last = context.fleet.members
-    address = context.fleet.members[last].address
     process = context.fleet.members[last].process
 
     async def go():
@@ -258,7 +257,6 @@
         await asyncio.sleep(float(seconds))
         return gateway.Reply(503, [])
 
-    assert address
     run(context, go())
 
 
