What the change wrote twice is written once

Cause: read once more as a whole. The headers that sign the parts of an answer were written for an empty part again; the addresses of other hosts were listed three times; a flag that only its class reads was public. A loop in two halves says why its order matters. Ruled out: the pairs that share only the shape of a constructor.

--- a/rudderrock/gateway/decisions/_canary.py
+++ b/rudderrock/gateway/decisions/_canary.py
@@ -43,7 +43,7 @@
     ):
         self.is_answered = False
         # Another host has not asked its shards, or not all, on suspicion.
-        self.is_warned = False
+        self._is_warned = False
         self._is_part = is_part
         self._known = known
         self._clock = clock
@@ -79,14 +79,14 @@
         """Tell whether attempts are sent one at a time."""
         standing = self.standing
         return standing is quarantine.Standing.SUSPECT or (
-            standing is quarantine.Standing.CLEAR and self.is_warned
+            standing is quarantine.Standing.CLEAR and self._is_warned
         )
 
     @property
     def is_held(self) -> bool:
         """Tell whether attempts are held back for want of an answer."""
         return not self.is_answered and (
-            self.is_warned or self.standing is not quarantine.Standing.CLEAR
+            self._is_warned or self.standing is not quarantine.Standing.CLEAR
         )
 
     def judge(self) -> Advice:
@@ -144,7 +144,7 @@
 
     def warn(self) -> None:
         """Take note that another host suspects the request."""
-        self.is_warned = True
+        self._is_warned = True
 
     def finish(self) -> None:
         """Take note that the call is over and waits for nothing more."""
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -87,9 +87,7 @@
 ) -> results.Result:
     """Answer another host that none of the shards is asked."""
     headers = [
-        (names.request_id, request_id),
-        (names.part_stamps, b''),
-        (names.missing_parts, b'%d' % len(shards)),
+        *_sign_parts(names, request_id, [], len(shards)),
         delegate.name_missing(shards),
         (delegate.HELD, b'1'),
     ]
@@ -119,11 +117,7 @@
         stamps += each.stamps
         bodies.append(each.body)
     missing = len(pursuits) - forwarder.count_answers()
-    headers = [
-        (tools.names.request_id, call.request_id),
-        (tools.names.part_stamps, b', '.join(stamps)),
-        (tools.names.missing_parts, b'%d' % missing),
-    ]
+    headers = _sign_parts(tools.names, call.request_id, stamps, missing)
     return results.Result(
         messages.Reply(
             200, headers, records.merge_records(bodies, scatter.top_k)
@@ -144,6 +138,20 @@
     )
 
 
+def _sign_parts(
+    names: dialect.HeaderNames,
+    request_id: bytes,
+    stamps: list[bytes],
+    missing: int,
+) -> messages.Headers:
+    """Return the headers that say whose answers are in, and how many not."""
+    return [
+        (names.request_id, request_id),
+        (names.part_stamps, b', '.join(stamps)),
+        (names.missing_parts, b'%d' % missing),
+    ]
+
+
 def _list_missing(pursuits: list[pursuit.Pursuit]) -> str:
     """Name the shards that are missing, and why each one is."""
     return results.join_some(
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -103,6 +103,8 @@
         for each in self._members:
             if each.service not in found.missing:
                 each.take_from_part()
+        # After those: an answer clears the request, so what is missing may be
+        # asked for at once.
         for each in self._members:
             if each.service in found.missing:
                 each.miss_elsewhere(f'missing by {host}', fate)
--- a/rudderrock/gateway/knowledge/_announcer.py
+++ b/rudderrock/gateway/knowledge/_announcer.py
@@ -106,7 +106,7 @@
     async def _tell_all(self) -> None:
         """Tell all hosts, those again that did not answer."""
         body = self._render_news()
-        waiting = {each.address for each in self._list_others()}
+        waiting = self._list_addresses()
         for _ in range(MOST_TIMES):
             waiting = await self._tell(waiting, body)
             if not waiting:
@@ -115,13 +115,16 @@
             if self._news.is_set():
                 self._news.clear()
                 body += self._render_news()
-                waiting = {each.address for each in self._list_others()}
-            waiting &= {each.address for each in self._list_others()}
+                waiting = self._list_addresses()
+            waiting &= self._list_addresses()
 
     def _list_others(self) -> list[fleet.HostEntry]:
         own = self._hosts.own.host
         return [each for each in self._hosts.list_hosts() if each.host != own]
 
+    def _list_addresses(self) -> set[str]:
+        return {each.address for each in self._list_others()}
+
     def _render_news(self) -> bytes:
         records = self._known.list_since(self._told)
         self._told = self._known.generation
