Failing tests: what is ended while it connects goes on

Symptom: a lane, or any task that opens a connection, that is cancelled in certain turns of the loop goes on as if it had not been.

Evidence so far: the chain of awaits of each task that went on, taken in the turn of its cancellation, ends in the same place, the library's wait with a bound around connecting, whose future was done already.

Ruled out: an event that nobody sets (the lane waits for its next attempt, on a connection that works), an upstream that holds the connection (closing it does not end the task), load (the same without any, by counting turns).

--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -74,3 +74,21 @@
     When anyone reads the metrics without the operators' secret
     Then the reply has status 401 and says that nothing ran
     And with the secret they read "rudderrock_ready{} 1"
+
+Rule: What is ended while it connects ends
+
+  # A host that was told to stop, or whose layout lost an upstream, sometimes
+  # kept a connection to it and a task for good. One `cancel` ends a lane; it
+  # was lost if it fell between the end of connecting and the turn in which
+  # the lane learnt of it.
+  Scenario: a task that opens a connection can be cancelled in any turn
+    Given an upstream that keeps its connections
+    When tasks that open connections are cancelled after 0 to 40 turns, 25 times
+    Then every one of them has ended
+    And the upstream has no connection left
+
+  Scenario: a link can be closed in any turn while its lanes connect
+    Given an upstream that keeps its connections
+    When links are closed after 0 to 40 turns of connecting, 10 times
+    Then every one of them has ended
+    And the upstream has no connection left
