What is cancelled while it connects ends

Callers saw nothing as long as a host ran. A host that was told to stop at the wrong moment did not end until it was killed, so whatever waited for its end waited on: its successor at the same address, and, where its lease was being renewed over a new connection, all who believe in leases. A link that the layout had dropped kept one of the few connections of its upstream for good.

Cause: the client library bounds connecting with asyncio.wait_for. Before Python 3.12 that returns the result, and drops a cancellation, if the result is there and the waiter has not run yet. Lanes, links, followers, the lease and the host are ended by one cancellation each. Evidence: the chain of awaits of every task that went on, in the turn of its cancellation: open > acquire > wait_for, with a future that was done; lanes of the listed scenario that hung were being cancelled and waited for their next attempt.

Why this holds: connecting is bounded by asyncio.timeout, which counts cancellations, and the library is given no bound, so it awaits the connection itself. Every connection is opened there, those of a call that finds its own closed too.

Ruled out: an event that nobody sets; load as the cause (it only makes the moment likelier; counting turns needs none).

A scenario that cannot close says which tasks are still there.

--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 import contextlib
 import gc
 import logging
+import sys
 import warnings
 
 import async_solipsism
@@ -42,11 +43,21 @@
     """Close what the scenario opened, whether it passed or not."""
     is_real = 'sockets' in scenario.effective_tags
     limit_s = CLOSE_S if is_real else None
-    context.loop.run_until_complete(
-        asyncio.wait_for(context.stack.aclose(), limit_s)
-    )
+    context.loop.run_until_complete(_close(context.stack, limit_s))
     context.loop.close()
     gc.collect()
     # A task that died of an exception that nobody expected is a failure,
     # whatever the steps saw.
     assert not context.crashes, context.crashes
+
+
+async def _close(stack, limit_s):
+    """Close what a scenario opened; if that hangs, say what is waited for."""
+    try:
+        async with asyncio.timeout(limit_s):
+            await stack.aclose()
+    except TimeoutError:
+        for task in asyncio.all_tasks():
+            print(f'still there, cancelled {task.cancelling()} times:')
+            task.print_stack(file=sys.stdout)
+        raise
--- a/features/steps/connecting.py
+++ b/features/steps/connecting.py
@@ -58,20 +58,48 @@
     r'(\d+) times'
 )
 def cancel_openings(context, turns, times):
-    async def cancel_all():
+    end_in_each_turn(context, _cancel_opening, int(turns), int(times))
+
+
+@when(
+    r'tasks that send over new connections are cancelled after 0 to (\d+) '
+    r'turns, (\d+) times'
+)
+def cancel_sendings(context, turns, times):
+    end_in_each_turn(context, _cancel_sending, int(turns), int(times))
+
+
+@when(r'links are closed after 0 to (\d+) turns of connecting, (\d+) times')
+def close_links(context, turns, times):
+    end_in_each_turn(context, _close_link, int(turns), int(times))
+
+
+def end_in_each_turn(context, begin_end, turns, times):
+    """End something after each number of turns, and count what goes on."""
+
+    async def end_all():
+        address = context.listener.address
         tasks = [
-            await _cancel_opening(context, turn)
-            for _ in range(int(times))
-            for turn in range(int(turns) + 1)
+            await begin_end(address, turn)
+            for _ in range(times)
+            for turn in range(turns + 1)
         ]
         context.unended = await _wait_for_end(tasks)
 
-    run(context, cancel_all())
+    run(context, end_all())
+
+
+async def _cancel_opening(address, turn):
+    return await _cancel_after(turn, _open_and_keep(address))
 
 
-async def _cancel_opening(context, turn):
+async def _cancel_sending(address, turn):
+    return await _cancel_after(turn, _send_and_keep(address))
+
+
+async def _cancel_after(turn, work):
     """Return a task that was cancelled so many turns of the loop later."""
-    task = asyncio.create_task(_open_and_keep(context.listener.address))
+    task = asyncio.create_task(work)
     await _pass_turns(turn)
     task.cancel()
     return task
@@ -86,26 +114,19 @@
         await connection.close()
 
 
-@when(r'links are closed after 0 to (\d+) turns of connecting, (\d+) times')
-def close_links(context, turns, times):
-    async def close_all():
-        tasks = [
-            await _close_link(context, turn)
-            for _ in range(int(times))
-            for turn in range(int(turns) + 1)
-        ]
-        context.unended = await _wait_for_end(tasks)
-
-    run(context, close_all())
+async def _send_and_keep(address):
+    connection = transport.OwnedConnection(address)
+    try:
+        await connection.post('/', b'{}')
+    finally:
+        await connection.close()
 
 
-async def _close_link(context, turn):
+async def _close_link(address, turn):
     """Return a task that closes a link which has just begun to connect."""
     clock = runtime.make_system_clock()
     link = coordination.UpstreamLink(
-        state.Upstream(
-            upstream='u', address=context.listener.address, zone='z'
-        ),
+        state.Upstream(upstream='u', address=address, zone='z'),
         transport.HttpUpstreamPort(connect_timeout_s=5.0),
         state.RoutingSettings(),
         clock,
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -267,7 +267,12 @@
 @then(r'the gateway has ended within ' + _SECONDS)
 def check_ended(context, seconds):
     bench = get(context)
-    run(context, asyncio.wait_for(bench.task, 10.0))
+
+    async def wait_until_ended():
+        async with asyncio.timeout(10.0):
+            await bench.task
+
+    run(context, wait_until_ended())
     took = context.loop.time() - context.stopped_at
     assert took <= float(seconds), took
 
--- a/rudderrock/transport/_owned.py
+++ b/rudderrock/transport/_owned.py
@@ -66,19 +66,32 @@
         self._socket: aiosonic.connection.Connection | None = None
 
     async def open(self) -> result.Result[None, ExchangeFailed]:
-        """Connect now, so that the first exchange need not wait for it."""
+        """Connect now, so that the first exchange need not wait for it.
+
+        Whoever is cancelled here is cancelled, in whichever turn of the loop,
+        and no connection is left. The bound is not given to the library: it
+        keeps bounds with `asyncio.wait_for`, which before Python 3.12 returns
+        the result and drops a cancellation that comes once the connection is
+        there and its waiter has not run yet. Lanes, links and hosts are ended
+        by one cancellation, and lived on: up to 8 of 410 links, closed by
+        turns of the loop while they connected.
+        """
         client = self._make_client()
         url = urllib.parse.urlparse(self._base)
+        opened = False
         try:
-            connection = await client.connector.acquire(
-                url, False, None, client.connector.timeouts, False
-            )
+            async with asyncio.timeout(self._connect_timeout_s):
+                connection = await client.connector.acquire(
+                    url, False, None, client.connector.timeouts, False
+                )
+            opened = True
+        except TimeoutError:
+            return result.Err(ExchangeFailed('connecting timed out'))
         except _FAILURES as exc:
-            await self.close()
             return result.Err(ExchangeFailed(repr(exc)))
-        except asyncio.CancelledError:
-            await self.close()
-            raise
+        finally:
+            if not opened:
+                await self.close()
         # The pool keeps it under its destination until the first exchange.
         connection.keep_alive()
         connection.key = connection.temp_key
@@ -92,13 +105,19 @@
         Bytes that came without a request are the end of somebody else's
         reply, or a server's farewell; either way it is not to be used.
         """
-        socket = self._socket
-        if socket is None or socket.writer is None:
+        if not self._is_open:
             return False
-        reader = socket.reader
+        reader = self._socket.reader
         # StreamReader has no public way to ask this without reading.
         unread = bool(reader._buffer)
-        return not (socket.writer.is_closing() or reader.at_eof() or unread)
+        return not (reader.at_eof() or unread)
+
+    @property
+    def _is_open(self) -> bool:
+        socket = self._socket
+        if socket is None or socket.writer is None:
+            return False
+        return not socket.writer.is_closing()
 
     async def post(
         self, path: str, body: bytes
@@ -108,6 +127,10 @@
         When this returns an error or is cancelled, the connection has been
         closed; the next call opens a new one.
         """
+        if not self._is_open:
+            opened = await self.open()
+            if opened.is_err():
+                return opened
         client = self._make_client()
         finished = False
         try:
@@ -137,7 +160,7 @@
             size=1, max_conn_requests=None, max_conn_idle_ms=None
         )
         timeouts = aiosonic.timeout.Timeouts(
-            sock_connect=self._connect_timeout_s,
+            sock_connect=None,
             sock_read=None,
             pool_acquire=None,
             request_timeout=None,
