A request that crashes upstreams leaves each shard one

Callers saw two in three wide queries of three seconds fail, though the first such request had left each shard a replica.

Cause: its canaries went to the first shard that waited, and hosts did not know which upstreams had ended until registrations lapsed some 3 s later. Each took a shard's last upstream; with a few of 20 gone no query could be answered.

Now hosts tell one another which upstreams have ended, with the request under which they did. A canary goes where most live, and never to the last one once more than one has ended; where none can be spared the request is refused at once, with the time after which one may be back. After a first loss of three upstreams or more one trial is made, not two, and hosts spread it over 2 s: it comes later than before, and each counts as a retry then.

Scenarios that changed: the one that counted 22 crashes asks for 20, and 21 after the trial; four that reach quarantine first send copies for 12 s instead of 2 s or one copy, since the last trial waits for upstreams to be back. What they check is as it was.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -41,20 +41,73 @@
     Then it was sent in at most 3 retries later than 4 seconds after the third crash
     And at most 8 upstreams have crashed
 
-  # 40 before: each shard's second upstream got the retry.
-  Scenario: a query over 20 shards that nobody knows yet crashes 22 upstreams
+  # 40 while each shard's second upstream got the retry, 22 while two canaries
+  # went to the last upstreams of two shards.
+  Scenario: a query over 20 shards that nobody knows yet crashes one upstream of each
     Given 20 shards of 2 replicas
     And the route "/all/" to all shards
     And a request for "/all/lethal" crashes every upstream that runs it
     And a gateway
     When a caller sends GET "/all/lethal"
     Then the reply is 502
-    And 22 upstreams have crashed
+    And 20 upstreams have crashed
+    When a caller sends GET "/all/lethal"
+    Then the reply is 503
+    And it says to come back in 6 seconds
+    And the log has a line of it with the outcome "quarantined" and a reason
+    And 20 upstreams have crashed
+    When 6 seconds pass
+    And a caller sends GET "/all/lethal"
+    Then the reply is 502
+    And 21 upstreams have crashed
     When a caller sends GET "/all/lethal"
     Then the reply is 503
     And it says to come back in 3600 seconds
     And the log has a line of it with the outcome "quarantined" and a reason
-    And 22 upstreams have crashed
+    And 21 upstreams have crashed
+
+  # What users saw: of the wide queries that came in the three seconds after the
+  # first such request two in three failed, though it had left each shard an
+  # upstream. Order of events: its first copy ended one upstream of each of 20
+  # shards; canaries, and hedges of parts of which nothing had been answered,
+  # took the last upstream of two to five shards more, and with four of 20 shards
+  # gone no query could be answered until they were back.
+  # Cause: a canary went to the first shard that waited, whatever it had left;
+  # no host knew which upstreams had ended until their registrations lapsed.
+  # Evidence: 22 to 30 upstreams ended on nine days with such requests, 20 or 21
+  # could have; 0 to 32 of 108 queries of the second after it in time.
+  Scenario: a request that crashes upstreams leaves each shard one, over all hosts
+    Given 2 gateways in each of two zones before 20 shards of 2 upstreams
+    And a request for "/all/lethal" crashes every upstream that runs it
+    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 20 seconds, beside 20 other queries a second
+    Then no shard was without an upstream at any time
+    And at most 22 upstreams have crashed
+    And no other query was kept back
+    And at least 1.0 of the others were answered
+    And it was sent in at most 3 retries later than 4 seconds after the third crash
+
+  Scenario: a canary goes to the service with the most upstreams left
+    Given a request that was lost with 3 upstreams
+    When attempts at services with 1, 3 and 2 live upstreams wait
+    Then the one at the service with 3 is sent alone
+    When its upstream ends too and a copy waits at services with 1 and 2
+    Then the copy is sent to nobody
+    And nothing is sent to the service with 1
+
+  Scenario: a request that was lost with one upstream may be sent to the last one
+    Given a request that was lost with 1 upstream
+    When attempts at services with 1 live upstream wait
+    Then the one at the service with 1 is sent alone
+
+  # All upstreams of the host's own zone crash at once, and queries that had
+  # asked nobody else are lost without an answer.
+  Scenario: queries that lose all their upstreams to something else come back soon
+    Given 20 shards of 2 replicas in two zones
+    And the route "/all/" to all shards
+    And a gateway
+    When 100 queries a second come for 4 seconds, and after 2 of them all upstreams of zone "north-1" crash
+    Then at most 4 of the queries were not answered
+    And none of them was kept back for longer than 6 seconds
 
   # 10 of 200 were answered before, and 141 while each host that asked some
   # shards made trials of its own.
@@ -68,7 +121,7 @@
   Scenario: a host that starts later keeps it back too
     Given 2 gateways in each of two zones before 6 shards of 2 upstreams
     And a request for "/all/lethal" crashes every upstream that runs it
-    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 2 seconds
+    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 12 seconds
     And 5 seconds pass
     And one more gateway starts
     And copies of "/all/lethal" come to all gateways in turn, 4 a second for 5 seconds
@@ -78,6 +131,7 @@
     Given 2 gateways in each of two zones before 6 shards of 2 upstreams
     And a request for "/all/lethal" crashes every upstream that runs it
     When one gateway hears nothing from others for 3 seconds, meanwhile a copy of "/all/lethal" comes to another
+    And copies of "/all/lethal" come to all gateways in turn, 4 a second for 12 seconds
     And 4 seconds pass
     And copies of "/all/lethal" come to all gateways in turn, 4 a second for 5 seconds
     Then none of the copies came to an upstream
@@ -86,7 +140,7 @@
   Scenario: the host that reads the source keeps it back too after it has started again
     Given 2 gateways in each of two zones before 6 shards of 2 upstreams
     And a request for "/all/lethal" crashes every upstream that runs it
-    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 2 seconds
+    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 12 seconds
     And 12 seconds pass
     And the gateway that reads starts again
     And copies of "/all/lethal" come to all gateways in turn, 4 a second for 5 seconds
@@ -96,7 +150,7 @@
   Scenario: both hosts of a zone keep it back too after they have started again
     Given 2 gateways in each of two zones before 6 shards of 2 upstreams
     And a request for "/all/lethal" crashes every upstream that runs it
-    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 2 seconds
+    When copies of "/all/lethal" come to all gateways in turn, 4 a second for 12 seconds
     And 12 seconds pass
     And all gateways of the zone of the one that reads start again
     And copies of "/all/lethal" come to all gateways in turn, 4 a second for 5 seconds
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import dataclasses
+import itertools
+import random
+import re
 
 from behave import given
 from behave import then
@@ -15,7 +18,9 @@
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_checks
 from features.steps.common import run
+from rudderrock import core
 from rudderrock import gateway
+from rudderrock import standins
 from rudderrock import state
 
 use_step_matcher('re')
@@ -151,13 +156,27 @@
                 copy = ask_for(context, name, target)
                 context.copies.append(asyncio.create_task(copy))
             await asyncio.sleep(1.0 / int(others))
-        await asyncio.gather(*context.copies)
+        context.copies = await asyncio.gather(*context.copies)
         return await asyncio.gather(*asked)
 
     context.copies = []
     context.others = run(context, go())
 
 
+@then(r'no shard was without an upstream at any time')
+def check_never_without(context):
+    models = gateway_steps.get(context).upstreams
+    for shard in context.shards:
+        replicas = [
+            model
+            for name, model in models.items()
+            if name.rpartition('-')[0] == shard
+        ]
+        ends = sorted(at for each in replicas for at in each.crashes)
+        for one, next_one in itertools.pairwise(ends):
+            assert next_one - one >= standins.DOWN_S, (shard, ends)
+
+
 @then(r'no other query was kept back')
 def check_others_kept(context):
     ids = {request_id for request_id, _ in context.others}
@@ -459,3 +478,142 @@
 def check_teller(context):
     found = context.teller.get_standing(_DIGEST)
     assert found is gateway.Standing.QUARANTINED, found
+
+
+class _Waiting:
+    """An attempt at a service that waits for its turn as a canary."""
+
+    def __init__(self, probe, live):
+        self.live = live
+        self.is_sent = False
+        self.advice = None
+        self._probe = probe
+
+    def wait(self):
+        """Wait, unless it is judged otherwise."""
+        self.advice = self._probe.judge()
+        if self.advice is gateway.Advice.WAIT:
+            self._probe.wait(
+                gateway.Waiter(self.wait, self._send, lambda: self.live)
+            )
+
+    def _send(self):
+        self.is_sent = True
+        self._probe.note_sent()
+
+
+def make_probe(context):
+    """Make a new copy of the request at the same host."""
+    clock = state.Clock(context.loop)
+    return gateway.Canary(context.known, clock, lambda: _DIGEST)
+
+
+@given(r'a request that was lost with (\d+) upstreams?')
+def lose_with(context, count):
+    context.known = make_quarantine(context, 'h1')
+    lives = [core.UpstreamLife(f'u{number}/0') for number in range(int(count))]
+    began = context.loop.time()
+    context.known.note_trial(_DIGEST, began, False, lives)
+    context.probe = make_probe(context)
+
+
+@when(r'attempts at services with ([\d, and]+) live upstreams? wait')
+def wait_at(context, counts):
+    context.waiting = start_waiting(context.probe, counts)
+
+
+def start_waiting(probe, counts):
+    """Have attempts wait while another is under way, then end that one."""
+    probe.note_sent()
+    waiting = [
+        _Waiting(probe, int(each)) for each in re.findall(r'\d+', counts)
+    ]
+    for each in waiting:
+        each.wait()
+    probe.note_over()
+    return waiting
+
+
+@then(r'the one at the service with (\d+) is sent alone')
+def check_sent_alone(context, live):
+    sent = [each.live for each in context.waiting if each.is_sent]
+    assert sent == [int(live)], sent
+
+
+@when(r'its upstream ends too and a copy waits at services with ([\d and]+)')
+def end_canary(context, counts):
+    context.probe.note_lost()
+    context.probe.note_checked(core.UpstreamLife('u9/0'), True)
+    context.copies = start_waiting(make_probe(context), counts)
+
+
+@then(r'the copy is sent to nobody')
+def check_copy(context):
+    assert not [each for each in context.copies if each.is_sent]
+    assert {each.advice for each in context.copies} == {gateway.Advice.STOP}
+
+
+@then(r'nothing is sent to the service with (\d+)')
+def check_not_sent(context, live):
+    sent = [each.live for each in context.waiting if each.is_sent]
+    assert int(live) not in sent, sent
+
+
+@given(r'(\d+) shards of (\d+) replicas in two zones')
+def add_in_two_zones(context, shards, replicas):
+    bench = gateway_steps.get(context)
+    zones = ('north-1', 'south-1')
+    for number in range(int(shards)):
+        name = f'shard-{number}'
+        context.shards.append(name)
+        for replica in range(int(replicas)):
+            upstream = bench.add_upstream(
+                f'{name}-{replica}',
+                name,
+                zone=zones[replica % 2],
+                records=b'%016d' % number,
+            )
+            run(context, upstream)
+
+
+@when(
+    r'(\d+) queries a second come for ([\d.]+) seconds, and after ([\d.]+) of '
+    r'them all upstreams of zone "([^"]+)" crash'
+)
+def crash_zone(context, rate, seconds, after_s, zone):
+    bench = gateway_steps.get(context)
+
+    async def go():
+        load = asyncio.create_task(ask_each(bench, int(rate), float(seconds)))
+        await asyncio.sleep(float(after_s) + random.Random(1).random() / 100)
+        for each in bench.source.endpoints.values():
+            if each.zone == zone:
+                bench.upstreams[each.upstream].crash(standins.DOWN_S)
+        return await load
+
+    context.replies = run(context, go())
+
+
+async def ask_each(bench, rate, seconds):
+    """Send queries that differ at a rate; return their replies."""
+    tasks = []
+    for number in range(round(rate * seconds)):
+        raw = gateway_bench.make_raw(
+            f'other-{number}', f'/all/other-{number}', deadline_ms=1000
+        )
+        tasks.append(asyncio.create_task(bench.ask(raw)))
+        await asyncio.sleep(1.0 / rate)
+    return await asyncio.gather(*tasks)
+
+
+@then(r'at most (\d+) of the queries were not answered')
+def check_unanswered(context, most):
+    bad = [each.status for each in context.replies if each.status != 200]
+    assert len(bad) <= int(most), bad
+
+
+@then(r'none of them was kept back for longer than ([\d.]+) seconds')
+def check_kept_for(context, seconds):
+    refused = [each for each in context.replies if each.status == 503]
+    for each in refused:
+        assert float(each.headers['retry-after']) <= float(seconds), each
--- a/rudderrock/core/__init__.py
+++ b/rudderrock/core/__init__.py
@@ -18,6 +18,7 @@
 from rudderrock.core._ids import ShardId
 from rudderrock.core._ids import TeamId
 from rudderrock.core._ids import UpstreamId
+from rudderrock.core._ids import UpstreamLife
 from rudderrock.core._ids import ZoneId
 from rudderrock.core._latency import FadingMean
 from rudderrock.core._latency import LatePoint
@@ -42,6 +43,7 @@
     'SuspendAwareLoop',
     'TeamId',
     'UpstreamId',
+    'UpstreamLife',
     'ZoneId',
     'end_task',
     'make_random',
--- a/rudderrock/core/_ids.py
+++ b/rudderrock/core/_ids.py
@@ -6,6 +6,8 @@
 ZoneId = NewType('ZoneId', str)
 TeamId = NewType('TeamId', str)
 UpstreamId = NewType('UpstreamId', str)
+# One life of an upstream: it may start again under its id.
+UpstreamLife = NewType('UpstreamLife', str)
 ShardId = NewType('ShardId', str)
 CollectionId = NewType('CollectionId', str)
 QueryId = NewType('QueryId', str)
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -13,6 +13,7 @@
 from rudderrock.gateway.decisions._budget import ExtraBudget
 from rudderrock.gateway.decisions._canary import Advice
 from rudderrock.gateway.decisions._canary import Canary
+from rudderrock.gateway.decisions._canary import Waiter
 from rudderrock.gateway.decisions._cold import ColdLimits
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaBook
@@ -171,6 +172,7 @@
     'UpstreamReading',
     'Verdict',
     'Within',
+    'Waiter',
     'WorkKind',
     'WorkMeter',
     'digest_request',
--- a/rudderrock/gateway/decisions/_canary.py
+++ b/rudderrock/gateway/decisions/_canary.py
@@ -6,15 +6,29 @@
 and all others once it has been answered. So a request that crashes its
 upstreams costs one of them a trial, not one or two for each shard: of 20
 shards of two upstreams 22 end, not 40.
+
+A canary goes to the service with the most live upstreams, and never to the
+last one of a service once more than one upstream has ended: the first copy
+leaves each of 20 shards one upstream of two, and if canaries take those of
+two or three shards no query at all can be answered until they are back, for
+some three seconds. Where no service has one to spare, the request fails at
+once and may come back when there may be one.
 """
 
-import collections
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 import enum
 
 from rudderrock import core
 from rudderrock.gateway.knowledge import _quarantine as quarantine
 
+# Over how long hosts spread their trials of what comes back when upstreams may
+# be there again, in seconds: each waits for a part of it that chance has given
+# it. A trial and the word of it take some 0.1 s, so two hosts that get a copy
+# in the same moment seldom both try it, and four hardly ever do.
+TRIAL_SPREAD_S = 2.0
+
 
 class Advice(enum.Enum):
     """What an attempt shall do now."""
@@ -24,6 +38,19 @@
     STOP = 'stop'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiter:
+    """An attempt that waits for what becomes of another.
+
+    `resume` has it judged again, `send` sends it as a canary, `count_live`
+    returns how many upstreams of its service live.
+    """
+
+    resume: Callable[[], None]
+    send: Callable[[], None]
+    count_live: Callable[[], int]
+
+
 class Canary:
     """The attempts of one call, and whether more may be sent.
 
@@ -53,12 +80,12 @@
         # Connections whose upstreams are being looked after.
         self._checks = 0
         # Upstreams that have ended in the present trial.
-        self._ended = 0
+        self._ended: set[core.UpstreamLife] = set()
         self._began = 0.0
         self._was_suspect = False
-        self._waiting: collections.deque[Callable[[], None]] = (
-            collections.deque()
-        )
+        # No service had an upstream to spare for a trial.
+        self._is_exhausted = False
+        self._waiting: list[Waiter] = []
 
     @property
     def digest(self) -> str:
@@ -93,18 +120,33 @@
         """Say whether an attempt may be sent now."""
         if self.is_answered:
             return Advice.SEND
-        standing = self.standing
-        if standing is quarantine.Standing.QUARANTINED:
+        if self.standing is quarantine.Standing.QUARANTINED:
             return Advice.STOP
         if not (self.is_suspect or self._has_lost()):
             return Advice.SEND
         if self._is_busy():
             return Advice.WAIT
-        return Advice.STOP if self._is_part else Advice.SEND
+        if self._is_part or self._is_exhausted:
+            return Advice.STOP
+        return Advice.WAIT
+
+    def wait(self, waiter: Waiter) -> None:
+        """Have an attempt sent, or judged otherwise, when its turn comes.
 
-    def wait(self, resume: Callable[[], None]) -> None:
-        """Have `resume` called when it may be judged otherwise."""
-        self._waiting.append(resume)
+        That is at once if nothing is under way.
+        """
+        self._waiting.append(waiter)
+        self._advance()
+
+    def list_ended(self) -> list[core.UpstreamLife]:
+        """Return the upstreams that have ended under the request."""
+        if self._known.is_empty:
+            return []
+        return self._known.list_ended(self.digest)
+
+    def get_retry_after_s(self) -> float:
+        """Return when a service may have an upstream to spare, in seconds."""
+        return self._known.get_gone_s(self.digest) + TRIAL_SPREAD_S
 
     def note_sent(self) -> None:
         """Take note of an attempt that is sent."""
@@ -136,15 +178,22 @@
         self._under_way -= 1
         self._checks += 1
 
-    def note_checked(self, ended: bool) -> None:
+    def note_checked(self, life: core.UpstreamLife, ended: bool) -> None:
         """Take note whether the upstream behind a lost one has ended."""
         self._checks -= 1
-        self._ended += ended
+        if ended:
+            self._ended.add(life)
         self._advance()
 
-    def warn(self) -> None:
-        """Take note that another host suspects the request."""
+    def warn(self, ended: Iterable[core.UpstreamLife]) -> None:
+        """Take note that another host suspects the request, and why.
+
+        What it has lost is part of the trial that all first attempts are.
+        """
         self._is_warned = True
+        lives = tuple(ended)
+        if lives and not self.is_answered:
+            self._known.note_trial(self.digest, self._began, False, lives)
 
     def finish(self) -> None:
         """Take note that the call is over and waits for nothing more."""
@@ -156,15 +205,39 @@
         return self._under_way > 0 or self._checks > 0
 
     def _has_lost(self) -> bool:
-        return self._checks > 0 or self._ended > 0
+        return self._checks > 0 or bool(self._ended)
 
     def _advance(self) -> None:
-        """End the trial if nothing is open, and let others be judged."""
-        if self._ended and not self.is_answered and not self._is_busy():
-            self._ended = 0
-            self._known.note_trial(self.digest, self._began, self._was_suspect)
-        if not self._waiting or (self._is_busy() and not self.is_answered):
+        """End the trial if nothing is open; then let what waits go on."""
+        self._note_trial_if_over()
+        if self.judge() is Advice.WAIT:
+            self._send_one()
+        else:
+            self._resume_all()
+
+    def _note_trial_if_over(self) -> None:
+        if not self._ended or self.is_answered or self._is_busy():
             return
-        waiting, self._waiting = self._waiting, collections.deque()
-        for resume in waiting:
-            resume()
+        ended, self._ended = self._ended, set()
+        self._known.note_trial(
+            self.digest, self._began, self._was_suspect, ended
+        )
+
+    def _send_one(self) -> None:
+        """Send the attempt whose service can best do without an upstream."""
+        while self._waiting and not self._is_busy():
+            best = max(self._waiting, key=lambda each: each.count_live())
+            if not self._may_try(best.count_live()):
+                self._is_exhausted = True
+                self._resume_all()
+                return
+            self._waiting.remove(best)
+            best.send()
+
+    def _may_try(self, live: int) -> bool:
+        return live > 1 or not self._known.has_spread(self.digest)
+
+    def _resume_all(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        for each in waiting:
+            each.resume()
--- a/rudderrock/gateway/decisions/_replicas.py
+++ b/rudderrock/gateway/decisions/_replicas.py
@@ -1,6 +1,7 @@
 """What this host has seen of each upstream, and which one it asks next."""
 
 import asyncio
+from collections.abc import Callable
 import random
 from typing import Protocol
 
@@ -105,8 +106,10 @@
         needs: ConnectionNeeds,
         cold_limits: cold.ColdLimits,
         own: core.HostId,
+        has_ended: Callable[[core.UpstreamLife], bool],
     ):
         self.dials = 0
+        self._ended = has_ended
         self._cold = cold_limits
         self._own = own
         self._listing = listing
@@ -132,6 +135,20 @@
             if self._place.allows(residency, endpoint.zone)
         ]
 
+    def count_live(
+        self, service: routing.ServiceName, residency: place.Residency
+    ) -> int:
+        """Return how many replicas of a service live, as far as known.
+
+        One that has ended stays registered for some seconds, and one whose
+        address is another's has ended too.
+        """
+        now = self._clock.now()
+        return sum(
+            not each.is_gone(now) and not self._ended(each.endpoint.life)
+            for each in self.list_ready(service, residency)
+        )
+
     def has_ready(
         self, service: routing.ServiceName, residency: place.Residency
     ) -> bool:
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -54,7 +54,8 @@
 LEAST = b'rudderrock-least'
 # The shards, by commas, that the reply lacks.
 MISSING = b'rudderrock-missing-shards'
-# Tells that shards are missing since upstreams have ended under the query.
+# Tells that shards are missing since upstreams have ended under the query, and
+# which, by commas.
 HELD = b'rudderrock-held-back'
 # Tells a host to run the query also while it is full.
 MUST_RUN = b'rudderrock-must-run'
@@ -121,14 +122,14 @@
     """What a host of another zone brings of some shards.
 
     `stamps` sign the answers whose records are merged in `body`; `missing`
-    are the shards that are not in; with `held` that is since upstreams have
-    ended under the query, and the asking host is to try by itself.
+    are the shards that are not in; with `held` that is since these upstreams
+    have ended under the query, and the asking host is to try by itself.
     """
 
     stamps: list[bytes]
     body: bytes
     missing: frozenset[routing.ServiceName]
-    held: bool = False
+    held: tuple[core.UpstreamLife, ...] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,8 +279,9 @@
         missing = frozenset(split_names(lacking))
         if len(stamps) + len(missing) != len(shards):
             return result.Err(caller.NoReply(True, 'parts do not add up'))
-        held = reply.get_header(HELD) is not None
-        return result.Ok(PartAnswer(stamps, reply.body, missing, held))
+        return result.Ok(
+            PartAnswer(stamps, reply.body, missing, read_ended(reply))
+        )
 
     async def run(
         self, turn: Turn, call: calls.Call
@@ -420,6 +422,23 @@
     return MISSING, ','.join(services).encode()
 
 
+def name_ended(lives: Iterable[core.UpstreamLife]) -> tuple[bytes, bytes]:
+    """Return the header that says which upstreams ended under a query."""
+    return HELD, ','.join(lives).encode()
+
+
+def read_ended(reply: messages.Reply) -> tuple[core.UpstreamLife, ...] | None:
+    """Return the upstreams that ended under a query; None if none is held."""
+    listed = reply.get_header(HELD)
+    if listed is None:
+        return None
+    return tuple(
+        core.UpstreamLife(life)
+        for life in listed.decode('latin-1').split(',')
+        if life
+    )
+
+
 def split_names(listed: bytes) -> tuple[routing.ServiceName, ...]:
     """Return the services that a header names."""
     return tuple(
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -160,9 +160,15 @@
             part.begin()
             fetch = part.fetch(self._delegation, self._call)
             self._tasks.append(self._tools.loop.create_task(fetch))
-        for each in self.pursuits:
-            if not each.is_elsewhere:
-                each.start()
+        for each in self._order_starts():
+            each.start()
+
+    def _order_starts(self) -> list[pursuit.Pursuit]:
+        """Return what to ask from here; a canary goes to the first."""
+        here = [each for each in self.pursuits if not each.is_elsewhere]
+        if self._call.canary.is_suspect:
+            here.sort(key=lambda each: each.count_live(), reverse=True)
+        return here
 
     def _lacks_too_many(self) -> bool:
         """Tell whether too few services have upstreams, and send nothing.
@@ -297,6 +303,7 @@
         may_have_run([only]),
         forwarder.timed_out,
         only.explain(),
+        call.canary,
     )
     return dataclasses.replace(found, late=late, lost=only.lost)
 
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import dataclasses
+import functools
 import random
 
 from rudderrock import core
@@ -96,6 +97,10 @@
             self._connections,
             self.cold_limits,
             parts.hosts.own.host,
+            functools.partial(
+                parts.quarantine.has_ended,
+                lag_s=parts.chance.uniform(0.0, canary.TRIAL_SPREAD_S),
+            ),
         )
         self.counters = calls.Counters()
         self.admission = admission.Admission(parts.clock)
@@ -427,7 +432,9 @@
         """Send a request to nobody, since upstreams have ended under it."""
         names = self._config.names
         if shards:
-            return gather.miss_portion(names, request_id, shards)
+            return gather.miss_portion(
+                names, request_id, shards, probe.list_ended()
+            )
         return results.refuse(
             names,
             request_id,
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -49,6 +49,7 @@
         forward.may_have_run(forwarder.pursuits),
         forwarder.timed_out,
         merged.detail,
+        call.canary,
     )
     return dataclasses.replace(
         merged, reply=failed.reply, outcome=failed.outcome
@@ -76,7 +77,9 @@
     ]
     merged.reply.headers.append(delegate.name_missing(missing))
     if missing and call.canary.is_held:
-        merged.reply.headers.append((delegate.HELD, b'1'))
+        merged.reply.headers.append(
+            delegate.name_ended(call.canary.list_ended())
+        )
     return merged
 
 
@@ -84,12 +87,13 @@
     names: dialect.HeaderNames,
     request_id: bytes,
     shards: tuple[routing.ServiceName, ...],
+    ended: list[core.UpstreamLife],
 ) -> results.Result:
-    """Answer another host that none of the shards is asked."""
+    """Answer another host that none of the shards is asked, and why."""
     headers = [
         *_sign_parts(names, request_id, [], len(shards)),
         delegate.name_missing(shards),
-        (delegate.HELD, b'1'),
+        delegate.name_ended(ended),
     ]
     return results.Result(
         messages.Reply(200, headers),
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -66,7 +66,7 @@
             case None:
                 self._close_unsent()
             case host, result.Ok(found):
-                self._take(found, host)
+                self._take(found, host, call)
             case host, result.Err(problem):
                 detail = f'{host}: {problem.detail}'
                 self._lose(detail, pursuit.PartFate.LOST)
@@ -93,16 +93,19 @@
         for each in self._members:
             each.start_here()
 
-    def _take(self, found: delegate.PartAnswer, host: core.HostId) -> None:
+    def _take(
+        self, found: delegate.PartAnswer, host: core.HostId, call: calls.Call
+    ) -> None:
         """Take what the part has brought."""
         if len(found.missing) < len(self._members):
             self.answer = found
         fate = pursuit.PartFate.LACKING
-        if found.held:
-            fate = pursuit.PartFate.HELD
         for each in self._members:
             if each.service not in found.missing:
                 each.take_from_part()
+        if found.held is not None:
+            fate = pursuit.PartFate.HELD
+            call.canary.warn(found.held)
         # After those: an answer clears the request, so what is missing may be
         # asked for at once.
         for each in self._members:
--- a/rudderrock/gateway/forwarding/_pursuit.py
+++ b/rudderrock/gateway/forwarding/_pursuit.py
@@ -150,11 +150,26 @@
             case canary.Advice.SEND:
                 step()
             case canary.Advice.WAIT:
-                resume = functools.partial(self._proceed, step)
-                self._call.canary.wait(resume)
+                self._call.canary.wait(
+                    canary.Waiter(
+                        resume=functools.partial(self._proceed, step),
+                        send=functools.partial(self._send_canary, step),
+                        count_live=self.count_live,
+                    )
+                )
             case canary.Advice.STOP:
                 self._fail(QUARANTINED)
 
+    def _send_canary(self, step: Callable[[], None]) -> None:
+        if not self.settled:
+            step()
+
+    def count_live(self) -> int:
+        """Return how many upstreams of the service live, as far as known."""
+        return self._tools.book.count_live(
+            self.service, self._call.route.residency
+        )
+
     def _send_first(self) -> None:
         replica = self._choose()
         if replica is None:
@@ -210,8 +225,6 @@
             replica.note_bad()
             self._fail(detail)
             return
-        if fate is PartFate.HELD:
-            self._call.canary.warn()
         if self._has_attempts_for_all():
             self._tried = ()
             again = functools.partial(self._try_again, verdicts.Verdict.LOST)
@@ -353,8 +366,11 @@
         match verdict:
             case verdicts.Verdict.LOST if not probe.is_answered:
                 probe.note_lost()
-                address = attempt.replica.endpoint.address
-                self._tools.checker.check(address, probe.note_checked)
+                endpoint = attempt.replica.endpoint
+                self._tools.checker.check(
+                    endpoint.address,
+                    functools.partial(probe.note_checked, endpoint.life),
+                )
             case verdicts.Verdict.ANSWER:
                 probe.note_answered()
             case verdicts.Verdict.FAILURE if _is_signed(
--- a/rudderrock/gateway/forwarding/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -4,6 +4,7 @@
 import dataclasses
 import enum
 
+from rudderrock.gateway.decisions import _canary as canary
 from rudderrock.gateway.http import _dialect as dialect
 from rudderrock.gateway.http import _messages as messages
 
@@ -98,8 +99,17 @@
     reached: bool,
     timed_out: bool,
     detail: str,
+    probe: canary.Canary,
 ) -> Result:
     """Answer for what failed: 503 only if no upstream may have run it."""
     if reached:
         return fail(names, request_id, timed_out, detail)
+    if probe.is_held:
+        return refuse(
+            names,
+            request_id,
+            probe.get_retry_after_s(),
+            Outcome.QUARANTINED,
+            detail,
+        )
     return refuse(names, request_id, RETRY_AFTER_S, Outcome.NOT_RUN, detail)
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -56,6 +56,11 @@
         """Return what orders the entries of one id."""
         return self.born, self.sequence
 
+    @property
+    def life(self) -> core.UpstreamLife:
+        """Return what tells this life from others, also of its id."""
+        return core.UpstreamLife(f'{self.upstream}/{self.born}')
+
     def is_same_life(self, other: 'Endpoint') -> bool:
         """Tell whether what was known of another entry still holds."""
         return (self.born, self.address, self.service) == (
--- a/rudderrock/gateway/knowledge/_quarantine.py
+++ b/rudderrock/gateway/knowledge/_quarantine.py
@@ -5,15 +5,18 @@
 digest, tell one another, and stop sending it after a few trials. See "Site
 Reliability Engineering" (Beyer et al., 2016), chapter 22.
 
-What is known of one request is a set of trials in which upstreams ended, and
-whether any upstream has ever answered it. Two hosts' knowledge is merged by
-taking the union of the sets, so order and repetition don't matter.
+What is known of one request is a set of trials in which upstreams ended, which
+upstreams these were, and whether any upstream has ever answered it. Two hosts'
+knowledge is merged by taking the union of the sets, so order and repetition
+don't matter.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import enum
 import math
+import types
 
 import msgspec
 
@@ -27,6 +30,11 @@
 # two can be the crash of a shard's last replicas. The users count from the
 # third upstream on.
 MOST_TRIALS = 3
+# One that has ended as many upstreams in its first trial, under any number of
+# services, is sent to nobody after one more trial: the first is no everyday
+# crash then, and the users count what comes later from the third upstream on.
+# Two such copies that two hosts try at the same moment are still within that.
+_MOST_SPREAD_TRIALS = 2
 # For how long a request is suspected after the last upstream that ended under
 # it, in seconds: while it is, it costs one upstream a trial and not one for
 # each shard. A request that is suspected wrongly is late by the one answer
@@ -46,6 +54,12 @@
 # Requests that are remembered. Each has cost an upstream at least, so a team
 # that fills this has done worse; 256 take some 100 KB.
 MOST_RECORDS = 256
+# For how long an upstream that has ended is taken to be gone, in seconds. Its
+# registration lapses after three missed heartbeats of 1.2 s, and is read a
+# little later; from then on what is registered lives.
+GONE_S = 4.0
+# Upstreams that are named of one request: all replicas of 170 shards.
+_MOST_ENDED = 512
 # Trials that are named of one request; at one in 16 hours they last a month.
 _MOST_NAMED = 64
 # What the trials of all hosts that had not suspected a request are called:
@@ -65,22 +79,25 @@
 class Record(msgspec.Struct, frozen=True):
     """What a host tells another of one request.
 
-    `age_ms` is the time since an upstream last ended under it.
+    `age_ms` is the time since an upstream last ended under it, `ended` names
+    the upstreams that have and the time since, in milliseconds.
     """
 
     digest: str
     trials: list[str]
     answered: bool
     age_ms: int
+    ended: dict[core.UpstreamLife, int] = {}
 
 
 class _Known:
-    """What is known of one request; `lost_at` is a loop time."""
+    """What is known of one request; loop times of losses."""
 
-    __slots__ = ('trials', 'answered', 'lost_at', 'generation')
+    __slots__ = ('trials', 'ended', 'answered', 'lost_at', 'generation')
 
     def __init__(self) -> None:
         self.trials: frozenset[str] = frozenset()
+        self.ended: dict[core.UpstreamLife, float] = {}
         self.answered = False
         self.lost_at = -math.inf
         self.generation = 0
@@ -88,20 +105,29 @@
     def get_standing(self, now: float) -> Standing:
         if self.answered:
             return Standing.CLEAR
-        if len(self.trials) < MOST_TRIALS:
+        if not self.has_failed_all():
             return Standing.SUSPECT
         if now - self.lost_at < self.get_quarantine_s():
             return Standing.QUARANTINED
         return Standing.SUSPECT
 
+    def has_failed_all(self) -> bool:
+        """Tell whether all trials that it may have are lost."""
+        return len(self.trials) >= self.get_most_trials()
+
+    def get_most_trials(self) -> int:
+        if len(self.ended) >= MOST_TRIALS:
+            return _MOST_SPREAD_TRIALS
+        return MOST_TRIALS
+
     def get_quarantine_s(self) -> float:
-        doubled = min(len(self.trials) - MOST_TRIALS, _MOST_DOUBLED)
-        return QUARANTINE_S * 2**doubled
+        more = max(0, len(self.trials) - self.get_most_trials())
+        return QUARANTINE_S * 2 ** min(more, _MOST_DOUBLED)
 
     def get_lifetime_s(self) -> float:
         if self.answered:
             return CLEARED_S
-        if len(self.trials) < MOST_TRIALS:
+        if not self.has_failed_all():
             return SUSPECT_S
         return REMEMBER_S
 
@@ -160,7 +186,47 @@
         end = found.lost_at + found.get_quarantine_s()
         return max(0.0, end - self._clock.now())
 
-    def note_trial(self, digest: str, began: float, was_suspect: bool) -> None:
+    def has_spread(self, digest: str) -> bool:
+        """Tell whether a request has outlived more than one upstream.
+
+        One is an everyday crash with innocent requests under it, which may be
+        sent to whoever is left.
+        """
+        found = self._known.get(digest)
+        return (
+            found is not None and max(len(found.ended), len(found.trials)) > 1
+        )
+
+    def list_ended(self, digest: str) -> list[core.UpstreamLife]:
+        """Return the upstreams that have ended under a request."""
+        found = self._known.get(digest)
+        return sorted(found.ended) if found is not None else []
+
+    def has_ended(self, life: core.UpstreamLife, lag_s: float = 0.0) -> bool:
+        """Tell whether an upstream has just ended under any request.
+
+        It is taken to be gone for `lag_s` seconds longer.
+        """
+        oldest = self._clock.now() - GONE_S - lag_s
+        return any(
+            each.ended.get(life, -math.inf) > oldest
+            for each in self._known.values()
+        )
+
+    def get_gone_s(self, digest: str) -> float:
+        """Return how long upstreams that ended under it stay gone, seconds."""
+        found = self._known.get(digest)
+        if found is None:
+            return 0.0
+        return max(0.0, found.lost_at + GONE_S - self._clock.now())
+
+    def note_trial(
+        self,
+        digest: str,
+        began: float,
+        was_suspect: bool,
+        ended: Iterable[core.UpstreamLife] = (),
+    ) -> None:
         """Take note that all upstreams that had a request have ended.
 
         Of trials that overlap at this host one counts: they may have had the
@@ -168,14 +234,14 @@
         """
         now = self._clock.now()
         found = self._known.get(digest)
-        if not was_suspect:
-            name = _FIRST
-        elif found is not None and began < found.lost_at:
-            return
-        else:
+        names = {_FIRST}
+        lives = dict.fromkeys(ended, now)
+        if was_suspect and found is not None and began < found.lost_at:
+            names = set()
+        elif was_suspect:
             self._trials += 1
-            name = f'{self._process}/{self._trials}'
-        self._take(digest, {name}, False, now, 'own')
+            names = {f'{self._process}/{self._trials}'}
+        self._take(digest, names, False, now, 'own', lives)
         for call in self._own_listeners:
             call()
 
@@ -194,7 +260,13 @@
         for each in records:
             lost_at = now - max(0, each.age_ms) / 1000
             trials = each.trials[:_MOST_NAMED]
-            self._take(each.digest, trials, each.answered, lost_at, origin)
+            ended = {
+                life: now - max(0, age_ms) / 1000
+                for life, age_ms in each.ended.items()
+            }
+            self._take(
+                each.digest, trials, each.answered, lost_at, origin, ended
+            )
 
     def list_since(self, generation: int) -> list[Record]:
         """Return what has changed since a generation."""
@@ -205,6 +277,10 @@
                 sorted(each.trials),
                 each.answered,
                 round(1000 * (now - each.lost_at)),
+                {
+                    life: round(1000 * (now - ended_at))
+                    for life, ended_at in each.ended.items()
+                },
             )
             for digest, each in self._known.items()
             if each.generation > generation
@@ -217,17 +293,21 @@
         answered: bool,
         lost_at: float,
         origin: str,
+        ended: Mapping[core.UpstreamLife, float] = types.MappingProxyType({}),
     ) -> None:
         now = self._clock.now()
         self._forget(now)
         found = self._known.get(digest, _Known())
         merged = frozenset(sorted(found.trials.union(trials))[:_MOST_NAMED])
+        gone = _merge_ended(found.ended, ended)
         cleared = found.answered or answered
-        if merged == found.trials and cleared == found.answered:
+        same = merged == found.trials and gone.keys() == found.ended.keys()
+        if same and cleared == found.answered:
             # The same losses heard of again, a little older or younger.
             return
         before = found.get_standing(now) if found.trials else Standing.CLEAR
         found.trials = merged
+        found.ended = gone
         found.answered = cleared
         found.lost_at = max(found.lost_at, lost_at)
         if now - found.lost_at >= found.get_lifetime_s():
@@ -270,9 +350,20 @@
         worst = min(
             self._known,
             key=lambda digest: (
-                len(self._known[digest].trials) >= MOST_TRIALS,
+                self._known[digest].has_failed_all(),
                 not self._known[digest].answered,
                 self._known[digest].lost_at,
             ),
         )
         del self._known[worst]
+
+
+def _merge_ended(
+    one: Mapping[core.UpstreamLife, float],
+    other: Mapping[core.UpstreamLife, float],
+) -> dict[core.UpstreamLife, float]:
+    """Return which upstreams have ended, and when each one last did."""
+    merged = dict(one)
+    for life, ended_at in other.items():
+        merged[life] = max(ended_at, merged.get(life, ended_at))
+    return dict(sorted(merged.items())[:_MOST_ENDED])
