Copies that come to one host together are not tried twice

Cause: a canary is alone within its call; nothing said that another call of the same request had one under way. Now one canary of a request that has outlived more than one upstream is under way at a host; another copy is refused at once.

Ruled out: two hosts (one host's lines), the word being late (it is the host's own). The copy could wait for the outcome instead; it would be held for up to a goal and then refused mostly.

Before and after: the scenario sends two, and one. Hosts still try by themselves at moments that chance spreads.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -125,6 +125,15 @@
     Then the copy is sent to nobody
     And nothing is sent to the service with 1
 
+  # Seed 3203 of the soak: two copies that came to one host within 10 ms were
+  # both tried, and ended both upstreams of a service.
+  Scenario: copies that come to one host together are not tried twice
+    Given a request that was lost with 3 upstreams
+    When attempts at services with 2 live upstreams wait
+    Then the one at the service with 2 is sent alone
+    When a copy waits at services with 2 and 3
+    Then the copy is sent to nobody
+
   Scenario: a request that was lost with one upstream may be sent to the last one
     Given a request that was lost with 1 upstream
     When attempts at services with 1 live upstream wait
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -547,6 +547,11 @@
     context.copies = start_waiting(make_probe(context), counts)
 
 
+@when(r'a copy waits at services with ([\d and]+)')
+def wait_copy(context, counts):
+    context.copies = start_waiting(make_probe(context), counts)
+
+
 @then(r'the copy is sent to nobody')
 def check_copy(context):
     assert not [each for each in context.copies if each.is_sent]
--- a/rudderrock/gateway/decisions/_canary.py
+++ b/rudderrock/gateway/decisions/_canary.py
@@ -93,6 +93,7 @@
         # What has ended in the present trial has been told before its end.
         self._is_noted = False
         self._has_sent = False
+        self._is_trying = False
         # No service had an upstream to spare for a trial.
         self._is_exhausted = False
         self._waiting: list[Waiter] = []
@@ -221,6 +222,7 @@
     def _advance(self) -> None:
         """End the trial if nothing is open; then let what waits go on."""
         self._note_trial_if_over()
+        self._end_canary_if_over()
         if self.judge() is Advice.WAIT:
             self._send_one()
         else:
@@ -245,6 +247,11 @@
             self.digest, self._began, self._was_suspect, ended
         )
 
+    def _end_canary_if_over(self) -> None:
+        if self._is_trying and not self._is_busy():
+            self._is_trying = False
+            self._known.end_canary(self.digest)
+
     def _send_one(self) -> None:
         """Send the attempt whose service can best do without an upstream."""
         while self._waiting and not self._is_busy():
@@ -254,12 +261,18 @@
                 self._resume_all()
                 return
             self._waiting.remove(best)
+            self._is_trying = True
+            self._known.begin_canary(self.digest)
             best.send()
+            # It may have found nobody to send to.
+            self._end_canary_if_over()
 
     def _may_try(self, live: int) -> bool:
         """Tell whether a service with so many live upstreams may lose one."""
         if not self._known.has_spread(self.digest):
             return True
+        if self._known.has_canary(self.digest):
+            return False
         since_s = self._known.get_since_s(self.digest)
         return live > 1 and (self._has_sent or since_s >= SETTLE_S)
 
--- a/rudderrock/gateway/knowledge/_quarantine.py
+++ b/rudderrock/gateway/knowledge/_quarantine.py
@@ -11,6 +11,7 @@
 don't matter.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -146,6 +147,7 @@
         self._events = events
         self._known: dict[str, _Known] = {}
         self._trials = 0
+        self._canaries: collections.Counter[str] = collections.Counter()
         self._listeners: list[Callable[[], None]] = []
         self._own_listeners: list[Callable[[], None]] = []
 
@@ -227,6 +229,24 @@
             return 0.0
         return max(0.0, found.lost_at + GONE_S - self._clock.now())
 
+    def has_canary(self, digest: str) -> bool:
+        """Tell whether this host has a canary of a request under way."""
+        return self._canaries[digest] > 0
+
+    def begin_canary(self, digest: str) -> None:
+        """Take note of a canary that is sent.
+
+        Copies that come to one host together would otherwise each be tried,
+        and count each: two within 10 ms were.
+        """
+        self._canaries[digest] += 1
+
+    def end_canary(self, digest: str) -> None:
+        """Take note that it is known what became of a canary."""
+        self._canaries[digest] -= 1
+        if not self._canaries[digest]:
+            del self._canaries[digest]
+
     def note_trial(
         self,
         digest: str,
