--- a/rudderrock/gateway/decisions/_canary.py
+++ b/rudderrock/gateway/decisions/_canary.py
@@ -28,8 +28,6 @@
 # it. A trial and the word of it take some 0.1 s, so two hosts that get a copy
 # in the same moment seldom both try it, and four hardly ever do.
 TRIAL_SPREAD_S = 2.0
-
-
 # How long after the last upstream has ended under a request another copy waits
 # for its canary, in seconds. Until then attempts of the copy that ended it may
 # be under way at upstreams that live, among them one of the two that a service
@@ -155,8 +153,20 @@
             return []
         return self._known.list_ended(self.digest)
 
+    @property
+    def is_stopped(self) -> bool:
+        """Tell whether no attempt may be sent, whatever there is to ask."""
+        is_kept = self.standing is quarantine.Standing.QUARANTINED
+        return not self.is_answered and (self._is_exhausted or is_kept)
+
     def get_retry_after_s(self) -> float:
-        """Return when a service may have an upstream to spare, in seconds."""
+        """Return when an attempt may be sent again, in seconds.
+
+        That is when the quarantine ends, or when a service may have an
+        upstream to spare.
+        """
+        if self.standing is quarantine.Standing.QUARANTINED:
+            return self._known.get_left_s(self.digest)
         return self._known.get_gone_s(self.digest) + TRIAL_SPREAD_S
 
     def note_sent(self) -> None:
@@ -223,6 +233,8 @@
         """End the trial if nothing is open; then let what waits go on."""
         self._note_trial_if_over()
         self._end_canary_if_over()
+        if not self._waiting:
+            return
         if self.judge() is Advice.WAIT:
             self._send_one()
         else:
@@ -236,10 +248,10 @@
         host that is frozen with a part, and a copy that comes to another host
         meanwhile ended an upstream of each shard again (14 more, once).
         """
-        is_known = self._is_noted or len(self._ended) < quarantine.MOST_TRIALS
         if not self._ended or self.is_answered:
             return
-        if self._is_busy() and is_known:
+        is_much = len(self._ended) >= quarantine.MOST_TRIALS
+        if self._is_busy() and (self._is_noted or not is_much):
             return
         self._is_noted = self._is_busy()
         ended, self._ended = self._ended, set()
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -97,6 +97,7 @@
             self._connections,
             self.cold_limits,
             parts.hosts.own.host,
+            # Each host makes its trials at a moment of its own.
             functools.partial(
                 parts.quarantine.has_ended,
                 lag_s=parts.chance.uniform(0.0, canary.TRIAL_SPREAD_S),
@@ -438,7 +439,7 @@
         return results.refuse(
             names,
             request_id,
-            self._parts.quarantine.get_left_s(probe.digest),
+            probe.get_retry_after_s(),
             results.Outcome.QUARANTINED,
             pursuit.QUARANTINED,
         )
--- a/rudderrock/gateway/forwarding/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -104,7 +104,7 @@
     """Answer for what failed: 503 only if no upstream may have run it."""
     if reached:
         return fail(names, request_id, timed_out, detail)
-    if probe.is_held:
+    if probe.is_stopped:
         return refuse(
             names,
             request_id,
