--- a/rudderrock/gateway/decisions/_canary.py
+++ b/rudderrock/gateway/decisions/_canary.py
@@ -90,7 +90,9 @@
         self._was_suspect = False
         # What has ended in the present trial has been told before its end.
         self._is_noted = False
+        # This call has sent an attempt, so what is under way is its own.
         self._has_sent = False
+        # A canary of this call is under way.
         self._is_trying = False
         # No service had an upstream to spare for a trial.
         self._is_exhausted = False
