--- a/features/copies.feature
+++ b/features/copies.feature
@@ -33,3 +33,35 @@
     And the route "/notes/" is moved to "scans"
     And 2.5 seconds pass
     Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: a return of the source is told in the log and counted
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the routes are written again 3 times
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 4 seconds pass
+    Then each gateway has told once that the source returned in era 1
+    And each gateway counts 1 return and era 1
+
+  Scenario: an answer of the store names its era
+    Given a platform store
+    And 3 servers are registered, 0 of them draining
+    When the source lists the upstreams
+    Then it was read in era 0
+    When the store comes back from a copy of now
+    And the source lists the upstreams
+    Then it was read in era 1
+
+  Scenario: an era that can't be read fails the call
+    Given a platform store
+    And the store names its era as "soon"
+    When the source lists the upstreams
+    Then the source is unavailable: "unreadable era"
+
+  Scenario: pages of two eras are no listing
+    Given a platform store with pages of 2
+    And 3 servers are registered, 0 of them draining
+    When the store comes back from a copy after the first page of a listing
+    Then the source is unavailable: "back from a copy"
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -252,6 +252,11 @@
     call(context, context.source.read_table())
 
 
+def get_position(store):
+    """Return where in its history a store is."""
+    return gateway.Position(store.era, store.revision)
+
+
 @when(r'the source lists the upstreams')
 def list_upstreams(context):
     call(context, context.source.list_upstreams())
@@ -263,9 +268,8 @@
 )
 def watch_and_write(context, version, seconds):
     async def watch():
-        revision = context.store.revision
         watching = asyncio.create_task(
-            context.source.watch_table(revision, 2.0)
+            context.source.watch_table(get_position(context.store), 2.0)
         )
         await asyncio.sleep(float(seconds))
         write_three(context, version)
@@ -276,13 +280,13 @@
 
 @when(r'the source watches the table for 2 seconds')
 def watch_nothing(context):
-    revision = context.store.revision
-    call(context, context.source.watch_table(revision, 2.0))
+    call(context, context.source.watch_table(get_position(context.store), 2.0))
 
 
 @when(r'the source watches the table from revision 1')
 def watch_old(context):
-    call(context, context.source.watch_table(1, 2.0))
+    first = gateway.Position(context.store.era, 1)
+    call(context, context.source.watch_table(first, 2.0))
 
 
 @then(r'the table has version (\d+) and (\d+) routes')
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -1,12 +1,18 @@
 """Steps on a source that comes back from an older copy."""
 
 import asyncio
+import collections
+import json
 
+from behave import given
+from behave import then
 from behave import use_step_matcher
 from behave import when
 
+from features.steps import adapter as adapter_steps
 from features.steps import gateway as gateway_steps
 from features.steps.common import run
+from rudderrock import gateway
 
 use_step_matcher('re')
 
@@ -29,3 +35,64 @@
     run(context, asyncio.sleep(float(seconds)))
     source.is_down = False
     source.come_back(context.copy)
+
+
+@then(r'each gateway has told once that the source returned in era (\d+)')
+def check_told(context, era):
+    lines = map(json.loads, gateway_steps.get(context).log.lines)
+    told = collections.Counter(
+        (each['host'], each['era'])
+        for each in lines
+        if each['kind'] == gateway.LogKind.SOURCE_RETURNED.value
+    )
+    wanted = {(name, int(era)): 1 for name in context.fleet.members}
+    assert told == wanted, told
+
+
+@then(r'each gateway counts (\d+) return and era (\d+)')
+def check_counted(context, returns, era):
+    for member in context.fleet.members.values():
+        figures = member.process._list_gauges()
+        assert figures['source_returns_total'] == int(returns), figures
+        assert figures['source_era'] == int(era), figures
+
+
+@when(r'the store comes back from a copy of now')
+def come_back_now(context):
+    async def come_back():
+        context.store.come_back(context.store.make_copy())
+
+    run(context, come_back())
+
+
+@given(r'the store names its era as "([^"]+)"')
+def spoil_era(context, text):
+    context.store.era_text = text
+
+
+@when(r'the store comes back from a copy after the first page of a listing')
+def come_back_between(context):
+    store = context.store
+    copy = store.make_copy()
+
+    async def list_pages():
+        listing = asyncio.create_task(context.source.list_upstreams())
+        while store.calls['GET /kv-range'] < 2:
+            await asyncio.sleep(0.001)
+        store.come_back(copy)
+        return await listing
+
+    store.slow_s = 0.05
+    adapter_steps.call(context, list_pages())
+
+
+@then(r'it was read in era (\d+)')
+def check_era(context, era):
+    assert context.answer.ok_value.position.era == int(era), context.answer
+
+
+@then(r'the source is unavailable: "([^"]+)"')
+def check_unavailable(context, detail):
+    problem = context.answer.err_value
+    assert isinstance(problem, gateway.Unavailable), context.answer
+    assert detail in problem.detail, problem
--- a/features/steps/entries.py
+++ b/features/steps/entries.py
@@ -207,11 +207,11 @@
     """Have the source watch while something is written."""
 
     async def go():
-        context.revision = (
+        context.position = (
             await context.source.read_table()
-        ).ok_value.revision
+        ).ok_value.position
         watching = asyncio.create_task(
-            context.source.watch_table(context.revision, 2.0)
+            context.source.watch_table(context.position, 2.0)
         )
         await asyncio.sleep(0.1)
         write()
@@ -240,4 +240,4 @@
     reading = context.answer.ok_value
     assert reading.table is None and not reading.problem, reading
     assert reading.evacuated is None, reading
-    assert reading.revision > context.revision, reading
+    assert reading.position > context.position, reading
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -208,7 +208,7 @@
         member = context.fleet.members[context.fleet.find_reader()]
         peer = gateway.PeerClient(member.hosts.own)
         context.stack.callback(peer.close)
-        return await peer.ask(-1, is_lost=False)
+        return await peer.ask(gateway.NOWHERE, is_lost=False)
 
     context.told = getattr(context, 'told', [])
     context.told.append(run(context, ask()).ok_value)
@@ -246,7 +246,7 @@
     context.number = number
     read_at = context.clock.now() - float(age)
     stamp = gateway.ReadingStamp(origin, int(number), read_at)
-    context.directory.apply_reading((), 1, stamp)
+    context.directory.apply_reading((), gateway.Position(0, 1), stamp)
 
 
 @when(r'the same reading comes back as ([\d.]+) seconds old')
@@ -353,7 +353,7 @@
             member = context.fleet.members[name]
             context.peer = gateway.PeerClient(member.hosts.own)
             context.stack.callback(context.peer.close)
-        return await context.peer.ask(0, is_lost=False)
+        return await context.peer.ask(gateway.NOWHERE, is_lost=False)
 
     context.changes = run(context, ask()).ok_value
     context.known_hosts = context.peer.merge_hosts(context.changes)
--- a/features/steps/zones.py
+++ b/features/steps/zones.py
@@ -319,9 +319,10 @@
     chance.shuffle(came)
     for number, entry in enumerate(came, 1):
         stamp = gateway.ReadingStamp('p1', number, float(number))
-        listing.apply_reading([entry], number, stamp)
+        read = gateway.Position(0, number)
+        listing.apply_reading([entry], read, stamp)
         if chance.random() < 0.3:
-            listing.apply_changes([], [], number, stamp)
+            listing.apply_changes([], [], read, stamp)
     return listing.get_endpoint(core.UpstreamId('u1'))
 
 
@@ -342,7 +343,8 @@
         chance = random.Random(seed)
         snapshots = [
             gateway.Evacuations(
-                revision, frozenset(chance.sample(zones, chance.randrange(3)))
+                gateway.Position(0, revision),
+                frozenset(chance.sample(zones, chance.randrange(3))),
             )
             for revision in range(5)
         ]
@@ -354,8 +356,8 @@
         for each in came:
             holder.apply(each, 'test')
         assert holder.current == snapshots[-1], (seed, holder.current)
-        revisions = [each.revision for each in told]
-        assert revisions == sorted(revisions), revisions
+        positions = [each.position for each in told]
+        assert positions == sorted(positions), positions
         assert all(
             one.zones != other.zones for one, other in itertools.pairwise(told)
         )
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -51,6 +51,7 @@
 from rudderrock.gateway.knowledge._directory import Endpoint
 from rudderrock.gateway.knowledge._directory import Phase
 from rudderrock.gateway.knowledge._directory import ReadingStamp
+from rudderrock.gateway.knowledge._era import SourceEra
 from rudderrock.gateway.knowledge._evacuations import EvacuationHolder
 from rudderrock.gateway.knowledge._evacuations import Evacuations
 from rudderrock.gateway.knowledge._first import FirstKnowledge
@@ -68,6 +69,8 @@
 from rudderrock.gateway.knowledge._place import RegionId
 from rudderrock.gateway.knowledge._place import Residency
 from rudderrock.gateway.knowledge._place import Within
+from rudderrock.gateway.knowledge._position import NOWHERE
+from rudderrock.gateway.knowledge._position import Position
 from rudderrock.gateway.knowledge._quarantine import Quarantine
 from rudderrock.gateway.knowledge._quarantine import Record as QuarantineRecord
 from rudderrock.gateway.knowledge._quarantine import Standing
@@ -132,6 +135,7 @@
     'LinkShare',
     'LogKind',
     'Lost',
+    'NOWHERE',
     'NO_VERSION',
     'Outcome',
     'Parts',
@@ -140,6 +144,7 @@
     'PipeHandler',
     'Place',
     'Pool',
+    'Position',
     'ProcessState',
     'RegionId',
     'Registration',
@@ -161,6 +166,7 @@
     'ServiceName',
     'Share',
     'Single',
+    'SourceEra',
     'SourcePort',
     'Standing',
     'Split',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -33,6 +33,7 @@
     PEER_SKIPPED = 'peer_skipped'
     COORDINATORS_CHANGED = 'coordinators_changed'
     SOURCE_FAILED = 'source_failed'
+    SOURCE_RETURNED = 'source_returned'
     REQUEST = 'request'
     UNREADABLE = 'unreadable'
     LINES_DROPPED = 'lines_dropped'
@@ -76,6 +77,13 @@
     LogKind.SOURCE_FAILED: KindInfo(
         'One call to the source failed.', ('call', 'detail')
     ),
+    LogKind.SOURCE_RETURNED: KindInfo(
+        'The source has come back from an older copy: it is in this `era` '
+        'now, at this `revision`, and what it has lost is awaited again. The '
+        'upstreams in force here were read at `revision_before` of '
+        '`era_before`; `origin` is who has told.',
+        ('era', 'revision', 'era_before', 'revision_before', 'origin'),
+    ),
     LogKind.READING_FROM: KindInfo(
         'This host now asks another one for changes; an empty `peer` means '
         'that it reads the source itself.',
@@ -96,11 +104,11 @@
     LogKind.TABLE_IN_FORCE: KindInfo(
         'A routing table has replaced the one `before`; `origin` is whom '
         'it came from.',
-        ('version', 'before', 'revision', 'routes', 'origin'),
+        ('version', 'before', 'era', 'revision', 'routes', 'origin'),
     ),
     LogKind.TABLE_REJECTED: KindInfo(
         'A routing table can not be used; the one before stays in force.',
-        ('problem', 'revision', 'origin'),
+        ('problem', 'era', 'revision', 'origin'),
     ),
     LogKind.REGIONS_UNKNOWN: KindInfo(
         'Routes of a table name a region that the settings do not; no '
@@ -110,7 +118,7 @@
     LogKind.UPSTREAMS_CHANGED: KindInfo(
         'Upstreams were added, or take no more new work (`left`), or are '
         'kept though the reading lacked them (`held`).',
-        ('revision', 'added', 'left', 'held', 'origin'),
+        ('era', 'revision', 'added', 'left', 'held', 'origin'),
     ),
     LogKind.ENTRY_REJECTED: KindInfo(
         'The registration of an upstream can not be read.', ('problem',)
@@ -119,7 +127,7 @@
         'Zones whose upstreams get nothing from now on (`begun`) or get work '
         'again (`ended`), as of a revision of the source; `unknown` are '
         'evacuated zones that the settings do not name.',
-        ('revision', 'begun', 'ended', 'unknown', 'origin'),
+        ('era', 'revision', 'begun', 'ended', 'unknown', 'origin'),
     ),
     LogKind.HOSTS_CHANGED: KindInfo(
         'The registered hosts, and how many count for budgets and '
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -189,6 +189,8 @@
             'table_age_seconds': tables.age_s,
             'upstreams': len(listing.list_all()),
             'upstreams_age_seconds': listing.age_s,
+            'source_era': self._parts.source_era.current,
+            'source_returns_total': self._parts.source_era.returns,
             'evacuated_zones': len(self._parts.evacuations.current.zones),
             'cold_upstreams': listing.count_cold(),
             'cold_requests_total': self.gateway.cold_limits.sent,
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -28,6 +28,7 @@
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.http import _reach as reach
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _era as era
 from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
@@ -54,6 +55,7 @@
     listing: directory.Directory
     hosts: fleet.Fleet
     first: first.FirstKnowledge
+    source_era: era.SourceEra
     quarantine: quarantine.Quarantine
     events: log.EventLog
     figures: metrics.GatewayMetrics
@@ -514,7 +516,7 @@
             request_id=request_id.decode('latin-1'),
             route=name,
             table_version=table.version if table is not None else None,
-            upstreams_revision=listing.revision,
+            upstreams_revision=listing.position.revision,
             outcome=found.outcome.value,
             status=found.reply.status,
             detail=found.detail,
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -6,6 +6,7 @@
 import enum
 
 from rudderrock import core
+from rudderrock.gateway.knowledge import _position as position
 from rudderrock.gateway.knowledge import _routing as routing
 
 # Upstreams whose registration lapsed while the registry was away register
@@ -113,7 +114,7 @@
 
     def __init__(self, clock: core.Clock):
         self.stamp: ReadingStamp | None = None
-        self.revision = 0
+        self.position = position.NOWHERE
         self._clock = clock
         self._endpoints: dict[core.UpstreamId, Endpoint] = {}
         self._evacuated: frozenset[core.ZoneId] = frozenset()
@@ -202,41 +203,44 @@
         self._hold_until = max(self._hold_until, until)
 
     def apply_reading(
-        self, endpoints: Iterable[Endpoint], revision: int, stamp: ReadingStamp
+        self,
+        endpoints: Iterable[Endpoint],
+        read: position.Position,
+        stamp: ReadingStamp,
     ) -> DirectoryChange | None:
         """Take over one whole reading; return what changed, if anything.
 
         One that is older than the last is passed over.
         """
-        if revision < self.revision:
+        if read.revision < self.position.revision:
             return None
         found = {each.upstream: each for each in endpoints}
-        return self._replace(found, revision, stamp)
+        return self._replace(found, read, stamp)
 
     def apply_changes(
         self,
         endpoints: Iterable[Endpoint],
         left: Iterable[core.UpstreamId],
-        revision: int,
+        read: position.Position,
         stamp: ReadingStamp,
     ) -> DirectoryChange | None:
         """Take over what a peer says has changed since it was last asked."""
-        if revision < self.revision:
+        if read.revision < self.position.revision:
             return None
         found = dict(self._endpoints)
         for upstream in left:
             found.pop(upstream, None)
         for each in endpoints:
             found[each.upstream] = each
-        return self._replace(found, revision, stamp)
+        return self._replace(found, read, stamp)
 
     def _replace(
         self,
         found: dict[core.UpstreamId, Endpoint],
-        revision: int,
+        read: position.Position,
         stamp: ReadingStamp,
     ) -> DirectoryChange | None:
-        self.revision = revision
+        self.position = read
         is_new = stamp.number > self._seen.get(stamp.origin, 0)
         if is_new:
             self._seen[stamp.origin] = stamp.number
--- a/rudderrock/gateway/knowledge/_evacuations.py
+++ b/rudderrock/gateway/knowledge/_evacuations.py
@@ -2,9 +2,9 @@
 
 An operator evacuates a zone by a key in the source and gives it back by
 deleting the key. What is known of it is a snapshot of all such keys at one
-revision of the source, so the later of two snapshots is always the truth,
+position of the source, so the later of two snapshots is always the truth,
 whoever brings it and in whatever order: to merge them is to take the greater
-revision.
+position.
 """
 
 from collections.abc import Callable
@@ -14,16 +14,14 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
-
-# The revision of a host that has learnt nothing yet.
-UNKNOWN = -1
+from rudderrock.gateway.knowledge import _position as position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuations:
-    """The evacuated zones as of a revision of the source."""
+    """The evacuated zones as of a position of the source."""
 
-    revision: int
+    position: position.Position
     zones: frozenset[core.ZoneId]
 
 
@@ -38,9 +36,9 @@
     def __init__(
         self, known_zones: Iterable[core.ZoneId], events: log.EventLog
     ):
-        self.current = Evacuations(UNKNOWN, frozenset())
-        # The revision at which the zones were last seen to be others.
-        self.changed_at = UNKNOWN
+        self.current = Evacuations(position.NOWHERE, frozenset())
+        # Where the zones were last seen to be others.
+        self.changed_at = position.NOWHERE
         self._known_zones = frozenset(known_zones)
         self._events = events
         self._listeners: list[Callable[[Evacuations], None]] = []
@@ -48,7 +46,7 @@
     @property
     def is_known(self) -> bool:
         """Tell whether any snapshot has been learnt."""
-        return self.current.revision != UNKNOWN
+        return self.current.position != position.NOWHERE
 
     def add_listener(self, call: Callable[[Evacuations], None]) -> None:
         """Have `call` called when the zones change, and with the first."""
@@ -56,12 +54,13 @@
 
     def apply(self, found: Evacuations, origin: str) -> None:
         """Take over a snapshot if it is later than the present one."""
-        if found.revision <= self.current.revision:
+        if found.position.revision <= self.current.position.revision:
             return
+        was_known = self.is_known
         before, self.current = self.current, found
-        if before.revision != UNKNOWN and found.zones == before.zones:
+        if was_known and found.zones == before.zones:
             return
-        self.changed_at = found.revision
+        self.changed_at = found.position
         if found.zones != before.zones:
             self._note_change(before, origin)
         for call in self._listeners:
@@ -71,7 +70,8 @@
         zones = self.current.zones
         self._events.record(
             events.LogKind.EVACUATIONS_CHANGED,
-            revision=self.current.revision,
+            era=self.current.position.era,
+            revision=self.current.position.revision,
             begun=sorted(zones - before.zones),
             ended=sorted(before.zones - zones),
             unknown=sorted(zones - self._known_zones),
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -19,6 +19,7 @@
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.knowledge import _directory as directory
+from rudderrock.gateway.knowledge import _era as era
 from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
@@ -82,6 +83,7 @@
         first_knowledge: first.FirstKnowledge,
         changes: peers.ChangeBook,
         known_quarantine: quarantine.Quarantine,
+        source_era: era.SourceEra,
         clock: core.Clock,
         chance: random.Random,
         events: log.EventLog,
@@ -97,6 +99,7 @@
         self._first = first_knowledge
         self._changes = changes
         self._quarantine = known_quarantine
+        self._era = source_era
         self._clock = clock
         self._chance = chance
         self._events = events
@@ -160,10 +163,10 @@
         """Learn what a seed knows; tell whether that is enough to serve."""
         client = self._get_client(entry)
         answer = await client.ask(
-            self._tables.revision,
+            self._tables.position,
             is_lost=True,
             timeout_s=SEED_ANSWER_S,
-            evacuated=self._evacuated.current.revision,
+            evacuated=self._evacuated.current.position,
         )
         if answer.is_err():
             return False
@@ -250,9 +253,9 @@
         for entry in self._list_peers():
             client = self._get_client(entry)
             answer = await client.ask(
-                self._tables.revision,
+                self._tables.position,
                 self._takes_any(),
-                evacuated=self._evacuated.current.revision,
+                evacuated=self._evacuated.current.position,
             )
             match answer:
                 case result.Ok(changes):
@@ -332,12 +335,12 @@
         origin = f'peer {client.entry.host}'
         if changes.table is not None:
             reading = self._source.decode_table(
-                changes.table, changes.table_revision
+                changes.table, changes.table_position
             )
             self._tables.apply_reading(reading, origin)
         self._evacuated.apply(
             evacuations.Evacuations(
-                changes.evacuations_revision,
+                changes.evacuations_position,
                 frozenset(map(core.ZoneId, changes.evacuated)),
             ),
             origin,
@@ -351,6 +354,9 @@
                 self._apply_hosts(found, origin)
         if changes.age_ms < 0:
             return
+        self._era.note(
+            changes.upstreams_position, self._listing.position, origin
+        )
         stamp = directory.ReadingStamp(
             changes.origin,
             changes.number,
@@ -361,11 +367,14 @@
             self._listing.hold_for(changes.hold_ms / 1000)
         if changes.whole:
             change = self._listing.apply_reading(
-                changes.upstreams, changes.revision, stamp
+                changes.upstreams, changes.upstreams_position, stamp
             )
         else:
             change = self._listing.apply_changes(
-                changes.upstreams, changes.left, changes.revision, stamp
+                changes.upstreams,
+                changes.left,
+                changes.upstreams_position,
+                stamp,
             )
         self._note_change(change, origin)
         if self._listing.is_keeping:
@@ -418,12 +427,13 @@
 
     def _apply_upstreams(self, reading: sources.UpstreamReading) -> None:
         self._note_problems(reading.problems)
+        self._era.note(reading.position, self._listing.position, 'source')
         self._readings += 1
         stamp = directory.ReadingStamp(
             self._changes.process, self._readings, self._clock.now()
         )
         change = self._listing.apply_reading(
-            reading.endpoints, reading.revision, stamp
+            reading.endpoints, reading.position, stamp
         )
         self._note_change(change, 'source')
 
@@ -441,7 +451,8 @@
             return
         self._events.record(
             events.LogKind.UPSTREAMS_CHANGED,
-            revision=self._listing.revision,
+            era=self._listing.position.era,
+            revision=self._listing.position.revision,
             added=change.added,
             left=change.left,
             held=change.held,
--- a/rudderrock/gateway/knowledge/_operators.py
+++ b/rudderrock/gateway/knowledge/_operators.py
@@ -7,6 +7,7 @@
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.knowledge import _evacuations as evacuations
+from rudderrock.gateway.knowledge import _position as position
 from rudderrock.gateway.knowledge import _sources as sources
 
 # How long one watch waits at the source, in seconds. A watch that a cut has
@@ -35,19 +36,19 @@
 
     async def keep(self) -> result.Result[None, sources.Unavailable]:
         """See that a watch is under way, after a reading if there was none."""
-        revision = None
+        read = None
         if self._task is not None:
             if not self._task.done():
                 return result.Ok(None)
             # A watch that has ended has read what it may have missed.
-            revision = self._task.result()
-        if revision is None:
+            read = self._task.result()
+        if read is None:
             match await self._read():
-                case result.Ok(revision):
+                case result.Ok(read):
                     pass
                 case result.Err() as failed:
                     return failed
-        self._task = asyncio.create_task(self._follow(revision))
+        self._task = asyncio.create_task(self._follow(read))
         return result.Ok(None)
 
     def stop(self) -> None:
@@ -56,14 +57,16 @@
             self._task.cancel()
             self._task = None
 
-    async def _read(self) -> result.Result[int, sources.Unavailable]:
-        """Read all; return the source's revision."""
+    async def _read(
+        self,
+    ) -> result.Result[position.Position, sources.Unavailable]:
+        """Read all; return where the source was."""
         answer = await self._source.read_table()
         if answer.is_err():
             return answer
         reading = answer.ok_value
         self._apply(reading, 'source')
-        return result.Ok(reading.revision)
+        return result.Ok(reading.position)
 
     def _apply(self, reading: sources.TableReading, origin: str) -> None:
         """Put in force what operators have written."""
@@ -71,32 +74,34 @@
         self._tables.confirm()
         if reading.evacuated is not None:
             found = evacuations.Evacuations(
-                reading.revision, reading.evacuated
+                reading.position, reading.evacuated
             )
             self._evacuated.apply(found, origin)
 
-    async def _follow(self, revision: int) -> int | None:
+    async def _follow(
+        self, read: position.Position
+    ) -> position.Position | None:
         """Watch until all has to be read anew, and read it.
 
-        Returns the revision to watch from, None if it could not be read.
+        Returns where to watch from, None if it could not be read.
         """
         while True:
-            match await self._source.watch_table(revision, WATCH_S):
+            match await self._source.watch_table(read, WATCH_S):
                 case result.Ok(None):
-                    # The next watch begins at the same revision, so what
+                    # The next watch begins at the same place, so what
                     # this one may have missed comes then.
                     self._tables.confirm()
                 case result.Ok(reading):
                     self._apply(reading, 'watch')
-                    revision = reading.revision
+                    read = reading.position
                 case result.Err(sources.HistoryGone()):
                     break
                 case result.Err(problem):
                     self._note_failed('watch', problem.detail)
                     break
         match await self._read():
-            case result.Ok(revision):
-                return revision
+            case result.Ok(read):
+                return read
             case result.Err(problem):
                 self._note_failed('table', problem.detail)
         return None
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -21,6 +21,7 @@
 from rudderrock.gateway.knowledge import _evacuations as evacuations
 from rudderrock.gateway.knowledge import _first as first
 from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _position as position
 from rudderrock.gateway.knowledge import _quarantine as quarantine
 from rudderrock.gateway.knowledge import _sources as sources
 
@@ -66,7 +67,7 @@
 
     `is_lost` tells that the source turns it away, so that it also takes
     what the peer has from others. `evacuations` is the revision of the
-    evacuations that it knows.
+    evacuations that it knows, in `evacuations_era`; -1 where it knows none.
     """
 
     process: str = ''
@@ -74,7 +75,8 @@
     hosts: int = 0
     table: int = -1
     is_lost: bool = False
-    evacuations: int = evacuations.UNKNOWN
+    evacuations: int = position.NOWHERE.revision
+    evacuations_era: int = position.NOWHERE.era
     quarantine: int = 0
 
 
@@ -89,7 +91,8 @@
     age, -1 if there has been none; `table_age_ms` is the time since the
     source last confirmed the table. `hold_ms` tells for how long missing
     upstreams are still kept. `evacuated` are all evacuated zones as of
-    `evacuations_revision`. `suspects` is what is new of requests that
+    `evacuations_revision`. Each revision belongs to an era of the source, 0
+    where the peer does not say. `suspects` is what is new of requests that
     upstreams have ended under.
     """
 
@@ -99,6 +102,7 @@
     upstreams: list[directory.Endpoint]
     left: list[str]
     revision: int
+    era: int = 0
     origin: str
     number: int
     hops: int
@@ -111,11 +115,30 @@
     hosts_whole: bool = True
     table: bytes | None = None
     table_revision: int = 0
+    table_era: int = 0
     evacuated: list[str] = []
-    evacuations_revision: int = evacuations.UNKNOWN
+    evacuations_revision: int = position.NOWHERE.revision
+    evacuations_era: int = 0
     suspects: list[quarantine.Record] = []
     quarantine_generation: int = 0
 
+    @property
+    def upstreams_position(self) -> position.Position:
+        """Return where the upstreams were read."""
+        return position.Position(self.era, self.revision)
+
+    @property
+    def table_position(self) -> position.Position:
+        """Return where the table was read."""
+        return position.Position(self.table_era, self.table_revision)
+
+    @property
+    def evacuations_position(self) -> position.Position:
+        """Return where the evacuations were read."""
+        return position.Position(
+            self.evacuations_era, self.evacuations_revision
+        )
+
     @property
     def is_near(self) -> bool:
         """Tell whether the peer has it from the source or next to it."""
@@ -212,7 +235,8 @@
         listing = self._listing
         tables = self._tables
         stamp = listing.stamp
-        newer = tables.revision > known.table
+        newer = tables.position.revision > known.table
+        evacuated = self._evacuated.current
         hosts, hosts_left, hosts_whole = self._list_hosts(known, same)
         return Changes(
             process=self.process,
@@ -220,7 +244,8 @@
             whole=whole,
             upstreams=upstreams,
             left=left,
-            revision=listing.revision,
+            revision=listing.position.revision,
+            era=listing.position.era,
             origin=stamp.origin if stamp is not None else '',
             number=stamp.number if stamp is not None else 0,
             hops=stamp.hops if stamp is not None else 0,
@@ -232,9 +257,11 @@
             hosts_left=hosts_left,
             hosts_whole=hosts_whole,
             table=tables.raw if newer else None,
-            table_revision=tables.revision,
-            evacuated=sorted(self._evacuated.current.zones),
-            evacuations_revision=self._evacuated.current.revision,
+            table_revision=tables.position.revision,
+            table_era=tables.position.era,
+            evacuated=sorted(evacuated.zones),
+            evacuations_revision=evacuated.position.revision,
+            evacuations_era=evacuated.position.era,
             suspects=self._quarantine.list_since(
                 known.quarantine if same else 0
             ),
@@ -279,8 +306,8 @@
             known.process != self.process
             or known.upstreams != self.generation
             or known.hosts != self._hosts.generation
-            or known.table < self._tables.revision
-            or known.evacuations < self._evacuated.changed_at
+            or known.table < self._tables.position.revision
+            or known.evacuations < self._evacuated.changed_at.revision
             or known.quarantine != self._quarantine.generation
         )
 
@@ -340,21 +367,22 @@
 
     async def ask(
         self,
-        table: int,
+        table: position.Position,
         is_lost: bool,
         timeout_s: float = HOLD_S + SLACK_S,
-        evacuated: int = evacuations.UNKNOWN,
+        evacuated: position.Position = position.NOWHERE,
     ) -> result.Result[Changes, sources.Unavailable]:
         """Return what is new.
 
-        `table` and `evacuated` are the revisions of the table and of the
-        evacuations in force here.
+        `table` and `evacuated` tell where the table and the evacuations in
+        force here were read.
         """
         known = msgspec.structs.replace(
             self.known,
-            table=max(table, self._sent_table),
+            table=max(table.revision, self._sent_table),
             is_lost=is_lost,
-            evacuations=evacuated,
+            evacuations=evacuated.revision,
+            evacuations_era=evacuated.era,
         )
         fields = msgspec.to_builtins(known)
         fields['is_lost'] = int(is_lost)
--- a/rudderrock/gateway/knowledge/_sources.py
+++ b/rudderrock/gateway/knowledge/_sources.py
@@ -11,6 +11,7 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.knowledge import _directory as directory
 from rudderrock.gateway.knowledge import _fleet as fleet
+from rudderrock.gateway.knowledge import _position as position
 from rudderrock.gateway.knowledge import _routing as routing
 
 
@@ -33,7 +34,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableReading:
-    """What operators have written, at a revision of the source.
+    """What operators have written, at a position of the source.
 
     `table` is None if there is none, and `problem` says why one that is
     there can't be used. `raw` is the table as the source has it.
@@ -42,7 +43,7 @@
     """
 
     table: routing.RoutingTable | None
-    revision: int
+    position: position.Position
     problem: str = ''
     raw: bytes = b''
     evacuated: frozenset[core.ZoneId] | None = None
@@ -50,10 +51,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamReading:
-    """All registered upstreams at a revision of the source."""
+    """All registered upstreams at a position of the source."""
 
     endpoints: tuple[directory.Endpoint, ...]
-    revision: int
+    position: position.Position
     problems: tuple[str, ...] = ()
 
 
@@ -64,15 +65,17 @@
         """Return the newest table and the evacuated zones."""
 
     async def watch_table(
-        self, after: int, wait_s: float
+        self, after: position.Position, wait_s: float
     ) -> result.Result[TableReading | None, Unavailable | HistoryGone]:
-        """Wait for what operators write after a revision.
+        """Wait for what operators write after a position.
 
         None if nothing came. The reading tells of the table, of the
         evacuated zones or of both.
         """
 
-    def decode_table(self, raw: bytes, revision: int) -> TableReading:
+    def decode_table(
+        self, raw: bytes, read: position.Position
+    ) -> TableReading:
         """Return a table that another host has read."""
 
     async def list_upstreams(
@@ -105,7 +108,7 @@
     def __init__(self, clock: core.Clock, events: log.EventLog):
         self.current: routing.RoutingTable | None = None
         self.raw = b''
-        self.revision = 0
+        self.position = position.NOWHERE
         self._clock = clock
         self._events = events
         self._applied_at: float | None = None
@@ -150,7 +153,8 @@
             self._events.record(
                 events.LogKind.TABLE_REJECTED,
                 problem=reading.problem,
-                revision=reading.revision,
+                era=reading.position.era,
+                revision=reading.position.revision,
                 origin=origin,
             )
             return
@@ -159,13 +163,14 @@
             return
         before, self.current = self.version, table
         self.raw = reading.raw
-        self.revision = reading.revision
+        self.position = reading.position
         self._applied_at = self._clock.now()
         self._events.record(
             events.LogKind.TABLE_IN_FORCE,
             version=table.version,
             before=before,
-            revision=reading.revision,
+            era=reading.position.era,
+            revision=reading.position.revision,
             routes=len(table.routes),
             origin=origin,
         )
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -29,6 +29,7 @@
     )
     evacuated = gateway.EvacuationHolder(settings.place.regions, events)
     hosts = gateway.Fleet(own, settings.assumed_hosts, clock)
+    source_era = gateway.SourceEra(events)
     first = gateway.FirstKnowledge(tables, listing, evacuated, clock)
     process = f'{settings.host}/{draw("process").getrandbits(64):x}'
     quarantine = gateway.Quarantine(process, clock, events)
@@ -38,6 +39,7 @@
         listing=listing,
         hosts=hosts,
         first=first,
+        source_era=source_era,
         quarantine=quarantine,
         events=events,
         figures=gateway.GatewayMetrics(),
@@ -56,6 +58,7 @@
         first,
         changes,
         quarantine,
+        source_era,
         clock,
         draw('source'),
         events,
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -24,6 +24,9 @@
 _SERVERS_PREFIX = 'servers/'
 # Where rudderrock keeps what is its own.
 _HOSTS_PREFIX = 'rudderrock/hosts/'
+# In each answer: counts how often the store has come back from a copy. A store
+# that does not say has never done so.
+_ERA_HEADER = b'store-era'
 
 
 class _Item(msgspec.Struct):
@@ -66,11 +69,11 @@
         listed = await self._list_items(_OPERATORS_PREFIX)
         if listed.is_err():
             return listed
-        items, revision = listed.ok_value
-        found = gateway.TableReading(None, revision)
+        items, read = listed.ok_value
+        found = gateway.TableReading(None, read)
         for item in items:
             if item.key == _CONFIG_KEY:
-                found = self._make_table_reading(item, revision)
+                found = self._make_table_reading(item, read)
         evacuated = frozenset(
             core.ZoneId(item.key.removeprefix(_EVACUATIONS_PREFIX))
             for item in items
@@ -79,12 +82,12 @@
         return result.Ok(dataclasses.replace(found, evacuated=evacuated))
 
     async def watch_table(
-        self, after: int, wait_s: float
+        self, after: gateway.Position, wait_s: float
     ) -> result.Result[
         gateway.TableReading | None,
         gateway.Unavailable | gateway.HistoryGone,
     ]:
-        """Wait for what operators write after a revision.
+        """Wait for what operators write after a position.
 
         Where that is about evacuations, all is read again: an event tells of
         one key only.
@@ -92,7 +95,7 @@
         target = _make_target(
             '/kv-watch',
             prefix=_OPERATORS_PREFIX,
-            after=str(after),
+            after=str(after.revision),
             wait_ms=str(round(wait_s * 1000)),
         )
         answer = await self._get(
@@ -104,15 +107,20 @@
             case result.Ok(reply) if reply.status == 410:
                 return result.Err(gateway.HistoryGone())
         match _decode_body(answer.ok_value, _Events):
-            case result.Err(problem):
-                return result.Err(problem)
+            case result.Err() as failed:
+                return failed
             case result.Ok(found):
                 pass
+        match _decode_era(answer.ok_value):
+            case result.Err() as failed:
+                return failed
+            case result.Ok(era):
+                read = gateway.Position(era, found.at_revision)
         if any(
             event.key.startswith(_EVACUATIONS_PREFIX) for event in found.events
         ):
             return await self.read_table()
-        return result.Ok(self._pick_newest(found))
+        return result.Ok(self._pick_newest(found, read))
 
     async def list_upstreams(
         self,
@@ -121,7 +129,7 @@
         listed = await self._list_items(_SERVERS_PREFIX)
         if listed.is_err():
             return listed
-        items, revision = listed.ok_value
+        items, read = listed.ok_value
         endpoints: list[gateway.Endpoint] = []
         problems: list[str] = []
         for item in items:
@@ -131,22 +139,22 @@
                 case result.Err(problem):
                     problems.append(problem)
         return result.Ok(
-            gateway.UpstreamReading(
-                tuple(endpoints), revision, tuple(problems)
-            )
+            gateway.UpstreamReading(tuple(endpoints), read, tuple(problems))
         )
 
     def close(self) -> None:
         """Close the connections to the store."""
         self.caller.close()
 
-    def decode_table(self, raw: bytes, revision: int) -> gateway.TableReading:
+    def decode_table(
+        self, raw: bytes, read: gateway.Position
+    ) -> gateway.TableReading:
         """Return a configuration that another host has read."""
         match decode.decode_table(raw):
             case result.Ok(table):
-                return gateway.TableReading(table, revision, raw=raw)
+                return gateway.TableReading(table, read, raw=raw)
             case result.Err(problem):
-                return gateway.TableReading(None, revision, problem)
+                return gateway.TableReading(None, read, problem)
 
     async def list_hosts(
         self,
@@ -216,15 +224,17 @@
         return answer if answer.is_err() else result.Ok(None)
 
     def _make_table_reading(
-        self, item: _Item, revision: int
+        self, item: _Item, read: gateway.Position
     ) -> gateway.TableReading:
         try:
             raw = decode.decode_value(item.value)
         except decode.BAD_VALUE as error:
-            return gateway.TableReading(None, revision, str(error))
-        return self.decode_table(raw, revision)
+            return gateway.TableReading(None, read, str(error))
+        return self.decode_table(raw, read)
 
-    def _pick_newest(self, found: _Events) -> gateway.TableReading | None:
+    def _pick_newest(
+        self, found: _Events, read: gateway.Position
+    ) -> gateway.TableReading | None:
         if not found.events:
             return None
         written = [
@@ -234,42 +244,49 @@
         ]
         if not written:
             # About other keys of operators; the next watch begins after them.
-            return gateway.TableReading(None, found.at_revision)
-        return self._make_table_reading(written[-1], found.at_revision)
+            return gateway.TableReading(None, read)
+        return self._make_table_reading(written[-1], read)
 
     async def _list_items(
         self, prefix: str
-    ) -> result.Result[tuple[list[_Item], int], gateway.Unavailable]:
-        """Return all items of a prefix and the first page's revision."""
+    ) -> result.Result[
+        tuple[list[_Item], gateway.Position], gateway.Unavailable
+    ]:
+        """Return all items of a prefix and where the first page was read."""
         items: list[_Item] = []
         after = ''
-        revision = 0
+        first: gateway.Position | None = None
         while True:
             match await self._read_page(prefix, after):
-                case result.Err(problem):
-                    return result.Err(problem)
-                case result.Ok(page):
-                    pass
-            revision = revision or page.at_revision
+                case result.Err() as failed:
+                    return failed
+                case result.Ok((page, read)):
+                    first = first or read
+            if read.era != first.era:
+                # Pages of two histories are no listing of either.
+                return result.Err(gateway.Unavailable('back from a copy'))
             items += page.items
             if not page.has_more or not page.items:
-                return result.Ok((items, revision))
+                return result.Ok((items, first))
             after = page.items[-1].key
 
     async def _read_page(
         self, prefix: str, after: str
-    ) -> result.Result[_Page, gateway.Unavailable]:
+    ) -> result.Result[tuple[_Page, gateway.Position], gateway.Unavailable]:
         query = {'prefix': prefix}
         if after:
             query['after'] = after
         answer = await self._get(
             _make_target('/kv-range', **query), CALL_TIMEOUT_S
         )
-        match answer:
-            case result.Err():
-                return answer
-            case result.Ok(reply):
-                return _decode_body(reply, _Page)
+        if answer.is_err():
+            return answer
+        reply = answer.ok_value
+        return _decode_era(reply).and_then(
+            lambda era: _decode_body(reply, _Page).map(
+                lambda page: (page, gateway.Position(era, page.at_revision))
+            )
+        )
 
     async def _get(
         self,
@@ -310,6 +327,18 @@
         return result.Err(gateway.Unavailable(f'unreadable: {error}'))
 
 
+def _decode_era(
+    reply: gateway.Reply,
+) -> result.Result[int, gateway.Unavailable]:
+    """Return the era that an answer names, 0 if it names none."""
+    raw = reply.get_header(_ERA_HEADER)
+    if raw is None:
+        return result.Ok(0)
+    if not raw.isdigit():
+        return result.Err(gateway.Unavailable(f'unreadable era: {raw!r}'))
+    return result.Ok(int(raw))
+
+
 def _decode_server(item: _Item) -> result.Result[gateway.Endpoint, str]:
     try:
         raw = decode.decode_value(item.value)
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -43,6 +43,11 @@
         self._written: dict[bytes, gateway.RoutingTable] = {}
         self._changed = asyncio.Event()
 
+    @property
+    def position(self) -> gateway.Position:
+        """Return where in its history the source is."""
+        return gateway.Position(self.era, self.revision)
+
     def set_table(self, table: gateway.RoutingTable | None) -> None:
         """Write a table."""
         self.table = table
@@ -117,7 +122,7 @@
         return result.Ok(self._read())
 
     async def watch_table(
-        self, after: int, wait_s: float
+        self, after: gateway.Position, wait_s: float
     ) -> result.Result[
         gateway.TableReading | None,
         gateway.Unavailable | gateway.HistoryGone,
@@ -126,14 +131,14 @@
         self.reads += 1
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
-        if self.history_gone or after > self.revision:
+        if self.history_gone or after.revision > self.revision:
             self.history_gone = False
             return result.Err(gateway.HistoryGone())
         era = self.era
         try:
             async with asyncio.timeout(wait_s):
                 while not self.history_gone and (
-                    self.table_revision <= after
+                    self.table_revision <= after.revision
                     or self.is_deaf
                     or self.is_down
                 ):
@@ -157,13 +162,15 @@
             return result.Err(gateway.Unavailable('down'))
         return result.Ok(
             gateway.UpstreamReading(
-                tuple(self.endpoints.values()), self.revision
+                tuple(self.endpoints.values()), self.position
             )
         )
 
-    def decode_table(self, raw: bytes, revision: int) -> gateway.TableReading:
+    def decode_table(
+        self, raw: bytes, read: gateway.Position
+    ) -> gateway.TableReading:
         """Return the table of a version that was written here."""
-        return gateway.TableReading(self._written[raw], revision, raw=raw)
+        return gateway.TableReading(self._written[raw], read, raw=raw)
 
     async def list_hosts(
         self,
@@ -205,7 +212,7 @@
         raw = b'%d' % self.table.version if self.table is not None else b''
         return gateway.TableReading(
             self.table,
-            self.revision,
+            self.position,
             raw=raw,
             evacuated=frozenset(self.evacuated),
         )
--- a/rudderrock/standins/platform/_store.py
+++ b/rudderrock/standins/platform/_store.py
@@ -5,7 +5,6 @@
 import collections
 import dataclasses
 import enum
-import itertools
 import urllib.parse
 
 import msgspec
@@ -38,6 +37,18 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """All that the store held at one moment."""
+
+    items: dict[str, _Item]
+    revision: int
+    history: tuple[tuple[str, int, bytes | None, int], ...]
+    oldest: int
+    leases: dict[int, _Lease]
+    next_lease: int
+
+
 class PlatformStore(wire_server.WireServer):
     """Items, watches, conditional writes and leases behind HTTP.
 
@@ -58,13 +69,21 @@
         # Keys whose values are shown as what is not base64.
         self.spoilt: set[str] = set()
         self.revision = 0
+        # Rises each time the store comes back from a copy.
+        self.era = 0
+        # What the store says its era is, if that is no number.
+        self.era_text = ''
         self._history: list[tuple[str, int, bytes | None, int]] = []
         self._oldest = 0
         self._leases: dict[int, _Lease] = {}
-        self._ids = itertools.count(1)
+        self._next_lease = 1
         self._changed = asyncio.Event()
         self._cuts = asyncio.Event()
 
+    @property
+    def _era_text(self) -> str:
+        return self.era_text or str(self.era)
+
     def put(self, key: str, value: bytes, lease: int = 0) -> None:
         """Write an item, as the operator or an upstream does."""
         self.revision += 1
@@ -104,6 +123,42 @@
         self._cuts.set()
         self._cuts = asyncio.Event()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy of all that is held now."""
+        return StoreCopy(
+            {key: dataclasses.replace(it) for key, it in self.items.items()},
+            self.revision,
+            tuple(self._history),
+            self._oldest,
+            {
+                name: dataclasses.replace(it)
+                for name, it in self._leases.items()
+            },
+            self._next_lease,
+        )
+
+    def come_back(self, copy: StoreCopy) -> None:
+        """Hold what a copy held, and nothing that came after it.
+
+        Revisions and leases are given out again from where the copy stands,
+        and the leases in it begin anew. Watches are cut.
+        """
+        now = asyncio.get_running_loop().time()
+        self.era += 1
+        self.items = {
+            key: dataclasses.replace(it) for key, it in copy.items.items()
+        }
+        self.revision = copy.revision
+        self._history = list(copy.history)
+        self._oldest = copy.oldest
+        self._leases = {
+            name: _Lease(it.ttl_s, now + it.ttl_s)
+            for name, it in copy.leases.items()
+        }
+        self._next_lease = copy.next_lease
+        self._cuts.set()
+        self._cuts = asyncio.Event()
+
     def revoke_leases(self) -> None:
         """End every lease at once."""
         for lease in list(self._leases):
@@ -143,17 +198,17 @@
             case Refusal.SILENT:
                 await asyncio.sleep(3600.0)
             case Refusal.BUSY:
-                writer.write(_make(503, {}))
+                writer.write(_make(503, {}, self._era_text))
                 return True
             case Refusal.MANY:
-                writer.write(_make(429, {}))
+                writer.write(_make(429, {}, self._era_text))
                 return True
         self._expire()
         fields = dict(urllib.parse.parse_qsl(query))
         found = await self._treat(method, path, fields, body)
         if found is None or (self.lose_answers and method == 'POST'):
             return False
-        writer.write(_make(*found))
+        writer.write(_make(*found, self._era_text))
         return True
 
     async def _treat(
@@ -209,7 +264,7 @@
 
     async def _watch(self, fields: dict[str, str]) -> tuple[int, dict] | None:
         after = int(fields['after'])
-        if after < self._oldest:
+        if not self._oldest <= after <= self.revision:
             return 410, {}
         cut = asyncio.ensure_future(self._cuts.wait())
         try:
@@ -280,7 +335,8 @@
         return 200, {'revision': self.revision}
 
     def _grant(self, ttl_ms: int) -> tuple[int, dict]:
-        lease = next(self._ids)
+        lease = self._next_lease
+        self._next_lease += 1
         now = asyncio.get_running_loop().time()
         self._leases[lease] = _Lease(ttl_ms / 1000, now + ttl_ms / 1000)
         return 200, {'lease_id': lease, 'ttl_ms': ttl_ms}
@@ -294,7 +350,10 @@
         return 200, {'ttl_ms': round(found.ttl_s * 1000)}
 
 
-def _make(status: int, fields: dict) -> bytes:
-    kind = (b'content-type', b'application/json')
-    reply = gateway.Reply(status, [kind], msgspec.json.encode(fields))
+def _make(status: int, fields: dict, era: str) -> bytes:
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'store-era', era.encode()),
+    ]
+    reply = gateway.Reply(status, headers, msgspec.json.encode(fields))
     return gateway.render_reply(reply, close=False)
