--- a/features/copies.feature
+++ b/features/copies.feature
@@ -89,3 +89,48 @@
     And 3 servers are registered, 0 of them draining
     When the store comes back from a copy after the first page of a listing
     Then the source is unavailable: "back from a copy"
+
+  # Work went to an upstream 3 s and 30 s after it had said that it drains, and
+  # each host read the source by itself. Cause: a listing with a smaller revision
+  # than the last was passed over, so that none counted after the return, and no
+  # host had anything fresh to tell. Evidence: on untouched code the ages in
+  # peer_skipped grow from the return on, and stop when the revisions have caught
+  # up.
+  Scenario: an upstream that drains after a return of the source gets no new work
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the routes are written again 40 times
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 3 seconds pass
+    And "u1" says that it drains
+    And 2.8 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: one host reads for all again after a return of the source
+    Given 3 gateways and 45 that are told of them start together with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the routes are written again 40 times
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 8 seconds pass
+    Then all but 1 of them leave the source alone
+
+  # What has changed since an earlier question is worked out within one history.
+  Scenario Outline: a peer that knows the era before is told all: <known>
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the source comes back from the copy after 1 second
+    And 3 seconds pass
+    And a peer asks again that knows era <known>
+    Then it is told <what> upstreams
+
+    Examples:
+      | known | what     |
+      | 0     | all      |
+      | 1     | no more  |
+      | none  | no more  |
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -29,7 +29,7 @@
         gateway_steps.get(context).publish()
 
 
-@when(r'the source comes back from the copy after ([\d.]+) seconds')
+@when(r'the source comes back from the copy after ([\d.]+) seconds?')
 def come_back(context, seconds):
     source = gateway_steps.get(context).source
     source.is_down = True
@@ -116,3 +116,22 @@
 @then(r'it is sent (the|no) table')
 def check_sent(context, which):
     assert (context.changes.table is not None) == (which == 'the')
+
+
+@when(r'a peer asks again that knows era (none|\d+)')
+def ask_again(context, era):
+    member = context.fleet.members[context.fleet.find_reader()]
+    changes = member.process._changes
+    known = gateway.Known(
+        process=changes.process,
+        upstreams=changes.generation,
+        era=None if era == 'none' else int(era),
+    )
+    context.changes = changes.list_changes(known)
+
+
+@then(r'it is told (all|no more) upstreams')
+def check_upstreams(context, which):
+    count = 1 if which == 'all' else 0
+    assert len(context.changes.upstreams) == count, context.changes
+    assert context.changes.whole == (which == 'all'), context.changes
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -210,9 +210,11 @@
     ) -> DirectoryChange | None:
         """Take over one whole reading; return what changed, if anything.
 
-        One that is older than the last is passed over.
+        One that is older than the last is passed over. Of a source that has
+        come back from a copy the first is newer, though its revision may be
+        smaller.
         """
-        if read.revision < self.position.revision:
+        if read < self.position:
             return None
         found = {each.upstream: each for each in endpoints}
         return self._replace(found, read, stamp)
@@ -224,8 +226,12 @@
         read: position.Position,
         stamp: ReadingStamp,
     ) -> DirectoryChange | None:
-        """Take over what a peer says has changed since it was last asked."""
-        if read.revision < self.position.revision:
+        """Take over what a peer says has changed since it was last asked.
+
+        That is worked out within one era; what another era lacks of this one
+        would not be among it.
+        """
+        if read < self.position or read.era != self.position.era:
             return None
         found = dict(self._endpoints)
         for upstream in left:
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -271,6 +271,7 @@
         return peers.InForce(
             table_version=self._tables.version,
             table=self._tables.position,
+            upstreams=self._listing.position,
             evacuations=self._evacuated.current.position,
         )
 
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -71,10 +71,12 @@
     `is_lost` tells that the source turns it away, so that it also takes
     what the peer has from others. `evacuations` is the revision of the
     evacuations that it knows, in `evacuations_era`; -1 where it knows none.
+    `era` is that of the upstreams that it knows, None where it does not say.
     """
 
     process: str = ''
     upstreams: int = 0
+    era: int | None = None
     hosts: int = 0
     table: int = -1
     table_version: int | None = None
@@ -90,6 +92,7 @@
 
     table_version: routing.TableVersion = routing.NO_VERSION
     table: position.Position = position.NOWHERE
+    upstreams: position.Position = position.NOWHERE
     evacuations: position.Position = position.NOWHERE
 
 
@@ -286,6 +289,8 @@
         self, known: Known, same: bool
     ) -> tuple[list[directory.Endpoint], list[str], bool]:
         oldest = self._changes[0][0] if self._changes else self.generation
+        is_same_era = known.era in (None, self._listing.position.era)
+        same = same and is_same_era
         if not same or known.upstreams < oldest - 1:
             return list(self._listing.list_all()), [], True
         touched: set[core.UpstreamId] = set()
@@ -403,6 +408,7 @@
             table=max(in_force.table.revision, self._sent_table),
             table_version=max(in_force.table_version, self._sent_version),
             is_lost=is_lost,
+            era=in_force.upstreams.era,
             evacuations=in_force.evacuations.revision,
             evacuations_era=in_force.evacuations.era,
         )
