--- a/features/copies.feature
+++ b/features/copies.feature
@@ -134,3 +134,21 @@
       | 0     | all      |
       | 1     | no more  |
       | none  | no more  |
+
+  # Hosts went on sending to an evacuated zone for as long as was waited, 20 s.
+  # Cause: of two snapshots of what is evacuated the one with the greater revision
+  # was taken for the later one, so none counted until the revisions of a source
+  # that had come back from a copy had caught up. Evidence: no evacuations_changed
+  # line after the return.
+  Scenario: a zone that is evacuated after a return of the source gets no new work
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes" in "south-1"
+    When 10 seconds pass
+    And the source is copied
+    And the routes are written again 40 times
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 3 seconds pass
+    And "north-1" is evacuated
+    And 1 second passes
+    Then every gateway sends "/notes/1" to "u2"
--- a/rudderrock/gateway/knowledge/_evacuations.py
+++ b/rudderrock/gateway/knowledge/_evacuations.py
@@ -54,7 +54,7 @@
 
     def apply(self, found: Evacuations, origin: str) -> None:
         """Take over a snapshot if it is later than the present one."""
-        if found.position.revision <= self.current.position.revision:
+        if found.position <= self.current.position:
             return
         was_known = self.is_known
         before, self.current = self.current, found
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -70,8 +70,8 @@
 
     `is_lost` tells that the source turns it away, so that it also takes
     what the peer has from others. `evacuations` is the revision of the
-    evacuations that it knows, in `evacuations_era`; -1 where it knows none.
-    `era` is that of the upstreams that it knows, None where it does not say.
+    evacuations that it knows, in `evacuations_era`, and `era` is that of the
+    upstreams; hosts of the version before do not say those two.
     """
 
     process: str = ''
@@ -82,7 +82,7 @@
     table_version: int | None = None
     is_lost: bool = False
     evacuations: int = position.NOWHERE.revision
-    evacuations_era: int = position.NOWHERE.era
+    evacuations_era: int | None = None
     quarantine: int = 0
 
 
@@ -326,7 +326,7 @@
             or known.upstreams != self.generation
             or known.hosts != self._hosts.generation
             or self._has_newer_table(known)
-            or known.evacuations < self._evacuated.changed_at.revision
+            or self._has_newer_evacuations(known)
             or known.quarantine != self._quarantine.generation
         )
 
@@ -341,6 +341,14 @@
             return known.table < self._tables.position.revision
         return known.table_version < self._tables.version
 
+    def _has_newer_evacuations(self, known: Known) -> bool:
+        """Tell whether the zones have changed since a peer learnt them."""
+        changed_at = self._evacuated.changed_at
+        if known.evacuations_era is None:
+            return known.evacuations < changed_at.revision
+        era = known.evacuations_era
+        return position.Position(era, known.evacuations) < changed_at
+
     def _is_of_use(self, known: Known) -> bool:
         """Tell whether it pays for a peer to wait for news from here."""
         if not _are_fresh(self._listing.age_s, self._tables.confirmed_s):
