--- a/features/copies.feature
+++ b/features/copies.feature
@@ -152,3 +152,27 @@
     And "north-1" is evacuated
     And 1 second passes
     Then every gateway sends "/notes/1" to "u2"
+
+  # What operators had written just after the source came back was never told to
+  # a host whose watch went on from a revision that had been given out again by
+  # then. Cause: the watch did not know of which history its revision was.
+  Scenario: a watch from the era before says that the history is gone
+    Given a platform store
+    And the operator writes version 7 with a gather, a split and an unsafe route
+    When the store comes back from a copy of now
+    And a zone is evacuated and 5 other entries are written
+    And the source watches the operators from the era before
+    Then the watch says that the history is gone
+
+  Scenario: what is written while a watch outlasts a return of the source is not missed
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes" in "south-1"
+    When 10 seconds pass
+    And the source is copied
+    And the routes are written again 4 times
+    And 0.1 seconds pass
+    And the source comes back from the copy and cuts no watch
+    And "north-1" is evacuated
+    And 60 other entries are written
+    And 1.5 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -135,3 +135,29 @@
     count = 1 if which == 'all' else 0
     assert len(context.changes.upstreams) == count, context.changes
     assert context.changes.whole == (which == 'all'), context.changes
+
+
+@when(r'a zone is evacuated and 5 other entries are written')
+def write_after_return(context):
+    context.store.evacuate('north-1')
+    for number in range(5):
+        context.store.put(f'other/{number}', b'{}')
+
+
+@when(r'the source watches the operators from the era before')
+def watch_before(context):
+    store = context.store
+    before = gateway.Position(store.era - 1, store.revision)
+    adapter_steps.call(context, context.source.watch_table(before, 0.5))
+
+
+@when(r'the source comes back from the copy and cuts no watch')
+def come_back_quietly(context):
+    source = gateway_steps.get(context).source
+    source.come_back(context.copy, cut=False)
+
+
+@when(r'(\d+) other entries are written')
+def write_others(context, count):
+    for _ in range(int(count)):
+        gateway_steps.get(context).source.note_other_change()
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -428,7 +428,10 @@
 
     def _apply_upstreams(self, reading: sources.UpstreamReading) -> None:
         self._note_problems(reading.problems)
-        self._era.note(reading.position, self._listing.position, 'source')
+        if self._era.note(reading.position, self._listing.position, 'source'):
+            # A watch may go on from a revision that has been given out again.
+            self._operators.stop()
+            self._hosts_read_at = -HOSTS_EVERY_S
         self._readings += 1
         stamp = directory.ReadingStamp(
             self._changes.process, self._readings, self._clock.now()
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -106,16 +106,18 @@
                 return answer
             case result.Ok(reply) if reply.status == 410:
                 return result.Err(gateway.HistoryGone())
-        match _decode_body(answer.ok_value, _Events):
+        match _decode_era(answer.ok_value):
             case result.Err() as failed:
                 return failed
-            case result.Ok(found):
-                pass
-        match _decode_era(answer.ok_value):
+            case result.Ok(era) if era != after.era:
+                # The store has given the revision out again, so it can't
+                # tell that what came before it is another history.
+                return result.Err(gateway.HistoryGone())
+        match _decode_body(answer.ok_value, _Events):
             case result.Err() as failed:
                 return failed
-            case result.Ok(era):
-                read = gateway.Position(era, found.at_revision)
+            case result.Ok(found):
+                read = gateway.Position(after.era, found.at_revision)
         if any(
             event.key.startswith(_EVACUATIONS_PREFIX) for event in found.events
         ):
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -40,6 +40,7 @@
         self.table_reads = 0
         self.hosts: dict[int, gateway.HostEntry] = {}
         self._leases = 0
+        self._cuts = 0
         self._written: dict[bytes, gateway.RoutingTable] = {}
         self._changed = asyncio.Event()
 
@@ -90,10 +91,15 @@
             self._leases,
         )
 
-    def come_back(self, copy: SourceCopy) -> None:
+    def note_other_change(self) -> None:
+        """Count a change that is no business of hosts."""
+        self._change()
+
+    def come_back(self, copy: SourceCopy, cut: bool = True) -> None:
         """Hold what a copy held, and nothing that came after it.
 
         Revisions and leases are given out again from where the copy stands.
+        Unless it cuts them, watches go on from where they began.
         """
         self.era += 1
         self.table = copy.table
@@ -103,6 +109,9 @@
         self.table_revision = copy.table_revision
         self.hosts = dict(copy.hosts)
         self._leases = copy.leases
+        if not cut:
+            return
+        self._cuts += 1
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -134,7 +143,7 @@
         if self.history_gone or after.revision > self.revision:
             self.history_gone = False
             return result.Err(gateway.HistoryGone())
-        era = self.era
+        cuts = self._cuts
         try:
             async with asyncio.timeout(wait_s):
                 while not self.history_gone and (
@@ -144,9 +153,11 @@
                 ):
                     changed = self._changed
                     await changed.wait()
-                    if self.era != era:
+                    if self._cuts != cuts:
                         return result.Err(gateway.Unavailable('reset'))
         except TimeoutError:
+            if after.era != self.era:
+                return result.Err(gateway.HistoryGone())
             return result.Ok(None)
         if self.history_gone:
             self.history_gone = False
