--- a/features/copies.feature
+++ b/features/copies.feature
@@ -176,3 +176,48 @@
     And 60 other entries are written
     And 1.5 seconds pass
     Then every gateway sends "/notes/1" to "u2"
+
+  # An upstream that had left 3 s before stood in the copy as ready, with all that
+  # it had last said, and got new work within 1 s. Cause: of what an upstream has
+  # said only something earlier was refused, and a copy says the same again.
+  Scenario: an upstream that had left gets no new work because a copy names it
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the entry of "u1" lapses
+    And 3 seconds pass
+    And the source comes back from the copy after 2 seconds
+    And 1.2 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+    When 2.2 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+
+  Scenario: an upstream that registers again after a return of the source gets work
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the entry of "u1" lapses
+    And 3 seconds pass
+    And the source comes back from the copy after 2 seconds
+    And 1 second passes
+    And the entry of "u1" lapses
+    And 1.2 seconds pass
+    And "u1" registers again as it was
+    And "u2" says that it drains
+    And 1.2 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
+
+  Scenario: what the source goes on to name long after its return is believed
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the entry of "u1" lapses
+    And 3 seconds pass
+    And the source comes back from the copy after 2 seconds
+    And 7 seconds pass
+    And "u2" says that it drains
+    And 1.2 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -161,3 +161,18 @@
 def write_others(context, count):
     for _ in range(int(count)):
         gateway_steps.get(context).source.note_other_change()
+
+
+@when(r'"([^"]+)" registers again as it was')
+def register_again(context, upstream):
+    source = gateway_steps.get(context).source
+    source.set_endpoint(context.copy.endpoints[upstream])
+
+
+@when(
+    r'"([^"]+)" registers again as it was, which a copy of just before lacks'
+)
+def register_after_copy(context, upstream):
+    before = gateway_steps.get(context).source.make_copy()
+    register_again(context, upstream)
+    context.copy = before
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -7,6 +7,7 @@
 
 from rudderrock import core
 from rudderrock.gateway.knowledge import _position as position
+from rudderrock.gateway.knowledge import _revived as revived
 from rudderrock.gateway.knowledge import _routing as routing
 
 # Upstreams whose registration lapsed while the registry was away register
@@ -121,18 +122,23 @@
         # The last that was said under each id, also by those that are gone,
         # so that an entry from before is not taken for a new one.
         self._last_said: dict[core.UpstreamId, tuple[int, int]] = {}
+        self._revived = revived.Revived(clock)
         self._cold_until: dict[core.UpstreamId, float] = {}
         self._ready: dict[routing.ServiceName, tuple[Endpoint, ...]] = {}
         self._hold_until = 0.0
         self._held: frozenset[core.UpstreamId] = frozenset()
+        self._doubted: frozenset[core.UpstreamId] = frozenset()
         self._listeners: list[Callable[[DirectoryChange], None]] = []
         self._seen: dict[str, int] = {}
         self._readers: list[Callable[[], None]] = []
 
     @property
     def is_keeping(self) -> bool:
-        """Tell whether upstreams are kept that the last reading lacked."""
-        return bool(self._held)
+        """Tell whether upstreams are kept that the last reading lacked.
+
+        Or left out that it named: a peer would not tell of either again.
+        """
+        return bool(self._held or self._doubted)
 
     @property
     def hold_s(self) -> float:
@@ -216,8 +222,21 @@
         """
         if read < self.position:
             return None
+        if read.era != self.position.era:
+            self._begin_era()
         found = {each.upstream: each for each in endpoints}
-        return self._replace(found, read, stamp)
+        self._doubted = frozenset(
+            each.upstream
+            for each in found.values()
+            if self._is_doubted(each, stamp.origin)
+        )
+        for upstream in self._doubted:
+            del found[upstream]
+        change = self._replace(found, read, stamp)
+        if self._revived.is_doubting:
+            gone = self._last_said.keys() - found.keys() - self._doubted
+            self._revived.note_missing(stamp.origin, gone)
+        return change
 
     def apply_changes(
         self,
@@ -229,7 +248,8 @@
         """Take over what a peer says has changed since it was last asked.
 
         That is worked out within one era; what another era lacks of this one
-        would not be among it.
+        would not be among it. What it names is new at the peer, so none of it
+        is doubted.
         """
         if read < self.position or read.era != self.position.era:
             return None
@@ -240,6 +260,11 @@
             found[each.upstream] = each
         return self._replace(found, read, stamp)
 
+    def _begin_era(self) -> None:
+        """Take note that the source has come back from a copy."""
+        if self.position != position.NOWHERE:
+            self._revived.begin()
+
     def _replace(
         self,
         found: dict[core.UpstreamId, Endpoint],
@@ -285,6 +310,14 @@
         self._remember(newest)
         return newest
 
+    def _is_doubted(self, entry: Endpoint, origin: str) -> bool:
+        """Tell whether one that has left is there only since a copy has it."""
+        if entry.upstream in self._endpoints:
+            return False
+        if self._last_said.get(entry.upstream) != entry.life_order:
+            return False
+        return self._revived.is_doubted(origin, entry.upstream)
+
     def _remember(self, found: dict[core.UpstreamId, Endpoint]) -> None:
         self._last_said.update(
             {name: entry.life_order for name, entry in found.items()}
