--- a/features/copies.feature
+++ b/features/copies.feature
@@ -221,3 +221,20 @@
     And "u2" says that it drains
     And 1.2 seconds pass
     Then every gateway sends "/notes/1" to "u1"
+
+  # Callers were sent away for want of an upstream that had registered after the
+  # copy was made. Cause: what a listing lacks was kept after an outage of over
+  # 2.2 s only, since leases do not run out sooner; a copy lacks it after any.
+  Scenario: an upstream that registered after the copy is kept until it had time to do so again
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the entry of "u1" lapses
+    And 3 seconds pass
+    And "u1" registers again as it was, which a copy of just before lacks
+    And 2 seconds pass
+    And the source comes back from the copy after 1 second
+    And 1.8 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
+    When 4 seconds pass
+    Then no gateway knows an upstream of "/notes/1"
--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -261,8 +261,13 @@
         return self._replace(found, read, stamp)
 
     def _begin_era(self) -> None:
-        """Take note that the source has come back from a copy."""
+        """Take note that the source has come back from a copy.
+
+        It lacks those that have registered since, whether it was away for
+        long or not.
+        """
         if self.position != position.NOWHERE:
+            self.hold_for(RETURN_GRACE_S)
             self._revived.begin()
 
     def _replace(
