--- a/features/copies.feature
+++ b/features/copies.feature
@@ -238,3 +238,56 @@
     Then every gateway sends "/notes/1" to "u1"
     When 4 seconds pass
     Then no gateway knows an upstream of "/notes/1"
+
+  # An evacuation that was acknowledged ended when the source came back from a
+  # copy of before, and one that had been taken back began again. Cause: the first
+  # snapshot of an era was taken for the truth, though operators had not had the
+  # time to write again what it lost.
+  Scenario: an evacuation that the copy lacks goes on until it is written again
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes" in "south-1"
+    When 10 seconds pass
+    And the source is copied
+    And "north-1" is evacuated
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 3 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+    When "north-1" is evacuated
+    And 6 seconds pass
+    Then every gateway sends "/notes/1" to "u2"
+    When "north-1" is given back
+    And "south-1" is evacuated
+    And 1 second passes
+    Then every gateway sends "/notes/1" to "u1"
+
+  Scenario: an evacuation that is not written again ends
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes" in "south-1"
+    When 10 seconds pass
+    And the source is copied
+    And "north-1" is evacuated
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 8 seconds pass
+    And "u2" says that it drains
+    And 1 second passes
+    Then every gateway sends "/notes/1" to "u1"
+
+  Scenario: an evacuation that was taken back does not begin again with a copy
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes" in "south-1"
+    When 10 seconds pass
+    And "north-1" is evacuated
+    And 1 second passes
+    And the source is copied
+    And "north-1" is given back
+    And "south-1" is evacuated
+    And 1 second passes
+    And the source comes back from the copy after 2 seconds
+    And 3 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
+    When "north-1" is given back
+    And "south-1" is evacuated
+    And 6 seconds pass
+    Then every gateway sends "/notes/1" to "u1"
--- a/features/steps/entries.py
+++ b/features/steps/entries.py
@@ -200,7 +200,7 @@
 def check_evacuated(context, zones):
     wanted = frozenset(core.ZoneId(each) for each in zones.split(',') if each)
     reading = context.answer.ok_value
-    assert reading.evacuated == wanted, reading.evacuated
+    assert frozenset(reading.evacuated) == wanted, reading.evacuated
 
 
 def watch(context, write):
--- a/features/steps/zones.py
+++ b/features/steps/zones.py
@@ -344,13 +344,16 @@
         snapshots = [
             gateway.Evacuations(
                 gateway.Position(0, revision),
-                frozenset(chance.sample(zones, chance.randrange(3))),
+                dict.fromkeys(
+                    chance.sample(zones, chance.randrange(3)), revision
+                ),
             )
             for revision in range(5)
         ]
         came = snapshots + chance.choices(snapshots, k=4)
         chance.shuffle(came)
-        holder = gateway.EvacuationHolder(zones, NoLog())
+        clock = state.Clock(context.loop)
+        holder = gateway.EvacuationHolder(zones, clock, NoLog())
         told = []
         holder.add_listener(told.append)
         for each in came:
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -191,7 +191,7 @@
             'upstreams_age_seconds': listing.age_s,
             'source_era': self._parts.source_era.current,
             'source_returns_total': self._parts.source_era.returns,
-            'evacuated_zones': len(self._parts.evacuations.current.zones),
+            'evacuated_zones': len(self._parts.evacuations.zones),
             'cold_upstreams': listing.count_cold(),
             'cold_requests_total': self.gateway.cold_limits.sent,
             'cold_held_back_total': self.gateway.cold_limits.held_back,
--- a/rudderrock/gateway/knowledge/_era.py
+++ b/rudderrock/gateway/knowledge/_era.py
@@ -4,6 +4,12 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.knowledge import _position as position
 
+# For so long after the source has come back, in seconds, it may name what has
+# left and lack what is there: operators and upstreams write again, leases of
+# what does not live end three heartbeats of some 1.2 s after it, and a reading
+# comes each second.
+DOUBT_S = 5.0
+
 
 class SourceEra:
     """The era of the source, as far as it is known here.
--- a/rudderrock/gateway/knowledge/_evacuations.py
+++ b/rudderrock/gateway/knowledge/_evacuations.py
@@ -9,38 +9,69 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway.knowledge import _era as era
 from rudderrock.gateway.knowledge import _position as position
 
 
+NOT_TOLD = -1
+# Evacuations that have ended and are remembered.
+MOST_ENDED = 256
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuations:
-    """The evacuated zones as of a position of the source."""
+    """The evacuated zones as of a position of the source.
+
+    `written` gives for each zone the revision at which an operator evacuated
+    it, `NOT_TOLD` where a host of the version before passed it on.
+    """
 
     position: position.Position
-    zones: frozenset[core.ZoneId]
+    written: Mapping[core.ZoneId, int]
+
+    @property
+    def zones(self) -> frozenset[core.ZoneId]:
+        """Return the zones alone."""
+        return frozenset(self.written)
 
 
 class EvacuationHolder:
     """The evacuations in force, which never go back to an older snapshot.
 
+    `current` is the last snapshot, which other hosts are told, and `zones`
+    are in force. They differ for a while after the source has come back from
+    a copy: what the copy lacks goes on, and what was taken back since does
+    not begin again, until operators have had the time to write again.
+
     A zone that does not exist is kept like any other and moves nothing.
     Parameters: `known_zones` are those of the settings, to name in the log
     the ones that are not among them.
     """
 
     def __init__(
-        self, known_zones: Iterable[core.ZoneId], events: log.EventLog
+        self,
+        known_zones: Iterable[core.ZoneId],
+        clock: core.Clock,
+        events: log.EventLog,
     ):
-        self.current = Evacuations(position.NOWHERE, frozenset())
-        # Where the zones were last seen to be others.
+        self.current = Evacuations(position.NOWHERE, {})
+        self.zones: frozenset[core.ZoneId] = frozenset()
+        # Where the snapshots were last seen to differ.
         self.changed_at = position.NOWHERE
         self._known_zones = frozenset(known_zones)
+        self._clock = clock
         self._events = events
+        # At which revision those had been written that have ended.
+        self._ended: dict[core.ZoneId, int] = {}
+        # Zones on which the last snapshot is not believed yet.
+        self._doubted: frozenset[core.ZoneId] = frozenset()
+        self._doubt_until = clock.now()
         self._listeners: list[Callable[[Evacuations], None]] = []
 
     @property
@@ -49,31 +80,75 @@
         return self.current.position != position.NOWHERE
 
     def add_listener(self, call: Callable[[Evacuations], None]) -> None:
-        """Have `call` called when the zones change, and with the first."""
+        """Have `call` called when the zones in force change, and at first."""
         self._listeners.append(call)
 
     def apply(self, found: Evacuations, origin: str) -> None:
         """Take over a snapshot if it is later than the present one."""
         if found.position <= self.current.position:
             return
-        was_known = self.is_known
+        is_first = not self.is_known
         before, self.current = self.current, found
-        if was_known and found.zones == before.zones:
-            return
-        self.changed_at = found.position
-        if found.zones != before.zones:
+        if is_first or found.written != before.written:
+            self.changed_at = found.position
+        if is_first or found.position.era == before.position.era:
+            self._note_ended(before, found)
+            self._doubted = self._list_lost(found) & self._doubted
+        else:
+            self._doubted = self._list_lost(found)
+            self._doubt_until = self._clock.now() + era.DOUBT_S
+        self._put_in_force(origin, is_first)
+
+    def settle(self) -> None:
+        """Believe the last snapshot once operators have had their time."""
+        if self._doubted and self._clock.now() >= self._doubt_until:
+            self._doubted = frozenset()
+            self._put_in_force('not written again')
+
+    def _note_ended(self, before: Evacuations, found: Evacuations) -> None:
+        for zone in before.zones - found.zones - self._doubted:
+            self._ended.pop(zone, None)
+            self._ended[zone] = before.written[zone]
+        while len(self._ended) > MOST_ENDED:
+            del self._ended[next(iter(self._ended))]
+
+    def _list_lost(self, found: Evacuations) -> frozenset[core.ZoneId]:
+        """Return the zones of which a copy may not know the last word.
+
+        It lacks an evacuation that is in force, or has the very one that has
+        ended, by the revision at which it was written.
+        """
+        brought_back = {
+            zone
+            for zone in found.zones - self.zones
+            if self._ended.get(zone) == found.written[zone]
+        }
+        return (self.zones - found.zones) | brought_back
+
+    def _put_in_force(self, origin: str, is_first: bool = False) -> None:
+        before = self.zones
+        kept = before & self._doubted
+        self.zones = (self.current.zones - self._doubted) | kept
+        if self.zones != before:
             self._note_change(before, origin)
-        for call in self._listeners:
-            call(found)
+        if is_first or self.zones != before:
+            written = self.current.written
+            in_force = Evacuations(
+                self.current.position,
+                {zone: written.get(zone, NOT_TOLD) for zone in self.zones},
+            )
+            for call in self._listeners:
+                call(in_force)
 
-    def _note_change(self, before: Evacuations, origin: str) -> None:
-        zones = self.current.zones
+    def _note_change(
+        self, before: frozenset[core.ZoneId], origin: str
+    ) -> None:
         self._events.record(
             events.LogKind.EVACUATIONS_CHANGED,
             era=self.current.position.era,
             revision=self.current.position.revision,
-            begun=sorted(zones - before.zones),
-            ended=sorted(before.zones - zones),
-            unknown=sorted(zones - self._known_zones),
+            begun=sorted(self.zones - before),
+            ended=sorted(before - self.zones),
+            unknown=sorted(self.zones - self._known_zones),
             origin=origin,
         )
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -173,6 +173,7 @@
 
     async def _step(self) -> None:
         """Learn once more, from the best that there is just now."""
+        self._evacuated.settle()
         is_first = self._is_first_reader()
         if not (is_first and self._is_due(FALLBACK_RETRY_S)):
             if await self._ask_peers():
@@ -341,8 +342,7 @@
             self._tables.apply_reading(reading, origin)
         self._evacuated.apply(
             evacuations.Evacuations(
-                changes.evacuations_position,
-                frozenset(map(core.ZoneId, changes.evacuated)),
+                changes.evacuations_position, changes.evacuations_written
             ),
             origin,
         )
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 import dataclasses
+import itertools
 import urllib.parse
 import zlib
 
@@ -107,9 +108,10 @@
     age, -1 if there has been none; `table_age_ms` is the time since the
     source last confirmed the table. `hold_ms` tells for how long missing
     upstreams are still kept. `evacuated` are all evacuated zones as of
-    `evacuations_revision`. Each revision belongs to an era of the source, 0
-    where the peer does not say. `suspects` is what is new of requests that
-    upstreams have ended under.
+    `evacuations_revision`, and `evacuated_at` the revisions at which each was,
+    none where the peer does not say. Each revision belongs to an era of the
+    source, 0 where the peer does not say. `suspects` is what is new of
+    requests that upstreams have ended under.
     """
 
     process: str
@@ -134,6 +136,7 @@
     table_revision: int = 0
     table_era: int = 0
     evacuated: list[str] = []
+    evacuated_at: list[int] = []
     evacuations_revision: int = position.NOWHERE.revision
     evacuations_era: int = 0
     suspects: list[quarantine.Record] = []
@@ -156,6 +159,15 @@
             self.evacuations_era, self.evacuations_revision
         )
 
+    @property
+    def evacuations_written(self) -> dict[core.ZoneId, int]:
+        """Return the evacuated zones and when each was evacuated."""
+        revisions = itertools.chain(
+            self.evacuated_at, itertools.repeat(evacuations.NOT_TOLD)
+        )
+        zones = map(core.ZoneId, self.evacuated)
+        return dict(zip(zones, revisions, strict=False))
+
     @property
     def is_near(self) -> bool:
         """Tell whether the peer has it from the source or next to it."""
@@ -276,7 +288,8 @@
             table_version=tables.version,
             table_revision=tables.position.revision,
             table_era=tables.position.era,
-            evacuated=sorted(evacuated.zones),
+            evacuated=list(evacuated.written),
+            evacuated_at=list(evacuated.written.values()),
             evacuations_revision=evacuated.position.revision,
             evacuations_era=evacuated.position.era,
             suspects=self._quarantine.list_since(
--- a/rudderrock/gateway/knowledge/_revived.py
+++ b/rudderrock/gateway/knowledge/_revived.py
@@ -4,11 +4,7 @@
 from collections.abc import Iterable
 
 from rudderrock import core
-
-# For so long after the source has come back, in seconds, it may name what has
-# left and lack what is there: leases of what does not live end three
-# heartbeats of some 1.2 s after it, and a reading comes each second.
-DOUBT_S = 5.0
+from rudderrock.gateway.knowledge import _era as era
 
 
 class Revived:
@@ -34,7 +30,7 @@
 
     def begin(self) -> None:
         """Doubt from now on what the source names again."""
-        self._until = self._clock.now() + DOUBT_S
+        self._until = self._clock.now() + era.DOUBT_S
         self._missing.clear()
 
     def note_missing(
--- a/rudderrock/gateway/knowledge/_sources.py
+++ b/rudderrock/gateway/knowledge/_sources.py
@@ -1,6 +1,7 @@
 """Where a gateway learns its routes, upstreams and hosts: a port."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 from typing import Protocol
 
@@ -38,15 +39,15 @@
 
     `table` is None if there is none, and `problem` says why one that is
     there can't be used. `raw` is the table as the source has it.
-    `evacuated` are the zones that are evacuated, None if the reading does
-    not tell.
+    `evacuated` are the zones that are evacuated, and the revision at which
+    each of them was; None if the reading does not tell.
     """
 
     table: routing.RoutingTable | None
     position: position.Position
     problem: str = ''
     raw: bytes = b''
-    evacuated: frozenset[core.ZoneId] | None = None
+    evacuated: Mapping[core.ZoneId, int] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -27,7 +27,7 @@
         address='%s:%d' % settings.peers,
         capacity=settings.capacity,
     )
-    evacuated = gateway.EvacuationHolder(settings.place.regions, events)
+    evacuated = gateway.EvacuationHolder(settings.place.regions, clock, events)
     hosts = gateway.Fleet(own, settings.assumed_hosts, clock)
     source_era = gateway.SourceEra(events)
     first = gateway.FirstKnowledge(tables, listing, evacuated, clock)
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -74,11 +74,13 @@
         for item in items:
             if item.key == _CONFIG_KEY:
                 found = self._make_table_reading(item, read)
-        evacuated = frozenset(
-            core.ZoneId(item.key.removeprefix(_EVACUATIONS_PREFIX))
+        evacuated = {
+            core.ZoneId(
+                item.key.removeprefix(_EVACUATIONS_PREFIX)
+            ): item.revision
             for item in items
             if item.key.startswith(_EVACUATIONS_PREFIX)
-        )
+        }
         return result.Ok(dataclasses.replace(found, evacuated=evacuated))
 
     async def watch_table(
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -14,7 +14,7 @@
     """All that a source held at one moment."""
 
     table: gateway.RoutingTable | None
-    evacuated: frozenset[core.ZoneId]
+    evacuated: dict[core.ZoneId, int]
     endpoints: dict[str, gateway.Endpoint]
     revision: int
     table_revision: int
@@ -27,7 +27,8 @@
 
     def __init__(self) -> None:
         self.table: gateway.RoutingTable | None = None
-        self.evacuated: set[core.ZoneId] = set()
+        # At which revision each evacuated zone was.
+        self.evacuated: dict[core.ZoneId, int] = {}
         self.endpoints: dict[str, gateway.Endpoint] = {}
         self.revision = 1
         self.table_revision = 1
@@ -59,13 +60,13 @@
 
     def evacuate(self, zone: core.ZoneId) -> None:
         """Evacuate a zone."""
-        self.evacuated.add(zone)
         self._change()
+        self.evacuated[zone] = self.revision
         self.table_revision = self.revision
 
     def give_back(self, zone: core.ZoneId) -> None:
         """Take an evacuation back."""
-        self.evacuated.discard(zone)
+        self.evacuated.pop(zone, None)
         self._change()
         self.table_revision = self.revision
 
@@ -83,7 +84,7 @@
         """Return a copy of all that is held now."""
         return SourceCopy(
             self.table,
-            frozenset(self.evacuated),
+            dict(self.evacuated),
             dict(self.endpoints),
             self.revision,
             self.table_revision,
@@ -103,7 +104,7 @@
         """
         self.era += 1
         self.table = copy.table
-        self.evacuated = set(copy.evacuated)
+        self.evacuated = dict(copy.evacuated)
         self.endpoints = dict(copy.endpoints)
         self.revision = copy.revision
         self.table_revision = copy.table_revision
@@ -225,7 +226,7 @@
             self.table,
             self.position,
             raw=raw,
-            evacuated=frozenset(self.evacuated),
+            evacuated=dict(self.evacuated),
         )
 
     def _change(self) -> None:
