--- a/features/copies.feature
+++ b/features/copies.feature
@@ -291,3 +291,46 @@
     And "south-1" is evacuated
     And 6 seconds pass
     Then every gateway sends "/notes/1" to "u1"
+
+  # A host that registered after the copy was made kept another's registration
+  # alive in place of its own, and ended it when it stopped. Cause: leases that
+  # are lost are given out again, and a lease was known by its number alone.
+  Scenario: a host whose lease was given to another registers again
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And a seventh gateway starts
+    And 3 seconds pass
+    And the source comes back from the copy after 0.2 seconds
+    And an eighth gateway starts
+    And 5.5 seconds pass
+    Then the registry names 8 hosts
+    And no host has been registered twice
+
+  Scenario: a host that stops does not end the registration of another
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And a seventh gateway starts
+    And 3 seconds pass
+    And the source comes back from the copy after 0.2 seconds
+    And an eighth gateway starts
+    And 0.5 seconds pass
+    And the seventh gateway stops
+    Then the registry names 7 hosts
+
+  Scenario: a host whose lease the copy has goes on with it
+    Given 6 gateways in one zone with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the source comes back from the copy after 1 second
+    And 6 seconds pass
+    Then the registry names 6 hosts
+    And no host has been registered twice
+
+  Scenario: a renewal that the store answers in another era is told apart
+    Given a platform store
+    And a host registers for 12 seconds
+    When the store comes back from a copy of now
+    Then a renewal says that the source has returned
+    And the host's lease is found in the new era
--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -381,7 +381,7 @@
     assert context.took <= float(seconds), context.took
 
 
-@when(r'a host registers for (\d+) seconds')
+@step(r'a host registers for (\d+) seconds')
 def register(context, seconds):
     entry = gateway.HostEntry(
         host=state.HostId('front-1'),
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -14,6 +14,7 @@
 from features.steps import gateway as gateway_steps
 from features.steps.common import run
 from rudderrock import gateway
+from rudderrock import state
 
 use_step_matcher('re')
 
@@ -176,3 +177,34 @@
     before = gateway_steps.get(context).source.make_copy()
     register_again(context, upstream)
     context.copy = before
+
+
+@when(r'an eighth gateway starts')
+def start_one_more(context):
+    run(context, context.fleet.add(state.ZoneId('north-1')))
+
+
+@when(r'the seventh gateway stops')
+def stop_seventh(context):
+    run(context, context.fleet.kill('g7'))
+
+
+@then(r'no host has been registered twice')
+def check_registered_once(context):
+    leases = gateway_steps.get(context).source.hosts
+    names = collections.Counter(each.host for each in leases.values())
+    assert set(names.values()) == {1}, leases
+
+
+@then(r'a renewal says that the source has returned')
+def check_returned(context):
+    adapter_steps.call(context, context.source.renew(context.lease))
+    assert context.answer.err_value == gateway.SourceReturned(), context.answer
+
+
+@then(r"the host's lease is found in the new era")
+def check_found(context):
+    host = context.entry.host
+    adapter_steps.call(context, context.source.find_lease(host))
+    wanted = gateway.Lease(context.store.era, context.lease.number)
+    assert context.answer.ok_value == wanted, context.answer
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -91,8 +91,10 @@
 from rudderrock.gateway.knowledge._routing import TableVersion
 from rudderrock.gateway.knowledge._routing import Target
 from rudderrock.gateway.knowledge._sources import HistoryGone
+from rudderrock.gateway.knowledge._sources import Lease
 from rudderrock.gateway.knowledge._sources import LeaseEnded
 from rudderrock.gateway.knowledge._sources import SourcePort
+from rudderrock.gateway.knowledge._sources import SourceReturned
 from rudderrock.gateway.knowledge._sources import TableHolder
 from rudderrock.gateway.knowledge._sources import TableReading
 from rudderrock.gateway.knowledge._sources import Unavailable
@@ -132,6 +134,7 @@
     'IntakeLimits',
     'Known',
     'KIND_INFO',
+    'Lease',
     'LeaseEnded',
     'Link',
     'LinkShare',
@@ -170,6 +173,7 @@
     'Single',
     'SourceEra',
     'SourcePort',
+    'SourceReturned',
     'Standing',
     'Split',
     'TableHolder',
--- a/rudderrock/gateway/knowledge/_registration.py
+++ b/rudderrock/gateway/knowledge/_registration.py
@@ -8,6 +8,7 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway.knowledge import _era as era
 from rudderrock.gateway.knowledge import _fleet as fleet
 from rudderrock.gateway.knowledge import _sources as sources
 
@@ -18,20 +19,28 @@
 
 
 class Registration:
-    """Keeps this host in the registry while it runs."""
+    """Keeps this host in the registry while it runs.
+
+    A source that has come back from a copy may have lost the lease and have
+    given its number to another. So a lease of an era before is renewed only
+    once the registry has named it for this host, and no lease is ended
+    without asking.
+    """
 
     def __init__(
         self,
         source: sources.SourcePort,
         hosts: fleet.Fleet,
+        source_era: era.SourceEra,
         clock: core.Clock,
         events: log.EventLog,
     ):
         self._source = source
         self._hosts = hosts
+        self._era = source_era
         self._clock = clock
         self._events = events
-        self._lease: int | None = None
+        self._lease: sources.Lease | None = None
         self._missing = 0
 
     async def run(self) -> None:
@@ -47,12 +56,16 @@
         """Leave the registry, so that nobody asks this host any more."""
         if self._lease is None:
             return
-        answer = await self._source.withdraw(self._lease)
-        if answer.is_err():
+        found = await self._find_own()
+        if found is None:
             # The registration lapses by itself.
+            return
+        answer = await self._source.withdraw(found)
+        if answer.is_err():
             self._note('withdraw', answer.err_value.detail)
 
     async def _register(self) -> None:
+        self._lease = None
         answer = await self._source.register(self._hosts.own, LEASE_S)
         match answer:
             case result.Ok(lease):
@@ -65,16 +78,46 @@
         """Renew; register again where the registry has lost the entry."""
         self._missing = 0 if self._hosts.has_own() else self._missing + 1
         if self._missing >= 2:
-            self._lease = None
             await self._register()
-            return
+        elif self._lease.era < self._era.current:
+            await self._renew_in_new_era()
+        else:
+            await self._prolong()
+
+    async def _prolong(self) -> None:
         match await self._source.renew(self._lease):
             case result.Err(sources.LeaseEnded()):
-                self._lease = None
                 await self._register()
+            case result.Err(sources.SourceReturned()):
+                await self._renew_in_new_era()
             case result.Err(problem):
                 self._note('renew', problem.detail)
 
+    async def _renew_in_new_era(self) -> None:
+        """Go on with the lease if it is this host's still."""
+        answer = await self._source.find_lease(self._hosts.own.host)
+        match answer:
+            case result.Ok(found) if self._is_own(found):
+                self._lease = found
+                await self._prolong()
+            case result.Ok():
+                await self._register()
+            case result.Err(problem):
+                self._note('find_lease', problem.detail)
+
+    async def _find_own(self) -> sources.Lease | None:
+        """Return the lease if the registry names it for this host."""
+        answer = await self._source.find_lease(self._hosts.own.host)
+        match answer:
+            case result.Ok(found):
+                return found if self._is_own(found) else None
+            case result.Err(problem):
+                self._note('find_lease', problem.detail)
+        return None
+
+    def _is_own(self, found: sources.Lease | None) -> bool:
+        return found is not None and found.number == self._lease.number
+
     def _note(self, call: str, detail: str) -> None:
         self._events.record(
             events.LogKind.SOURCE_FAILED, call=call, detail=detail
--- a/rudderrock/gateway/knowledge/_sources.py
+++ b/rudderrock/gateway/knowledge/_sources.py
@@ -33,6 +33,22 @@
     """The lease that a registration hangs on has ended."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SourceReturned:
+    """The source has come back from a copy since a lease was granted."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lease:
+    """What a registration hangs on.
+
+    The source may give its number to another in a later `era`.
+    """
+
+    era: int
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TableReading:
     """What operators have written, at a position of the source.
@@ -91,15 +107,20 @@
 
     async def register(
         self, entry: fleet.HostEntry, ttl_s: float
-    ) -> result.Result[int, Unavailable]:
+    ) -> result.Result[Lease, Unavailable]:
         """Register a host under a new lease; return the lease."""
 
+    async def find_lease(
+        self, host: core.HostId
+    ) -> result.Result[Lease | None, Unavailable]:
+        """Return the lease under which a host is registered, if it is."""
+
     async def renew(
-        self, lease: int
-    ) -> result.Result[None, Unavailable | LeaseEnded]:
+        self, lease: Lease
+    ) -> result.Result[None, Unavailable | LeaseEnded | SourceReturned]:
         """Prolong a lease by its time to live."""
 
-    async def withdraw(self, lease: int) -> result.Result[None, Unavailable]:
+    async def withdraw(self, lease: Lease) -> result.Result[None, Unavailable]:
         """End a lease, and the registration with it."""
 
 
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -64,7 +64,9 @@
         events,
         settings.seeds,
     )
-    registration = gateway.Registration(source, hosts, clock, events)
+    registration = gateway.Registration(
+        source, hosts, source_era, clock, events
+    )
     served = gateway.Gateway(settings, parts)
     return gateway.GatewayProcess(
         settings,
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -181,7 +181,7 @@
 
     async def register(
         self, entry: gateway.HostEntry, ttl_s: float
-    ) -> result.Result[int, gateway.Unavailable]:
+    ) -> result.Result[gateway.Lease, gateway.Unavailable]:
         """Write a host's entry under a new lease."""
         body = msgspec.json.encode({'ttl_ms': round(ttl_s * 1000)})
         answer = await self._call(b'POST', b'/kv-lease', body)
@@ -190,41 +190,69 @@
         granted = _decode_body(answer.ok_value, _Lease)
         if granted.is_err():
             return granted
-        lease = granted.ok_value.lease_id
+        number = granted.ok_value.lease_id
         write = {
             'key': f'{_HOSTS_PREFIX}{entry.host}',
             'value': decode.encode_value(msgspec.json.encode(entry)),
-            'lease_id': lease,
+            'lease_id': number,
         }
         body = msgspec.json.encode(
             {'expected_revision': [], 'writes': [write], 'deletes': []}
         )
-        answer = await self._call(b'POST', b'/kv-txn', body)
+        written = await self._call(b'POST', b'/kv-txn', body)
+        if written.is_err():
+            return written
+        eras = _decode_era(answer.ok_value), _decode_era(written.ok_value)
+        match eras:
+            case result.Ok(era), result.Ok(after) if era == after:
+                return result.Ok(gateway.Lease(era, number))
+        # The number may be another's, and so the entry hang on its lease.
+        return result.Err(gateway.Unavailable('back from a copy'))
+
+    async def find_lease(
+        self, host: core.HostId
+    ) -> result.Result[gateway.Lease | None, gateway.Unavailable]:
+        """Return the lease that a host's entry hangs on, if it has one."""
+        target = _make_target('/kv-key', key=f'{_HOSTS_PREFIX}{host}')
+        answer = await self._get(target, CALL_TIMEOUT_S)
         if answer.is_err():
             return answer
-        return result.Ok(lease)
+        reply = answer.ok_value
+        if reply.status == 404:
+            return result.Ok(None)
+        return _decode_era(reply).and_then(
+            lambda era: _decode_body(reply, _Item).map(
+                lambda item: gateway.Lease(era, item.lease_id)
+            )
+        )
 
     async def renew(
-        self, lease: int
-    ) -> result.Result[None, gateway.Unavailable | gateway.LeaseEnded]:
+        self, lease: gateway.Lease
+    ) -> result.Result[
+        None,
+        gateway.Unavailable | gateway.LeaseEnded | gateway.SourceReturned,
+    ]:
         """Prolong a lease by its time to live."""
-        answer = await self._call(
-            b'POST', b'/kv-keep/%d' % lease, b'', allowed=(200, 404)
-        )
+        target = b'/kv-keep/%d' % lease.number
+        answer = await self._call(b'POST', target, b'', allowed=(200, 404))
         match answer:
             case result.Err():
                 return answer
             case result.Ok(reply) if reply.status == 404:
                 return result.Err(gateway.LeaseEnded())
+        match _decode_era(answer.ok_value):
+            case result.Err() as failed:
+                return failed
+            case result.Ok(era) if era != lease.era:
+                return result.Err(gateway.SourceReturned())
         return result.Ok(None)
 
     async def withdraw(
-        self, lease: int
+        self, lease: gateway.Lease
     ) -> result.Result[None, gateway.Unavailable]:
         """End a lease; one that has ended already is as good."""
-        answer = await self._call(
-            b'DELETE', b'/kv-lease-end/%d' % lease, b'', allowed=(200, 404)
-        )
+        target = b'/kv-lease-end/%d' % lease.number
+        answer = await self._call(b'DELETE', target, b'', allowed=(200, 404))
         return answer if answer.is_err() else result.Ok(None)
 
     def _make_table_reading(
--- a/rudderrock/standins/_host_source.py
+++ b/rudderrock/standins/_host_source.py
@@ -15,6 +15,7 @@
         'list_upstreams',
         'list_hosts',
         'register',
+        'find_lease',
         'renew',
         'withdraw',
     }
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -195,29 +195,51 @@
 
     async def register(
         self, entry: gateway.HostEntry, ttl_s: float
-    ) -> result.Result[int, gateway.Unavailable]:
+    ) -> result.Result[gateway.Lease, gateway.Unavailable]:
         """Register a host; leases don't end by themselves here."""
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
+        # Its entry hangs on the new lease alone.
+        self.hosts = {
+            lease: each
+            for lease, each in self.hosts.items()
+            if each.host != entry.host
+        }
         self._leases += 1
         self.hosts[self._leases] = entry
-        return result.Ok(self._leases)
+        return result.Ok(gateway.Lease(self.era, self._leases))
+
+    async def find_lease(
+        self, host: core.HostId
+    ) -> result.Result[gateway.Lease | None, gateway.Unavailable]:
+        """Return the lease of a registration."""
+        if self.is_down:
+            return result.Err(gateway.Unavailable('down'))
+        for lease, entry in self.hosts.items():
+            if entry.host == host:
+                return result.Ok(gateway.Lease(self.era, lease))
+        return result.Ok(None)
 
     async def renew(
-        self, lease: int
-    ) -> result.Result[None, gateway.Unavailable | gateway.LeaseEnded]:
+        self, lease: gateway.Lease
+    ) -> result.Result[
+        None,
+        gateway.Unavailable | gateway.LeaseEnded | gateway.SourceReturned,
+    ]:
         """Renew a registration."""
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
-        if lease not in self.hosts:
+        if lease.number not in self.hosts:
             return result.Err(gateway.LeaseEnded())
+        if lease.era != self.era:
+            return result.Err(gateway.SourceReturned())
         return result.Ok(None)
 
     async def withdraw(
-        self, lease: int
+        self, lease: gateway.Lease
     ) -> result.Result[None, gateway.Unavailable]:
         """End a registration."""
-        self.hosts.pop(lease, None)
+        self.hosts.pop(lease.number, None)
         return result.Ok(None)
 
     def _read(self) -> gateway.TableReading:
