--- a/features/soak.feature
+++ b/features/soak.feature
@@ -14,6 +14,15 @@
       | 1    |
       | 7    |
 
+  Scenario Outline: a short seeded soak in which the store comes back from copies: seed <seed>
+    When the soak plays seed <seed> for 12 seconds with 4 hosts and 2 returns
+    Then it found no broken promise
+
+    Examples:
+      | seed |
+      | 3    |
+      | 11   |
+
   # Both: the two hosts of a zone had started again, one asked the other, which
   # read the source and asked the first, and neither heard from the other zone
   # which request crashes upstreams. Copies of it reached some in a calm moment.
@@ -59,6 +68,8 @@
       | a table never goes back            | a host serves by an older version     |
       | a planned stop cuts nothing        | a request is cut in a calm moment     |
       | a request that crashes upstreams is kept from them | 4 copies of a lethal request come late |
+      | a table change is in force         | a version is in force at a host 4 seconds late |
+      | no new work to a leaving upstream  | an upstream runs what came 4 seconds after it drained |
 
   # Seed 2116: a part of a query, hedged at the host that had it, was asked again
   # by the other, which had seen no sign of it in time on a busy machine.
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -18,13 +18,20 @@
 use_step_matcher('re')
 
 
-@when(r'the soak plays seed (\d+) for (\d+) seconds with (\d+) hosts')
-def play_seed(context, seed, length, hosts):
+@when(
+    r'the soak plays seed (\d+) for (\d+) seconds with (\d+) hosts'
+    r'(?: and (\d+) returns)?'
+)
+def play_seed(context, seed, length, hosts, returns):
     folder = context.stack.enter_context(tempfile.TemporaryDirectory())
     context.report = run(
         context,
         soak.run_seed(
-            int(seed), float(length), int(hosts), pathlib.Path(folder)
+            int(seed),
+            float(length),
+            int(hosts),
+            pathlib.Path(folder),
+            returns=int(returns or 0),
         ),
     )
 
@@ -212,6 +219,24 @@
     context.records.runs.append(('i-1', make_run('q5', target='/moved/5')))
 
 
+@when(r'a version is in force at a host 4 seconds late')
+def apply_late(context):
+    records = context.records
+    records.moved_at.extend([0.0, 1.0])
+    records.sent.append(make_sent('q6', '/moved/6', 5.0))
+    reply = checks.make_records('i-1', 'q6')
+    assert records.sent[-1].reply == reply
+    records.runs.append(('i-1', make_run('q6', target='/moved/6')))
+
+
+@when(r'an upstream runs what came 4 seconds after it drained')
+def run_after_drain(context):
+    records = context.records
+    records.drained_at['i-1'] = 1.0
+    records.sent.append(make_sent('q7', '/moved/7', 5.0))
+    records.runs.append(('i-1', make_run('q7', target='/moved/7')))
+
+
 @when(r'a request is cut in a calm moment')
 def cut_calm(context):
     context.records.sent[0].status = 0
--- a/rudderrock/programs/soak.py
+++ b/rudderrock/programs/soak.py
@@ -23,6 +23,7 @@
     length: float = 12.0,
     hosts: int = 4,
     lethal: int = 1,
+    returns: int = 2,
     keep: pathlib.Path | None = None,
 ) -> None:
     """Play seeds and report; exits with 1 if a promise was broken.
@@ -36,13 +37,14 @@
     :param length: seconds of load and faults a seed
     :param hosts: gateway processes
     :param lethal: requests that crash the upstreams which run them
+    :param returns: how often the store comes back from an older copy
     :param keep: a folder for the logs
     """
     failed = []
     injected: collections.Counter[str] = collections.Counter()
     checked = 0
     for number in _list_seeds(seed, count, minutes):
-        report = _play(number, length, hosts, lethal, keep)
+        report = _play(number, length, hosts, lethal, returns, keep)
         injected += report.injected
         checked += report.checked
         statuses = ', '.join(
@@ -76,11 +78,14 @@
     length: float,
     hosts: int,
     lethal: int,
+    returns: int,
     keep: pathlib.Path | None,
 ) -> soak.Report:
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
-        report = asyncio.run(soak.run_seed(seed, length, hosts, path, lethal))
+        report = asyncio.run(
+            soak.run_seed(seed, length, hosts, path, lethal, returns)
+        )
         if report.broken and keep is not None:
             keep.mkdir(parents=True, exist_ok=True)
             log = path / f'seed-{seed}.log'
--- a/rudderrock/soak/_checks.py
+++ b/rudderrock/soak/_checks.py
@@ -1,5 +1,6 @@
 """The promises, checked by what callers got and upstreams ran."""
 
+import bisect
 import collections
 import dataclasses
 import hashlib
@@ -17,6 +18,11 @@
 # canary waits until a service has an upstream to spare.
 LETHAL_KNOWN_S = 4.0
 MOST_LETHAL = 3
+# From so long after a version was written, in seconds, requests that are sent
+# in calm moments are served by it.
+IN_FORCE_S = 3.0
+# And so long after an upstream said that it leaves they do not reach it.
+LEAVE_S = 3.0
 _RECORDS = 6
 _RECORD_BYTES = 16
 
@@ -78,8 +84,10 @@
 
     `shard_sets` are the sets of shards that any version named, `services`
     gives the service of each upstream, `moves` the order of the services
-    that the moved route had. `crashes` are the times at which upstreams
-    crashed, by the `lethal` targets of the requests that did it.
+    that the moved route had, and `moved_at` when each was written.
+    `drained_at` tells when upstreams said that they leave. `crashes` are the
+    times at which upstreams crashed, by the `lethal` targets of the requests
+    that did it.
     """
 
     sent: list[Sent]
@@ -92,6 +100,8 @@
     slack: float
     window_s: float
     crashes: dict[str, list[float]] = dataclasses.field(default_factory=dict)
+    moved_at: list[float] = dataclasses.field(default_factory=list)
+    drained_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def check_records(records: Records) -> list[Broken]:
@@ -106,6 +116,8 @@
     broken += _check_unasked(by_id, records.runs)
     broken += _check_budget(records, by_id)
     broken += _check_order(records)
+    broken += _check_in_force(records)
+    broken += _check_leaving(records, by_id)
     for target, crashes in records.crashes.items():
         broken += _check_lethal(records, target, sorted(crashes))
     return broken
@@ -241,6 +253,42 @@
     return broken
 
 
+def _check_in_force(records: Records) -> list[Broken]:
+    """See that a version is in force some seconds after it was written."""
+    broken = []
+    rank = {service: number for number, service in enumerate(records.moves)}
+    for sent in records.sent:
+        is_moved = sent.target.startswith('/moved/') and sent.status == 200
+        if not (is_moved and sent.calm):
+            continue
+        stamp = sent.get_header(platform.NAMES.stamp)
+        number = rank[records.services[stamp.partition('.')[0]]]
+        due = bisect.bisect(records.moved_at, sent.at - IN_FORCE_S)
+        if number < due - 1:
+            detail = (
+                f'{sent.request_id} by version {number} at host {sent.host}, '
+                f'{due - 1} was written {IN_FORCE_S:g} s before'
+            )
+            broken.append(Broken('a table change is in force', detail))
+    return broken
+
+
+def _check_leaving(records: Records, by_id) -> list[Broken]:
+    """See that an upstream that leaves gets no new work."""
+    broken = []
+    for upstream, run in records.runs:
+        sent = by_id.get(run.request_id)
+        drained_at = records.drained_at.get(upstream)
+        if sent is None or drained_at is None or not sent.calm:
+            continue
+        after_s = sent.at - drained_at
+        if after_s > LEAVE_S:
+            detail = f'{run.request_id} at {upstream} {after_s:.1f} s after'
+            promise = 'no new work to a leaving upstream'
+            broken.append(Broken(promise, detail))
+    return broken
+
+
 def _check_lethal(
     records: Records, target: str, crashes: list[float]
 ) -> list[Broken]:
--- a/rudderrock/soak/_plan.py
+++ b/rudderrock/soak/_plan.py
@@ -21,6 +21,7 @@
     STORE_LOSES = 'store_loses'
     STORE_FORGETS = 'store_forgets'
     STORE_REVOKES = 'store_revokes'
+    STORE_RETURNS = 'store_returns'
     WAY_TO_STORE = 'way_to_store'
     WAY_TO_UPSTREAM = 'way_to_upstream'
     UPSTREAM = 'upstream'
@@ -45,10 +46,13 @@
 # Faults that come as planned work; the others are unplanned.
 PLANNED = frozenset({FaultKind.STOP, FaultKind.RELOAD, FaultKind.MOVE_ROUTE})
 # Drawn apart from the others, so that their number changes nothing else.
-_DRAWN = [each for each in FaultKind if each is not FaultKind.LETHAL_REQUEST]
+_APART = (FaultKind.LETHAL_REQUEST, FaultKind.STORE_RETURNS)
+_DRAWN = [each for each in FaultKind if each not in _APART]
 # The latest part of a seed's length at which a request begins to come that
 # crashes the upstreams which run it: its copies come until the end.
 _LETHAL_BY = 0.4
+# The store is away for this part of the time that other faults last.
+_AWAY_PART = 0.4
 _CONDUCTS = [
     each
     for each in standins.Conduct
@@ -80,10 +84,13 @@
     faults: tuple[Fault, ...]
 
 
-def make_plan(seed: int, length: float, hosts: int, lethal: int = 1) -> Plan:
+def make_plan(
+    seed: int, length: float, hosts: int, lethal: int = 1, returns: int = 0
+) -> Plan:
     """Draw a plan: single faults, series of one kind, and overlaps.
 
-    So many requests that crash upstreams are drawn apart from the rest.
+    So many requests that crash upstreams, and so many returns of the store
+    from a copy, are drawn apart from the rest.
     """
     chance = core.make_random(seed, 'soak')
     faults: list[Fault] = []
@@ -99,6 +106,10 @@
         apart = core.make_random(seed, f'lethal{number or ""}')
         began = apart.uniform(0.1, _LETHAL_BY) * length
         faults.append(_draw_fault(apart, began, FaultKind.LETHAL_REQUEST))
+    for number in range(returns):
+        apart = core.make_random(seed, f'return{number}')
+        began = apart.uniform(0.1, 0.9) * length
+        faults.append(_draw_fault(apart, began, FaultKind.STORE_RETURNS))
     faults.sort(key=lambda fault: fault.at)
     return Plan(seed, length, hosts, tuple(faults))
 
@@ -114,4 +125,6 @@
         case FaultKind.UPSTREAM:
             how = chance.choice(_CONDUCTS)
     lasts = chance.uniform(0.2, 3.0)
+    if kind is FaultKind.STORE_RETURNS:
+        lasts *= _AWAY_PART
     return Fault(at, kind, lasts, chance.randrange(1 << 16), how)
--- a/rudderrock/soak/_run.py
+++ b/rudderrock/soak/_run.py
@@ -80,6 +80,7 @@
         await asyncio.sleep(max(0.0, ends - loop.time()))
         await asyncio.gather(*self._tasks)
         await self._stop_in_calm()
+        await self._change_in_calm()
         self._over = True
         await asyncio.gather(*callers)
         await self._check_recovery()
@@ -107,6 +108,8 @@
             slack=world_module.SLACK,
             window_s=world_module.WINDOW_S,
             crashes=world.list_crashes(),
+            moved_at=world.moved_at,
+            drained_at=world.drained_at,
         )
 
     async def _call(self, chance: random.Random) -> None:
@@ -209,6 +212,8 @@
                 store.drop_history()
             case kinds.STORE_REVOKES:
                 store.revoke_leases()
+            case kinds.STORE_RETURNS:
+                await world.return_store(fault.lasts, fault.target)
             case kinds.WAY_TO_STORE:
                 await _disturb(host.way, fault)
             case kinds.WAY_TO_UPSTREAM:
@@ -260,6 +265,13 @@
             self.injected['stop/calm'] += 1
             await self._stop(host, 0.0)
 
+    async def _change_in_calm(self) -> None:
+        """Write a version and have an upstream leave, and see it hold."""
+        await self._world.move_route()
+        shards = self._world.list_upstreams_of_shards()
+        self._world.drain(shards[self._plan.seed % len(shards)])
+        await asyncio.sleep(max(checks.IN_FORCE_S, checks.LEAVE_S) + 1.0)
+
     async def _check_recovery(self) -> None:
         """See that every host serves once all faults are over."""
         await asyncio.sleep(_SETTLE_S)
@@ -299,12 +311,14 @@
     hosts: int,
     folder: pathlib.Path,
     lethal: int = 1,
+    returns: int = 0,
 ) -> Report:
     """Play one seed; the processes' log goes to a file in `folder`.
 
-    So many different requests crash the upstreams which run them.
+    So many different requests crash the upstreams which run them, and so
+    often the store comes back from a copy.
     """
-    plan = plan_module.make_plan(seed, length, hosts, lethal)
+    plan = plan_module.make_plan(seed, length, hosts, lethal, returns)
     with contextlib.ExitStack() as files:
         log = files.enter_context(
             (folder / f'seed-{seed}.log').open('wb', buffering=0)
--- a/rudderrock/soak/_world.py
+++ b/rudderrock/soak/_world.py
@@ -30,6 +30,14 @@
 _FIRST_NET = 10
 _NETS = 200
 _READY_TRIES = 300
+# Between two changes of entries, and copies of the store, in seconds.
+_BEAT_S = 0.5
+# Copies that are kept, the oldest of 10 s ago.
+_COPIES = 20
+# After a return of the store, until the operator writes again, and in how long
+# all upstreams do; seconds.
+_REWRITE_S = 0.1
+_HEARTBEAT_S = 1.2
 
 
 class Host:
@@ -120,7 +128,9 @@
         self.upstreams: dict[str, standins.WireUpstream] = {}
         self.services: dict[str, str] = {}
         self.ways: dict[str, proxy.Proxy] = {}
-        self.draining: set[str] = set()
+        # When upstreams said that they leave, and when versions were written.
+        self.drained_at: dict[str, float] = {}
+        self.moved_at: list[float] = []
         self.shard_sets: list[frozenset[str]] = []
         self.moves: list[str] = []
         # Targets that crash each upstream which runs them.
@@ -128,6 +138,11 @@
         self._folder = folder
         self._log = log
         self._version = 0
+        self._config = b''
+        self._entries: dict[str, bytes] = {}
+        self._copies: collections.deque[platform_standins.StoreCopy] = (
+            collections.deque(maxlen=_COPIES)
+        )
         self._shards: list[str] = []
         self._count = 0
 
@@ -175,16 +190,40 @@
         self.ways[name] = way
         self.register(name, zone)
 
-    def register(self, name: str, zone: str, state: str = 'ready') -> None:
+    def register(
+        self, name: str, zone: str, state: str = 'ready', sequence: int = 1
+    ) -> None:
         """Write an upstream's entry."""
         raw = platform_standins.make_server(
             self.services[name],
             f'127.0.0.1:{self.ways[name].port}',
             zone,
             state,
+            sequence,
         )
+        self._entries[name] = raw
         self.store.put_server(name, raw)
 
+    async def return_store(self, away_s: float, age: int) -> None:
+        """Have the store come back from a copy that is some seconds old.
+
+        The operator writes the newest version again, and the upstreams what
+        they said last, each at its next heartbeat.
+        """
+        copy = self._copies[-1 - age % len(self._copies)]
+        self.store.refusal = platform_standins.Refusal.RESET
+        await asyncio.sleep(away_s)
+        self.store.refusal = platform_standins.Refusal.NONE
+        self.store.come_back(copy)
+        era = self.store.era
+        await asyncio.sleep(_REWRITE_S)
+        if self.store.era == era:
+            self.store.put_config(self._config)
+        for name in sorted(self._entries):
+            await asyncio.sleep(_HEARTBEAT_S / len(self._entries))
+            if self.store.era == era:
+                self.store.put_server(name, self._entries[name])
+
     def make_lethal(self, target: str) -> None:
         """Have each upstream crash that runs a request for a target."""
         self.lethal |= {target}
@@ -205,11 +244,19 @@
         others = [
             each
             for each, own in self.services.items()
-            if own == service and each != name and each not in self.draining
+            if own == service and each != name and each not in self.drained_at
         ]
-        if others and name not in self.draining:
-            self.draining.add(name)
-            self.register(name, 'north-1', 'draining')
+        if others and name not in self.drained_at:
+            self.drained_at[name] = asyncio.get_running_loop().time()
+            self.register(name, 'north-1', 'draining', 2)
+
+    def list_upstreams_of_shards(self) -> list[str]:
+        """Return the upstreams of the shards that the newest version names."""
+        return sorted(
+            name
+            for name, service in self.services.items()
+            if service in self._shards
+        )
 
     async def add_shards(self, count: int) -> None:
         """Start the shards of a new set; some are in one zone only."""
@@ -245,6 +292,8 @@
         raw = platform_standins.make_config(
             self._version, routes, timeout_s=ROUTE_TIMEOUT_S
         )
+        self._config = raw
+        self.moved_at.append(asyncio.get_running_loop().time())
         self.store.put_config(raw)
 
     async def wait_until_ready(self) -> None:
@@ -258,9 +307,10 @@
                 raise RuntimeError(f'host {host.number} never got ready')
 
     async def _beat(self) -> None:
-        """Change entries now and then, as heartbeats do."""
+        """Change entries now and then, as heartbeats do, and keep copies."""
         while True:
-            await asyncio.sleep(0.5)
+            self._copies.append(self.store.make_copy())
+            await asyncio.sleep(_BEAT_S)
             self.store.revision += 1
 
 
