--- a/rudderrock/soak/_checks.py
+++ b/rudderrock/soak/_checks.py
@@ -297,12 +297,12 @@
         return []
     known = crashes[2] + LETHAL_KNOWN_S
     copies = {
-        each.request_id
+        each.request_id: f'host {each.host}.{each.incarnation}'
         for each in records.sent
         if each.target == target and each.calm
     }
     late = [
-        request_id
+        f'{request_id} by {copies[request_id]} at {at:.2f}'
         for arrivals in records.arrivals.values()
         for at, request_id in arrivals
         if at > known and request_id in copies
--- a/rudderrock/soak/_plan.py
+++ b/rudderrock/soak/_plan.py
@@ -76,12 +76,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
-    """Everything that one seed does; `length` in seconds."""
+    """Everything that one seed does; `length` in seconds.
+
+    `returns` counts the returns of the store among the faults.
+    """
 
     seed: int
     length: float
     hosts: int
     faults: tuple[Fault, ...]
+    returns: int = 0
 
 
 def make_plan(
@@ -111,7 +115,7 @@
         began = apart.uniform(0.1, 0.9) * length
         faults.append(_draw_fault(apart, began, FaultKind.STORE_RETURNS))
     faults.sort(key=lambda fault: fault.at)
-    return Plan(seed, length, hosts, tuple(faults))
+    return Plan(seed, length, hosts, tuple(faults), returns)
 
 
 def _draw_fault(chance: random.Random, at: float, kind: FaultKind) -> Fault:
--- a/rudderrock/soak/_run.py
+++ b/rudderrock/soak/_run.py
@@ -29,6 +29,8 @@
 _FINAL_TRIES = 5
 # Nothing unplanned for this long makes a moment calm, in seconds.
 _CALM_S = 4.0
+# How long the store is away before it returns in calm, in seconds.
+_AWAY_S = 0.3
 # Hosts that are stopped once it is calm.
 _CALM_STOPS = 2
 
@@ -80,6 +82,8 @@
         await asyncio.sleep(max(0.0, ends - loop.time()))
         await asyncio.gather(*self._tasks)
         await self._stop_in_calm()
+        if self._plan.returns:
+            await self._return_in_calm()
         await self._change_in_calm()
         self._over = True
         await asyncio.gather(*callers)
@@ -265,6 +269,15 @@
             self.injected['stop/calm'] += 1
             await self._stop(host, 0.0)
 
+    async def _return_in_calm(self) -> None:
+        """Have the store come back from its oldest copy, and wait for calm."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        self.injected['store_returns/calm'] += 1
+        await self._world.return_store(_AWAY_S, -1)
+        self._disturbed.append((began, loop.time()))
+        await asyncio.sleep(_CALM_S + 0.5)
+
     async def _change_in_calm(self) -> None:
         """Write a version and have an upstream leave, and see it hold."""
         await self._world.move_route()
--- a/rudderrock/soak/_world.py
+++ b/rudderrock/soak/_world.py
@@ -207,8 +207,9 @@
     async def return_store(self, away_s: float, age: int) -> None:
         """Have the store come back from a copy that is some seconds old.
 
-        The operator writes the newest version again, and the upstreams what
-        they said last, each at its next heartbeat.
+        `age` counts the copies back. The operator writes the newest version
+        again, and the upstreams what they said last and the copy lacks, each
+        at its next heartbeat.
         """
         copy = self._copies[-1 - age % len(self._copies)]
         self.store.refusal = platform_standins.Refusal.RESET
@@ -222,7 +223,7 @@
         for name in sorted(self._entries):
             await asyncio.sleep(_HEARTBEAT_S / len(self._entries))
             if self.store.era == era:
-                self.store.put_server(name, self._entries[name])
+                self.store.put_server_if_new(name, self._entries[name])
 
     def make_lethal(self, target: str) -> None:
         """Have each upstream crash that runs a request for a target."""
--- a/rudderrock/standins/platform/_store.py
+++ b/rudderrock/standins/platform/_store.py
@@ -109,6 +109,12 @@
         """Write an upstream's entry, as the upstream does."""
         self.put(f'servers/{upstream}', raw)
 
+    def put_server_if_new(self, upstream: str, raw: bytes) -> None:
+        """Write an upstream's entry unless it is there as it is."""
+        item = self.items.get(f'servers/{upstream}')
+        if item is None or item.value != raw:
+            self.put_server(upstream, raw)
+
     def remove(self, key: str) -> None:
         """Delete an item."""
         if self.items.pop(key, None) is not None:
