--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -159,6 +159,22 @@
     run(context, kv.put_unless_down(coordination.TABLE_KEY, table))
 
 
+@when(r'the key-value service is copied and (\d+) other keys are written')
+def copy_kv(context, count):
+    kv = context.bench.fleet.kv
+    context.kv_copy = kv.make_copy()
+    for number in range(int(count)):
+        run(context, kv.put_unless_down(f'other/{number}', state.Table()))
+
+
+@when(r'the key-value service comes back from the copy after (\d+) seconds?')
+def come_back(context, seconds):
+    kv = context.bench.fleet.kv
+    run(context, kv.set_down(True))
+    run(context, asyncio.sleep(float(seconds)))
+    run(context, kv.come_back(context.kv_copy))
+
+
 @when(r'somebody writes a table with "([^"]+)" of "([^"]+)" at (\d+)')
 def write_bad_table(context, field, team, value):
     fleet = context.bench.fleet
--- a/rudderrock/standins/_kv.py
+++ b/rudderrock/standins/_kv.py
@@ -41,6 +41,14 @@
     keys: set[str] = dataclasses.field(default_factory=set)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KvCopy:
+    """All keys of the service at one moment."""
+
+    entries: dict[str, protocol.Entry]
+    version: int
+
+
 class MemoryKv:
     """Keys with versions, compare-and-swap, leases and watches."""
 
@@ -53,7 +61,7 @@
         self._entries: dict[str, protocol.Entry] = {}
         self._leases: dict[str, _Lease] = {}
         self._ids = itertools.count(1)
-        self._versions = itertools.count(1)
+        self._version = 0
         self._changed = asyncio.Condition()
 
     async def get(
@@ -160,6 +168,19 @@
         if not self.faults.down:
             await self._write(key, protocol.encode(value))
 
+    def make_copy(self) -> KvCopy:
+        """Return a copy of all keys; leases are not in it."""
+        return KvCopy(dict(self._entries), self._version)
+
+    async def come_back(self, copy: KvCopy) -> None:
+        """Hold what a copy held, and nothing that came after it.
+
+        Versions are given out again from where the copy stands.
+        """
+        self._entries = dict(copy.entries)
+        self._version = copy.version
+        await self.set_down(False)
+
     async def _fail(self) -> bool:
         await asyncio.sleep(self._latency_s + self.faults.delay_s)
         await self._expire_leases()
@@ -174,7 +195,8 @@
         return self._entries.get(key, absent)
 
     async def _write(self, key: str, value: bytes | None) -> int:
-        version = next(self._versions)
+        self._version += 1
+        version = self._version
         if value is None:
             self._entries.pop(key, None)
         else:
