--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -233,7 +233,8 @@
         for upstream in self._doubted:
             del found[upstream]
         change = self._replace(found, read, stamp)
-        if self._revived.is_doubting:
+        if self._revived.is_doubting and stamp.hops <= 1:
+            # Told by who has read it: others leave out what they doubt.
             gone = self._last_said.keys() - found.keys() - self._doubted
             self._revived.note_missing(stamp.origin, gone)
         return change
