--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -255,8 +255,10 @@
                 case result.Ok(changes):
                     self._take_over(client, changes)
                     if self._is_good(changes):
-                        keeping = self._listing.is_keeping
-                        await self._pause(RETRY_S if keeping else NEWS_PAUSE_S)
+                        is_in_step = client.is_in_step
+                        await self._pause(
+                            NEWS_PAUSE_S if is_in_step else RETRY_S
+                        )
                         return True
                     ages = f'{changes.age_ms}, {changes.table_age_ms} ms'
                     skip_s = SKIP_S if changes.is_fresh else SKIP_STALE_S
@@ -366,6 +368,7 @@
         )
         if changes.hold_ms > 0:
             self._listing.hold_for(changes.hold_ms / 1000)
+        is_older = changes.upstreams_position < self._listing.position
         if changes.whole:
             change = self._listing.apply_reading(
                 changes.upstreams, changes.upstreams_position, stamp
@@ -378,8 +381,10 @@
                 stamp,
             )
         self._note_change(change, origin)
-        if self._listing.is_keeping:
-            # Only a whole listing tells when these are to be dropped.
+        if self._listing.is_keeping or is_older:
+            # Only a whole listing tells when these are to be dropped, and
+            # what the peer knew where it was passed over: it may know more of
+            # an upstream than the source that has come back from a copy.
             client.note_applied(None)
         else:
             client.note_applied(changes)
--- a/rudderrock/gateway/knowledge/_peers.py
+++ b/rudderrock/gateway/knowledge/_peers.py
@@ -455,6 +455,11 @@
             self._sent_version = changes.table_version
         return result.Ok(changes)
 
+    @property
+    def is_in_step(self) -> bool:
+        """Tell whether only what is new will be asked for."""
+        return self.known.process != ''
+
     def merge_hosts(self, changes: Changes) -> list[fleet.HostEntry]:
         """Return all hosts that the peer knows, after its changes."""
         if changes.hosts_whole:
