--- a/rudderrock/gateway/knowledge/_evacuations.py
+++ b/rudderrock/gateway/knowledge/_evacuations.py
@@ -18,7 +18,6 @@
 from rudderrock.gateway.knowledge import _era as era
 from rudderrock.gateway.knowledge import _position as position
 
-
 NOT_TOLD = -1
 # Evacuations that have ended and are remembered.
 MOST_ENDED = 256
