--- a/features/copies.feature
+++ b/features/copies.feature
@@ -335,6 +335,21 @@
     Then a renewal says that the source has returned
     And the host's lease is found in the new era
 
+  # A host of the version before names no era. Where the source had ever come back
+  # its listings were passed over, and yet it was taken for a good peer.
+  Scenario Outline: a peer whose listings are passed over is not relied on: <era>
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is copied
+    And the source comes back from the copy after 1 second
+    And 6 seconds pass
+    Then what the reader tells in era <era> is <judged> to the others
+
+    Examples:
+      | era | judged    |
+      | 1   | good      |
+      | 0   | not good  |
+
   # Found by drawn histories, both with hosts that start while a copy is doubted.
   # The first: an upstream that had left got work again. A host had heard of a
   # reading by one that leaves out what it doubts, and took it for word that the
--- a/features/steps/copies.py
+++ b/features/steps/copies.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import use_step_matcher
 from behave import when
+import msgspec
 
 from features.steps import adapter as adapter_steps
 from features.steps import gateway as gateway_steps
@@ -208,3 +209,20 @@
     adapter_steps.call(context, context.source.find_lease(host))
     wanted = gateway.Lease(context.store.era, context.lease.number)
     assert context.answer.ok_value == wanted, context.answer
+
+
+@then(r'what the reader tells in era (\d+) is (not good|good) to the others')
+def check_good(context, era, judged):
+    reader = context.fleet.find_reader()
+    known = gateway.Known()
+    book = context.fleet.members[reader].process._changes
+    told = book.list_changes(known)
+    told = msgspec.structs.replace(told, era=int(era))
+    others = [
+        member
+        for name, member in context.fleet.members.items()
+        if name != reader
+    ]
+    for member in others:
+        is_good = member.process._follower._is_good(told)
+        assert is_good == (judged == 'good'), told
--- a/rudderrock/gateway/knowledge/_follow.py
+++ b/rudderrock/gateway/knowledge/_follow.py
@@ -286,6 +286,10 @@
         """
         if not changes.is_fresh:
             return False
+        if changes.era < self._listing.position.era:
+            # It is passed over here, so nothing would be learnt from it. A
+            # host of the version before names no era at all.
+            return False
         if self._takes_any():
             return True
         return changes.is_near and changes.origin != self._changes.process
