--- a/rudderrock/gateway/knowledge/_directory.py
+++ b/rudderrock/gateway/knowledge/_directory.py
@@ -225,11 +225,7 @@
         if read.era != self.position.era:
             self._begin_era()
         found = {each.upstream: each for each in endpoints}
-        self._doubted = frozenset(
-            each.upstream
-            for each in found.values()
-            if self._is_doubted(each, stamp.origin)
-        )
+        self._doubted = self._list_doubted(found, stamp.origin)
         for upstream in self._doubted:
             del found[upstream]
         change = self._replace(found, read, stamp)
@@ -316,13 +312,18 @@
         self._remember(newest)
         return newest
 
-    def _is_doubted(self, entry: Endpoint, origin: str) -> bool:
-        """Tell whether one that has left is there only since a copy has it."""
-        if entry.upstream in self._endpoints:
-            return False
-        if self._last_said.get(entry.upstream) != entry.life_order:
-            return False
-        return self._revived.is_doubted(origin, entry.upstream)
+    def _list_doubted(
+        self, found: dict[core.UpstreamId, Endpoint], origin: str
+    ) -> frozenset[core.UpstreamId]:
+        """Return those that have left and may be there since a copy is."""
+        if not self._revived.is_doubting:
+            return frozenset()
+        return frozenset(
+            upstream
+            for upstream in found.keys() - self._endpoints.keys()
+            if self._last_said.get(upstream) == found[upstream].life_order
+            and not self._revived.was_missing(origin, upstream)
+        )
 
     def _remember(self, found: dict[core.UpstreamId, Endpoint]) -> None:
         self._last_said.update(
--- a/rudderrock/gateway/knowledge/_registration.py
+++ b/rudderrock/gateway/knowledge/_registration.py
@@ -56,7 +56,7 @@
         """Leave the registry, so that nobody asks this host any more."""
         if self._lease is None:
             return
-        found = await self._find_own()
+        found = (await self._find_own()).ok()
         if found is None:
             # The registration lapses by itself.
             return
@@ -95,28 +95,25 @@
 
     async def _renew_in_new_era(self) -> None:
         """Go on with the lease if it is this host's still."""
-        answer = await self._source.find_lease(self._hosts.own.host)
-        match answer:
-            case result.Ok(found) if self._is_own(found):
+        match await self._find_own():
+            case result.Ok(None):
+                await self._register()
+            case result.Ok(found):
                 self._lease = found
                 await self._prolong()
-            case result.Ok():
-                await self._register()
-            case result.Err(problem):
-                self._note('find_lease', problem.detail)
 
-    async def _find_own(self) -> sources.Lease | None:
+    async def _find_own(
+        self,
+    ) -> result.Result[sources.Lease | None, sources.Unavailable]:
         """Return the lease if the registry names it for this host."""
         answer = await self._source.find_lease(self._hosts.own.host)
         match answer:
-            case result.Ok(found):
-                return found if self._is_own(found) else None
             case result.Err(problem):
                 self._note('find_lease', problem.detail)
-        return None
-
-    def _is_own(self, found: sources.Lease | None) -> bool:
-        return found is not None and found.number == self._lease.number
+            case result.Ok(found) if found is not None:
+                is_own = found.number == self._lease.number
+                return result.Ok(found if is_own else None)
+        return answer
 
     def _note(self, call: str, detail: str) -> None:
         self._events.record(
--- a/rudderrock/gateway/knowledge/_revived.py
+++ b/rudderrock/gateway/knowledge/_revived.py
@@ -39,6 +39,6 @@
         """Take note of what a reading of some origin did not name."""
         self._missing[origin].update(upstreams)
 
-    def is_doubted(self, origin: str, upstream: core.UpstreamId) -> bool:
-        """Tell whether an upstream may be named only since a copy has it."""
-        return self.is_doubting and upstream not in self._missing[origin]
+    def was_missing(self, origin: str, upstream: core.UpstreamId) -> bool:
+        """Tell whether an earlier reading of this era did not name it."""
+        return upstream in self._missing[origin]
