--- a/rudderrock/soak/_checks.py
+++ b/rudderrock/soak/_checks.py
@@ -229,20 +229,27 @@
     return broken
 
 
+def _list_served_versions(records: Records) -> list[tuple[Sent, int]]:
+    """Return the requests that the moved route answered, and by which version.
+
+    Versions are numbered by the services that the route had in turn.
+    """
+    rank = {service: number for number, service in enumerate(records.moves)}
+    served = []
+    for sent in records.sent:
+        if sent.target.startswith('/moved/') and sent.status == 200:
+            stamp = sent.get_header(platform.NAMES.stamp)
+            upstream = stamp.partition('.')[0]
+            served.append((sent, rank[records.services[upstream]]))
+    return served
+
+
 def _check_order(records: Records) -> list[Broken]:
     """See that no process goes back to an older table."""
     broken = []
-    rank = {service: number for number, service in enumerate(records.moves)}
     newest: dict[tuple[int, int], tuple[int, float]] = {}
-    moved = [
-        each
-        for each in records.sent
-        if each.target.startswith('/moved/') and each.status == 200
-    ]
-    for sent in sorted(moved, key=lambda each: each.ended):
-        stamp = sent.get_header(platform.NAMES.stamp)
-        upstream = stamp.partition('.')[0]
-        number = rank[records.services[upstream]]
+    served = _list_served_versions(records)
+    for sent, number in sorted(served, key=lambda pair: pair[0].ended):
         process = (sent.host, sent.incarnation)
         seen, at = newest.get(process, (-1, 0.0))
         if number < seen and sent.at > at:
@@ -256,15 +263,9 @@
 def _check_in_force(records: Records) -> list[Broken]:
     """See that a version is in force some seconds after it was written."""
     broken = []
-    rank = {service: number for number, service in enumerate(records.moves)}
-    for sent in records.sent:
-        is_moved = sent.target.startswith('/moved/') and sent.status == 200
-        if not (is_moved and sent.calm):
-            continue
-        stamp = sent.get_header(platform.NAMES.stamp)
-        number = rank[records.services[stamp.partition('.')[0]]]
+    for sent, number in _list_served_versions(records):
         due = bisect.bisect(records.moved_at, sent.at - IN_FORCE_S)
-        if number < due - 1:
+        if sent.calm and number < due - 1:
             detail = (
                 f'{sent.request_id} by version {number} at host {sent.host}, '
                 f'{due - 1} was written {IN_FORCE_S:g} s before'
