Identify teams by their keys, and name the team to upstreams

Cause: gateways did not read the teams of a table. A caller's key was passed on to upstreams, unknown and removed keys were served, and no team was named.

Change: the adapter decodes teams, keys and public routes; a key is looked up by its digest in the table in force for each request, and replaced by the team's name before the request is used in any other way. So digests of quarantine, delegated queries, log lines and upstreams have the team and never the key. An unknown key is answered 401; a host whose table was confirmed too long ago answers 503 instead, because it can't tell. The table that hosts exchange holds digests in place of the keys. Tables without teams are served and logged as before.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -120,6 +120,7 @@
         self.routes: list[gateway.Route] = []
         self.services: dict[gateway.ServiceName, gateway.Service] = {}
         self.limits = gateway.IntakeLimits()
+        self.teams: gateway.TeamRegistry | None = None
         self.process: gateway.GatewayProcess | None = None
         self.task: asyncio.Task | None = None
         self.log = LogCollector()
@@ -236,6 +237,7 @@
             self.routes,
             self.services,
             self.limits,
+            self.teams,
         )
 
     def publish(self) -> None:
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -72,6 +72,10 @@
 from rudderrock.gateway.discovery._sources import Unavailable
 from rudderrock.gateway.discovery._sources import UpstreamReading
 from rudderrock.gateway.discovery._synchronizer import Synchronizer
+from rudderrock.gateway.discovery._teams import digest_key
+from rudderrock.gateway.discovery._teams import KeyDigest
+from rudderrock.gateway.discovery._teams import Team
+from rudderrock.gateway.discovery._teams import TeamRegistry
 from rudderrock.gateway.discovery._topology import Anywhere
 from rudderrock.gateway.discovery._topology import RegionId
 from rudderrock.gateway.discovery._topology import Residency
@@ -133,6 +137,7 @@
     'InitialSync',
     'IntakeLimits',
     'KIND_INFO',
+    'KeyDigest',
     'Known',
     'Lease',
     'LeaseEnded',
@@ -181,6 +186,8 @@
     'TableReading',
     'TableVersion',
     'Target',
+    'Team',
+    'TeamRegistry',
     'Topology',
     'Unavailable',
     'UpstreamReading',
@@ -189,6 +196,7 @@
     'Within',
     'classify_outcome',
     'compute_connection_share',
+    'digest_key',
     'digest_request',
     'format_event_page',
     'merge_records',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -45,6 +45,8 @@
 
     description: str
     fields: tuple[str, ...]
+    # Fields that a line has only if they apply.
+    optional_fields: tuple[str, ...] = ()
 
 
 KIND_INFO: dict[LogKind, KindInfo] = {
@@ -164,7 +166,7 @@
         'too many shards were missing when the latency goal was reached, '
         '`waited_for` lists them with the upstreams that had been asked. '
         'Lines about complete answers have a lower rate limit than lines '
-        'about other requests.',
+        'about other requests. `team` is given if a key has identified one.',
         (
             'request_id',
             'route',
@@ -185,6 +187,7 @@
             'waited_for',
             'elapsed_ms',
         ),
+        ('team',),
     ),
     LogKind.UNREADABLE: KindInfo(
         'A caller sent data that is not a valid request within the limits.',
@@ -215,6 +218,7 @@
         '| --- | --- | --- |',
     ]
     for kind, info in KIND_INFO.items():
-        fields = ', '.join(f'`{name}`' for name in info.fields)
+        names = (*info.fields, *info.optional_fields)
+        fields = ', '.join(f'`{name}`' for name in names)
         lines.append(f'| `{kind.value}` | {fields} | {info.description} |')
     return '\n'.join(lines) + '\n'
--- a/rudderrock/gateway/discovery/_routing.py
+++ b/rudderrock/gateway/discovery/_routing.py
@@ -12,6 +12,7 @@
 
 import xxhash
 
+from rudderrock.gateway.discovery import _teams as teams_module
 from rudderrock.gateway.discovery import _topology as topology
 
 ServiceName = NewType('ServiceName', str)
@@ -74,7 +75,8 @@
     timeout of a request and `goal_s` the latency objective, both in seconds.
     Priority 0 is the most urgent. `max_attempts` is the maximum number of
     upstreams that one request is sent to, per shard. `residency` restricts the
-    regions in which requests may be handled.
+    regions in which requests may be handled. Requests on a public route need
+    no key.
     """
 
     name: RouteName
@@ -87,6 +89,7 @@
     priority: int
     max_attempts: int
     residency: topology.Residency = topology.Anywhere()
+    is_public: bool = False
 
     @functools.cached_property
     def digest(self) -> bytes:
@@ -135,7 +138,9 @@
 
 
 class RoutingTable:
-    """All routes and services of one version.
+    """All routes, services and teams of one version.
+
+    `teams` is None if the table lists none; requests then need no key.
 
     >>> table = RoutingTable(TableVersion(1), [], {}, IntakeLimits())
     >>> table.find_route('example.org', '/members/7') is None
@@ -148,10 +153,12 @@
         routes: Iterable[Route],
         services: dict[ServiceName, Service],
         limits: IntakeLimits,
+        teams: teams_module.TeamRegistry | None = None,
     ):
         self.version = version
         self.services = services
         self.limits = limits
+        self.teams = teams
         self.routes = {
             (route.host.lower(), route.prefix): route for route in routes
         }
--- a/rudderrock/gateway/forwarding/_calls.py
+++ b/rudderrock/gateway/forwarding/_calls.py
@@ -9,6 +9,7 @@
 from rudderrock.gateway.decisions import _canary as canary
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.http import _reach as reach
@@ -49,7 +50,7 @@
     may be missing from the answer. If `may_have_run_elsewhere` is true,
     another host may have started the request, so each attempt of this host
     counts against the budget of extra requests. `canary` decides which
-    attempts may be sent.
+    attempts may be sent. `team` is None if the request needs no key.
     """
 
     request: messages.Request
@@ -60,6 +61,7 @@
     late_after_s: float
     forwarded_headers: messages.Headers
     canary: canary.Canary
+    team: teams.Team | None = None
     max_missing: int = 0
     may_have_run_elsewhere: bool = False
 
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -15,15 +15,18 @@
 from rudderrock.gateway.decisions import _canary as canary
 from rudderrock.gateway.decisions import _cold as cold
 from rudderrock.gateway.decisions import _host_load as host_load
+from rudderrock.gateway.decisions import _identity as identity_module
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _evacuations as evacuations
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _initial_sync as initial_sync
+from rudderrock.gateway.discovery import _peers as peers
 from rudderrock.gateway.discovery import _quarantine as quarantine
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _sources as sources
+from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _connections as connections
 from rudderrock.gateway.forwarding import _delegate as delegate
@@ -216,7 +219,7 @@
         try:
             return await self.handle(
                 request,
-                may_delegate=False,
+                is_delegated=True,
                 shards=delegate.parse_service_names(listed or b''),
             )
         finally:
@@ -256,13 +259,14 @@
     async def handle(
         self,
         request: messages.Request,
-        may_delegate: bool = True,
+        is_delegated: bool = False,
         shards: tuple[routing.ServiceName, ...] = (),
     ) -> messages.Reply:
         """Answer one request, and log and count its outcome.
 
         During startup it first waits for the initial data, for a limited
-        time. If `shards` is not empty, only these shards are queried.
+        time. `is_delegated` is true if another host sends the request. If
+        `shards` is not empty, only these shards are queried.
         """
         if not self.is_ready:
             await self._dependencies.initial_sync.wait()
@@ -277,7 +281,7 @@
         )
         try:
             result = await self._answer(
-                table, route, request, may_delegate, shards
+                table, route, request, is_delegated, shards
             )
         finally:
             self._record(table, route, request, result)
@@ -288,7 +292,7 @@
         table: routing.RoutingTable | None,
         route: routing.Route | None,
         request: messages.Request,
-        may_delegate: bool,
+        is_delegated: bool,
         shards: tuple[routing.ServiceName, ...],
     ) -> results.Result:
         names = self._config.names
@@ -304,6 +308,13 @@
             )
         if route is None:
             return _reject(404, results.Outcome.UNROUTED, 'no such route')
+        match self._identify(table, route, request, is_delegated):
+            case identity_module.Unidentified(detail=detail):
+                return self._refuse_unidentified(request_id, detail)
+            case identity_module.Identified(team=team):
+                request.team = team.team
+            case identity_module.Anonymous():
+                team = None
         deadline_s = _read_deadline(request.get_header(names.deadline_ms))
         if deadline_s is None:
             deadline_s = route.timeout_s
@@ -311,7 +322,7 @@
         if call_canary.state is quarantine.QuarantineState.QUARANTINED:
             return self._refuse_quarantined(request_id, call_canary, shards)
         call = self._make_call(
-            request, request_id, route, deadline_s, call_canary
+            request, request_id, route, deadline_s, call_canary, team
         )
         threshold = self._thresholds.get(route)
         match route.target:
@@ -342,7 +353,7 @@
                 return result
             case routing.Scatter():
                 rank = table.get_rank(route)
-                if may_delegate and self._is_delegable(route):
+                if not is_delegated and self._is_delegable(route):
                     return await self._run_wide(
                         call, route.target, threshold, rank
                     )
@@ -350,6 +361,49 @@
                     call, route.target, threshold, rank
                 )
 
+    def _identify(
+        self,
+        table: routing.RoutingTable,
+        route: routing.Route,
+        request: messages.Request,
+        is_delegated: bool,
+    ) -> identity_module.Identity:
+        """Return the team of a request, and set it in the headers."""
+        names = self._config.names
+        if is_delegated:
+            return identity_module.identify_delegated(table, request, names)
+        identity = identity_module.identify_caller(table, route, request)
+        if table.teams is not None:
+            identity_module.replace_credentials(request, identity, names)
+        return identity
+
+    def _refuse_unidentified(
+        self, request_id: bytes, detail: str
+    ) -> results.Result:
+        """Refuse a request without a known key.
+
+        A host whose table may be outdated can't tell whether the key is
+        unknown, so the caller should ask again.
+        """
+        age_s = self._dependencies.tables.confirmed_age_s
+        if not 0 <= age_s <= peers.MAX_TABLE_AGE_S:
+            return results.make_refusal_result(
+                self._config.names,
+                request_id,
+                NOT_READY_RETRY_AFTER_S,
+                results.Outcome.NOT_READY,
+                f'{detail}, table confirmed {age_s:.1f} s ago',
+            )
+        headers = [
+            (self._config.names.request_id, request_id),
+            (b'www-authenticate', b'Bearer'),
+        ]
+        return results.Result(
+            messages.Reply(401, headers),
+            results.Outcome.UNAUTHORIZED,
+            detail,
+        )
+
     def _is_delegable(self, route: routing.Route) -> bool:
         """Return whether another host of this zone may run a query.
 
@@ -434,6 +488,7 @@
         route: routing.Route,
         deadline_s: float,
         call_canary: canary.Canary,
+        team: teams.Team | None,
     ) -> calls.Call:
         names = self._config.names
         time_limit_s = (
@@ -454,6 +509,7 @@
                 if pair[0] not in excluded_headers
             ],
             canary=call_canary,
+            team=team,
         )
 
     def _make_canary(
@@ -563,6 +619,7 @@
         self._dependencies.metrics.record_result(name, result, elapsed_s)
         request_id = request.get_header(self._config.names.request_id) or b''
         upstream_directory = self._dependencies.upstream_directory
+        team_field = {'team': request.team} if request.team else {}
         self._dependencies.events.record_request(
             result.outcome is results.Outcome.ANSWERED,
             request_id=request_id.decode('latin-1'),
@@ -583,6 +640,7 @@
             waited_for=result.waited_for,
             upstreams_age_ms=round(upstream_directory.age_s * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
+            **team_field,
         )
 
 
--- a/rudderrock/gateway/forwarding/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -24,7 +24,8 @@
     none has run it. The gateway refuses a request if there are too many
     (OVERLOADED), if it has crashed upstreams (QUARANTINED), if no route
     matches it (UNROUTED), if it has no request id (INVALID), or if routes and
-    upstreams are not known yet (NOT_READY). CALLER_LEFT is a request whose
+    upstreams are not known yet (NOT_READY). UNAUTHORIZED is a request without
+    a key that the table lists. CALLER_LEFT is a request whose
     caller has closed the connection before the answer.
     """
 
@@ -39,6 +40,7 @@
     UNROUTED = 'unrouted'
     INVALID = 'invalid'
     NOT_READY = 'not_ready'
+    UNAUTHORIZED = 'unauthorized'
     CALLER_LEFT = 'caller_left'
 
 
--- a/rudderrock/gateway/http/_messages.py
+++ b/rudderrock/gateway/http/_messages.py
@@ -32,7 +32,7 @@
     """A complete request of a caller; header names are in lower case.
 
     `arrived` is the loop time in seconds at which the first byte of the
-    request was read.
+    request was read. `team` is the team that a key has identified, or ''.
     """
 
     method: bytes
@@ -41,6 +41,7 @@
     body: bytes
     arrived: float
     keep_alive: bool = True
+    team: str = ''
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
--- a/rudderrock/platform/__init__.py
+++ b/rudderrock/platform/__init__.py
@@ -7,6 +7,7 @@
 
 from rudderrock.platform._decode import decode_table
 from rudderrock.platform._decode import decode_upstream
+from rudderrock.platform._decode import replace_keys
 from rudderrock.platform._headers import NAMES
 from rudderrock.platform._settings_file import METRICS_PORT
 from rudderrock.platform._settings_file import read_settings_file
@@ -21,4 +22,5 @@
     'decode_table',
     'decode_upstream',
     'read_settings_file',
+    'replace_keys',
 ]
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -42,6 +42,7 @@
     latency_goal_ms: float | None = None
     priority: int = 0
     max_attempts: int = 1
+    public: bool = False
     service: str | None = None
     split: list[_WeightedService] | None = None
     # The services of all shards of an index.
@@ -69,11 +70,23 @@
     idle_timeout_ms: float
 
 
+class _Tenant(msgspec.Struct):
+    name: str
+    # `replace_keys` replaces the keys with their digests.
+    api_keys: list[str] = []
+    key_digests: list[str] = []
+    priority: int | None = None
+    # 0 sets no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+
 class _Config(msgspec.Struct):
     version: int
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
+    tenants: list[_Tenant] | None = None
 
 
 class _Server(msgspec.Struct):
@@ -111,6 +124,7 @@
         config = msgspec.json.decode(raw, type=_Config)
         routes = [_make_route(each) for each in config.routes]
         services = _make_services(config.services)
+        teams = _make_teams(config.tenants)
     except BAD_JSON as error:
         return result.Err(str(error))
     limits = config.limits
@@ -125,10 +139,71 @@
                 header_timeout_s=limits.header_timeout_ms / 1000,
                 idle_timeout_s=limits.idle_timeout_ms / 1000,
             ),
+            teams,
         )
     )
 
 
+def replace_keys(raw: bytes) -> bytes:
+    """Return a configuration with digests in place of the tenants' keys.
+
+    A configuration without tenants, or one that can't be decoded, is returned
+    unchanged.
+    """
+    try:
+        config = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
+        if 'tenants' not in config:
+            return raw
+        tenants = msgspec.json.decode(
+            config['tenants'], type=list[_Tenant] | None
+        )
+    except BAD_JSON:
+        return raw
+    for each in tenants or ():
+        each.key_digests += map(_digest_key, each.api_keys)
+        each.api_keys = []
+    config['tenants'] = msgspec.Raw(msgspec.json.encode(tenants))
+    return msgspec.json.encode(config)
+
+
+def _digest_key(key: str) -> gateway.KeyDigest:
+    return gateway.digest_key(key.encode())
+
+
+def _make_teams(
+    tenants: list[_Tenant] | None,
+) -> gateway.TeamRegistry | None:
+    """Return the teams; raise ValueError if one is invalid."""
+    if tenants is None:
+        return None
+    return gateway.TeamRegistry(
+        (_make_team(each), _list_key_digests(each)) for each in tenants
+    )
+
+
+def _list_key_digests(tenant: _Tenant) -> list[gateway.KeyDigest]:
+    stored = map(gateway.KeyDigest, tenant.key_digests)
+    return [*stored, *map(_digest_key, tenant.api_keys)]
+
+
+def _make_team(tenant: _Tenant) -> gateway.Team:
+    for name, value in (
+        ('rate_per_s', tenant.rate_per_s),
+        ('burst', tenant.burst),
+    ):
+        if not 0 <= value < math.inf:
+            raise ValueError(
+                f'{name} of tenant {tenant.name} must be finite and not below '
+                f'0, not {value:g}'
+            )
+    return gateway.Team(
+        team=core.TeamId(tenant.name),
+        priority=tenant.priority,
+        rate_per_s=tenant.rate_per_s,
+        burst=tenant.burst,
+    )
+
+
 def _make_services(
     listed: list[_Service],
 ) -> dict[gateway.ServiceName, gateway.Service]:
@@ -193,6 +268,7 @@
         priority=route.priority,
         max_attempts=max(1, route.max_attempts),
         residency=_make_residency(route),
+        is_public=route.public,
     )
 
 
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -272,7 +272,7 @@
             raw = decode.decode_value(item.value)
         except decode.BAD_VALUE as error:
             return gateway.TableReading(None, position, str(error))
-        return self.decode_table(raw, position)
+        return self.decode_table(decode.replace_keys(raw), position)
 
     def _decode_newest_config(
         self, changes: _Events, position: gateway.Position
