Share the room at the shards among teams when it is short

Cause: admission knew only ranks. A team that sent four times what the shards can take left others a quarter of their answers, whoever came last was refused, the least urgent got almost nothing, and all that were refused were told to return after the same 0.3 s.

Change: where a table has teams, queries beyond 0.7 of the concurrency limit are admitted by the team's weighted max-min fair share of the work admitted in the last second, counted in shard requests; idle shares are lent. The priority of a team goes before that of its route, three steps at most, and a team that is served much less often than all is admitted whatever its rank. Refused queries are told to return one after the other.

--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -10,6 +10,7 @@
 from rudderrock.gateway._process import GatewayProcess
 from rudderrock.gateway._process import ProcessState
 from rudderrock.gateway._settings import GatewaySettings
+from rudderrock.gateway.decisions._admission import Admission
 from rudderrock.gateway.decisions._budget import ExtraRequestBudget
 from rudderrock.gateway.decisions._canary import Canary
 from rudderrock.gateway.decisions._canary import SendDecision
@@ -105,6 +106,7 @@
 from rudderrock.gateway.http._verdicts import Verdict
 
 __all__ = [
+    'Admission',
     'Anywhere',
     'CallerListener',
     'Canary',
--- a/rudderrock/gateway/decisions/_admission.py
+++ b/rudderrock/gateway/decisions/_admission.py
@@ -4,13 +4,17 @@
 them and every answer is late. The number of concurrent queries is therefore
 limited by additive increase and multiplicative decrease, as in TCP congestion
 control (Chiu and Jain, 1989). Queries above the limit are refused at once,
-those of low priority first.
+those of low priority first, and those of teams that have used more than their
+share.
 """
 
 import collections
 import dataclasses
 
 from rudderrock import core
+from rudderrock.gateway.decisions import _return_times as return_times
+from rudderrock.gateway.decisions import _team_shares as team_shares
+from rudderrock.gateway.discovery import _teams as teams
 
 # A query counts as congested if more than CONGESTED_SHARD_FRACTION of its
 # shards were late and it took at least CONGESTED_GOAL_FRACTION of its latency
@@ -42,9 +46,21 @@
 # Each rank of lower priority may use this fraction of the limit of the rank
 # above it.
 RANK_FRACTION = 0.8
+# Ranks from which on queries are treated alike, so that half of the limit is
+# left to the least urgent ones however many priorities there are.
+MAX_RANK = 3
+# A team that has used more than its share may use this fraction of the limit
+# of its rank. The rest is kept for the other teams.
+LENT_FRACTION = 0.7
+# A team below its share may exceed the limit by this factor and one query,
+# because the limit adapts faster to its queries than the queries of other
+# teams end. The additional query matters where few fit at once.
+BELOW_SHARE_FACTOR = 1.25
 # Time after which a refused caller may retry, in seconds. The queues of a
 # short burst are empty by then.
 RETRY_AFTER_S = 0.3
+# Longest time that a refused caller of a team is told to wait, in seconds.
+MAX_RETRY_AFTER_S = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -58,6 +74,8 @@
     increased_at: float = 0.0
     at_min_since: float | None = None
     suspended_until: float = 0.0
+    shares: team_shares.TeamShares | None = None
+    returns: return_times.ReturnTimes | None = None
 
 
 class Admission:
@@ -74,18 +92,78 @@
         """Return the state of the concurrency limit of a set of shards."""
         return self._limits[shards]
 
-    def try_acquire(self, state: LimitState, rank: int) -> bool:
+    def try_acquire(
+        self,
+        state: LimitState,
+        rank: int,
+        team: teams.Team | None = None,
+        cost: int = 1,
+    ) -> bool:
         """Admit a query if the limit allows; return whether it was admitted.
 
-        Rank 0 has the highest priority.
+        Rank 0 has the highest priority. `cost` is the number of shard
+        requests.
         """
-        if state.in_flight >= max(
-            MIN_LIMIT, state.limit * RANK_FRACTION**rank
-        ):
+        allowed = self._get_allowed(state, rank, team)
+        is_admitted = state.in_flight < allowed
+        if team is not None:
+            state.shares.record(team, cost, is_admitted)
+        if is_admitted:
+            state.in_flight += 1
+        else:
             self.refused += 1
-            return False
-        state.in_flight += 1
-        return True
+        return is_admitted
+
+    def _get_allowed(
+        self, state: LimitState, rank: int, team: teams.Team | None
+    ) -> float:
+        """Return how many queries may be in flight for one to be admitted."""
+        limit = state.limit * RANK_FRACTION ** min(rank, MAX_RANK)
+        allowed = max(MIN_LIMIT, limit)
+        if team is None:
+            return allowed
+        if state.shares is None:
+            state.shares = team_shares.TeamShares(self._clock)
+            state.returns = return_times.ReturnTimes()
+        if state.in_flight < LENT_FRACTION * limit:
+            return allowed
+        match state.shares.classify(team):
+            case team_shares.Standing.STARVED:
+                return state.limit * BELOW_SHARE_FACTOR + 1.0
+            case team_shares.Standing.BELOW:
+                return limit * BELOW_SHARE_FACTOR + 1.0
+            case team_shares.Standing.EVEN:
+                return allowed
+            case team_shares.Standing.OVER:
+                return LENT_FRACTION * limit
+
+    def get_retry_after_s(
+        self, state: LimitState, team: teams.Team | None
+    ) -> float:
+        """Return when a refused query may return, in seconds.
+
+        Queries of teams return as fast as queries are being admitted.
+        """
+        if team is None:
+            return RETRY_AFTER_S
+        return state.returns.reserve(
+            self._clock.now(),
+            RETRY_AFTER_S,
+            1.0 / max(1.0, state.shares.get_admission_rate()),
+            MAX_RETRY_AFTER_S,
+        )
+
+    def describe(
+        self, state: LimitState, rank: int, team: teams.Team | None
+    ) -> str:
+        """Return why a query is refused, for its log line."""
+        text = (
+            f'{state.in_flight} in flight, limit {state.limit:.1f}, '
+            f'priority rank {rank}'
+        )
+        if team is None:
+            return text
+        return f'{text}, team {state.shares.classify(team).value}'
 
     def release(self, state: LimitState, congested: bool | None) -> None:
         """Release the slot of a query and adapt the limit.
--- a/rudderrock/gateway/discovery/_routing.py
+++ b/rudderrock/gateway/discovery/_routing.py
@@ -179,14 +179,27 @@
             end = path.rfind('/', 0, end)
         return None
 
-    def get_rank(self, route: Route) -> int:
-        """Return the rank of a route in admission.
-
-        This is the number of more urgent priorities among the routes to the
-        same shards. The target of `route` must be a `Scatter`.
+    def get_rank(
+        self, route: Route, team: teams_module.Team | None = None
+    ) -> int:
+        """Return the rank of a team's queries on a route in admission.
+
+        This is the number of more urgent priorities among the teams and the
+        routes to the same shards. The priority of a team goes before that of
+        the route, which decides between teams of the same priority. The target
+        of `route` must be a `Scatter`.
         """
-        priorities = self._priorities_by_shards[route.target.shards]
-        return sum(priority < route.priority for priority in priorities)
+        own_priority = team.priority if team is not None else None
+        own = _combine_priorities(own_priority, route.priority)
+        team_priorities = {own_priority}
+        if self.teams is not None:
+            team_priorities |= self.teams.priorities
+        found = {
+            _combine_priorities(priority, each)
+            for priority in team_priorities
+            for each in self._priorities_by_shards[route.target.shards]
+        }
+        return sum(each < own for each in found)
 
     def list_wide_services(self, min_services: int) -> frozenset[ServiceName]:
         """Return the services that only wide routes use.
@@ -212,6 +225,15 @@
                 return shards
 
 
+def _combine_priorities(
+    team_priority: int | None, route_priority: int
+) -> tuple[int, int]:
+    """Return the sort key of a query; the most urgent has the smallest."""
+    if team_priority is None:
+        return route_priority, route_priority
+    return team_priority, route_priority
+
+
 def _collect_priorities(
     routes: Iterable[Route],
 ) -> dict[tuple[ServiceName, ...], set[int]]:
--- a/rudderrock/gateway/discovery/_teams.py
+++ b/rudderrock/gateway/discovery/_teams.py
@@ -41,6 +41,7 @@
 
     Parameters: `listed` are pairs of a team and the digests of its keys.
     Raises ValueError if two teams have the same name or the same key.
+    `priorities` are the priorities of all teams.
 
     >>> front_desk = Team(team=core.TeamId('front-desk'))
     >>> registry = TeamRegistry([(front_desk, [digest_key(b'k1')])])
@@ -61,6 +62,9 @@
                     raise ValueError(
                         f'teams {other.team} and {team.team} have the same key'
                     )
+        self.priorities = frozenset(
+            each.priority for each in self._by_name.values()
+        )
 
     def find_by_key(self, key: bytes) -> Team | None:
         """Return the team that holds a key, or None."""
@@ -70,10 +74,6 @@
         """Return the team with a name, or None."""
         return self._by_name.get(name)
 
-    def list_teams(self) -> list[Team]:
-        """Return all teams."""
-        return list(self._by_name.values())
-
 
 def digest_key(key: bytes) -> KeyDigest:
     """Return the digest under which a key is stored."""
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -352,7 +352,7 @@
                 )
                 return result
             case routing.Scatter():
-                rank = table.get_rank(route)
+                rank = table.get_rank(route, team)
                 if not is_delegated and self._is_delegable(route):
                     return await self._run_wide(
                         call, route.target, threshold, rank
@@ -454,14 +454,15 @@
     ) -> results.Result:
         """Run a query over shards if admission control allows it."""
         concurrency = self.admission.get_limit(scatter.shards)
-        if not self.admission.try_acquire(concurrency, rank):
+        if not self.admission.try_acquire(
+            concurrency, rank, call.team, len(scatter.shards)
+        ):
             return results.make_refusal_result(
                 self._config.names,
                 call.request_id,
-                admission.RETRY_AFTER_S,
+                self.admission.get_retry_after_s(concurrency, call.team),
                 results.Outcome.OVERLOADED,
-                f'{concurrency.in_flight} in flight, limit '
-                f'{concurrency.limit:.1f}, priority rank {rank}',
+                self.admission.describe(concurrency, rank, call.team),
             )
         congested = None
         query_class = host_load.QueryClass(call.route.name, is_part=False)
