Keep the list of all teams of a table

Cause: quotas forget teams that a table no longer lists; the list was removed with the shares of teams, which need only the priorities. Change: TeamRegistry.list_teams is back.

--- a/rudderrock/gateway/discovery/_teams.py
+++ b/rudderrock/gateway/discovery/_teams.py
@@ -74,6 +74,10 @@
         """Return the team with a name, or None."""
         return self._by_name.get(name)
 
+    def list_teams(self) -> list[Team]:
+        """Return all teams."""
+        return list(self._by_name.values())
+
 
 def digest_key(key: bytes) -> KeyDigest:
     """Return the digest under which a key is stored."""
