Keep quotas of teams over all hosts together

A team's owner counts its requests in the window. Hosts admit by themselves and report, until the owner tells them to ask first. Requests over the quota are refused with 429 and the time at which there is room.

--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -17,6 +17,12 @@
 from rudderrock.gateway.decisions._cold import ColdLimits
 from rudderrock.gateway.decisions._host_load import LoadEstimator
 from rudderrock.gateway.decisions._host_load import QueryClass
+from rudderrock.gateway.decisions._quota import Denied
+from rudderrock.gateway.decisions._quota import Granted
+from rudderrock.gateway.decisions._quota import QuotaBounds
+from rudderrock.gateway.decisions._quota import Standing
+from rudderrock.gateway.decisions._quota import TeamLedger
+from rudderrock.gateway.decisions._quota import TeamSpending
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._shares import compute_connection_share
@@ -47,6 +53,7 @@
 from rudderrock.gateway.discovery._quarantine import Quarantine
 from rudderrock.gateway.discovery._quarantine import QuarantineState
 from rudderrock.gateway.discovery._quarantine import Record as QuarantineRecord
+from rudderrock.gateway.discovery._quota_exchange import QuotaExchange
 from rudderrock.gateway.discovery._registration import Registration
 from rudderrock.gateway.discovery._routing import IntakeLimits
 from rudderrock.gateway.discovery._routing import NO_VERSION
@@ -114,6 +121,7 @@
     'ConnectionLost',
     'ConnectionShare',
     'Counters',
+    'Denied',
     'Directory',
     'DirectoryChange',
     'Endpoint',
@@ -128,6 +136,7 @@
     'GatewayMetrics',
     'GatewayProcess',
     'GatewaySettings',
+    'Granted',
     'HeaderNames',
     'Headers',
     'HistoryCompacted',
@@ -157,6 +166,8 @@
     'QuarantineBroadcaster',
     'QuarantineRecord',
     'QuarantineState',
+    'QuotaBounds',
+    'QuotaExchange',
     'QueryClass',
     'ReadingStamp',
     'RegionId',
@@ -181,13 +192,16 @@
     'SourcePort',
     'SourceRestored',
     'Split',
+    'Standing',
     'Synchronizer',
     'TableHolder',
     'TableReading',
     'TableVersion',
     'Target',
     'Team',
+    'TeamLedger',
     'TeamRegistry',
+    'TeamSpending',
     'Topology',
     'Unavailable',
     'UpstreamReading',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -34,6 +34,7 @@
     COORDINATORS_CHANGED = 'coordinators_changed'
     SOURCE_FAILED = 'source_failed'
     SOURCE_RETURNED = 'source_returned'
+    QUOTA_CHANGED = 'quota_changed'
     REQUEST = 'request'
     UNREADABLE = 'unreadable'
     LINES_DROPPED = 'lines_dropped'
@@ -154,6 +155,14 @@
         'is the host that reported the change, or `own`.',
         ('digest', 'before', 'standing', 'trials', 'origin'),
     ),
+    LogKind.QUOTA_CHANGED: KindInfo(
+        'This host keeps the quota of `team`. From now on hosts ask it before '
+        'they admit a request of the team (`ask_first`), or admit requests by '
+        'themselves and report them (`free`). `count` requests were admitted '
+        'in the window, of `limit`. `coverage` is below 1 if this host stands '
+        "in for another one that part of the hosts can't reach.",
+        ('team', 'standing', 'count', 'limit', 'coverage'),
+    ),
     LogKind.REQUEST: KindInfo(
         'One request of a caller and its outcome. `late` is the number of '
         'shards that had not answered at the hedge threshold, and `far` the '
@@ -166,7 +175,10 @@
         'too many shards were missing when the latency goal was reached, '
         '`waited_for` lists them with the upstreams that had been asked. '
         'Lines about complete answers have a lower rate limit than lines '
-        'about other requests. `team` is given if a key has identified one.',
+        'about other requests. `team` is given if a key has identified one. '
+        'For a request over the quota, `quota_by` is the host that decided, '
+        '`quota_limit` what it allowed, and `quota_age_ms` the age of what it '
+        'or this host knew.',
         (
             'request_id',
             'route',
@@ -187,7 +199,7 @@
             'waited_for',
             'elapsed_ms',
         ),
-        ('team',),
+        ('team', 'quota_by', 'quota_limit', 'quota_age_ms'),
     ),
     LogKind.UNREADABLE: KindInfo(
         'A caller sent data that is not a valid request within the limits.',
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -28,6 +28,11 @@
     warm-up rate of its service, plus `warmup_slack`. An overage of 1
     without slack allows exactly that rate.
 
+    `quota_window_s`, `quota_overage` and `quota_slack` limit the requests of
+    a team. In any window of `quota_window_s` seconds, all hosts together may
+    run `quota_overage` times the quota of the team more than its quota, plus
+    `quota_slack`. Without overage and slack, no request may exceed the quota.
+
     The process is killed from outside `stop_s` seconds after a graceful
     shutdown has started. `cores` is the speed of this host's processor in
     units of one whole core, and may be a fraction. `link_bytes_s` is the
@@ -49,6 +54,9 @@
     extra_slack: float = 20.0
     warmup_overage: float = 1.0
     warmup_slack: float = 0.0
+    quota_window_s: float = 1.0
+    quota_overage: float = 0.0
+    quota_slack: float = 0.0
     stop_s: float = 6.0
     cores: float = 1.0
     link_bytes_s: float = 0.0
--- /dev/null
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -0,0 +1,431 @@
+"""Admission of requests within the quotas of teams.
+
+A host admits most requests by itself and reports them to the owner of the
+team within `REPORT_DELAY_S`. It asks the owner first while the team has little
+room left. If the owner doesn't answer, it turns to the next host in rank, and
+if nobody does, it admits a small number by itself.
+"""
+
+import asyncio
+from collections.abc import Iterable
+import dataclasses
+import itertools
+
+from absl import logging
+import msgspec
+import result
+
+from rudderrock import core
+from rudderrock.gateway import _log as log
+from rudderrock.gateway.decisions import _quota as quota
+from rudderrock.gateway.discovery import _fleet as fleet
+from rudderrock.gateway.discovery import _quota_messages as quota_messages
+from rudderrock.gateway.discovery import _quota_owner as quota_owner
+from rudderrock.gateway.discovery import _sources as sources
+from rudderrock.gateway.discovery import _teams as teams
+from rudderrock.gateway.http import _http_client as http_client
+from rudderrock.gateway.http import _messages as messages
+
+# Time for which reports are collected before they are sent, in seconds.
+REPORT_DELAY_S = 0.03
+# Timeout of a question, in seconds, while a caller waits: a round trip of
+# 20 ms with a new connection, and a busy core at the owner.
+ASK_TIMEOUT_S = 0.15
+# Timeout of reports and notices, in seconds, for which nobody waits.
+REPORT_TIMEOUT_S = 0.5
+# How long a host that did not answer is skipped, in seconds.
+SKIP_S = 3.0
+# Interval at which notices are renewed and unused state is dropped.
+CHECK_INTERVAL_S = 0.5
+# Maximum number of concurrent notices.
+MAX_CONCURRENT_NOTICES = 32
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """An admitted request."""
+
+    team: core.TeamId
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request beyond the quota, and who decided that.
+
+    `age_s` is the time since the host that decided last heard of others.
+    """
+
+    denied: quota.Denied
+    decided_by: core.HostId
+    age_s: float
+
+
+class QuotaExchange:
+    """Admits the requests of this host's callers within their quotas."""
+
+    def __init__(
+        self,
+        process: str,
+        bounds: quota.QuotaBounds,
+        hosts: fleet.Fleet,
+        tables: sources.TableHolder,
+        clock: core.Clock,
+        events: log.EventLog,
+    ):
+        self.asked = 0
+        self.reports_sent = 0
+        self.notices_sent = 0
+        self._process = quota.ProcessId(process)
+        self._bounds = bounds
+        self._hosts = hosts
+        self._clock = clock
+        self._numbers = itertools.count(1)
+        self._spending: dict[core.TeamId, quota.TeamSpending] = {}
+        self._ranking = quota_owner.OwnerRanking(hosts)
+        self._skipped_until: dict[core.HostId, float] = {}
+        self._last_owner: dict[core.TeamId, core.HostId] = {}
+        self._heard_at = clock.now()
+        self._clients: dict[str, http_client.HttpClient] = {}
+        self._has_unreported = asyncio.Event()
+        self._unannounced: set[core.TeamId] = set()
+        self._has_unannounced = asyncio.Event()
+        self.owned = quota_owner.OwnedTeams(
+            self._process,
+            bounds,
+            hosts,
+            self._ranking,
+            tables,
+            clock,
+            events,
+            self._announce,
+        )
+        hosts.add_listener(self._has_unreported.set)
+        tables.add_listener(self._on_table_change)
+
+    async def admit(self, team: teams.Team) -> Permit | Refusal | None:
+        """Admit a request of a team; None if the team has no quota."""
+        if team.rate_per_s <= 0:
+            return None
+        now = self._clock.now()
+        spending = self._get_spending(team.team)
+        number = next(self._numbers)
+        owner = self._pick_owner(team.team)
+        if owner is None:
+            return self._admit_isolated(team, spending, number)
+        is_own = owner.host == self._hosts.own.host
+        if not is_own and spending.may_admit(team, self._hosts.count(), now):
+            spending.record(number, now)
+            self._has_unreported.set()
+            return Permit(team.team, number)
+        return await self._ask(team, spending, number)
+
+    def give_back(self, permit: Permit) -> None:
+        """Withdraw a request that has not run; only once for each permit."""
+        spending = self._spending.get(permit.team)
+        if spending is not None:
+            spending.give_back(permit.number, self._clock.now())
+            self._has_unreported.set()
+
+    def handle_report(self, request: messages.Request) -> messages.Reply:
+        """Answer the report of another host."""
+        try:
+            report = quota_messages.decode_report(request.body)
+        except msgspec.DecodeError as error:
+            return messages.Reply(400, [], str(error).encode())
+        answer = self.owned.handle(report)
+        return messages.Reply(200, [], quota_messages.encode(answer))
+
+    def handle_notice(self, request: messages.Request) -> messages.Reply:
+        """Ask first for the teams in a notice of their owner."""
+        try:
+            notice = quota_messages.decode_notice(request.body)
+        except msgspec.DecodeError as error:
+            return messages.Reply(400, [], str(error).encode())
+        for team, ask_first_ms in notice.teams:
+            self._apply_ask_first(team, ask_first_ms)
+        return messages.Reply(200, [])
+
+    async def report(self) -> None:
+        """Report admitted requests to the owners until cancelled."""
+        while True:
+            await self._has_unreported.wait()
+            await asyncio.sleep(REPORT_DELAY_S)
+            self._has_unreported.clear()
+            await self._report_once()
+
+    async def announce(self) -> None:
+        """Tell all hosts which teams have to ask first, until cancelled."""
+        slots = asyncio.Semaphore(MAX_CONCURRENT_NOTICES)
+        while True:
+            await self._has_unannounced.wait()
+            self._has_unannounced.clear()
+            body = quota_messages.encode(
+                quota_messages.Notice(
+                    [
+                        (team, quota_messages.to_ms(quota.ASK_FIRST_S))
+                        for team in sorted(self._unannounced)
+                    ]
+                )
+            )
+            self._unannounced.clear()
+            own = self._hosts.own.host
+            await asyncio.gather(
+                *(
+                    self._send_notice(each.address, body, slots)
+                    for each in self._hosts.list_hosts()
+                    if each.host != own
+                )
+            )
+
+    async def check(self) -> None:
+        """Renew notices and drop unused state until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            self.owned.check()
+            self._close_unused()
+            now = self._clock.now()
+            if any(
+                each.has_unreported(now) for each in self._spending.values()
+            ):
+                self._has_unreported.set()
+
+    def close(self) -> None:
+        """Close all connections to other hosts."""
+        for each in self._clients.values():
+            each.close()
+
+    def _get_spending(self, team: core.TeamId) -> quota.TeamSpending:
+        spending = self._spending.get(team)
+        if spending is None:
+            spending = quota.TeamSpending(self._bounds)
+            self._spending[team] = spending
+        return spending
+
+    def _announce(self, team: core.TeamId) -> None:
+        self._apply_ask_first(team, quota_messages.to_ms(quota.ASK_FIRST_S))
+        self._unannounced.add(team)
+        self._has_unannounced.set()
+
+    def _apply_ask_first(self, team: core.TeamId, ask_first_ms: int) -> None:
+        spending = self._get_spending(team)
+        spending.ask_first_until = max(
+            spending.ask_first_until, self._clock.now() + ask_first_ms / 1000
+        )
+
+    def _admit_isolated(
+        self, team: teams.Team, spending: quota.TeamSpending, number: int
+    ) -> Permit | Refusal:
+        """Decide about a request while no owner answers."""
+        now = self._clock.now()
+        hosts = self._hosts.count()
+        if spending.may_admit_isolated(team, hosts, now):
+            spending.record(number, now)
+            return Permit(team.team, number)
+        denied = quota.Denied(
+            spending.get_next_room_s(now),
+            spending.count(now),
+            self._bounds.get_isolated_limit(team, hosts),
+        )
+        return Refusal(denied, self._hosts.own.host, now - self._heard_at)
+
+    async def _ask(
+        self, team: teams.Team, spending: quota.TeamSpending, number: int
+    ) -> Permit | Refusal:
+        """Ask the owner of a team, or those that stand in for it."""
+        self.asked += 1
+        was_unanswered = True
+        verdict: Permit | Refusal | None = None
+        try:
+            while (owner := self._pick_owner(team.team)) is not None:
+                verdict = await self._ask_one(owner, team, spending, number)
+                if verdict is not None:
+                    was_unanswered = False
+                    break
+            else:
+                verdict = self._admit_isolated(team, spending, number)
+            return verdict
+        finally:
+            if was_unanswered and not isinstance(verdict, Permit):
+                # A host that did not answer may have counted the request.
+                spending.give_back(number, self._clock.now())
+                self._has_unreported.set()
+
+    async def _ask_one(
+        self,
+        owner: fleet.HostEntry,
+        team: teams.Team,
+        spending: quota.TeamSpending,
+        number: int,
+    ) -> Permit | Refusal | None:
+        """Return the decision of one host, or None if it doesn't answer."""
+        asked_at = self._clock.now()
+        spent, given_back = spending.list_unreported(asked_at)
+        found = _make_team_report(team.team, spent, given_back, number)
+        answer = await self._send(owner, [found], ASK_TIMEOUT_S)
+        if answer is None:
+            return None
+        now = self._clock.now()
+        for reply in answer.teams:
+            if reply.team == team.team and reply.retry_after_ms is not None:
+                denied = quota.Denied(
+                    reply.retry_after_ms / 1000, reply.count, reply.limit
+                )
+                return Refusal(denied, owner.host, now - asked_at)
+        spending.record_granted(number, now, answer.process)
+        return Permit(team.team, number)
+
+    async def _report_once(self) -> None:
+        """Send one report to each owner of a team with something to report."""
+        now = self._clock.now()
+        by_owner: dict[core.HostId, list[quota_messages.TeamReport]] = {}
+        entries: dict[core.HostId, fleet.HostEntry] = {}
+        for team, spending in list(self._spending.items()):
+            owner = self._pick_owner(team)
+            if owner is None or not spending.has_unreported(now):
+                continue
+            spent, given_back = spending.list_unreported(now)
+            entries[owner.host] = owner
+            by_owner.setdefault(owner.host, []).append(
+                _make_team_report(team, spent, given_back, None)
+            )
+        answers = await asyncio.gather(
+            *(
+                self._send(entries[host], found, REPORT_TIMEOUT_S)
+                for host, found in by_owner.items()
+            )
+        )
+        if None in answers:
+            # The teams of a host that did not answer have another owner now.
+            self._has_unreported.set()
+
+    async def _send(
+        self,
+        owner: fleet.HostEntry,
+        found: list[quota_messages.TeamReport],
+        timeout_s: float,
+    ) -> quota_messages.Answer | None:
+        """Send a report to an owner, and apply its answer; None if none."""
+        report = quota_messages.Report(
+            self._process,
+            self._hosts.own.host,
+            quota_messages.to_ms(self._clock.now()),
+            found,
+        )
+        if owner.host == self._hosts.own.host:
+            answer = self.owned.handle(report)
+        else:
+            answer = await self._call_owner(owner, report, timeout_s)
+        if answer is None:
+            self._skip(owner)
+            return None
+        self._heard_at = self._clock.now()
+        for each in found:
+            spending = self._get_spending(each.team)
+            spending.confirm(
+                answer.process,
+                [*(number for number, _ in each.admitted), *each.given_back],
+            )
+            if spending.has_unreported(self._heard_at):
+                self._has_unreported.set()
+        for each in answer.teams:
+            if each.ask_first_ms:
+                self._apply_ask_first(each.team, each.ask_first_ms)
+        return answer
+
+    async def _call_owner(
+        self,
+        owner: fleet.HostEntry,
+        report: quota_messages.Report,
+        timeout_s: float,
+    ) -> quota_messages.Answer | None:
+        self.reports_sent += 1
+        reply = await self._get_client(owner.address).call(
+            b'POST',
+            quota_messages.REPORT_PATH,
+            quota_messages.encode(report),
+            timeout_s,
+        )
+        match reply:
+            case result.Ok(found) if found.status == 200:
+                try:
+                    return quota_messages.decode_answer(found.body)
+                except msgspec.DecodeError as error:
+                    logging.warning(
+                        'Invalid answer from %s: %s', owner.host, error
+                    )
+        return None
+
+    async def _send_notice(
+        self, address: str, body: bytes, slots: asyncio.Semaphore
+    ) -> None:
+        async with slots:
+            self.notices_sent += 1
+            client = http_client.HttpClient(core.split_address(address), 1)
+            try:
+                await client.call(
+                    b'POST',
+                    quota_messages.NOTICE_PATH,
+                    body,
+                    REPORT_TIMEOUT_S,
+                )
+            finally:
+                client.close()
+
+    def _pick_owner(self, team: core.TeamId) -> fleet.HostEntry | None:
+        """Return the first host in rank that answers, or None."""
+        now = self._clock.now()
+        for each in self._ranking.list_candidates(team):
+            if self._skipped_until.get(each.host, 0.0) <= now:
+                if self._last_owner.get(team) != each.host:
+                    self._last_owner[team] = each.host
+                    self._get_spending(team).expect_owner()
+                return each
+        return None
+
+    def _skip(self, owner: fleet.HostEntry) -> None:
+        self._skipped_until[owner.host] = self._clock.now() + SKIP_S
+
+    def _get_client(self, address: str) -> http_client.HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = http_client.HttpClient(core.split_address(address))
+            self._clients[address] = client
+        return client
+
+    def _close_unused(self) -> None:
+        """Close connections to hosts that are no longer registered."""
+        known = {each.address for each in self._hosts.list_hosts()}
+        for address, client in list(self._clients.items()):
+            if address not in known and not client.is_busy:
+                client.close()
+                del self._clients[address]
+        now = self._clock.now()
+        self._skipped_until = {
+            host: until
+            for host, until in self._skipped_until.items()
+            if until > now
+        }
+
+    def _on_table_change(self, table) -> None:
+        """Drop the state of teams that have left the table."""
+        listed = set()
+        if table.teams is not None:
+            listed = {each.team for each in table.teams.list_teams()}
+        for team in set(self._spending) - listed:
+            del self._spending[team]
+            self._last_owner.pop(team, None)
+
+
+def _make_team_report(
+    team: core.TeamId,
+    spent: Iterable[tuple[int, float]],
+    given_back: list[int],
+    asked: int | None,
+) -> quota_messages.TeamReport:
+    return quota_messages.TeamReport(
+        team,
+        [(number, quota_messages.to_ms(age_s)) for number, age_s in spent],
+        given_back,
+        asked,
+    )
--- /dev/null
+++ b/rudderrock/gateway/discovery/_quota_messages.py
@@ -0,0 +1,78 @@
+"""Messages about quotas between hosts.
+
+All are encoded as JSON arrays. Times are in milliseconds.
+"""
+
+import msgspec
+
+from rudderrock import core
+from rudderrock.gateway.decisions import _quota as quota
+
+REPORT_PATH = b'/v1/quota/report'
+NOTICE_PATH = b'/v1/quota/notice'
+
+
+class TeamReport(msgspec.Struct, array_like=True, frozen=True):
+    """Requests of one team, identified by their numbers.
+
+    `admitted` are pairs of a number and the time since that request was
+    admitted, and `given_back` are requests that have not run. `asked` is a
+    request that may run only if the owner admits it.
+    """
+
+    team: core.TeamId
+    admitted: list[tuple[int, int]] = []
+    given_back: list[int] = []
+    asked: int | None = None
+
+
+class Report(msgspec.Struct, array_like=True, frozen=True):
+    """Requests that a host has admitted.
+
+    `sent_ms` is the time at the sender's clock. The differences between
+    messages show how long one was delayed.
+    """
+
+    process: quota.ProcessId
+    host: core.HostId
+    sent_ms: int
+    teams: list[TeamReport]
+
+
+class TeamAnswer(msgspec.Struct, array_like=True, frozen=True):
+    """What the owner of a team answers to a report.
+
+    The host has to ask first for `ask_first_ms`. `retry_after_ms` is set if
+    the request it asked for was refused, because `count` requests have run of
+    `limit` that are allowed.
+    """
+
+    team: core.TeamId
+    ask_first_ms: int = 0
+    retry_after_ms: int | None = None
+    count: int = 0
+    limit: float = 0.0
+
+
+class Answer(msgspec.Struct, array_like=True, frozen=True):
+    """The reply to a report, by the process of an owner."""
+
+    process: quota.ProcessId
+    teams: list[TeamAnswer]
+
+
+class Notice(msgspec.Struct, array_like=True, frozen=True):
+    """Teams for which all hosts have to ask first, with the time for it."""
+
+    teams: list[tuple[core.TeamId, int]]
+
+
+def to_ms(seconds: float) -> int:
+    """Return a time in whole milliseconds."""
+    return round(seconds * 1000)
+
+
+encode = msgspec.json.Encoder().encode
+decode_report = msgspec.json.Decoder(Report).decode
+decode_answer = msgspec.json.Decoder(Answer).decode
+decode_notice = msgspec.json.Decoder(Notice).decode
--- /dev/null
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -0,0 +1,285 @@
+"""Teams whose quotas this host keeps for all hosts."""
+
+from collections.abc import Callable
+import dataclasses
+
+from rudderrock import core
+from rudderrock.gateway import _events as event_kinds
+from rudderrock.gateway import _log as log
+from rudderrock.gateway.decisions import _quota as quota
+from rudderrock.gateway.discovery import _fleet as fleet
+from rudderrock.gateway.discovery import _quota_messages as quota_messages
+from rudderrock.gateway.discovery import _sources as sources
+from rudderrock.gateway.discovery import _teams as teams
+
+# How long a report to a stand-in counts as a sign that a zone can't reach the
+# owner, in seconds. As long as hosts skip an owner, and some more.
+COVERAGE_PERIOD_S = 5.0
+# Number of hosts in rank that are asked, and of further ones in the own zone.
+MAX_OWNERS = 2
+MAX_NEAR_OWNERS = 1
+# Maximum number of teams whose ranked hosts are kept.
+MAX_RANKED_TEAMS = 1024
+# Maximum number of processes whose clocks are remembered.
+MAX_CLOCKS = 4096
+
+
+class OwnerRanking:
+    """The hosts that own the teams, by rendezvous hashing.
+
+    Hosts with the same listing compute the same order, so no election is
+    needed, and a host that joins or leaves moves only its own teams.
+    """
+
+    def __init__(self, hosts: fleet.Fleet):
+        self._hosts = hosts
+        self._owners: dict[core.TeamId, list[fleet.HostEntry]] = {}
+        hosts.add_listener(self._owners.clear)
+
+    def find_owner(self, team: core.TeamId) -> fleet.HostEntry:
+        """Return the host that owns a team."""
+        return self.list_candidates(team)[0]
+
+    def list_candidates(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        """Return the owner of a team, and those that stand in for it.
+
+        The last ones are in this host's zone, which may be the only one that
+        it reaches.
+        """
+        found = self._owners.get(team)
+        if found is None:
+            if len(self._owners) >= MAX_RANKED_TEAMS:
+                self._owners.clear()
+            found = self._rank(team)
+            self._owners[team] = found
+        return found
+
+    def _rank(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        own = self._hosts.own
+        ranked = sorted(
+            self._hosts.list_hosts() or [own],
+            key=lambda each: fleet.rank_pair(team, each.host),
+        )
+        near = [each for each in ranked[MAX_OWNERS:] if each.zone == own.zone]
+        return ranked[:MAX_OWNERS] + near[:MAX_NEAR_OWNERS]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TeamUse:
+    """Use of a team's quota: requests in the window, and the limit."""
+
+    team: core.TeamId
+    count: int
+    limit: float
+    unreported: float
+
+
+class OwnedTeams:
+    """Ledgers of the teams that this host owns, or stands in for.
+
+    Parameters: `announce` is called with a team for which all hosts have to
+    ask first from now on.
+    """
+
+    def __init__(
+        self,
+        process: quota.ProcessId,
+        bounds: quota.QuotaBounds,
+        hosts: fleet.Fleet,
+        ranking: OwnerRanking,
+        tables: sources.TableHolder,
+        clock: core.Clock,
+        events: log.EventLog,
+        announce: Callable[[core.TeamId], None],
+    ):
+        self.process = process
+        self._bounds = bounds
+        self._hosts = hosts
+        self._ranking = ranking
+        self._tables = tables
+        self._clock = clock
+        self._events = events
+        self._announce = announce
+        self._started_at = clock.now()
+        self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
+        self._limited: set[core.TeamId] = set()
+        # Smallest difference seen between this clock and that of a process.
+        self._clock_offsets: dict[quota.ProcessId, float] = {}
+        self._heard_at: dict[tuple[core.HostId, core.ZoneId], float] = {}
+
+    def handle(self, report: quota_messages.Report) -> quota_messages.Answer:
+        """Record what a host reports, and answer what it asks."""
+        now = self._clock.now()
+        sent_at = now - self._measure_delay(report, now)
+        answers = [
+            self._handle_team(report, each, sent_at, now)
+            for each in report.teams
+        ]
+        return quota_messages.Answer(self.process, answers)
+
+    def check(self) -> None:
+        """Renew notices that are still needed, and drop unused ledgers."""
+        now = self._clock.now()
+        for name, ledger in list(self._ledgers.items()):
+            team = self._find_limited_team(name)
+            if team is None or (ledger.count(now) == 0 and ledger.is_empty):
+                self._end_limit(name, ledger, now)
+                del self._ledgers[name]
+                continue
+            if name in self._limited:
+                self._notify_if_needed(team, ledger, now)
+                if now >= ledger.ask_first_until:
+                    self._end_limit(name, ledger, now)
+
+    def list_use(self) -> list[TeamUse]:
+        """Return the use of the quotas of the teams with recent requests."""
+        now = self._clock.now()
+        found = []
+        for name, ledger in self._ledgers.items():
+            team = self._find_limited_team(name)
+            if team is not None:
+                found.append(
+                    TeamUse(
+                        name,
+                        ledger.count(now),
+                        self._bounds.get_limit(team),
+                        ledger.estimate_unreported(now),
+                    )
+                )
+        return found
+
+    @property
+    def largest_excess(self) -> float:
+        """Return the largest number of requests counted beyond a limit."""
+        return max(
+            (each.largest_excess for each in self._ledgers.values()),
+            default=0.0,
+        )
+
+    def _measure_delay(
+        self, report: quota_messages.Report, now: float
+    ) -> float:
+        """Return how much longer a message took than the fastest one."""
+        offset = now - report.sent_ms / 1000
+        smallest = min(offset, self._clock_offsets.pop(report.process, offset))
+        self._clock_offsets[report.process] = smallest
+        if len(self._clock_offsets) > MAX_CLOCKS:
+            del self._clock_offsets[next(iter(self._clock_offsets))]
+        return offset - smallest
+
+    def _handle_team(
+        self,
+        report: quota_messages.Report,
+        found: quota_messages.TeamReport,
+        sent_at: float,
+        now: float,
+    ) -> quota_messages.TeamAnswer:
+        team = self._find_limited_team(found.team)
+        if team is None:
+            return quota_messages.TeamAnswer(found.team)
+        standing = self._get_standing(team, report.host, now)
+        ledger = self._ledgers.get(found.team)
+        if ledger is None:
+            ledger = quota.TeamLedger(self._bounds)
+            self._ledgers[found.team] = ledger
+        for number, age_ms in found.admitted:
+            at = sent_at - age_ms / 1000
+            ledger.record(report.process, number, at, now)
+        for number in found.given_back:
+            ledger.give_back(report.process, number, now)
+        verdict: quota.Verdict = quota.Granted()
+        if found.asked is not None:
+            verdict = ledger.decide(
+                team, report.process, found.asked, now, standing
+            )
+        self._notify_if_needed(team, ledger, now, standing)
+        ask_first_ms = quota_messages.to_ms(
+            max(0.0, ledger.ask_first_until - now)
+        )
+        match verdict:
+            case quota.Denied():
+                return quota_messages.TeamAnswer(
+                    found.team,
+                    ask_first_ms,
+                    quota_messages.to_ms(verdict.retry_after_s),
+                    verdict.count,
+                    verdict.limit,
+                )
+        return quota_messages.TeamAnswer(found.team, ask_first_ms)
+
+    def _notify_if_needed(
+        self,
+        team: teams.Team,
+        ledger: quota.TeamLedger,
+        now: float,
+        standing: quota.Standing | None = None,
+    ) -> None:
+        standing = standing or self._get_standing(
+            team, self._hosts.own.host, now
+        )
+        if not ledger.needs_notice(team, now, standing):
+            return
+        ledger.ask_first_until = now + quota.ASK_FIRST_S
+        if team.team not in self._limited:
+            self._limited.add(team.team)
+            self._record_change(team.team, ledger, now, standing)
+        self._announce(team.team)
+
+    def _end_limit(
+        self, name: core.TeamId, ledger: quota.TeamLedger, now: float
+    ) -> None:
+        if name in self._limited:
+            self._limited.discard(name)
+            self._record_change(name, ledger, now, None)
+
+    def _record_change(
+        self,
+        name: core.TeamId,
+        ledger: quota.TeamLedger,
+        now: float,
+        standing: quota.Standing | None,
+    ) -> None:
+        team = self._find_limited_team(name)
+        limit = 0.0 if team is None else self._bounds.get_limit(team)
+        self._events.record(
+            event_kinds.LogKind.QUOTA_CHANGED,
+            team=name,
+            standing='free' if standing is None else 'ask_first',
+            count=ledger.count(now),
+            limit=limit,
+            coverage=1.0 if standing is None else round(standing.coverage, 2),
+        )
+
+    def _find_limited_team(self, name: core.TeamId) -> teams.Team | None:
+        """Return a team of the table in force, if it has a quota."""
+        table = self._tables.current
+        if table is None or table.teams is None:
+            return None
+        team = table.teams.find(name)
+        return team if team is not None and team.rate_per_s > 0 else None
+
+    def _get_standing(
+        self, team: teams.Team, sender: core.HostId, now: float
+    ) -> quota.Standing:
+        """Return this host's position as the owner of a team or stand-in.
+
+        A stand-in counts the zones whose hosts report to it instead of the
+        owner.
+        """
+        owner = self._ranking.find_owner(team.team)
+        if owner.host == self._hosts.own.host:
+            return quota.Standing(started_at=self._started_at)
+        zones = {each.host: each.zone for each in self._hosts.list_hosts()}
+        sender_zone = zones.get(sender)
+        if sender_zone is not None:
+            self._heard_at[(owner.host, sender_zone)] = now
+        self._heard_at = {
+            key: at
+            for key, at in self._heard_at.items()
+            if now - at < COVERAGE_PERIOD_S
+        }
+        heard = sum(host == owner.host for host, _ in self._heard_at)
+        return quota.Standing(
+            started_at=self._started_at,
+            coverage=min(1.0, heard / len(set(zones.values()))),
+        )
--- a/rudderrock/gateway/forwarding/_calls.py
+++ b/rudderrock/gateway/forwarding/_calls.py
@@ -82,6 +82,7 @@
             (names.expected_upstream, upstream.encode('ascii')),
         ]
         request = self.request
+        request.was_sent = True
         return messages.render_request(
             request.method, request.target, headers, request.body
         )
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -361,6 +361,7 @@
 
         def make_headers() -> messages.Headers:
             now = loop.time()
+            call.request.was_sent = True
             elapsed_s = (
                 now - call.request.arrived + round_trip_s + HOP_OVERHEAD_S
             )
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -24,6 +24,7 @@
 from rudderrock.gateway.discovery import _initial_sync as initial_sync
 from rudderrock.gateway.discovery import _peers as peers
 from rudderrock.gateway.discovery import _quarantine as quarantine
+from rudderrock.gateway.discovery import _quota_exchange as quota_exchange
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
@@ -61,6 +62,7 @@
     initial_sync: initial_sync.InitialSync
     source_era: era.SourceEra
     quarantine: quarantine.Quarantine
+    quotas: quota_exchange.QuotaExchange
     events: log.EventLog
     metrics: metrics_module.GatewayMetrics
     clock: core.Clock
@@ -315,6 +317,44 @@
                 request.team = team.team
             case identity_module.Anonymous():
                 team = None
+        permit = None
+        if team is not None and not is_delegated:
+            permit = await self._dependencies.quotas.admit(team)
+        if isinstance(permit, quota_exchange.Refusal):
+            return results.make_over_quota_result(
+                names,
+                request_id,
+                permit.denied.retry_after_s,
+                f'{permit.denied.count} requests, limit '
+                f'{permit.denied.limit:g}',
+                {
+                    'quota_by': permit.decided_by,
+                    'quota_limit': permit.denied.limit,
+                    'quota_age_ms': round(permit.age_s * 1000),
+                },
+            )
+        result = None
+        try:
+            result = await self._forward(
+                table, route, request, request_id, team, is_delegated, shards
+            )
+        finally:
+            if permit is not None and _has_not_run(request, result):
+                self._dependencies.quotas.give_back(permit)
+        return result
+
+    async def _forward(
+        self,
+        table: routing.RoutingTable,
+        route: routing.Route,
+        request: messages.Request,
+        request_id: bytes,
+        team: teams.Team | None,
+        is_delegated: bool,
+        shards: tuple[routing.ServiceName, ...],
+    ) -> results.Result:
+        """Answer a request that is allowed."""
+        names = self._config.names
         deadline_s = _read_deadline(request.get_header(names.deadline_ms))
         if deadline_s is None:
             deadline_s = route.timeout_s
@@ -641,6 +681,7 @@
             upstreams_age_ms=round(upstream_directory.age_s * 1000),
             elapsed_ms=round(elapsed_s * 1000, 1),
             **team_field,
+            **result.log_fields,
         )
 
 
@@ -655,3 +696,15 @@
     if value is None or not value.strip().isdigit():
         return None
     return int(value) / 1000
+
+
+def _has_not_run(
+    request: messages.Request, result: results.Result | None
+) -> bool:
+    """Return whether a request has not run; there is no result if cancelled.
+
+    Replies of upstreams are not among these outcomes.
+    """
+    if result is None:
+        return not request.was_sent
+    return result.outcome in results.NOT_RUN_OUTCOMES
--- a/rudderrock/gateway/forwarding/_results.py
+++ b/rudderrock/gateway/forwarding/_results.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+from typing import Any
 
 from rudderrock.gateway.decisions import _canary as canary
 from rudderrock.gateway.http import _header_names as header_names
@@ -25,8 +26,9 @@
     (OVERLOADED), if it has crashed upstreams (QUARANTINED), if no route
     matches it (UNROUTED), if it has no request id (INVALID), or if routes and
     upstreams are not known yet (NOT_READY). UNAUTHORIZED is a request without
-    a key that the table lists. CALLER_LEFT is a request whose
-    caller has closed the connection before the answer.
+    a key that the table lists, and OVER_QUOTA one beyond its team's quota.
+    CALLER_LEFT is a request whose caller has closed the connection before the
+    answer.
     """
 
     ANSWERED = 'answered'
@@ -41,9 +43,21 @@
     INVALID = 'invalid'
     NOT_READY = 'not_ready'
     UNAUTHORIZED = 'unauthorized'
+    OVER_QUOTA = 'over_quota'
     CALLER_LEFT = 'caller_left'
 
 
+# Outcomes of requests that no upstream has run.
+NOT_RUN_OUTCOMES = frozenset(
+    {
+        Outcome.NOT_RUN,
+        Outcome.OVERLOADED,
+        Outcome.QUARANTINED,
+        Outcome.NOT_READY,
+    }
+)
+
+
 @dataclasses.dataclass(slots=True)
 class Result:
     """The reply to a caller, and statistics of the request.
@@ -55,7 +69,8 @@
     other hosts, `bytes_received` the bytes of records in their answers.
     `far` counts the answers from another region, `extras` the extra attempts,
     `denied` the extra attempts that the budget did not allow, and `lost` the
-    attempts whose connection ended after they were sent.
+    attempts whose connection ended after they were sent. `log_fields` are
+    optional fields of the log line.
     """
 
     reply: messages.Reply
@@ -71,6 +86,7 @@
     denied: int = 0
     lost: int = 0
     waited_for: str = ''
+    log_fields: dict[str, Any] = dataclasses.field(default_factory=dict)
 
 
 def join_truncated(items: Iterable[str]) -> str:
@@ -97,6 +113,26 @@
     return Result(messages.Reply(503, headers), outcome, detail)
 
 
+def make_over_quota_result(
+    names: header_names.HeaderNames,
+    request_id: bytes,
+    retry_after_s: float,
+    detail: str,
+    log_fields: dict[str, Any],
+) -> Result:
+    """Return a result with status 429 for a request beyond its quota."""
+    headers = [
+        (names.request_id, request_id),
+        (b'retry-after', b'%.2f' % retry_after_s),
+    ]
+    return Result(
+        messages.Reply(429, headers),
+        Outcome.OVER_QUOTA,
+        detail,
+        log_fields=log_fields,
+    )
+
+
 def make_lost_result(
     names: header_names.HeaderNames,
     request_id: bytes,
--- a/rudderrock/gateway/http/_messages.py
+++ b/rudderrock/gateway/http/_messages.py
@@ -33,6 +33,7 @@
 
     `arrived` is the loop time in seconds at which the first byte of the
     request was read. `team` is the team that a key has identified, or ''.
+    `was_sent` is set once it has been written to an upstream or another host.
     """
 
     method: bytes
@@ -42,6 +43,7 @@
     arrived: float
     keep_alive: bool = True
     team: str = ''
+    was_sent: bool = False
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -44,6 +44,18 @@
         initial_sync=initial_sync,
         source_era=source_era,
         quarantine=quarantine,
+        quotas=gateway.QuotaExchange(
+            process_id,
+            gateway.QuotaBounds(
+                window_s=settings.quota_window_s,
+                overage=settings.quota_overage,
+                slack=settings.quota_slack,
+            ),
+            hosts,
+            tables,
+            clock,
+            events,
+        ),
         events=events,
         metrics=gateway.GatewayMetrics(),
         clock=clock,
