Test quotas over several hosts under load and under failures

A hot team, a lost or frozen owner, a one-way cut, an isolated host, a loss of power of all hosts, a new host, a lower and a higher limit, a team that leaves, credit that is given back, and repeated or late reports.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -362,6 +362,8 @@
         self, harness: GatewayHarness, stack: contextlib.AsyncExitStack
     ):
         self.members: dict[str, Member] = {}
+        # Further settings of all gateways, by name.
+        self.settings: dict[str, float] = {}
         self._harness = harness
         self._stack = stack
         self._member_count = 0
@@ -414,6 +416,7 @@
             capacity=capacity,
             link_bytes_s=link_bytes_s,
             seeds=seeds,
+            **self.settings,
         )
         source = standins.HostSource(self._harness.source)
         source.is_refused = is_refused
--- /dev/null
+++ b/features/quotas.feature
@@ -0,0 +1,220 @@
+Feature: The quota of a team holds over all hosts together
+
+  # The window is 5 seconds, and 10 percent and 20 more requests are allowed.
+
+  Scenario: a team 7.5 times as hot as its quota, through all hosts at once
+    Given 6 gateways with the teams
+      | team  | rate | burst |
+      | hot   | 10   | 40    |
+      | small | 0.3  | 2     |
+    When these teams send for 12 seconds
+      | team  | rate |
+      | hot   | 75   |
+      | small | 0.3  |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.95 times its quota
+    And no request of "small" is refused
+    And the requests of "hot" were refused with 429 and a Retry-After of 5 seconds at most
+
+  Scenario: a team within its quota is never refused, and not delayed
+    Given 6 gateways with the teams
+      | team   | rate | burst |
+      | steady | 10   | 20    |
+    When these teams send for 12 seconds
+      | team   | rate |
+      | steady | 9.5  |
+    Then no request of "steady" is refused
+    And no gateway has asked an owner first
+
+  Scenario: a burst within the quota after a pause is not refused
+    Given 6 gateways with the teams
+      | team   | rate | burst |
+      | sudden | 1    | 35    |
+    When these teams send for 1 seconds
+      | team   | rate |
+      | sudden | 40   |
+    Then no request of "sudden" is refused
+
+  Scenario Outline: the owner of a team is <fault> while the team is <load>
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When these teams send for 4 seconds
+      | team | rate   |
+      | hot  | <rate> |
+    And the owner of "hot" is <fault>
+    And these teams send for 8 seconds
+      | team | rate   |
+      | hot  | <rate> |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And <outcome>
+
+    Examples:
+      | fault  | load             | rate | outcome                                     |
+      | killed | hot              | 50   | "hot" has run at least 0.8 times its quota  |
+      | frozen | hot              | 50   | "hot" has run at least 0.8 times its quota  |
+      | killed | within its quota | 9    | no request of "hot" is refused              |
+      | frozen | within its quota | 9    | no request of "hot" is refused              |
+
+  Scenario: the hosts of one zone get no answers from the others
+    Given 6 gateways with the teams
+      | team  | rate | burst |
+      | hot   | 10   | 40    |
+      | small | 0.3  | 2     |
+    When these teams send for 3 seconds
+      | team | rate |
+      | hot  | 50   |
+    And the zone "south-1" gets no answers from the other zones
+    And these teams send for 8 seconds
+      | team  | rate |
+      | hot   | 50   |
+      | small | 0.3  |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.8 times its quota
+    And no request of "small" is refused
+
+  Scenario: a host that reaches neither the source nor its peers admits a small share
+    Given 6 gateways with the teams
+      | team  | rate | burst |
+      | hot   | 10   | 40    |
+      | small | 0.3  | 2     |
+    When the gateway "g2" is cut off from its peers and the source
+    And these teams send for 10 seconds
+      | team | rate |
+      | hot  | 50   |
+    And the team "small" sends 1 request to "g2"
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And no request of "small" is refused
+    And a refusal of "hot" names "g2" as the host that decided
+
+  Scenario: all hosts lose power at once while a team is hot
+    Given 6 gateways with the teams
+      | team   | rate | burst |
+      | hot    | 10   | 40    |
+      | steady | 10   | 40    |
+    When these teams send for 6 seconds
+      | team   | rate |
+      | hot    | 30   |
+      | steady | 9    |
+    And all gateways are killed and start again
+    And these teams send for 6 seconds
+      | team   | rate |
+      | hot    | 30   |
+      | steady | 9    |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And no request of "steady" is refused
+
+  Scenario: a host starts while a team uses its whole quota
+    Given 6 gateways with the teams
+      | team   | rate | burst |
+      | steady | 10   | 20    |
+      | hot    | 10   | 20    |
+    When these teams send for 4 seconds
+      | team   | rate |
+      | steady | 9    |
+      | hot    | 40   |
+    And another gateway starts
+    And these teams send for 6 seconds
+      | team   | rate |
+      | steady | 9    |
+      | hot    | 40   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And no request of "steady" is refused
+
+  Scenario: a limit falls far below what the team sends, and rises again
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 40    |
+    When these teams send for 6 seconds
+      | team | rate |
+      | hot  | 20   |
+    And the quota of "hot" becomes 2 and 4
+    And these teams send for 11 seconds
+      | team | rate |
+      | hot  | 20   |
+    Then at most 35 requests of "hot" have run in the last 5 seconds
+    When the quota of "hot" becomes 20 and 40
+    And 1 second passes
+    And these teams send for 4 seconds
+      | team | rate |
+      | hot  | 20   |
+    Then none of the last 60 requests of "hot" is refused
+
+  Scenario: a team leaves the table, and its name is given to another later
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | old  | 1    | 4     |
+      | more | 1    | 4     |
+    When these teams send for 3 seconds
+      | team | rate |
+      | old  | 20   |
+    And the team "old" leaves the table
+    And 7 seconds pass
+    Then no gateway keeps anything about "old"
+
+  Scenario: a request that no upstream has run gives its credit back
+    Given 6 gateways with the teams
+      | team   | rate | burst |
+      | steady | 1    | 5     |
+    When the upstream leaves
+    And these teams send for 4 seconds
+      | team   | rate |
+      | steady | 10   |
+    Then each request of "steady" was refused with 503
+    When the upstream returns
+    And these teams send for 1 seconds
+      | team   | rate |
+      | steady | 10   |
+    Then no request of "steady" is refused with 429
+
+  Scenario: a caller that leaves before anything is sent gives its credit back
+    Given 1 gateways with the teams
+      | team   | rate | burst |
+      | steady | 1    | 3     |
+    When the upstream accepts connections but does not finish them
+    And 8 callers of "steady" leave after 0.1 seconds
+    Then the owner of "steady" counts 0 requests
+
+  Scenario: gateways without quotas exchange no messages about them
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | any  | 0    | 0     |
+    When these teams send for 3 seconds
+      | team | rate |
+      | any  | 20   |
+    Then no request of "any" is refused
+    And no gateway has sent a message about quotas
+
+  Scenario: without an allowance the owner decides about each request
+    Given 6 gateways that allow no overshoot with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When these teams send for 8 seconds
+      | team | rate |
+      | hot  | 50   |
+    Then at most 90 requests of "hot" have run in any 5 seconds
+
+  Scenario: what a host reports counts once
+    Given a ledger of a team with the quota 1 and 3
+    When the process "p1" reports the requests 1, 2
+    And the process "p1" reports the requests 1, 2, 3
+    And the process "p2" reports the requests 1
+    Then 4 requests are counted
+    When the process "p1" gives back the request 2
+    And the process "p1" gives back the request 2
+    And the process "p1" reports the requests 1, 2, 3
+    Then 3 requests are counted
+    When the process "p1" gives back the request 4
+    And the process "p1" reports the requests 4
+    Then 3 requests are counted
+    When the process "p3" reports the requests 7 that are 6 seconds old
+    Then 3 requests are counted
+
+  Scenario: requests refused together are told to return one after another
+    Given a ledger of a team with the quota 1 and 3
+    When 8 requests are asked for, 0.2 seconds apart
+    Then 8 requests are admitted
+    When 6 requests are asked for, 0 seconds apart
+    Then they are refused, and each returns later than the one before
+    When each of them returns when it was told to
+    Then 6 requests are admitted
--- /dev/null
+++ b/features/steps/quotas.py
@@ -0,0 +1,487 @@
+"""Steps for quotas of teams over several gateways."""
+
+import asyncio
+import bisect
+import collections
+import dataclasses
+import json
+
+from behave import given
+from behave import then
+from behave import use_step_matcher
+from behave import when
+
+from features import gateway_bench
+from features.steps import gateway as gateway_steps
+from features.steps import teams as teams_steps
+from features.steps.common import run
+from rudderrock import gateway
+from rudderrock import state
+
+use_step_matcher('re')
+
+_WINDOW_S = 5.0
+_OVERAGE = 0.1
+_SLACK = 20.0
+_BOUNDS = {
+    'quota_window_s': _WINDOW_S,
+    'quota_overage': _OVERAGE,
+    'quota_slack': _SLACK,
+}
+_ZONES = ['north-1', 'north-2', 'south-1']
+_ROUTE = '/desk/'
+_UPSTREAM = 'u1'
+_SERVICE = 'desk'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Asked:
+    """A request of a team and its reply."""
+
+    request_id: str
+    at: float
+    reply: gateway_bench.Reply
+
+
+@given(r'(\d+) gateways( that allow no overshoot)? with the teams')
+def start_gateways(context, count, is_strict):
+    harness = gateway_steps.get(context)
+    run(context, harness.add_upstream(_UPSTREAM, _SERVICE))
+    harness.add_route(
+        _ROUTE, gateway.Single(gateway.ServiceName(_SERVICE)), timeout_s=2.0
+    )
+    for row in context.table:
+        set_quota(context, row['team'], row['rate'], row['burst'])
+    context.fleet = gateway_bench.FleetHarness(harness, context.stack)
+    context.fleet.settings = dict(_BOUNDS)
+    if is_strict:
+        context.fleet.settings.update(quota_overage=0.0, quota_slack=0.0)
+    zones = [_ZONES[number % len(_ZONES)] for number in range(int(count))]
+    run(context, context.fleet.start(zones))
+    run(context, asyncio.sleep(6.0))
+    context.asked = collections.defaultdict(list)
+
+
+@when(r'the quota of "([^"]+)" becomes (\S+) and (\S+)')
+def set_quota(context, team, rate, burst):
+    teams_steps.add_team(
+        context, team, [team], rate_per_s=float(rate), burst=float(burst)
+    )
+    context.gateway.publish()
+
+
+@when(r'the team "([^"]+)" leaves the table')
+def remove_team(context, team):
+    del context.teams[team]
+    teams_steps.publish_teams(context)
+    context.gateway.publish()
+
+
+async def _ask(context, team, host):
+    request_id = gateway_steps.next_id(context)
+    raw = gateway_bench.make_raw(
+        request_id,
+        f'{_ROUTE}{request_id}',
+        deadline_ms=2000,
+        extra=teams_steps.format_key_header(team),
+    )
+    at = asyncio.get_running_loop().time()
+    try:
+        async with asyncio.timeout(3.0):
+            reply = await context.fleet.ask(host, raw)
+    except (ConnectionError, TimeoutError):
+        return
+    context.asked[team].append(Asked(request_id, at, reply))
+
+
+async def _send_load(context, team, rate, seconds):
+    """Send requests of a team to one gateway after another."""
+    tasks = []
+    for number in range(round(rate * seconds)):
+        hosts = [
+            name
+            for name, member in context.fleet.members.items()
+            if member.silent_server is None
+        ]
+        host = hosts[number % len(hosts)]
+        tasks.append(asyncio.create_task(_ask(context, team, host)))
+        await asyncio.sleep(1.0 / rate)
+    await asyncio.gather(*tasks)
+
+
+@when(r'these teams send for ([\d.]+) seconds')
+def send_loads(context, seconds):
+    async def send():
+        await asyncio.gather(
+            *(
+                _send_load(
+                    context, row['team'], float(row['rate']), float(seconds)
+                )
+                for row in context.table
+            )
+        )
+
+    context.asked_before = {
+        team: len(asked) for team, asked in context.asked.items()
+    }
+    run(context, send())
+
+
+@when(r'the team "([^"]+)" sends 1 request to "([^"]+)"')
+def send_one(context, team, host):
+    run(context, _ask(context, team, host))
+
+
+def _get_owner(context, team):
+    member = next(iter(context.fleet.members.values()))
+    ranked = sorted(
+        member.hosts.list_hosts(),
+        key=lambda each: gateway.rank_pair(team, each.host),
+    )
+    return ranked[0].host
+
+
+@when(r'the owner of "([^"]+)" is killed')
+def kill_owner(context, team):
+    run(context, context.fleet.kill(_get_owner(context, team)))
+
+
+@when(r'the owner of "([^"]+)" is frozen')
+def freeze_owner(context, team):
+    member = context.fleet.members[_get_owner(context, team)]
+    run(context, member.simulate_freeze())
+
+
+def _get_sender(request):
+    """Return the host that sent a report about quotas, or None."""
+    if request.target != b'/v1/quota/report':
+        return None
+    return json.loads(request.body)[1]
+
+
+def _drop_answers(member, is_dropped):
+    """Handle reports, but send no answers to some hosts."""
+    peers = member.process.peers
+    handle = peers.handle
+
+    async def handle_and_drop(request):
+        reply = await handle(request)
+        sender = _get_sender(request)
+        if sender is not None and is_dropped(sender):
+            await asyncio.sleep(3600.0)
+        return reply
+
+    peers.handle = handle_and_drop
+
+
+@when(r'the zone "([^"]+)" gets no answers from the other zones')
+def cut_zone_one_way(context, zone):
+    members = context.fleet.members
+    inside = {
+        name for name, each in members.items() if each.hosts.own.zone == zone
+    }
+    assert inside
+    for name in members.keys() - inside:
+        _drop_answers(members[name], inside.__contains__)
+
+
+@when(r'the gateway "([^"]+)" is cut off from its peers and the source')
+def cut_off(context, name):
+    members = context.fleet.members
+    members[name].source.is_silent = True
+    for other, member in members.items():
+        if other != name:
+            _drop_answers(member, name.__eq__)
+    members[name].hang_peer_requests()
+
+
+@when(r'all gateways are killed and start again')
+def restart_all(context):
+    async def restart():
+        zones = {
+            name: each.hosts.own.zone
+            for name, each in context.fleet.members.items()
+        }
+        for name in zones:
+            await context.fleet.kill(name)
+        await asyncio.sleep(1.0)
+        await asyncio.gather(
+            *(
+                context.fleet.add(zone, number=int(name.removeprefix('g')))
+                for name, zone in zones.items()
+            )
+        )
+        await asyncio.sleep(0.5)
+
+    run(context, restart())
+
+
+@when(r'another gateway starts')
+def start_another(context):
+    async def start():
+        await context.fleet.add(_ZONES[0])
+        await asyncio.sleep(1.5)
+
+    run(context, start())
+
+
+@when(r'the upstream leaves')
+def remove_upstream(context):
+    context.gateway.source.remove_endpoint(_UPSTREAM)
+    run(context, asyncio.sleep(4.0))
+
+
+@when(r'the upstream returns')
+def return_upstream(context):
+    address = ('10.1.0.1', 9000)
+    context.gateway.register(_UPSTREAM, _SERVICE, 'north-1', address)
+    run(context, asyncio.sleep(3.0))
+
+
+@when(r'the upstream accepts connections but does not finish them')
+def hold_connections(context):
+    run(context, context.gateway.upstreams[_UPSTREAM].stop())
+
+
+@when(r'(\d+) callers of "([^"]+)" leave after ([\d.]+) seconds')
+def leave_early(context, count, team, seconds):
+    async def leave():
+        (name,) = context.fleet.members
+        for _ in range(int(count)):
+            caller = await context.fleet.connect(name)
+            await caller.send(
+                gateway_bench.make_raw(
+                    gateway_steps.next_id(context),
+                    _ROUTE,
+                    extra=teams_steps.format_key_header(team),
+                )
+            )
+            await asyncio.sleep(float(seconds))
+            caller.leave()
+            await asyncio.sleep(0.1)
+
+    run(context, leave())
+
+
+def _list_run_times(context, team):
+    """Return when requests of a team ran at upstreams."""
+    return sorted(
+        each.at
+        for model in context.gateway.upstreams.values()
+        for each in model.runs
+        if each.headers.get('rudderrock-team') == team
+    )
+
+
+def _count_most(times):
+    """Return the largest number of times within one window."""
+    return max(
+        (
+            bisect.bisect_left(times, start + _WINDOW_S) - index
+            for index, start in enumerate(times)
+        ),
+        default=0,
+    )
+
+
+def _get_limit(context, team):
+    found, _ = context.teams[team]
+    return found.rate_per_s * _WINDOW_S + found.burst
+
+
+@then(r'the quota of "([^"]+)" is never exceeded by more than the allowance')
+def check_quota(context, team):
+    most = _count_most(_list_run_times(context, team))
+    allowed = _get_limit(context, team) * (1 + _OVERAGE) + _SLACK
+    assert most <= allowed, (most, allowed)
+
+
+@then(r'at most (\d+) requests of "([^"]+)" have run in any 5 seconds')
+def check_most(context, count, team):
+    most = _count_most(_list_run_times(context, team))
+    assert 0 < most <= int(count), most
+
+
+@then(r'at most (\d+) requests of "([^"]+)" have run in the last 5 seconds')
+def check_recent(context, count, team):
+    now = context.loop.time()
+    times = _list_run_times(context, team)
+    recent = sum(now - at <= _WINDOW_S for at in times)
+    assert 0 < recent <= int(count), recent
+
+
+@then(r'"([^"]+)" has run at least ([\d.]+) times its quota')
+def check_used(context, team, share):
+    times = _list_run_times(context, team)
+    found, _ = context.teams[team]
+    due = found.burst + found.rate_per_s * (times[-1] - times[0])
+    assert len(times) >= float(share) * due, (len(times), due)
+
+
+def _list_statuses(context, team):
+    return collections.Counter(
+        each.reply.status for each in context.asked[team]
+    )
+
+
+@then(r'no request of "([^"]+)" is refused')
+def check_none_refused(context, team):
+    statuses = _list_statuses(context, team)
+    # Status 0 is a connection to a host that was killed.
+    assert statuses[200] and not statuses.keys() - {0, 200}, statuses
+
+
+@then(r'no request of "([^"]+)" is refused with 429')
+def check_no_429(context, team):
+    statuses = _list_statuses(context, team)
+    assert statuses[200] and not statuses[429], statuses
+
+
+@then(r'none of the last (\d+) requests of "([^"]+)" is refused')
+def check_last_served(context, count, team):
+    last = context.asked[team][-int(count) :]
+    assert all(each.reply.status == 200 for each in last), [
+        each.reply.status for each in last
+    ]
+
+
+@then(r'each request of "([^"]+)" was refused with 503')
+def check_all_503(context, team):
+    statuses = _list_statuses(context, team)
+    assert statuses.keys() == {503}, statuses
+
+
+@then(
+    r'the requests of "([^"]+)" were refused with 429 and a Retry-After of '
+    r'(\d+) seconds at most'
+)
+def check_retry_after(context, team, seconds):
+    refused = [
+        each for each in context.asked[team] if each.reply.status != 200
+    ]
+    assert refused
+    for each in refused:
+        assert each.reply.status == 429, each
+        retry_after_s = float(each.reply.headers['retry-after'])
+        assert 0 < retry_after_s <= float(seconds), each
+
+
+@then(r'a refusal of "([^"]+)" names "([^"]+)" as the host that decided')
+def check_decided_by(context, team, host):
+    lines = [json.loads(line) for line in context.gateway.log.lines]
+    assert any(
+        line.get('team') == team
+        and line.get('outcome') == 'over_quota'
+        and line['quota_by'] == host
+        and line['quota_age_ms'] >= 0
+        for line in lines
+    )
+
+
+@then(r'no gateway has asked an owner first')
+def check_not_asked(context):
+    for name, member in context.fleet.members.items():
+        owns = member.process.quotas.owned.list_use()
+        assert owns or not member.process.quotas.asked, name
+
+
+@then(r'no gateway has sent a message about quotas')
+def check_no_messages(context):
+    for member in context.fleet.members.values():
+        quotas = member.process.quotas
+        assert not quotas.reports_sent and not quotas.notices_sent
+
+
+@then(r'no gateway keeps anything about "([^"]+)"')
+def check_forgotten(context, team):
+    for member in context.fleet.members.values():
+        assert team not in member.process.quotas.list_teams()
+
+
+@then(r'the owner of "([^"]+)" counts (\d+) requests')
+def check_counted(context, team, count):
+    run(context, asyncio.sleep(0.2))
+    owner = context.fleet.members[_get_owner(context, team)]
+    uses = {
+        each.team: each.count for each in owner.process.quotas.owned.list_use()
+    }
+    assert uses.get(team, 0) == int(count), uses
+
+
+@given(r'a ledger of a team with the quota (\d+) and (\d+)')
+def make_ledger(context, rate, burst):
+    context.team = gateway.Team(
+        team=state.TeamId('any'), rate_per_s=float(rate), burst=float(burst)
+    )
+    bounds = gateway.QuotaBounds(
+        window_s=_WINDOW_S, overage=_OVERAGE, slack=_SLACK
+    )
+    context.ledger = gateway.TeamLedger(bounds)
+    context.now = 100.0
+    context.number = 0
+    context.verdicts = []
+
+
+def _read_numbers(text):
+    return [int(each) for each in text.split(',')]
+
+
+@when(
+    r'the process "([^"]+)" reports the requests ([\d, ]+)'
+    r'(?: that are (\d+) seconds old)?'
+)
+def report(context, process, numbers, age_s):
+    at = context.now - float(age_s or 0)
+    for number in _read_numbers(numbers):
+        context.ledger.record(process, number, at, context.now)
+
+
+@when(r'the process "([^"]+)" gives back the request (\d+)')
+def give_back(context, process, number):
+    context.ledger.give_back(process, int(number), context.now)
+
+
+@then(r'(\d+) requests are counted')
+def check_ledger(context, count):
+    found = context.ledger.count(context.now)
+    assert found == int(count), found
+
+
+def _decide(context):
+    context.number += 1
+    return context.ledger.decide(
+        context.team, 'p', context.number, context.now, gateway.Standing()
+    )
+
+
+@when(r'(\d+) requests are asked for, ([\d.]+) seconds apart')
+def ask_ledger(context, count, apart):
+    context.verdicts = []
+    for _ in range(int(count)):
+        context.verdicts.append(_decide(context))
+        context.now += float(apart)
+
+
+@then(r'(\d+) requests are admitted')
+def check_admitted(context, count):
+    admitted = [
+        each for each in context.verdicts if isinstance(each, gateway.Granted)
+    ]
+    assert len(admitted) == int(count), context.verdicts
+
+
+@then(r'they are refused, and each returns later than the one before')
+def check_spread(context):
+    times = [each.retry_after_s for each in context.verdicts]
+    assert times == sorted(set(times)), times
+    assert times[-1] <= _WINDOW_S, times
+
+
+@when(r'each of them returns when it was told to')
+def return_later(context):
+    started_at = context.now
+    delays = [each.retry_after_s for each in context.verdicts]
+    context.verdicts = []
+    for delay_s in delays:
+        context.now = started_at + delay_s
+        context.verdicts.append(_decide(context))
--- a/features/steps/teams.py
+++ b/features/steps/teams.py
@@ -18,7 +18,7 @@
 use_step_matcher('re')
 
 
-def _publish_teams(context) -> None:
+def publish_teams(context) -> None:
     """Put the scenario's teams into its next table."""
     context.gateway.teams = gateway.TeamRegistry(
         (team, [gateway.digest_key(key.encode()) for key in keys])
@@ -33,7 +33,7 @@
         context.teams = {}
     team = gateway.Team(team=state.TeamId(name), **quota)
     context.teams[name] = team, keys
-    _publish_teams(context)
+    publish_teams(context)
 
 
 def format_key_header(key):
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -40,6 +40,7 @@
 from rudderrock.gateway.discovery._evacuations import Evacuations
 from rudderrock.gateway.discovery._fleet import Fleet
 from rudderrock.gateway.discovery._fleet import HostEntry
+from rudderrock.gateway.discovery._fleet import rank_pair
 from rudderrock.gateway.discovery._initial_sync import InitialSync
 from rudderrock.gateway.discovery._peers import ChangeFeed
 from rudderrock.gateway.discovery._peers import Changes
@@ -214,6 +215,7 @@
     'digest_request',
     'format_event_page',
     'merge_records',
+    'rank_pair',
     'read_changes',
     'read_records',
     'remove_hop_by_hop_headers',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -78,7 +78,7 @@
         )
         self._changes = change_feed
         self._broadcaster = broadcaster
-        self._quotas = dependencies.quotas
+        self.quotas = dependencies.quotas
         self._was_ready = False
         self._stop_started_at = 0.0
         dependencies.tables.add_listener(self._apply_table)
@@ -106,7 +106,7 @@
             stack.callback(self.gateway.selector.close)
             stack.callback(self.gateway.delegation.close)
             stack.push_async_callback(self.gateway.checker.close)
-            stack.callback(self._quotas.close)
+            stack.callback(self.quotas.close)
             for each_listener, address in (
                 (self._caller_listener, config.callers),
                 (self._readiness_listener, config.readiness),
@@ -118,9 +118,9 @@
                 self._synchronizer.run,
                 self._broadcaster.run,
                 self._broadcaster.pull,
-                self._quotas.report,
-                self._quotas.announce,
-                self._quotas.check,
+                self.quotas.report,
+                self.quotas.announce,
+                self.quotas.check,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
             ):
@@ -183,9 +183,9 @@
         if request.target == broadcast.PATH:
             return self._broadcaster.handle(request)
         if request.target == quota_messages.REPORT_PATH:
-            return self._quotas.handle_report(request)
+            return self.quotas.handle_report(request)
         if request.target == quota_messages.NOTICE_PATH:
-            return self._quotas.handle_notice(request)
+            return self.quotas.handle_notice(request)
         return await self._changes.answer(request)
 
     async def _answer_probe(self, request: messages.Request) -> messages.Reply:
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -170,7 +170,10 @@
         if key in self._given_back:
             return
         self._given_back.add(key)
-        at = self._known.setdefault(key, now)
+        at = self._known.get(key)
+        if at is None:
+            self._known[key] = now
+            return
         index = bisect.bisect_left(self._times, at)
         if index < len(self._times) and self._times[index] == at:
             del self._times[index]
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -146,6 +146,10 @@
             self._apply_ask_first(team, ask_first_ms)
         return messages.Reply(200, [])
 
+    def list_teams(self) -> set[core.TeamId]:
+        """Return the teams about which this host keeps something."""
+        return {*self._spending, *self.owned.list_teams()}
+
     async def report(self) -> None:
         """Report admitted requests to the owners until cancelled."""
         while True:
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -131,6 +131,10 @@
                 if now >= ledger.ask_first_until:
                     self._end_limit(name, ledger, now)
 
+    def list_teams(self) -> list[core.TeamId]:
+        """Return the teams with a ledger."""
+        return list(self._ledgers)
+
     def list_use(self) -> list[TeamUse]:
         """Return the use of the quotas of the teams with recent requests."""
         now = self._clock.now()
