--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -15,6 +15,8 @@
     And "hot" has run at least 0.95 times its quota
     And no request of "small" is refused
     And the requests of "hot" were refused with 429 and a Retry-After of 5 seconds at most
+    And the log of the owner of "hot" says that hosts ask it first
+    And the metrics of all gateways name "hot" with what it was admitted and refused
 
   Scenario: a team within its quota is never refused, and not delayed
     Given 6 gateways with the teams
@@ -218,3 +220,8 @@
     Then they are refused, and each returns later than the one before
     When each of them returns when it was told to
     Then 6 requests are admitted
+
+  Scenario: the metrics name the heaviest teams, and sum the others
+    Given 1 gateways with 12 teams of a quota
+    When each team sends one request more than the one before
+    Then the metrics name 8 teams, the last ones, and count 10 requests of others
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -45,28 +45,40 @@
 
 @given(r'(\d+) gateways( that allow no overshoot)? with the teams')
 def start_gateways(context, count, is_strict):
+    for row in context.table:
+        _set_team(context, row['team'], row['rate'], row['burst'])
+    bounds = {**_BOUNDS}
+    if is_strict:
+        bounds.update(quota_overage=0.0, quota_slack=0.0)
+    _start(context, int(count), bounds)
+
+
+def _start(context, count, bounds):
+    """Start gateways in three zones, in front of one upstream."""
     harness = gateway_steps.get(context)
     run(context, harness.add_upstream(_UPSTREAM, _SERVICE))
     harness.add_route(
         _ROUTE, gateway.Single(gateway.ServiceName(_SERVICE)), timeout_s=2.0
     )
-    for row in context.table:
-        set_quota(context, row['team'], row['rate'], row['burst'])
+    harness.publish()
     context.fleet = gateway_bench.FleetHarness(harness, context.stack)
-    context.fleet.settings = dict(_BOUNDS)
-    if is_strict:
-        context.fleet.settings.update(quota_overage=0.0, quota_slack=0.0)
-    zones = [_ZONES[number % len(_ZONES)] for number in range(int(count))]
+    context.fleet.settings = bounds
+    zones = [_ZONES[number % len(_ZONES)] for number in range(count)]
     run(context, context.fleet.start(zones))
     run(context, asyncio.sleep(6.0))
     context.asked = collections.defaultdict(list)
 
 
-@when(r'the quota of "([^"]+)" becomes (\S+) and (\S+)')
-def set_quota(context, team, rate, burst):
+def _set_team(context, team, rate, burst):
+    """List a team whose only key is its name."""
     teams_steps.add_team(
         context, team, [team], rate_per_s=float(rate), burst=float(burst)
     )
+
+
+@when(r'the quota of "([^"]+)" becomes (\S+) and (\S+)')
+def set_quota(context, team, rate, burst):
+    _set_team(context, team, rate, burst)
     context.gateway.publish()
 
 
@@ -485,3 +497,83 @@
     for delay_s in delays:
         context.now = started_at + delay_s
         context.verdicts.append(_decide(context))
+
+
+@then(r'the log of the owner of "([^"]+)" says that hosts ask it first')
+def check_state_lines(context, team):
+    lines = [json.loads(line) for line in context.gateway.log.lines]
+    changes = [
+        line
+        for line in lines
+        if line['kind'] == 'quota_changed' and line['team'] == team
+    ]
+    assert changes[0]['standing'] == 'ask_first', changes
+    assert changes[0]['host'] == _get_owner(context, team), changes
+    assert changes[0]['limit'] == _get_limit(context, team), changes
+
+
+async def _scrape(context, name):
+    """Return the values of a gateway's metrics, by their names and labels."""
+    address = context.fleet.members[name].address
+    caller = gateway_bench.Caller(
+        *await asyncio.open_connection(address, 8002)
+    )
+    await caller.send(gateway_bench.make_raw('scrape', '/metrics'))
+    body = (await caller.read()).body.decode()
+    caller.leave()
+    return {
+        key: float(value)
+        for key, _, value in (
+            line.rpartition(' ')
+            for line in body.splitlines()
+            if not line.startswith('#')
+        )
+    }
+
+
+@then(
+    r'the metrics of all gateways name "([^"]+)" with what it was admitted '
+    r'and refused'
+)
+def check_metrics(context, team):
+    counts = collections.Counter()
+    for name in context.fleet.members:
+        counts.update(run(context, _scrape(context, name)))
+    statuses = _list_statuses(context, team)
+    label = f'{{team="{team}"}}'
+    admitted = counts[f'rudderrock_quota_admitted_total{label}']
+    refused = counts[f'rudderrock_quota_refused_total{label}']
+    assert (admitted, refused) == (statuses[200], statuses[429])
+    assert counts[f'rudderrock_quota_limit{label}'] == _get_limit(
+        context, team
+    )
+
+
+@given(r'1 gateways with 12 teams of a quota')
+def start_with_many_teams(context):
+    for number in range(12):
+        _set_team(context, f't{number:02}', 9, 0)
+    _start(context, 1, _BOUNDS)
+
+
+@when(r'each team sends one request more than the one before')
+def send_rising(context):
+    for number in range(12):
+        for _ in range(number + 1):
+            run(context, _ask(context, f't{number:02}', 'g1'))
+
+
+@then(
+    r'the metrics name (\d+) teams, the last ones, and count (\d+) requests '
+    r'of others'
+)
+def check_cardinality(context, count, others):
+    prefix = 'rudderrock_quota_admitted_total{team="'
+    found = {
+        key.removeprefix(prefix).rstrip('"}'): value
+        for key, value in run(context, _scrape(context, 'g1')).items()
+        if key.startswith(prefix)
+    }
+    named = {f't{number:02}' for number in range(12 - int(count), 12)}
+    assert found.keys() == {*named, 'others'}, found
+    assert found['others'] == int(others), found
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -10,6 +10,7 @@
 
 from rudderrock import core
 from rudderrock.gateway import _events as events
+from rudderrock.gateway import _quota_metrics as quota_metrics
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway.discovery import _broadcast as broadcast
 from rudderrock.gateway.discovery import _fleet as fleet
@@ -200,6 +201,7 @@
         self, request: messages.Request
     ) -> messages.Reply:
         lines = self._dependencies.metrics.format_lines(self._list_gauges())
+        lines += quota_metrics.format_lines(self.quotas)
         kind = (b'content-type', b'text/plain; version=0.0.4')
         return messages.Reply(200, [kind], '\n'.join(lines).encode() + b'\n')
 
@@ -231,6 +233,11 @@
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
+            'quota_questions_total': self.quotas.asked,
+            'quota_reports_total': self.quotas.reports_sent,
+            'quota_notices_total': self.quotas.notices_sent,
+            'quota_unreported_age_seconds': self.quotas.unreported_age_s,
+            'quota_largest_excess': self.quotas.owned.largest_excess,
             'reach_checks_total': self.gateway.checker.checks,
             'connections_opened_total': (
                 self.gateway.selector.connections_opened
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -382,6 +382,11 @@
         self._prune(now)
         return len(self._admitted)
 
+    def get_report_age_s(self, now: float) -> float:
+        """Return the age of the oldest admitted request not yet reported."""
+        times = (self._admitted.get(each, now) for each in self._unreported)
+        return now - min(times, default=now)
+
     def has_unreported(self, now: float) -> bool:
         """Return whether there is something to report."""
         self._prune(now)
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 import dataclasses
 import itertools
+from typing import NamedTuple
 
 from absl import logging
 import msgspec
@@ -61,6 +62,13 @@
     age_s: float
 
 
+class TeamCounts(NamedTuple):
+    """Numbers of requests of one team at this host."""
+
+    admitted: int = 0
+    refused: int = 0
+
+
 class QuotaExchange:
     """Admits the requests of this host's callers within their quotas."""
 
@@ -73,6 +81,8 @@
         clock: core.Clock,
         events: log.EventLog,
     ):
+        # Counts since the start, for the teams of the table in force.
+        self.counts: dict[core.TeamId, TeamCounts] = {}
         self.asked = 0
         self.reports_sent = 0
         self.notices_sent = 0
@@ -107,6 +117,17 @@
         """Admit a request of a team; None if the team has no quota."""
         if team.rate_per_s <= 0:
             return None
+        verdict = await self._decide(team)
+        counts = self.counts.get(team.team, TeamCounts())
+        match verdict:
+            case Permit():
+                counts = counts._replace(admitted=counts.admitted + 1)
+            case Refusal():
+                counts = counts._replace(refused=counts.refused + 1)
+        self.counts[team.team] = counts
+        return verdict
+
+    async def _decide(self, team: teams.Team) -> Permit | Refusal:
         now = self._clock.now()
         spending = self._get_spending(team.team)
         number = next(self._numbers)
@@ -150,6 +171,15 @@
         """Return the teams about which this host keeps something."""
         return {*self._spending, *self.owned.list_teams()}
 
+    @property
+    def unreported_age_s(self) -> float:
+        """Return the age of the oldest request that no owner knows of."""
+        now = self._clock.now()
+        return max(
+            (each.get_report_age_s(now) for each in self._spending.values()),
+            default=0.0,
+        )
+
     async def report(self) -> None:
         """Report admitted requests to the owners until cancelled."""
         while True:
@@ -416,8 +446,9 @@
         listed = set()
         if table.teams is not None:
             listed = {each.team for each in table.teams.list_teams()}
-        for team in set(self._spending) - listed:
-            del self._spending[team]
+        for team in {*self._spending, *self.counts} - listed:
+            self._spending.pop(team, None)
+            self.counts.pop(team, None)
             self._last_owner.pop(team, None)
 
 
