--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -28,6 +28,8 @@
     'quota_overage': _OVERAGE,
     'quota_slack': _SLACK,
 }
+# Time that a message between hosts of two regions takes, with its processing.
+_MESSAGE_DELAY_S = 0.03
 _ZONES = ['north-1', 'north-2', 'south-1']
 _ROUTE = '/desk/'
 _UPSTREAM = 'u1'
@@ -65,6 +67,8 @@
     context.fleet.settings = bounds
     zones = [_ZONES[number % len(_ZONES)] for number in range(count)]
     run(context, context.fleet.start(zones))
+    for member in context.fleet.members.values():
+        _delay_messages(member)
     run(context, asyncio.sleep(6.0))
     context.asked = collections.defaultdict(list)
 
@@ -186,6 +190,18 @@
     peers.handle = handle_and_drop
 
 
+def _delay_messages(member):
+    """Let messages of peers arrive later, as from another region."""
+    peers = member.process.peers
+    handle = peers.handle
+
+    async def handle_later(request):
+        await asyncio.sleep(_MESSAGE_DELAY_S)
+        return await handle(request)
+
+    peers.handle = handle_later
+
+
 @when(r'the zone "([^"]+)" gets no answers from the other zones')
 def cut_zone_one_way(context, zone):
     members = context.fleet.members
@@ -223,6 +239,8 @@
                 for name, zone in zones.items()
             )
         )
+        for member in context.fleet.members.values():
+            _delay_messages(member)
         await asyncio.sleep(0.5)
 
     run(context, restart())
