Count quotas by the window again, and find out when an owner is cut off

The bucket refuses requests while fewer have run in the window than the quota allows.

A host that stands in for an owner admits half of the allowance until more than half of the zones report to it. An owner that no other zone answers does the same. Notices last 10 s.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -89,6 +89,17 @@
     And no request of "small" is refused
     And a refusal of "hot" names "g2" as the host that decided
 
+  Scenario: the owner of a team is cut off, but still takes requests of callers
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When the owner of "hot" is cut off from its peers and the source
+    And these teams send for 10 seconds
+      | team | rate |
+      | hot  | 50   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.8 times its quota
+
   Scenario: all hosts lose power at once while a team is hot
     Given 6 gateways with the teams
       | team   | rate | burst |
@@ -214,11 +225,11 @@
 
   Scenario: requests refused together are told to return one after another
     Given a ledger of a team with the quota 2 and 4
-    When 9 requests are asked for, 0.01 seconds apart
-    Then the first 5 of them are admitted
+    When 20 requests are asked for, 0.05 seconds apart
+    Then the first 15 of them are admitted
     And the others are refused, and each returns later than the one before
     When each of them returns when it was told to
-    Then 4 requests are admitted
+    Then 5 requests are admitted
 
   Scenario: the metrics name the heaviest teams, and sum the others
     Given 1 gateways with 12 teams of a quota
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -122,6 +122,7 @@
                 self.quotas.report,
                 self.quotas.announce,
                 self.quotas.check,
+                self.quotas.check_reach,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
             ):
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -1,10 +1,9 @@
 """Quota of a team over all hosts together.
 
-A quota is a token bucket of `burst` requests that is refilled at `rate_per_s`,
-so any window has at most `rate_per_s` times its length, plus `burst`. The
-load to answer is a team that sends several times its usual rate at once,
-through any hosts, while teams of one request in minutes must not notice that
-there are quotas.
+A quota allows a number of requests in any window of time: `rate_per_s` times
+the window, plus `burst`. The load to answer is a team that sends several times
+its usual rate at once, through any hosts, while teams of one request in
+minutes must not notice that there are quotas.
 
 One host owns a team, and counts its requests (`TeamLedger`). The other hosts
 admit requests by themselves and report them (`TeamSpending`), until the owner
@@ -36,11 +35,14 @@
 # first: the delay of a batch of reports, two messages with a new connection
 # between regions, and a busy core at both ends.
 NOTICE_DELAY_S = 0.2
-# How long a host asks first after a notice. Shorter, and a team at its quota
-# is announced to all hosts again and again.
-ASK_FIRST_S = 3.0
+# How long a host asks first after a notice. All hosts are told of a team at
+# its quota this often; asking costs only its own requests a round trip.
+ASK_FIRST_S = 10.0
 # A notice that ends sooner than this is renewed while there is little room.
-RENEWAL_MARGIN_S = 1.2
+RENEWAL_MARGIN_S = 2.0
+# Fraction of the deployment from which on a host that stands in for an owner
+# takes it to be gone.
+MAJORITY = 0.5
 # Shortest time after which a refused request should return, in seconds.
 MIN_RETRY_AFTER_S = 0.05
 # Maximum number of refused requests a team with a place to return to.
@@ -73,15 +75,13 @@
         """Return how many more requests may run because of old knowledge."""
         return self.overage * self.get_limit(team) + self.slack
 
-    def get_capacity(self, team: teams.Team) -> float:
-        """Return how many requests may run at once after a pause.
+    def get_jitter(self, team: teams.Team) -> float:
+        """Return the part of the allowance for uneven delays of requests.
 
-        Requests that a team sends evenly arrive less evenly, so part of the
-        allowance covers `ARRIVAL_JITTER_S`.
+        Requests that a team sends within its quota may arrive closer together.
         """
         jitter = 1.0 + team.rate_per_s * ARRIVAL_JITTER_S
-        jitter = min(jitter, self.get_allowance(team) * JITTER_FRACTION)
-        return max(1.0, team.burst + jitter)
+        return min(jitter, self.get_allowance(team) * JITTER_FRACTION)
 
     def get_unknown_limit(self, team: teams.Team) -> float:
         """Return what may be admitted without knowing what others admit."""
@@ -137,7 +137,8 @@
     `started_at` is when its process started: what hosts admitted before is
     unknown if all have lost their state since. `coverage` is the fraction of
     the deployment that reports to this host: 1 for the owner, and less for a
-    host that stands in for an owner that some hosts may still reach.
+    host that stands in for an owner that some hosts may still reach, or for an
+    owner that reaches no other zone, so that another host may stand in for it.
     """
 
     started_at: float = -math.inf
@@ -147,26 +148,19 @@
 class TeamLedger:
     """The requests of one team in the last window, kept by its owner.
 
-    They are entries of a token bucket, which holds `burst` requests and is
-    refilled at `rate_per_s`. The level is computed from the times of the
-    requests, so reports may arrive in any order. An owner that takes over
-    assumes a full bucket one window ago, and replays what it is told. A window
-    then still holds no more than the quota.
+    Only their times matter, so reports may arrive in any order, and an owner
+    that takes over needs to be told only of the last window.
 
     Each request is identified by the process that admitted it and a number,
     so that a report which arrives twice counts once. A request that was given
     back is remembered, so that a late report of it is ignored.
     """
 
-    def __init__(self, bounds: QuotaBounds, now: float):
+    def __init__(self, bounds: QuotaBounds):
         self.ask_first_until = -math.inf
-        # Largest number of requests counted beyond the bucket.
+        # Largest number of requests counted beyond the limit.
         self.largest_excess = 0.0
         self._bounds = bounds
-        self._created_at = now
-        # Level at the time `_level_at`, before the requests in `_times`.
-        self._level = math.inf
-        self._level_at = now - bounds.window_s
         self._times: list[float] = []
         self._known: dict[tuple[ProcessId, int], float] = {}
         self._given_back: set[tuple[ProcessId, int]] = set()
@@ -213,18 +207,20 @@
         standing: Standing,
     ) -> Verdict:
         """Count a request if there is room for it."""
-        self._prune(team, now)
+        self._prune(now)
         if (process, number) in self._known:
             return Granted()
-        level = self._get_level(team, now, standing)
-        if level >= 1.0:
+        limit = self._get_limit(team, standing)
+        free = min(
+            limit - len(self._times), self._get_start_room(team, now, standing)
+        )
+        if free >= 1.0:
             self.record(process, number, now, now)
             return Granted()
-        share = self._get_share(team, standing)
         return Denied(
-            self._reserve_return(level, team.rate_per_s * share, now),
+            self._reserve_return(team, free, now),
             len(self._times),
-            self._bounds.get_limit(team) * share,
+            min(limit, self._bounds.get_limit(team)),
         )
 
     def needs_notice(
@@ -233,98 +229,95 @@
         """Return whether the hosts must ask before they admit requests.
 
         They must if what may arrive until all hosts know could exceed the
-        quota by more than the allowance. Returns false while an earlier
+        limit by more than the allowance. Returns false while an earlier
         notice lasts long enough.
         """
-        self._prune(team, now)
-        level = self._get_level(team, now, standing)
-        self.largest_excess = max(self.largest_excess, -level)
+        self._prune(now)
+        limit = self._get_limit(team, standing)
+        self.largest_excess = max(
+            self.largest_excess, len(self._times) - limit
+        )
         if self.ask_first_until - now > RENEWAL_MARGIN_S:
             return False
+        free = min(
+            limit - len(self._times), self._get_start_room(team, now, standing)
+        )
         excess = self.estimate_unreported(now)
         excess -= self._bounds.get_unknown_limit(team)
-        return level < 1.0 + max(0.0, excess)
+        return free < 1.0 + max(0.0, excess)
 
     def estimate_unreported(self, now: float) -> float:
         """Return how many requests arrive until a notice reaches all hosts."""
-        start = now - _RATE_PERIOD_S
-        recent = len(self._times) - bisect.bisect_left(self._times, start)
+        recent = self._count_since(now - _RATE_PERIOD_S)
         return recent / _RATE_PERIOD_S * NOTICE_DELAY_S
 
-    def count(self, team: teams.Team, now: float) -> int:
+    def count(self, now: float) -> int:
         """Return the number of requests in the last window."""
-        self._prune(team, now)
+        self._prune(now)
         return len(self._times)
 
-    def _get_share(self, team: teams.Team, standing: Standing) -> float:
-        """Return the fraction of the quota that this host may admit.
+    def _count_since(self, start: float) -> int:
+        return len(self._times) - bisect.bisect_left(self._times, start)
 
-        A host that stands in for the owner admits the fraction that
-        corresponds to the part of the deployment that it hears of. The owner
-        may be admitting the whole quota to the others.
+    def _get_limit(self, team: teams.Team, standing: Standing) -> float:
+        """Return the number of requests allowed in the window.
+
+        The owner may be admitting the whole quota to others, so a host that
+        stands in for it, and an owner that is cut off, admit only what needs
+        no knowledge. A host that hears of most of the deployment admits that
+        fraction of the quota, as the owner is probably gone.
         """
+        limit = self._bounds.get_limit(team) + self._bounds.get_jitter(team)
+        # A quota below one request would never admit any.
+        limit = max(1.0, limit)
         if standing.coverage >= 1.0:
-            return 1.0
-        unknown_limit = self._bounds.get_unknown_limit(team)
-        by_allowance = unknown_limit / max(1.0, self._bounds.get_limit(team))
-        return min(1.0, max(by_allowance, standing.coverage))
+            return limit
+        known = 0.0
+        if standing.coverage > MAJORITY:
+            known = limit * standing.coverage
+        return min(limit, max(self._bounds.get_unknown_limit(team), known))
 
-    def _get_level(
+    def _get_start_room(
         self, team: teams.Team, now: float, standing: Standing
     ) -> float:
-        """Return the level of the bucket, negative if it is overdrawn.
+        """Return how many requests a process that has just started admits.
 
-        What hosts admitted before this process has started may be unknown if
-        all of them have lost their state. It then starts with the part of the
-        allowance that needs no knowledge, instead of another burst.
+        Requests from before its start may be unknown. Until they have left
+        the window, it admits the rate of the quota and the part of the
+        allowance that needs no knowledge, but not another burst.
         """
-        share = self._get_share(team, standing)
-        capacity = self._bounds.get_capacity(team) * share
-        rate = team.rate_per_s * share
-        level, at = self._level, self._level_at
-        if standing.coverage < 1.0:
-            # The requests before were admitted by the owner.
-            start = max(self._created_at, now - self._bounds.window_s)
-            level, at = capacity, start
-        elif standing.started_at > at:
-            level = max(1.0, self._bounds.get_unknown_limit(team))
-            at = standing.started_at
-        level = min(level, capacity)
-        first = bisect.bisect_left(self._times, at)
-        for spent_at in self._times[first:]:
-            level = min(level + rate * (spent_at - at), capacity) - 1.0
-            at = spent_at
-        return min(level + rate * (now - at), capacity)
-
-    def _reserve_return(self, level: float, rate: float, now: float) -> float:
+        age_s = now - standing.started_at
+        if age_s >= self._bounds.window_s:
+            return math.inf
+        initial = max(1.0, self._bounds.get_unknown_limit(team))
+        allowed = initial + team.rate_per_s * age_s
+        return allowed - self._count_since(standing.started_at)
+
+    def _reserve_return(
+        self, team: teams.Team, free: float, now: float
+    ) -> float:
         """Return when a request that is refused now should return, in seconds.
 
-        Each refused request is told a later time, at which the bucket has
-        room for one more, so that those refused together don't return
-        together. As many don't return at all, the first ones are followed
-        after one window at the latest.
+        The first refused request returns when the oldest counted one leaves
+        the window, the next one when the second does, so that those refused
+        together don't return together. Never later than one window.
         """
         while self._promised and self._promised[0] <= now:
             self._promised.popleft()
-        first_s = (1.0 - level) / rate
-        wait_s = min(
-            first_s + len(self._promised) / rate,
-            max(first_s, self._bounds.window_s),
-        )
-        wait_s = max(wait_s, MIN_RETRY_AFTER_S)
-        self._promised.append(now + wait_s)
-        return wait_s
+        window_s = self._bounds.window_s
+        place = len(self._promised) + max(0, math.ceil(1.0 - free) - 1)
+        if place < len(self._times):
+            return_at = self._times[place] + window_s
+        else:
+            return_at = now + min(window_s, (place + 1) / team.rate_per_s)
+        return_at = max(return_at, now + MIN_RETRY_AFTER_S)
+        self._promised.append(return_at)
+        return return_at - now
 
-    def _prune(self, team: teams.Team, now: float) -> None:
-        """Move the requests that have left the window into the level."""
+    def _prune(self, now: float) -> None:
+        """Forget the requests that have left the window."""
         oldest = now - self._bounds.window_s
         left = bisect.bisect_right(self._times, oldest)
-        capacity = self._bounds.get_capacity(team)
-        for spent_at in self._times[:left]:
-            since_s = max(0.0, spent_at - self._level_at)
-            refilled = self._level + team.rate_per_s * since_s
-            self._level = min(refilled, capacity) - 1.0
-            self._level_at = max(self._level_at, spent_at)
         del self._times[:left]
         if now - self._pruned_at >= self._bounds.window_s:
             self._pruned_at = now
@@ -425,6 +418,13 @@
         self._prune(now)
         return bool(self._unreported)
 
+    def is_idle(self, now: float) -> bool:
+        """Return whether there is nothing to remember."""
+        self._prune(now)
+        return now >= self.ask_first_until and not (
+            self._admitted or self._given_back
+        )
+
     def expect_owner(self) -> None:
         """Prepare to report all requests of the window to a new owner."""
         self._owner = None
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -38,6 +38,8 @@
 SKIP_S = 3.0
 # Interval at which notices are renewed and unused state is dropped.
 CHECK_INTERVAL_S = 0.5
+# Number of hosts that are asked before a host takes itself to be cut off.
+MAX_WITNESSES = 2
 # Maximum number of concurrent notices.
 MAX_CONCURRENT_NOTICES = 32
 
@@ -100,6 +102,7 @@
         self._has_unreported = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
+        self._needs_reach_check = asyncio.Event()
         self.owned = quota_owner.OwnedTeams(
             self._process,
             bounds,
@@ -109,6 +112,7 @@
             clock,
             events,
             self._announce,
+            self._needs_reach_check.set,
         )
         hosts.add_listener(self._has_unreported.set)
         tables.add_listener(self._on_table_change)
@@ -212,6 +216,19 @@
                 )
             )
 
+    async def check_reach(self) -> None:
+        """Find out whether this host is cut off, when it matters."""
+        while True:
+            await self._needs_reach_check.wait()
+            others = self._rank_witnesses()
+            for each in others[:MAX_WITNESSES]:
+                report = self._make_report([])
+                if await self._call_owner(each, report, ASK_TIMEOUT_S):
+                    break
+            else:
+                self.owned.is_cut_off = bool(others)
+            self._needs_reach_check.clear()
+
     async def check(self) -> None:
         """Renew notices and drop unused state until cancelled."""
         while True:
@@ -219,10 +236,11 @@
             self.owned.check()
             self._close_unused()
             now = self._clock.now()
-            if any(
-                each.has_unreported(now) for each in self._spending.values()
-            ):
-                self._has_unreported.set()
+            for team, spending in list(self._spending.items()):
+                if spending.has_unreported(now):
+                    self._has_unreported.set()
+                elif spending.is_idle(now):
+                    self._forget(team)
 
     def close(self) -> None:
         """Close all connections to other hosts."""
@@ -236,6 +254,32 @@
             self._spending[team] = spending
         return spending
 
+    def _rank_witnesses(self) -> list[fleet.HostEntry]:
+        """Return hosts of other zones, or of the own one if it is alone."""
+        own = self._hosts.own
+        return self._hosts.list_hosts_of_other_zones() or [
+            each for each in self._hosts.list_hosts() if each.host != own.host
+        ]
+
+    def _confirm_reach(self, host: fleet.HostEntry) -> None:
+        """Record that a host has answered."""
+        if (
+            host.zone != self._hosts.own.zone
+            or len(self._hosts.count_by_zone()) == 1
+        ):
+            self.owned.is_cut_off = False
+            self.owned.confirmed_at = self._clock.now()
+
+    def _make_report(
+        self, found: list[quota_messages.TeamReport]
+    ) -> quota_messages.Report:
+        return quota_messages.Report(
+            self._process,
+            self._hosts.own.host,
+            quota_messages.to_ms(self._clock.now()),
+            found,
+        )
+
     def _announce(self, team: core.TeamId) -> None:
         self._apply_ask_first(team, quota_messages.to_ms(quota.ASK_FIRST_S))
         self._unannounced.add(team)
@@ -306,7 +350,10 @@
                     reply.retry_after_ms / 1000, reply.count, reply.limit
                 )
                 return Refusal(denied, owner.host, now - asked_at)
-        spending.record_granted(number, now, answer.process)
+        # The team may have left and returned while the owner was asked.
+        self._get_spending(team.team).record_granted(
+            number, now, answer.process
+        )
         return Permit(team.team, number)
 
     async def _report_once(self) -> None:
@@ -340,12 +387,7 @@
         timeout_s: float,
     ) -> quota_messages.Answer | None:
         """Send a report to an owner, and apply its answer; None if none."""
-        report = quota_messages.Report(
-            self._process,
-            self._hosts.own.host,
-            quota_messages.to_ms(self._clock.now()),
-            found,
-        )
+        report = self._make_report(found)
         if owner.host == self._hosts.own.host:
             answer = self.owned.handle(report)
         else:
@@ -382,6 +424,7 @@
         )
         match reply:
             case result.Ok(found) if found.status == 200:
+                self._confirm_reach(owner)
                 try:
                     return quota_messages.decode_answer(found.body)
                 except msgspec.DecodeError as error:
@@ -447,9 +490,12 @@
         if table.teams is not None:
             listed = {each.team for each in table.teams.list_teams()}
         for team in {*self._spending, *self.counts} - listed:
-            self._spending.pop(team, None)
+            self._forget(team)
             self.counts.pop(team, None)
-            self._last_owner.pop(team, None)
+
+    def _forget(self, team: core.TeamId) -> None:
+        self._spending.pop(team, None)
+        self._last_owner.pop(team, None)
 
 
 def _make_team_report(
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import math
 
 from rudderrock import core
 from rudderrock.gateway import _events as event_kinds
@@ -20,6 +21,10 @@
 MAX_NEAR_OWNERS = 1
 # Maximum number of teams whose ranked hosts are kept.
 MAX_RANKED_TEAMS = 1024
+# An owner that no other zone has answered for this long checks whether it is
+# cut off, once a team has had a considerable part of what it may admit then.
+CONFIRMED_S = 1.5
+CHECKED_FRACTION = 0.5
 # Maximum number of processes whose clocks are remembered.
 MAX_CLOCKS = 4096
 
@@ -78,7 +83,8 @@
     """Ledgers of the teams that this host owns, or stands in for.
 
     Parameters: `announce` is called with a team for which all hosts have to
-    ask first from now on.
+    ask first from now on, and `check_reach` if this host should find out
+    whether it reaches other zones; `is_cut_off` is set to the result.
     """
 
     def __init__(
@@ -91,8 +97,11 @@
         clock: core.Clock,
         events: log.EventLog,
         announce: Callable[[core.TeamId], None],
+        check_reach: Callable[[], None],
     ):
         self.process = process
+        self.is_cut_off = False
+        self.confirmed_at = -math.inf
         self._bounds = bounds
         self._hosts = hosts
         self._ranking = ranking
@@ -100,6 +109,7 @@
         self._clock = clock
         self._events = events
         self._announce = announce
+        self._check_reach = check_reach
         self._started_at = clock.now()
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
@@ -122,9 +132,7 @@
         now = self._clock.now()
         for name, ledger in list(self._ledgers.items()):
             team = self._find_limited_team(name)
-            if team is None or (
-                ledger.count(team, now) == 0 and ledger.is_empty
-            ):
+            if team is None or (ledger.count(now) == 0 and ledger.is_empty):
                 self._end_limit(name, ledger, now)
                 del self._ledgers[name]
                 continue
@@ -147,7 +155,7 @@
                 found.append(
                     TeamUse(
                         name,
-                        ledger.count(team, now),
+                        ledger.count(now),
                         self._bounds.get_limit(team),
                         ledger.estimate_unreported(now),
                     )
@@ -183,11 +191,12 @@
         team = self._find_limited_team(found.team)
         if team is None:
             return quota_messages.TeamAnswer(found.team)
-        standing = self._get_standing(team, report.host, now)
         ledger = self._ledgers.get(found.team)
         if ledger is None:
-            ledger = quota.TeamLedger(self._bounds, now)
+            ledger = quota.TeamLedger(self._bounds)
             self._ledgers[found.team] = ledger
+        self._check_reach_if_needed(team, ledger, now)
+        standing = self._get_standing(team, report.host, now)
         for number, age_ms in found.admitted:
             at = sent_at - age_ms / 1000
             ledger.record(report.process, number, at, now)
@@ -213,6 +222,14 @@
                 )
         return quota_messages.TeamAnswer(found.team, ask_first_ms)
 
+    def _check_reach_if_needed(
+        self, team: teams.Team, ledger: quota.TeamLedger, now: float
+    ) -> None:
+        checked = self._bounds.get_unknown_limit(team) * CHECKED_FRACTION
+        is_old = now - self.confirmed_at > CONFIRMED_S
+        if is_old and ledger.count(now) >= checked:
+            self._check_reach()
+
     def _notify_if_needed(
         self,
         team: teams.Team,
@@ -246,14 +263,12 @@
         standing: quota.Standing | None,
     ) -> None:
         team = self._find_limited_team(name)
-        if team is None:
-            team = teams.Team(team=name)
         self._events.record(
             event_kinds.LogKind.QUOTA_CHANGED,
             team=name,
             standing='free' if standing is None else 'ask_first',
-            count=ledger.count(team, now),
-            limit=self._bounds.get_limit(team),
+            count=ledger.count(now),
+            limit=0.0 if team is None else self._bounds.get_limit(team),
             coverage=1.0 if standing is None else round(standing.coverage, 2),
         )
 
@@ -275,7 +290,10 @@
         """
         owner = self._ranking.find_owner(team.team)
         if owner.host == self._hosts.own.host:
-            return quota.Standing(started_at=self._started_at)
+            return quota.Standing(
+                started_at=self._started_at,
+                coverage=0.0 if self.is_cut_off else 1.0,
+            )
         zones = {each.host: each.zone for each in self._hosts.list_hosts()}
         sender_zone = zones.get(sender)
         if sender_zone is not None:
