Report a request again that is given back while its report is under way

The report's answer cleared the mark of the request, so the owner never heard that it had not run. Calls to other hosts and what a host has admitted have modules of their own. Invalid settings of quotas are rejected by name.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -232,7 +232,7 @@
     When the operator writes "op/other" while the source watches
     Then the watch returns no table and a position after the write
 
-  Scenario Outline: invalid limits of cold upstreams are rejected: <field> <value>
+  Scenario Outline: invalid limits of cold upstreams and quotas are rejected: <field> <value>
     Given a settings file with the field "<field>" as "<value>"
     When the settings file is read
     Then the problem names "<field> must"
@@ -243,6 +243,9 @@
       | bounds.warmup_overage  | nan   |
       | bounds.warmup_slack    | -1    |
       | bounds.warmup_slack    | inf   |
+      | bounds.quota_window_s  | 0     |
+      | bounds.quota_overage   | -0.1  |
+      | bounds.quota_slack     | nan   |
 
   Scenario: a registration lasts while its lease is renewed
     Given a platform store
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -223,6 +223,13 @@
     When the process "p3" reports the requests 7 that are 6 seconds old
     Then 3 requests are counted
 
+  Scenario: a request that is given back while its report is under way is reported again
+    Given a host that has admitted the requests 1, 2
+    When it reports them, and gives back the request 2 before the owner "p1" has confirmed
+    Then it has to report none as admitted, and 2 as given back
+    When the owner "p2" answers
+    Then it has to report 1 as admitted, and 2 as given back
+
   Scenario: requests refused together are told to return one after another
     Given a ledger of a team with the quota 2 and 4
     When 20 requests are asked for, 0.05 seconds apart
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -431,7 +431,9 @@
 def check_no_messages(context):
     for member in context.fleet.members.values():
         quotas = member.process.quotas
-        assert not quotas.reports_sent and not quotas.notices_sent
+        assert (
+            not quotas.client.reports_sent and not quotas.client.notices_sent
+        )
 
 
 @then(r'no gateway keeps anything about "([^"]+)"')
@@ -465,7 +467,41 @@
 
 
 def _read_numbers(text):
-    return [int(each) for each in text.split(',')]
+    return [int(each) for each in text.split(',') if each != 'none']
+
+
+@given(r'a host that has admitted the requests ([\d, ]+)')
+def make_spending(context, numbers):
+    bounds = gateway.QuotaBounds(
+        window_s=_WINDOW_S, overage=_OVERAGE, slack=_SLACK
+    )
+    context.spending = gateway.TeamSpending(bounds)
+    for number in _read_numbers(numbers):
+        context.spending.record(number, 100.0)
+
+
+@when(
+    r'it reports them, and gives back the request (\d+) before the owner '
+    r'"([^"]+)" has confirmed'
+)
+def give_back_under_way(context, number, owner):
+    reported, _ = context.spending.list_unreported(100.0)
+    context.spending.give_back(int(number), 100.0)
+    context.spending.confirm(owner, [each for each, _ in reported], [])
+
+
+@when(r'the owner "([^"]+)" answers')
+def answer_as_new_owner(context, owner):
+    context.spending.confirm(owner, [], [])
+
+
+@then(
+    r'it has to report (none|[\d, ]+) as admitted, and ([\d, ]+) as given back'
+)
+def check_unreported(context, admitted, given_back):
+    spent, returned = context.spending.list_unreported(100.0)
+    assert [each for each, _ in spent] == _read_numbers(admitted), spent
+    assert returned == _read_numbers(given_back), returned
 
 
 @when(
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -22,7 +22,7 @@
 from rudderrock.gateway.decisions._quota import QuotaBounds
 from rudderrock.gateway.decisions._quota import Standing
 from rudderrock.gateway.decisions._quota import TeamLedger
-from rudderrock.gateway.decisions._quota import TeamSpending
+from rudderrock.gateway.decisions._quota_spending import TeamSpending
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._shares import compute_connection_share
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -107,7 +107,7 @@
             stack.callback(self.gateway.selector.close)
             stack.callback(self.gateway.delegation.close)
             stack.push_async_callback(self.gateway.checker.close)
-            stack.callback(self.quotas.close)
+            stack.callback(self.quotas.client.close)
             for each_listener, address in (
                 (self._caller_listener, config.callers),
                 (self._readiness_listener, config.readiness),
@@ -235,8 +235,8 @@
                 self._dependencies.quarantine.count_quarantined()
             ),
             'quota_questions_total': self.quotas.asked,
-            'quota_reports_total': self.quotas.reports_sent,
-            'quota_notices_total': self.quotas.notices_sent,
+            'quota_reports_total': self.quotas.client.reports_sent,
+            'quota_notices_total': self.quotas.client.notices_sent,
             'quota_unreported_age_seconds': self.quotas.unreported_age_s,
             'quota_largest_excess': self.quotas.owned.largest_excess,
             'reach_checks_total': self.gateway.checker.checks,
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -12,19 +12,18 @@
 import itertools
 from typing import NamedTuple
 
-from absl import logging
 import msgspec
-import result
 
 from rudderrock import core
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _quota as quota
+from rudderrock.gateway.decisions import _quota_spending as quota_spending
 from rudderrock.gateway.discovery import _fleet as fleet
+from rudderrock.gateway.discovery import _quota_client as quota_client
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.discovery import _quota_owner as quota_owner
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
-from rudderrock.gateway.http import _http_client as http_client
 from rudderrock.gateway.http import _messages as messages
 
 # Time for which reports are collected before they are sent, in seconds.
@@ -34,14 +33,10 @@
 ASK_TIMEOUT_S = 0.15
 # Timeout of reports and notices, in seconds, for which nobody waits.
 REPORT_TIMEOUT_S = 0.5
-# How long a host that did not answer is skipped, in seconds.
-SKIP_S = 3.0
 # Interval at which notices are renewed and unused state is dropped.
 CHECK_INTERVAL_S = 0.5
 # Number of hosts that are asked before a host takes itself to be cut off.
 MAX_WITNESSES = 2
-# Maximum number of concurrent notices.
-MAX_CONCURRENT_NOTICES = 32
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,19 +81,18 @@
         # Counts since the start, for the teams of the table in force.
         self.counts: dict[core.TeamId, TeamCounts] = {}
         self.asked = 0
-        self.reports_sent = 0
-        self.notices_sent = 0
         self._process = quota.ProcessId(process)
         self._bounds = bounds
         self._hosts = hosts
         self._clock = clock
         self._numbers = itertools.count(1)
-        self._spending: dict[core.TeamId, quota.TeamSpending] = {}
+        self._spending: dict[core.TeamId, quota_spending.TeamSpending] = {}
         self._ranking = quota_owner.OwnerRanking(hosts)
-        self._skipped_until: dict[core.HostId, float] = {}
         self._last_owner: dict[core.TeamId, core.HostId] = {}
         self._heard_at = clock.now()
-        self._clients: dict[str, http_client.HttpClient] = {}
+        self.client = quota_client.QuotaClient(
+            hosts, clock, self._confirm_reach
+        )
         self._has_unreported = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
@@ -194,27 +188,15 @@
 
     async def announce(self) -> None:
         """Tell all hosts which teams have to ask first, until cancelled."""
-        slots = asyncio.Semaphore(MAX_CONCURRENT_NOTICES)
         while True:
             await self._has_unannounced.wait()
             self._has_unannounced.clear()
-            body = quota_messages.encode(
-                quota_messages.Notice(
-                    [
-                        (team, quota_messages.to_ms(quota.ASK_FIRST_S))
-                        for team in sorted(self._unannounced)
-                    ]
-                )
+            ask_first_ms = quota_messages.to_ms(quota.ASK_FIRST_S)
+            notice = quota_messages.Notice(
+                [(team, ask_first_ms) for team in sorted(self._unannounced)]
             )
             self._unannounced.clear()
-            own = self._hosts.own.host
-            await asyncio.gather(
-                *(
-                    self._send_notice(each.address, body, slots)
-                    for each in self._hosts.list_hosts()
-                    if each.host != own
-                )
-            )
+            await self.client.send_notice(notice)
 
     async def check_reach(self) -> None:
         """Find out whether this host is cut off, when it matters."""
@@ -223,7 +205,7 @@
             others = self._rank_witnesses()
             for each in others[:MAX_WITNESSES]:
                 report = self._make_report([])
-                if await self._call_owner(each, report, ASK_TIMEOUT_S):
+                if await self.client.call(each, report, ASK_TIMEOUT_S):
                     break
             else:
                 self.owned.is_cut_off = bool(others)
@@ -234,7 +216,7 @@
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.owned.check()
-            self._close_unused()
+            self.client.close_unused()
             now = self._clock.now()
             for team, spending in list(self._spending.items()):
                 if spending.has_unreported(now):
@@ -242,15 +224,10 @@
                 elif spending.is_idle(now):
                     self._forget(team)
 
-    def close(self) -> None:
-        """Close all connections to other hosts."""
-        for each in self._clients.values():
-            each.close()
-
-    def _get_spending(self, team: core.TeamId) -> quota.TeamSpending:
+    def _get_spending(self, team: core.TeamId) -> quota_spending.TeamSpending:
         spending = self._spending.get(team)
         if spending is None:
-            spending = quota.TeamSpending(self._bounds)
+            spending = quota_spending.TeamSpending(self._bounds)
             self._spending[team] = spending
         return spending
 
@@ -292,7 +269,10 @@
         )
 
     def _admit_isolated(
-        self, team: teams.Team, spending: quota.TeamSpending, number: int
+        self,
+        team: teams.Team,
+        spending: quota_spending.TeamSpending,
+        number: int,
     ) -> Permit | Refusal:
         """Decide about a request while no owner answers."""
         now = self._clock.now()
@@ -308,7 +288,10 @@
         return Refusal(denied, self._hosts.own.host, now - self._heard_at)
 
     async def _ask(
-        self, team: teams.Team, spending: quota.TeamSpending, number: int
+        self,
+        team: teams.Team,
+        spending: quota_spending.TeamSpending,
+        number: int,
     ) -> Permit | Refusal:
         """Ask the owner of a team, or those that stand in for it."""
         self.asked += 1
@@ -333,7 +316,7 @@
         self,
         owner: fleet.HostEntry,
         team: teams.Team,
-        spending: quota.TeamSpending,
+        spending: quota_spending.TeamSpending,
         number: int,
     ) -> Permit | Refusal | None:
         """Return the decision of one host, or None if it doesn't answer."""
@@ -391,16 +374,16 @@
         if owner.host == self._hosts.own.host:
             answer = self.owned.handle(report)
         else:
-            answer = await self._call_owner(owner, report, timeout_s)
+            answer = await self.client.call(owner, report, timeout_s)
         if answer is None:
-            self._skip(owner)
             return None
         self._heard_at = self._clock.now()
         for each in found:
             spending = self._get_spending(each.team)
             spending.confirm(
                 answer.process,
-                [*(number for number, _ in each.admitted), *each.given_back],
+                [number for number, _ in each.admitted],
+                each.given_back,
             )
             if spending.has_unreported(self._heard_at):
                 self._has_unreported.set()
@@ -409,81 +392,16 @@
                 self._apply_ask_first(each.team, each.ask_first_ms)
         return answer
 
-    async def _call_owner(
-        self,
-        owner: fleet.HostEntry,
-        report: quota_messages.Report,
-        timeout_s: float,
-    ) -> quota_messages.Answer | None:
-        self.reports_sent += 1
-        reply = await self._get_client(owner.address).call(
-            b'POST',
-            quota_messages.REPORT_PATH,
-            quota_messages.encode(report),
-            timeout_s,
-        )
-        match reply:
-            case result.Ok(found) if found.status == 200:
-                self._confirm_reach(owner)
-                try:
-                    return quota_messages.decode_answer(found.body)
-                except msgspec.DecodeError as error:
-                    logging.warning(
-                        'Invalid answer from %s: %s', owner.host, error
-                    )
-        return None
-
-    async def _send_notice(
-        self, address: str, body: bytes, slots: asyncio.Semaphore
-    ) -> None:
-        async with slots:
-            self.notices_sent += 1
-            client = http_client.HttpClient(core.split_address(address), 1)
-            try:
-                await client.call(
-                    b'POST',
-                    quota_messages.NOTICE_PATH,
-                    body,
-                    REPORT_TIMEOUT_S,
-                )
-            finally:
-                client.close()
-
     def _pick_owner(self, team: core.TeamId) -> fleet.HostEntry | None:
         """Return the first host in rank that answers, or None."""
-        now = self._clock.now()
         for each in self._ranking.list_candidates(team):
-            if self._skipped_until.get(each.host, 0.0) <= now:
+            if not self.client.is_skipped(each.host):
                 if self._last_owner.get(team) != each.host:
                     self._last_owner[team] = each.host
                     self._get_spending(team).expect_owner()
                 return each
         return None
 
-    def _skip(self, owner: fleet.HostEntry) -> None:
-        self._skipped_until[owner.host] = self._clock.now() + SKIP_S
-
-    def _get_client(self, address: str) -> http_client.HttpClient:
-        client = self._clients.get(address)
-        if client is None:
-            client = http_client.HttpClient(core.split_address(address))
-            self._clients[address] = client
-        return client
-
-    def _close_unused(self) -> None:
-        """Close connections to hosts that are no longer registered."""
-        known = {each.address for each in self._hosts.list_hosts()}
-        for address, client in list(self._clients.items()):
-            if address not in known and not client.is_busy:
-                client.close()
-                del self._clients[address]
-        now = self._clock.now()
-        self._skipped_until = {
-            host: until
-            for host, until in self._skipped_until.items()
-            if until > now
-        }
-
     def _on_table_change(self, table) -> None:
         """Drop the state of teams that have left the table."""
         listed = set()
