--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -103,6 +103,8 @@
 
     def close_unused(self) -> None:
         """Close connections to hosts that are no longer registered."""
+        if not self._clients:
+            return
         known = {each.address for each in self._hosts.list_hosts()}
         for address, client in list(self._clients.items()):
             if address not in known and not client.is_busy:
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -22,6 +22,7 @@
 from rudderrock.gateway.discovery import _quota_client as quota_client
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.discovery import _quota_owner as quota_owner
+from rudderrock.gateway.discovery import _quota_reach as quota_reach
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.http import _messages as messages
@@ -35,8 +36,6 @@
 REPORT_TIMEOUT_S = 0.5
 # Interval at which notices are renewed and unused state is dropped.
 CHECK_INTERVAL_S = 0.5
-# Number of hosts that are asked before a host takes itself to be cut off.
-MAX_WITNESSES = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,13 +89,13 @@
         self._ranking = quota_owner.OwnerRanking(hosts)
         self._last_owner: dict[core.TeamId, core.HostId] = {}
         self._heard_at = clock.now()
+        self._reach = quota_reach.Reach(hosts, clock)
         self.client = quota_client.QuotaClient(
-            hosts, clock, self._confirm_reach
+            hosts, clock, self._reach.record_answer
         )
         self._has_unreported = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
-        self._needs_reach_check = asyncio.Event()
         self.owned = quota_owner.OwnedTeams(
             self._process,
             bounds,
@@ -106,7 +105,7 @@
             clock,
             events,
             self._announce,
-            self._needs_reach_check.set,
+            self._reach,
         )
         hosts.add_listener(self._has_unreported.set)
         tables.add_listener(self._on_table_change)
@@ -200,16 +199,7 @@
 
     async def check_reach(self) -> None:
         """Find out whether this host is cut off, when it matters."""
-        while True:
-            await self._needs_reach_check.wait()
-            others = self._rank_witnesses()
-            for each in others[:MAX_WITNESSES]:
-                report = self._make_report([])
-                if await self.client.call(each, report, ASK_TIMEOUT_S):
-                    break
-            else:
-                self.owned.is_cut_off = bool(others)
-            self._needs_reach_check.clear()
+        await self._reach.run(self.client, lambda: self._make_report([]))
 
     async def check(self) -> None:
         """Renew notices and drop unused state until cancelled."""
@@ -231,22 +221,6 @@
             self._spending[team] = spending
         return spending
 
-    def _rank_witnesses(self) -> list[fleet.HostEntry]:
-        """Return hosts of other zones, or of the own one if it is alone."""
-        own = self._hosts.own
-        return self._hosts.list_hosts_of_other_zones() or [
-            each for each in self._hosts.list_hosts() if each.host != own.host
-        ]
-
-    def _confirm_reach(self, host: fleet.HostEntry) -> None:
-        """Record that a host has answered."""
-        if (
-            host.zone != self._hosts.own.zone
-            or len(self._hosts.count_by_zone()) == 1
-        ):
-            self.owned.is_cut_off = False
-            self.owned.confirmed_at = self._clock.now()
-
     def _make_report(
         self, found: list[quota_messages.TeamReport]
     ) -> quota_messages.Report:
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import math
 
 from rudderrock import core
 from rudderrock.gateway import _events as event_kinds
@@ -10,6 +9,7 @@
 from rudderrock.gateway.decisions import _quota as quota
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
+from rudderrock.gateway.discovery import _quota_reach as quota_reach
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 
@@ -21,9 +21,8 @@
 MAX_NEAR_OWNERS = 1
 # Maximum number of teams whose ranked hosts are kept.
 MAX_RANKED_TEAMS = 1024
-# An owner that no other zone has answered for this long checks whether it is
-# cut off, once a team has had a considerable part of what it may admit then.
-CONFIRMED_S = 1.5
+# An owner checks whether it is cut off, once a team has had this fraction of
+# what the owner would admit then.
 CHECKED_FRACTION = 0.5
 # Maximum number of processes whose clocks are remembered.
 MAX_CLOCKS = 4096
@@ -83,8 +82,7 @@
     """Ledgers of the teams that this host owns, or stands in for.
 
     Parameters: `announce` is called with a team for which all hosts have to
-    ask first from now on, and `check_reach` if this host should find out
-    whether it reaches other zones; `is_cut_off` is set to the result.
+    ask first from now on.
     """
 
     def __init__(
@@ -97,11 +95,9 @@
         clock: core.Clock,
         events: log.EventLog,
         announce: Callable[[core.TeamId], None],
-        check_reach: Callable[[], None],
+        reach: quota_reach.Reach,
     ):
         self.process = process
-        self.is_cut_off = False
-        self.confirmed_at = -math.inf
         self._bounds = bounds
         self._hosts = hosts
         self._ranking = ranking
@@ -109,7 +105,7 @@
         self._clock = clock
         self._events = events
         self._announce = announce
-        self._check_reach = check_reach
+        self._reach = reach
         self._started_at = clock.now()
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
@@ -226,9 +222,8 @@
         self, team: teams.Team, ledger: quota.TeamLedger, now: float
     ) -> None:
         checked = self._bounds.get_unknown_limit(team) * CHECKED_FRACTION
-        is_old = now - self.confirmed_at > CONFIRMED_S
-        if is_old and ledger.count(now) >= checked:
-            self._check_reach()
+        if ledger.count(now) >= checked:
+            self._reach.check_if_old()
 
     def _notify_if_needed(
         self,
@@ -292,7 +287,7 @@
         if owner.host == self._hosts.own.host:
             return quota.Standing(
                 started_at=self._started_at,
-                coverage=0.0 if self.is_cut_off else 1.0,
+                coverage=0.0 if self._reach.is_cut_off else 1.0,
             )
         zones = {each.host: each.zone for each in self._hosts.list_hosts()}
         sender_zone = zones.get(sender)
