--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -223,6 +223,16 @@
     When the process "p3" reports the requests 7 that are 6 seconds old
     Then 3 requests are counted
 
+  Scenario: a report that was held up on its way is dated back
+    Given 1 gateways with the teams
+      | team | rate | burst |
+      | any  | 1    | 3     |
+    When another process sends the report of request 1
+    And another process sends the report of request 2, which is held up for 3 seconds
+    Then the owner of "any" counts 2 requests
+    When 2.2 seconds pass
+    Then the owner of "any" counts 0 requests
+
   Scenario: a request that is given back while its report is under way is reported again
     Given a host that has admitted the requests 1, 2
     When it reports them, and gives back the request 2 before the owner "p1" has confirmed
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -452,6 +452,20 @@
     assert uses.get(team, 0) == int(count), uses
 
 
+@when(
+    r'another process sends the report of request (\d+)'
+    r'(?:, which is held up for (\d+) seconds)?'
+)
+def send_report(context, number, delay_s):
+    (member,) = context.fleet.members.values()
+    sent_ms = round(context.loop.time() * 1000)
+    teams = [['any', [[int(number), 0]], [], None]]
+    body = json.dumps(['p1', 'g9', sent_ms, teams]).encode()
+    request = gateway.Request(b'POST', b'/v1/quota/report', [], body, 0.0)
+    run(context, asyncio.sleep(float(delay_s or 0)))
+    assert member.process.quotas.handle_report(request).status == 200
+
+
 @given(r'a ledger of a team with the quota (\d+) and (\d+)')
 def make_ledger(context, rate, burst):
     context.team = gateway.Team(
