--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -18,6 +18,12 @@
 from rudderrock.gateway.decisions._cold import ColdLimits
 from rudderrock.gateway.decisions._host_load import LoadEstimator
 from rudderrock.gateway.decisions._host_load import QueryClass
+from rudderrock.gateway.decisions._quota import Denied
+from rudderrock.gateway.decisions._quota import Granted
+from rudderrock.gateway.decisions._quota import QuotaBounds
+from rudderrock.gateway.decisions._quota import Standing
+from rudderrock.gateway.decisions._quota import TeamLedger
+from rudderrock.gateway.decisions._quota_spending import TeamSpending
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._shares import compute_connection_share
@@ -35,6 +41,7 @@
 from rudderrock.gateway.discovery._evacuations import Evacuations
 from rudderrock.gateway.discovery._fleet import Fleet
 from rudderrock.gateway.discovery._fleet import HostEntry
+from rudderrock.gateway.discovery._fleet import rank_pair
 from rudderrock.gateway.discovery._initial_sync import InitialSync
 from rudderrock.gateway.discovery._peers import ChangeFeed
 from rudderrock.gateway.discovery._peers import Changes
@@ -48,6 +55,7 @@
 from rudderrock.gateway.discovery._quarantine import Quarantine
 from rudderrock.gateway.discovery._quarantine import QuarantineState
 from rudderrock.gateway.discovery._quarantine import Record as QuarantineRecord
+from rudderrock.gateway.discovery._quota_exchange import QuotaExchange
 from rudderrock.gateway.discovery._registration import Registration
 from rudderrock.gateway.discovery._routing import IntakeLimits
 from rudderrock.gateway.discovery._routing import NO_VERSION
@@ -116,6 +124,7 @@
     'ConnectionLost',
     'ConnectionShare',
     'Counters',
+    'Denied',
     'Directory',
     'DirectoryChange',
     'Endpoint',
@@ -130,6 +139,7 @@
     'GatewayMetrics',
     'GatewayProcess',
     'GatewaySettings',
+    'Granted',
     'HeaderNames',
     'Headers',
     'HistoryCompacted',
@@ -159,6 +169,8 @@
     'QuarantineBroadcaster',
     'QuarantineRecord',
     'QuarantineState',
+    'QuotaBounds',
+    'QuotaExchange',
     'QueryClass',
     'ReadingStamp',
     'RegionId',
@@ -183,13 +195,16 @@
     'SourcePort',
     'SourceRestored',
     'Split',
+    'Standing',
     'Synchronizer',
     'TableHolder',
     'TableReading',
     'TableVersion',
     'Target',
     'Team',
+    'TeamLedger',
     'TeamRegistry',
+    'TeamSpending',
     'Topology',
     'Unavailable',
     'UpstreamReading',
@@ -202,6 +217,7 @@
     'digest_request',
     'format_event_page',
     'merge_records',
+    'rank_pair',
     'read_changes',
     'read_records',
     'remove_hop_by_hop_headers',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -10,10 +10,12 @@
 
 from rudderrock import core
 from rudderrock.gateway import _events as events
+from rudderrock.gateway import _quota_metrics as quota_metrics
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway.discovery import _broadcast as broadcast
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _peers as peers
+from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.discovery import _registration as registration_module
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _sources as sources
@@ -77,6 +79,7 @@
         )
         self._changes = change_feed
         self._broadcaster = broadcaster
+        self.quotas = dependencies.quotas
         self._was_ready = False
         self._stop_started_at = 0.0
         dependencies.tables.add_listener(self._apply_table)
@@ -104,6 +107,7 @@
             stack.callback(self.gateway.selector.close)
             stack.callback(self.gateway.delegation.close)
             stack.push_async_callback(self.gateway.checker.close)
+            stack.callback(self.quotas.client.close)
             for each_listener, address in (
                 (self._caller_listener, config.callers),
                 (self._readiness_listener, config.readiness),
@@ -115,6 +119,10 @@
                 self._synchronizer.run,
                 self._broadcaster.run,
                 self._broadcaster.pull,
+                self.quotas.report,
+                self.quotas.announce,
+                self.quotas.check,
+                self.quotas.check_reach,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
             ):
@@ -176,6 +184,10 @@
             return await self.gateway.handle_delegated(request)
         if request.target == broadcast.PATH:
             return self._broadcaster.handle(request)
+        if request.target == quota_messages.REPORT_PATH:
+            return self.quotas.handle_report(request)
+        if request.target == quota_messages.NOTICE_PATH:
+            return self.quotas.handle_notice(request)
         return await self._changes.answer(request)
 
     async def _answer_probe(self, request: messages.Request) -> messages.Reply:
@@ -190,6 +202,7 @@
         self, request: messages.Request
     ) -> messages.Reply:
         lines = self._dependencies.metrics.format_lines(self._list_gauges())
+        lines += quota_metrics.format_lines(self.quotas)
         kind = (b'content-type', b'text/plain; version=0.0.4')
         return messages.Reply(200, [kind], '\n'.join(lines).encode() + b'\n')
 
@@ -221,6 +234,11 @@
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
+            'quota_questions_total': self.quotas.asked,
+            'quota_reports_total': self.quotas.client.reports_sent,
+            'quota_notices_total': self.quotas.client.notices_sent,
+            'quota_unreported_age_seconds': self.quotas.unreported_age_s,
+            'quota_largest_excess': self.quotas.owned.largest_excess,
             'reach_checks_total': self.gateway.checker.checks,
             'connections_opened_total': (
                 self.gateway.selector.connections_opened
