Never send a request twice on one connection

Cause: replies are matched by the request id, which is the caller's and the same for all attempts of a request. After a rejection, the retry at the same upstream could take the same connection. A late second copy of the rejection was then taken for the reply to the retry, and a request that ran was answered 503, which promises that it has not run.

Change: a call remembers the connections that have carried its request, and a retry takes another idle connection or a new one. If the limit on connections is reached and the idle ones may not carry it, one of them is closed first.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -216,6 +216,24 @@
       | shedding    |
       | misdirected |
 
+  # The only upstream gets the second attempt too. It sends the late copy of
+  # the rejection when the second attempt is due, and with the same request id.
+  Scenario Outline: a late copy of a rejection is not taken for the reply to a retry: <count> connections
+    Given an upstream "u1" of "notes"
+    And an upstream of "notes" accepts <count> connections
+    And the route "/notes/" to "notes" that runs once
+    And "u1" rejects every first attempt twice, the second time late
+    And a gateway with a slack of 40 extra requests
+    When 40 requests for "/notes/1" are sent at 25 a second
+    Then every reply is 200 and has the stamp of its own request
+    And each request ran 1 time
+    And "u1" never had more than <count> connections
+
+    Examples:
+      | count |
+      | 100   |
+      | 1     |
+
   Scenario: a request that all upstreams shed is refused quickly and has not run
     Given an upstream "u1" of "notes"
     And an upstream "u2" of "notes" in "south-1"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -311,6 +311,11 @@
     set_conduct(context, upstream, 'doubling')
 
 
+@given(r'"([^"]+)" rejects every first attempt twice, the second time late')
+def set_repeated_rejections(context, upstream):
+    set_conduct(context, upstream, 'rejecting twice')
+
+
 @given(r'every upstream of shard (\d+) is (\w+)')
 def set_shard_conduct(context, number, conduct):
     for name, model in get(context).upstreams.items():
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -52,6 +52,19 @@
     assert names == [f'load-{n}' for n in range(len(names))], names
 
 
+@then(r'each request ran 1 time')
+def check_each_ran_once(context):
+    count = len(context.replies)
+    runs = [len(get(context).list_runs(f'load-{n}')) for n in range(count)]
+    assert runs == [1] * count, runs
+
+
+@then(r'"([^"]+)" never had more than (\d+) connections?')
+def check_upstream_connections(context, upstream, limit):
+    peak = get(context).upstreams[upstream].peak_connections
+    assert 0 < peak <= int(limit), peak
+
+
 @then(r'it gets (\d+) replies in the order of the requests')
 def check_order(context, count):
     names = [
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -102,6 +102,7 @@
         self._attempts: list[Attempt] = []
         self._delegated_replica: replicas.Replica | None = None
         self._tried: tuple[core.UpstreamId, ...] = ()
+        self._used_links: set[link.Link] = set()
         self._unsent_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._budget = context.get_budget(service)
@@ -332,6 +333,7 @@
             lambda done, outcome: self._on_outcome(attempt, outcome),
             is_head_request=call.request.method == b'HEAD',
             needs_recent_connection=not self._is_idempotent,
+            used_links=self._used_links,
         )
         attempt = Attempt(replica, exchange, context.loop.time())
         self._attempts.append(attempt)
--- a/rudderrock/gateway/http/_link.py
+++ b/rudderrock/gateway/http/_link.py
@@ -4,6 +4,10 @@
 that exchange or no request id. A reply with another request id is read to its
 end and discarded. A connection that has received unsolicited data is not used
 again.
+
+A retry has the request id of the attempt before it, and an upstream may send a
+second copy of a reply late. So no connection carries a request twice: on any
+connection, a request id identifies one exchange.
 """
 
 import asyncio
@@ -43,7 +47,9 @@
     that the other side has read the request (RFC 9110, 15.2). If
     `is_head_request` is true, the reply has no body. If
     `needs_recent_connection` is true, the request must not be sent on a
-    connection that has been idle for long.
+    connection that has been idle for long. `used_links`, shared by all
+    attempts of a request, holds the connections that have carried it, which
+    must not carry it again.
 
     `sent_at` is the loop time at which the request was written. `abort_at` is
     set when the reply is no longer needed: the loop time at which the
@@ -56,6 +62,7 @@
         'render',
         'is_head_request',
         'needs_recent_connection',
+        'used_links',
         'on_done',
         'on_interim_reply',
         'sent_at',
@@ -72,11 +79,13 @@
         is_head_request: bool = False,
         needs_recent_connection: bool = False,
         on_interim_reply: Callable[[], None] | None = None,
+        used_links: set['Link'] | None = None,
     ):
         self.request_id = request_id
         self.render = render
         self.is_head_request = is_head_request
         self.needs_recent_connection = needs_recent_connection
+        self.used_links = set() if used_links is None else used_links
         self.on_done = on_done
         self.on_interim_reply = on_interim_reply
         self.sent_at: float | None = None
@@ -138,6 +147,7 @@
         """Write the request of an exchange; the connection must be free."""
         self.exchange = exchange
         exchange.link = self
+        exchange.used_links.add(self)
         exchange.sent_at = self._loop.time()
         self._transport.write(exchange.render())
 
--- a/rudderrock/gateway/http/_pool.py
+++ b/rudderrock/gateway/http/_pool.py
@@ -104,7 +104,7 @@
 
     def submit(self, exchange: link_module.Exchange) -> None:
         """Send the request of an exchange once a connection is free."""
-        link = self._take_free(exchange.needs_recent_connection)
+        link = self._take_free(exchange)
         if link is not None:
             link.start(exchange)
             return
@@ -211,15 +211,17 @@
             link.abort()
 
     def _take_free(
-        self, needs_recent_connection: bool
+        self, exchange: link_module.Exchange
     ) -> link_module.Link | None:
         now = self._loop.time()
-        while self._free:
-            link = self._free.pop()
+        for link in reversed(list(self._free)):
+            if link in exchange.used_links:
+                continue
+            self._free.remove(link)
             if not link.is_free:
                 continue
             if (
-                needs_recent_connection
+                exchange.needs_recent_connection
                 and now - link.idle_since > RECENT_USE_S
             ):
                 link.abort()
@@ -230,8 +232,14 @@
     def _open_if_needed(self) -> None:
         open_now = len(self._links) + len(self._connecting)
         needed = len(self._waiting) - len(self._connecting)
-        if needed > 0 and open_now < self.cap and not self._retired:
+        if needed <= 0 or self._retired:
+            return
+        if open_now < self.cap:
             self._start_opening()
+        elif self._free:
+            # Exchanges wait beside an idle connection only if it has carried
+            # their requests before. Once it is closed, another is opened.
+            self._free.pop(0).abort()
 
     def _start_opening(self) -> None:
         self._count_opened()
@@ -273,12 +281,23 @@
             )
 
     def _on_free(self, link: link_module.Link) -> None:
-        if self._waiting and link.is_free:
-            link.start(self._waiting.popleft())
+        exchange = self._take_waiting(link) if link.is_free else None
+        if exchange is not None:
+            link.start(exchange)
         elif self._retired or not link.is_free:
             link.abort()
         else:
             self._free.append(link)
+            self._open_if_needed()
+
+    def _take_waiting(
+        self, link: link_module.Link
+    ) -> link_module.Exchange | None:
+        for exchange in self._waiting:
+            if link not in exchange.used_links:
+                self._waiting.remove(exchange)
+                return exchange
+        return None
 
     def _on_closed(self, link: link_module.Link) -> None:
         self._links.discard(link)
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -30,6 +30,9 @@
     CLOSING = 'closing'
     EARLY_REPLY = 'early'
     MISDIRECTED = 'misdirected'
+    # Sheds the first attempt of each request. Sends a second copy of that
+    # rejection once it has read the next request on the connection.
+    REPEATED_REJECTION = 'rejecting twice'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +116,7 @@
         self.pauses = pauses
         self.connect_s = connect_s
         self._slots = asyncio.Semaphore(slots)
+        self._late_copies: dict[asyncio.StreamWriter, bytes] = {}
 
     @property
     def arrivals(self) -> list[str]:
@@ -175,7 +179,18 @@
         if expected not in (None, self.upstream):
             writer.write(_render_reply(421, [], b''))
             return True
+        writer.write(self._late_copies.pop(writer, b''))
         match self.fault_mode:
+            case FaultMode.REPEATED_REJECTION if (
+                self.arrivals.count(run.request_id) == 1
+            ):
+                echo = (self._names.request_id, run.request_id.encode())
+                rejection = _render_reply(
+                    503, [echo, (self._names.not_run, b'1')], b''
+                )
+                writer.write(rejection)
+                self._late_copies[writer] = rejection
+                return True
             case FaultMode.SHEDDING:
                 writer.write(
                     _render_reply(503, [(self._names.not_run, b'1')], b'')
@@ -224,7 +239,7 @@
         body = self._make_body(run.request_id)
         full_reply = _render_reply(200, [echo, stamp], body)
         match self.fault_mode:
-            case FaultMode.GOOD:
+            case FaultMode.GOOD | FaultMode.REPEATED_REJECTION:
                 writer.write(full_reply)
             case FaultMode.FAILING:
                 writer.write(_render_reply(500, [echo, stamp], b'failed'))
