Save quarantine records in the source

Cause: the records of requests that crash upstreams lay in hosts' memory only. When all hosts were killed at the same moment, the next copy was that of an unknown request again, sent to all shards at once.

Change: a host that took part in the crashes of a request saves its record in the source once two upstreams have ended or two trials failed, and again with each change that affects its state; an answer removes it. A host loads the records with its first own reading of the source, before it serves by it, and waits at most 0.25 s longer for them. Failed writes are repeated; a return of the source from an older copy makes each host save its records again.

--- a/features/adapter.feature
+++ b/features/adapter.feature
@@ -266,6 +266,13 @@
     When a host registers for 10 seconds
     Then the store lists 1 host
 
+  Scenario: saved quarantine records are read back, also beside an unreadable one
+    Given a platform store with pages of 2
+    And a quarantine record is not JSON
+    When the source saves the quarantine records of 5 requests
+    And the source removes the quarantine records of 2 of them
+    Then the source reads back the quarantine records of the other 3
+
   # `busy` replies with status 503, `many` with 429, `reset` closes the
   # connection, and `silent` sends no reply.
   Scenario Outline: a store that refuses calls or sends no reply is unavailable: <how>
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -200,6 +200,74 @@
     And copies of "/all/lethal" are sent to all gateways in turn, 4 a second for 5 seconds
     Then none of the copies reached an upstream
 
+  # Only the source outlives the loss of all hosts.
+  Scenario Outline: a request stays in quarantine when all hosts are lost: <target>
+    Given 2 gateways in each of two zones in front of 6 shards of 2 upstreams
+    And the route "/one/" to one of the shards
+    And a request for "<target>" crashes every upstream that runs it
+    When copies of "<target>" are sent to all gateways in turn, 8 a second for 42 seconds, and all gateways are killed every 7 seconds
+    Then at most 3 copies reach upstreams later than 4 seconds after the third crash
+    And at most <crashes> upstreams have crashed
+    And the hosts saved records in at most 4 writes
+
+    Examples:
+      | target      | crashes |
+      | /all/lethal | 8       |
+      | /one/lethal | 4       |
+
+  Scenario: a request is saved after an outage of the source, before all hosts are lost
+    Given 2 gateways in each of two zones in front of 6 shards of 2 upstreams
+    And a request for "/all/lethal" crashes every upstream that runs it
+    And the source is down from the first crash until 3 seconds later
+    When copies of "/all/lethal" are sent to all gateways in turn, 8 a second for 42 seconds, and all gateways are killed every 7 seconds
+    Then at most 3 copies reach upstreams later than 4 seconds after the third crash
+    And at most 8 upstreams have crashed
+
+  Scenario: a request is saved again after the source was restored from an older copy
+    Given 2 gateways in each of two zones in front of 6 shards of 2 upstreams
+    And a request for "/all/lethal" crashes every upstream that runs it
+    When a snapshot of the source is made
+    And copies of "/all/lethal" are sent to all gateways in turn, 8 a second for 12 seconds
+    And the source is restored from the snapshot after an outage of 2 seconds
+    And 3 seconds pass
+    And copies of "/all/lethal" are sent to all gateways in turn, 8 a second for 42 seconds, and all gateways are killed every 7 seconds
+    Then none of the copies reached an upstream
+
+  Scenario: a host that starts waits at most 0.25 seconds longer for saved records
+    Given a host that saves its records, with 3 recorded crashes
+    When the source does not send the saved records
+    And the host is replaced by one that loads the saved records
+    Then loading took at most 0.25 seconds, and is due again
+    And the request is clear
+    When the source sends the saved records
+    And the records are loaded again
+    Then the request is in quarantine for 3598 seconds
+
+  Scenario: a request that is answered after all is not saved any longer
+    Given a host that saves its records, with 3 recorded crashes
+    Then the source has 1 saved record after 2 writes
+    When an upstream answers it
+    Then the source has 0 saved records after 3 writes
+
+  Scenario: a request that has crashed a single upstream is not saved
+    Given a host that saves its records, with 1 recorded crash
+    Then the source has 0 saved records after 0 writes
+
+  Scenario: a saved record is as old after a restart as it was before
+    Given a host that saves its records, with 3 recorded crashes
+    When 1000 seconds pass
+    And the host is replaced by one that loads the saved records
+    Then the request is in quarantine for 2598 seconds
+    And the source has 1 saved record after 2 writes
+
+  Scenario: saved records that have expired are removed by a host that starts
+    Given a host that saves its records, with 3 recorded crashes
+    When 50000 seconds pass
+    And 50000 seconds pass
+    And the host is replaced by one that loads the saved records
+    Then the request is clear
+    And the source has 0 saved records after 3 writes
+
   Scenario: a host that reports a crash gets the receiver's record in reply
     Given a host with 3 recorded crashes of a request
     When a host with one recorded crash of it sends its record
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -16,6 +16,7 @@
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_checks
 from features.steps.common import run
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock import standins
 from rudderrock import state
@@ -254,6 +255,43 @@
     run(context, execute())
 
 
+@when(
+    r'copies of "([^"]+)" are sent to all gateways in turn, ([\d.]+) a second '
+    r'for ([\d.]+) seconds, and all gateways are killed every ([\d.]+) seconds'
+)
+def send_copies_during_kills(context, target, rate, seconds, every_s):
+    fleet = context.fleet
+    names = list(fleet.members)
+    zones = [each.hosts.own.zone for each in fleet.members.values()]
+
+    async def kill_repeatedly():
+        while True:
+            await asyncio.sleep(float(every_s))
+            await asyncio.gather(*(fleet.kill(name) for name in names))
+            for name, zone in zip(names, zones, strict=True):
+                await fleet.add(zone, number=int(name.removeprefix('g')))
+
+    async def send_if_listening(name):
+        try:
+            return await send_request(context, name, target)
+        except (ConnectionError, KeyError):
+            # The gateway is being restarted.
+            return None
+
+    async def execute():
+        killing = asyncio.create_task(kill_repeatedly())
+        tasks = []
+        for number in range(round(float(rate) * float(seconds))):
+            name = names[number % len(names)]
+            tasks.append(asyncio.create_task(send_if_listening(name)))
+            await asyncio.sleep(1.0 / float(rate))
+        replies = await asyncio.gather(*tasks)
+        await core.end_task(killing)
+        return [each for each in replies if each is not None]
+
+    context.copies = run(context, execute())
+
+
 @then(r'none of the copies reached an upstream')
 def check_none_arrived(context):
     copies = {request_id for request_id, _ in context.copies}
@@ -367,10 +405,13 @@
 @given(r'a host with (\d+) recorded crashes of a request')
 def record_crashes(context, count):
     context.request_quarantine = make_quarantine(context, 'h1')
-    for number in range(int(count)):
-        context.request_quarantine.record_crash(
-            DIGEST, context.loop.time(), number > 0
-        )
+    record_crashes_of(context, context.request_quarantine, int(count))
+
+
+def record_crashes_of(context, host, count):
+    """Record the crashes of one request at a host, one after another."""
+    for number in range(count):
+        host.record_crash(DIGEST, context.loop.time(), number > 0)
         run(context, asyncio.sleep(0.0))
 
 
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -21,6 +21,7 @@
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._shares import compute_connection_share
 from rudderrock.gateway.decisions._shares import ConnectionShare
+from rudderrock.gateway.discovery._archive import QuarantineArchive
 from rudderrock.gateway.discovery._broadcast import QuarantineBroadcaster
 from rudderrock.gateway.discovery._broadcast import read_records
 from rudderrock.gateway.discovery._broadcast import render_records
@@ -62,6 +63,7 @@
 from rudderrock.gateway.discovery._routing import Split
 from rudderrock.gateway.discovery._routing import TableVersion
 from rudderrock.gateway.discovery._routing import Target
+from rudderrock.gateway.discovery._saved_records import SavedRecord
 from rudderrock.gateway.discovery._sources import HistoryCompacted
 from rudderrock.gateway.discovery._sources import Lease
 from rudderrock.gateway.discovery._sources import LeaseEnded
@@ -154,6 +156,7 @@
     'Position',
     'ProcessState',
     'Quarantine',
+    'QuarantineArchive',
     'QuarantineBroadcaster',
     'QuarantineRecord',
     'QuarantineState',
@@ -171,6 +174,7 @@
     'Route',
     'RouteName',
     'RoutingTable',
+    'SavedRecord',
     'Scatter',
     'SendDecision',
     'Service',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -29,6 +29,7 @@
     EVACUATIONS_CHANGED = 'evacuations_changed'
     HOSTS_CHANGED = 'hosts_changed'
     QUARANTINE_CHANGED = 'quarantine_changed'
+    QUARANTINE_SAVED = 'quarantine_saved'
     READING_FROM = 'reading_from'
     PEER_SKIPPED = 'peer_skipped'
     COORDINATORS_CHANGED = 'coordinators_changed'
@@ -154,6 +155,13 @@
         'is the host that reported the change, or `own`.',
         ('digest', 'before', 'standing', 'trials', 'origin'),
     ),
+    LogKind.QUARANTINE_SAVED: KindInfo(
+        'Records of requests that have crashed upstreams were saved in the '
+        'source, or removed from it; `written` and `removed` count them. They '
+        'outlive the loss of all hosts. If `problem` is not empty, the source '
+        'did not confirm it, and it is repeated.',
+        ('written', 'removed', 'problem'),
+    ),
     LogKind.REQUEST: KindInfo(
         'One request of a caller and its outcome. `late` is the number of '
         'shards that had not answered at the hedge threshold, and `far` the '
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -11,6 +11,7 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _settings as settings
+from rudderrock.gateway.discovery import _archive as archive_module
 from rudderrock.gateway.discovery import _broadcast as broadcast
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _peers as peers
@@ -55,6 +56,7 @@
         registration: registration_module.Registration,
         change_feed: peers.ChangeFeed,
         broadcaster: broadcast.QuarantineBroadcaster,
+        archive: archive_module.QuarantineArchive,
         dependencies: gateway.GatewayDependencies,
     ):
         self.state = ProcessState.STARTING
@@ -77,6 +79,7 @@
         )
         self._changes = change_feed
         self._broadcaster = broadcaster
+        self._archive = archive
         self._was_ready = False
         self._stop_started_at = 0.0
         dependencies.tables.add_listener(self._apply_table)
@@ -115,6 +118,7 @@
                 self._synchronizer.run,
                 self._broadcaster.run,
                 self._broadcaster.pull,
+                self._archive.run,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
             ):
--- a/rudderrock/gateway/discovery/_quarantine.py
+++ b/rudderrock/gateway/discovery/_quarantine.py
@@ -74,6 +74,8 @@
 # before. Copies that are in flight at the same time at several hosts therefore
 # count as one failed round, also if a failed shard, zone or link is the cause.
 _INITIAL_TRIAL = 'first'
+# Origin of the changes made by this host.
+_OWN = 'own'
 
 
 class QuarantineState(enum.Enum):
@@ -103,10 +105,21 @@
 class _RequestHistory:
     """Local record of one request.
 
-    `last_crash_at` and the values of `ended` are loop times.
+    `last_crash_at` and the values of `ended` are loop times. `generation` is
+    that of the last change, and `decisive_generation` that of the last one
+    that can affect the state. `is_own` is whether this process has
+    contributed to the record.
     """
 
-    __slots__ = ('trials', 'ended', 'answered', 'last_crash_at', 'generation')
+    __slots__ = (
+        'trials',
+        'ended',
+        'answered',
+        'last_crash_at',
+        'generation',
+        'decisive_generation',
+        'is_own',
+    )
 
     def __init__(self) -> None:
         self.trials: frozenset[str] = frozenset()
@@ -114,6 +127,11 @@
         self.answered = False
         self.last_crash_at = -math.inf
         self.generation = 0
+        self.decisive_generation = 0
+        self.is_own = False
+
+    def has_multiple_crashes(self) -> bool:
+        return max(len(self.ended), len(self.trials)) > 1
 
     def get_state(self, now: float) -> QuarantineState:
         if self.answered:
@@ -211,10 +229,7 @@
         which may still be sent to any remaining upstream.
         """
         history = self._histories.get(digest)
-        return (
-            history is not None
-            and max(len(history.ended), len(history.trials)) > 1
-        )
+        return history is not None and history.has_multiple_crashes()
 
     def list_crashed(self, digest: str) -> list[core.UpstreamIncarnation]:
         """Return the upstreams that a request has crashed."""
@@ -295,7 +310,7 @@
         elif was_suspect:
             self._trial_count += 1
             trial_ids = {f'{self._process}/{self._trial_count}'}
-        self._apply(digest, trial_ids, False, now, 'own', crash_times)
+        self._apply(digest, trial_ids, False, now, _OWN, crash_times)
         for call in self._local_listeners:
             call()
 
@@ -304,7 +319,7 @@
         history = self._histories.get(digest)
         if history is None or history.answered:
             return
-        self._apply(digest, (), True, history.last_crash_at, 'own', {})
+        self._apply(digest, (), True, history.last_crash_at, _OWN, {})
         for call in self._local_listeners:
             call()
 
@@ -331,20 +346,27 @@
         """Return the records that have changed since a generation."""
         now = self._clock.now()
         return [
-            Record(
-                digest,
-                sorted(each.trials),
-                each.answered,
-                round(1000 * (now - each.last_crash_at)),
-                {
-                    incarnation: round(1000 * (now - ended_at))
-                    for incarnation, ended_at in each.ended.items()
-                },
-            )
+            _make_record(digest, each, now)
             for digest, each in self._histories.items()
             if each.generation > generation
         ]
 
+    def list_own_since(self, generation: int) -> list[Record]:
+        """Return the records of this process with a decisive change.
+
+        These are records that it has contributed to. Requests that have
+        crashed a single upstream are left out: most are harmless ones that
+        were in flight when it crashed.
+        """
+        now = self._clock.now()
+        return [
+            _make_record(digest, each, now)
+            for digest, each in self._histories.items()
+            if each.decisive_generation > generation
+            and each.is_own
+            and each.has_multiple_crashes()
+        ]
+
     def _apply(
         self,
         digest: str,
@@ -372,14 +394,22 @@
         before = (
             history.get_state(now) if history.trials else QuarantineState.CLEAR
         )
+        is_decisive = (
+            merged_trials != history.trials
+            or is_answered != history.answered
+            or len(history.ended) < QUARANTINE_THRESHOLD
+        )
         history.trials = merged_trials
         history.ended = merged_ended
         history.answered = is_answered
         history.last_crash_at = max(history.last_crash_at, last_crash_at)
+        history.is_own = history.is_own or origin == _OWN
         if now - history.last_crash_at >= history.get_retention_s():
             return
         self.generation += 1
         history.generation = self.generation
+        if is_decisive:
+            history.decisive_generation = self.generation
         self._histories[digest] = history
         self._record_change(digest, history, before, now, origin)
         self._evict(now)
@@ -429,6 +459,19 @@
         del self._histories[least_needed]
 
 
+def _make_record(digest: str, history: _RequestHistory, now: float) -> Record:
+    return Record(
+        digest,
+        sorted(history.trials),
+        history.answered,
+        round(1000 * (now - history.last_crash_at)),
+        {
+            incarnation: round(1000 * (now - ended_at))
+            for incarnation, ended_at in history.ended.items()
+        },
+    )
+
+
 def _merge_crash_times(
     one: Mapping[core.UpstreamIncarnation, float],
     other: Mapping[core.UpstreamIncarnation, float],
--- a/rudderrock/gateway/discovery/_sources.py
+++ b/rudderrock/gateway/discovery/_sources.py
@@ -14,6 +14,7 @@
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _position as position
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.discovery import _saved_records as saved_records
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +127,19 @@
     async def withdraw(self, lease: Lease) -> result.Result[None, Unavailable]:
         """Revoke a lease, which removes its registration."""
 
+    async def list_saved_records(
+        self,
+    ) -> result.Result[list[saved_records.SavedRecord], Unavailable]:
+        """Return the quarantine records that hosts have saved."""
+
+    async def save_records(
+        self, written: list[saved_records.SavedRecord], removed: list[str]
+    ) -> result.Result[None, Unavailable]:
+        """Save quarantine records, and remove those with some digests.
+
+        A record replaces the one with the same digest.
+        """
+
 
 class TableHolder:
     """The table in force, which is never replaced by an older version."""
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -19,6 +19,7 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway.discovery import _archive as archive_module
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _evacuations as evacuations
@@ -90,6 +91,7 @@
         initial_sync: initial_sync_module.InitialSync,
         changes: peers.ChangeFeed,
         known_quarantine: quarantine.Quarantine,
+        archive: archive_module.QuarantineArchive,
         source_era: era.SourceEra,
         clock: core.Clock,
         rng: random.Random,
@@ -106,6 +108,7 @@
         self._initial_sync = initial_sync
         self._changes = changes
         self._quarantine = known_quarantine
+        self._archive = archive
         self._era = source_era
         self._clock = clock
         self._rng = rng
@@ -397,9 +400,10 @@
                 self._apply_hosts(found, origin)
         if changes.age_ms < 0:
             return
-        self._era.record_position(
+        if self._era.record_position(
             changes.upstreams_position, self._directory.position, origin
-        )
+        ):
+            self._archive.save_again()
         stamp = directory.ReadingStamp(
             changes.origin,
             changes.number,
@@ -438,7 +442,9 @@
         """
         self._last_try_at = self._clock.now()
         self._retry_factor = self._rng.uniform(0.5, 1.5)
-        match await self._source.list_upstreams():
+        async with self._archive.load_along():
+            listed = await self._source.list_upstreams()
+        match listed:
             case result.Err(problem):
                 self._record_source_lost('upstreams', problem.detail)
                 return False
@@ -484,6 +490,7 @@
             # The watch may continue from a revision that was assigned again.
             self._operators.stop()
             self._hosts_read_at = -HOSTS_INTERVAL_S
+            self._archive.save_again()
         self._reading_count += 1
         stamp = directory.ReadingStamp(
             self._changes.process, self._reading_count, self._clock.now()
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -49,6 +49,7 @@
         clock=clock,
         rng=make_rng('replicas'),
     )
+    archive = gateway.QuarantineArchive(source, quarantine, clock, events)
     change_feed = gateway.ChangeFeed(
         process_id,
         upstream_directory,
@@ -68,6 +69,7 @@
         initial_sync,
         change_feed,
         quarantine,
+        archive,
         source_era,
         clock,
         make_rng('source'),
@@ -87,5 +89,6 @@
         gateway.QuarantineBroadcaster(
             quarantine, hosts, lambda: synchronizer.peer is None
         ),
+        archive,
         dependencies,
     )
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -24,6 +24,8 @@
 _SERVERS_PREFIX = 'servers/'
 # The entries of rudderrock's own hosts.
 _HOSTS_PREFIX = 'rudderrock/hosts/'
+# The records of requests that crash upstreams, by digest.
+_QUARANTINE_PREFIX = 'rudderrock/quarantine/'
 # Response header with the number of times that the store has been restored
 # from a snapshot. A store that does not send it has never been restored.
 _ERA_HEADER = b'store-era'
@@ -176,17 +178,9 @@
         listed = await self._list_items(_HOSTS_PREFIX)
         if listed.is_err():
             return listed
-        entries: list[gateway.HostEntry] = []
-        for item in listed.ok_value[0]:
-            try:
-                raw = decode.decode_value(item.value)
-                entry = msgspec.json.decode(raw, type=gateway.HostEntry)
-            except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
-                # An invalid entry must not hide the others.
-                logging.warning('ignoring invalid %s: %s', item.key, error)
-                continue
-            entries.append(entry)
-        return result.Ok(entries)
+        return result.Ok(
+            _decode_entries(listed.ok_value[0], gateway.HostEntry)
+        )
 
     async def register(
         self, entry: gateway.HostEntry, ttl_s: float
@@ -265,6 +259,36 @@
         answer = await self._call(b'DELETE', target, b'', allowed=(200, 404))
         return answer if answer.is_err() else result.Ok(None)
 
+    async def list_saved_records(
+        self,
+    ) -> result.Result[list[gateway.SavedRecord], gateway.Unavailable]:
+        """Return the saved quarantine records."""
+        listed = await self._list_items(_QUARANTINE_PREFIX)
+        if listed.is_err():
+            return listed
+        return result.Ok(
+            _decode_entries(listed.ok_value[0], gateway.SavedRecord)
+        )
+
+    async def save_records(
+        self, written: list[gateway.SavedRecord], removed: list[str]
+    ) -> result.Result[None, gateway.Unavailable]:
+        """Write quarantine records, and delete those of other digests."""
+        writes = [
+            {
+                'key': f'{_QUARANTINE_PREFIX}{each.record.digest}',
+                'value': decode.encode_value(msgspec.json.encode(each)),
+                'lease_id': 0,
+            }
+            for each in written
+        ]
+        deletes = [f'{_QUARANTINE_PREFIX}{digest}' for digest in removed]
+        body = msgspec.json.encode(
+            {'expected_revision': [], 'writes': writes, 'deletes': deletes}
+        )
+        answer = await self._call(b'POST', b'/kv-txn', body)
+        return answer if answer.is_err() else result.Ok(None)
+
     def _decode_config(
         self, item: _Item, position: gateway.Position
     ) -> gateway.TableReading:
@@ -357,6 +381,19 @@
         return answer
 
 
+def _decode_entries(items: list[_Item], kind: type) -> list:
+    """Return the values of items; invalid ones are left out and logged."""
+    entries = []
+    for item in items:
+        try:
+            raw = decode.decode_value(item.value)
+            entries.append(msgspec.json.decode(raw, type=kind))
+        except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
+            # An invalid entry must not hide the others.
+            logging.warning('ignoring invalid %s: %s', item.key, error)
+    return entries
+
+
 def _make_target(path: str, **query: str) -> bytes:
     text = urllib.parse.urlencode(query, quote_via=urllib.parse.quote)
     return f'{path}?{text}'.encode('ascii')
--- a/rudderrock/standins/_host_source.py
+++ b/rudderrock/standins/_host_source.py
@@ -18,6 +18,8 @@
         'find_lease',
         'renew',
         'withdraw',
+        'list_saved_records',
+        'save_records',
     }
 )
 
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -19,6 +19,7 @@
     revision: int
     table_revision: int
     hosts: dict[int, gateway.HostEntry]
+    saved_records: dict[str, gateway.SavedRecord]
     lease_count: int
 
 
@@ -46,6 +47,9 @@
         self.table_reads = 0
         # Registered hosts, by lease number.
         self.hosts: dict[int, gateway.HostEntry] = {}
+        self.saved_records: dict[str, gateway.SavedRecord] = {}
+        # Number of calls that wrote or removed saved records.
+        self.record_writes = 0
         self._lease_count = 0
         self._reset_count = 0
         self._written: dict[bytes, gateway.RoutingTable] = {}
@@ -95,6 +99,7 @@
             self.revision,
             self.table_revision,
             dict(self.hosts),
+            dict(self.saved_records),
             self._lease_count,
         )
 
@@ -116,6 +121,7 @@
         self.revision = snapshot.revision
         self.table_revision = snapshot.table_revision
         self.hosts = dict(snapshot.hosts)
+        self.saved_records = dict(snapshot.saved_records)
         self._lease_count = snapshot.lease_count
         if not cut:
             return
@@ -257,6 +263,28 @@
         self.hosts.pop(lease.number, None)
         return result.Ok(None)
 
+    async def list_saved_records(
+        self,
+    ) -> result.Result[list[gateway.SavedRecord], gateway.Unavailable]:
+        """Return the saved quarantine records."""
+        if self.is_down:
+            return result.Err(gateway.Unavailable('down'))
+        return result.Ok(list(self.saved_records.values()))
+
+    async def save_records(
+        self, written: list[gateway.SavedRecord], removed: list[str]
+    ) -> result.Result[None, gateway.Unavailable]:
+        """Save quarantine records, and remove those with some digests."""
+        if self.is_down:
+            return result.Err(gateway.Unavailable('down'))
+        self.record_writes += 1
+        self.saved_records.update(
+            {each.record.digest: each for each in written}
+        )
+        for digest in removed:
+            self.saved_records.pop(digest, None)
+        return result.Ok(None)
+
     def _read(self) -> gateway.TableReading:
         raw = b'%d' % self.table.version if self.table is not None else b''
         return gateway.TableReading(
