Let a slow loading of quarantine records finish

Cause: a host cancelled the loading of saved records 0.25 s after its reading of the upstreams and began anew with the next one, so over a slow link, or from a slow store, it would never have loaded them.

Change: the loading goes on, and records that come late are used once they come; the next reading asks again only if the loading has failed.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -235,11 +235,19 @@
 
   Scenario: a host that starts waits at most 0.25 seconds longer for saved records
     Given a host that saves its records, with 3 recorded crashes
-    When the source does not send the saved records
+    When the source takes 1.5 seconds for the saved records
     And the host is replaced by one that loads the saved records
-    Then loading took at most 0.25 seconds, and is due again
+    Then loading took at most 0.25 seconds
     And the request is clear
-    When the source sends the saved records
+    When 0.5 seconds pass
+    Then the request is in quarantine for 3597 seconds
+
+  Scenario: a host that got no saved records asks for them with its next reading
+    Given a host that saves its records, with 3 recorded crashes
+    When the source refuses to send the saved records
+    And the host is replaced by one that loads the saved records
+    Then the request is clear
+    When the source sends the saved records again
     And the records are loaded again
     Then the request is in quarantine for 3598 seconds
 
--- a/rudderrock/gateway/discovery/_archive.py
+++ b/rudderrock/gateway/discovery/_archive.py
@@ -50,6 +50,7 @@
         self._saves_all = False
         # Digests of saved records that are no longer needed.
         self._expired: set[str] = set()
+        self._loading: asyncio.Task | None = None
         self._changed = asyncio.Event()
         known_quarantine.add_listener(self._changed.set)
 
@@ -57,18 +58,17 @@
     async def load_along(self):
         """Load the saved records, unless done, while the body runs.
 
-        Waits for them for up to `LOAD_WAIT_S` after the body. If the source
-        has not sent them by then, the next reading asks again.
+        Waits for them for up to `LOAD_WAIT_S` after the body. Records that
+        come later are used once they come. If none come, the next reading
+        asks again.
         """
         if self.is_loaded:
             yield
             return
-        loading = asyncio.create_task(self._load())
-        try:
-            yield
-            await asyncio.wait({loading}, timeout=LOAD_WAIT_S)
-        finally:
-            await core.end_task(loading)
+        if self._loading is None or self._loading.done():
+            self._loading = asyncio.create_task(self._load())
+        yield
+        await asyncio.wait({self._loading}, timeout=LOAD_WAIT_S)
 
     def save_again(self) -> None:
         """Save all records of this host again.
@@ -81,13 +81,20 @@
 
     async def run(self) -> None:
         """Save changed records until cancelled."""
-        while True:
-            await self._changed.wait()
-            self._changed.clear()
-            delay_s = FIRST_RETRY_DELAY_S
-            while not await self._save_changes():
-                await asyncio.sleep(delay_s)
-                delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+        try:
+            while True:
+                await self._changed.wait()
+                self._changed.clear()
+                await self._save_until_confirmed()
+        finally:
+            if self._loading is not None:
+                await core.end_task(self._loading)
+
+    async def _save_until_confirmed(self) -> None:
+        delay_s = FIRST_RETRY_DELAY_S
+        while not await self._save_changes():
+            await asyncio.sleep(delay_s)
+            delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     async def _load(self) -> None:
         match await self._source.list_saved_records():
