--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -28,6 +28,7 @@
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._shares import compute_connection_share
 from rudderrock.gateway.decisions._shares import ConnectionShare
+from rudderrock.gateway.discovery._archive import QuarantineArchive
 from rudderrock.gateway.discovery._broadcast import QuarantineBroadcaster
 from rudderrock.gateway.discovery._broadcast import read_records
 from rudderrock.gateway.discovery._broadcast import render_records
@@ -71,6 +72,7 @@
 from rudderrock.gateway.discovery._routing import Split
 from rudderrock.gateway.discovery._routing import TableVersion
 from rudderrock.gateway.discovery._routing import Target
+from rudderrock.gateway.discovery._saved_records import SavedRecord
 from rudderrock.gateway.discovery._sources import HistoryCompacted
 from rudderrock.gateway.discovery._sources import Lease
 from rudderrock.gateway.discovery._sources import LeaseEnded
@@ -166,6 +168,7 @@
     'Position',
     'ProcessState',
     'Quarantine',
+    'QuarantineArchive',
     'QuarantineBroadcaster',
     'QuarantineRecord',
     'QuarantineState',
@@ -185,6 +188,7 @@
     'Route',
     'RouteName',
     'RoutingTable',
+    'SavedRecord',
     'Scatter',
     'SendDecision',
     'Service',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -12,6 +12,7 @@
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _quota_metrics as quota_metrics
 from rudderrock.gateway import _settings as settings
+from rudderrock.gateway.discovery import _archive as archive_module
 from rudderrock.gateway.discovery import _broadcast as broadcast
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _peers as peers
@@ -57,6 +58,7 @@
         registration: registration_module.Registration,
         change_feed: peers.ChangeFeed,
         broadcaster: broadcast.QuarantineBroadcaster,
+        archive: archive_module.QuarantineArchive,
         dependencies: gateway.GatewayDependencies,
     ):
         self.state = ProcessState.STARTING
@@ -80,6 +82,7 @@
         self._changes = change_feed
         self._broadcaster = broadcaster
         self.quotas = dependencies.quotas
+        self._archive = archive
         self._was_ready = False
         self._stop_started_at = 0.0
         dependencies.tables.add_listener(self._apply_table)
@@ -123,6 +126,7 @@
                 self.quotas.announce,
                 self.quotas.check,
                 self.quotas.check_reach,
+                self._archive.run,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
             ):
