Bound the age of what hosts know by their own clocks

Cause: a host that polled a reader which had lost the store waited on the reader's word. The reader held polls for 1.3 s although its data turned too old meanwhile, and a reader that hung held them up for 1.7 s more, so an upstream that drained just after the last reading got requests for up to 3.3 s (bound 3 s).

Change: a reading is as old as the call that made it, and the time that a reply was on its way adds to its age. Polls name the age at which the host asks elsewhere; the peer holds them no longer, and the host itself waits no longer than that by its own clock. A peer that knows that it has lost the store says so and holds no polls on its own reading.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -53,6 +53,25 @@
       | refused |
       | silent  |
 
+  Scenario Outline: an upstream drains just after the last reading of the host that reads for all zones: <seconds> s, <fault>
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When <seconds> seconds pass
+    And the gateway that reads the source loses it just after a reading, and <fault>
+    And "u1" says that it drains
+    And 2.9 seconds pass
+    Then every other gateway sends "/notes/1" to "u2"
+    And at most 3 other gateways have read the source meanwhile
+
+    Examples:
+      | seconds | fault           |
+      | 10      | serves peers    |
+      | 11      | serves peers    |
+      | 12      | serves peers    |
+      | 13      | serves peers    |
+      | 10      | hangs at once   |
+      | 10      | hangs 1.33 s on |
+
   Scenario: after an outage hosts of two zones do not take stale readings of one another for new ones
     Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
     And an upstream "u2" of "scans"
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -68,6 +68,47 @@
     context.fleet.members[reader].hang_peer_requests()
 
 
+@when(
+    r'the gateway that reads the source loses it just after a reading, and '
+    r'(serves peers|hangs at once|hangs 1.33 s on)'
+)
+def lose_reader_after_reading(context, fault):
+    context.silenced = context.fleet.find_reader()
+    context.readings_before = count_readings(context)
+    reader = context.fleet.members[context.silenced]
+
+    async def lose():
+        counted = reader.source.calls_by_name
+        before = counted['list_upstreams']
+        while counted['list_upstreams'] == before:
+            await asyncio.sleep(0.001)
+        reader.source.is_silent = True
+
+    run(context, lose())
+    if fault != 'serves peers':
+        hang_after_s = 0.0 if fault == 'hangs at once' else 1.33
+        context.loop.call_later(hang_after_s, reader.hang_peer_requests)
+
+
+def count_readings(context):
+    """Return how often each gateway has listed the upstreams."""
+    return {
+        name: member.source.calls_by_name['list_upstreams']
+        for name, member in context.fleet.members.items()
+    }
+
+
+@then(r'at most (\d+) other gateways have read the source meanwhile')
+def check_reading_gateways(context, maximum):
+    now = count_readings(context)
+    readers = {
+        name
+        for name, before in context.readings_before.items()
+        if name != context.silenced and now[name] > before
+    }
+    assert len(readers) <= int(maximum), readers
+
+
 @when(
     r'the source is (refused|silent) for the gateway that reads it and 2 more'
 )
--- a/rudderrock/gateway/discovery/_peers.py
+++ b/rudderrock/gateway/discovery/_peers.py
@@ -3,6 +3,8 @@
 A host polls a peer for the changes since its previous poll. The peer replies
 as soon as there is a change, or after a short wait. The reply contains the age
 of the peer's data, so that the host detects a peer that can't read the source.
+The polling host adds the time that the reply was on its way, and stops waiting
+once its own data is too old, so a peer that hangs does not delay it.
 """
 
 import asyncio
@@ -54,6 +56,9 @@
 # Header of a full reply with the time for which it has been cached, in
 # milliseconds.
 CACHE_AGE_HEADER = b'rudderrock-kept-ms'
+# Header with the time for which the peer held the poll, in milliseconds. The
+# rest of the time that the poll took adds to the age of the data.
+HOLD_HEADER = b'rudderrock-held-ms'
 # Replies of at least this size are compressed, in bytes. Listings and tables
 # of hundreds of entries shrink to a fifth, and they are sent across regions.
 COMPRESSION_THRESHOLD_BYTES = 2048
@@ -82,7 +87,8 @@
     from other hosts, because it cannot read the source or is starting.
     `evacuations` is the revision of the evacuations that the polling host has,
     in the era `evacuations_era`, and `era` is the era of its upstreams. Hosts
-    of the previous version do not send these two eras.
+    of the previous version do not send these two eras. `max_age_ms` is the age
+    of the upstreams at which the polling host asks elsewhere.
     """
 
     process: str = ''
@@ -95,6 +101,7 @@
     evacuations: int = position.NEVER_READ.revision
     evacuations_era: int | None = None
     quarantine: int = 0
+    max_age_ms: int = round(MAX_AGE_S * 1000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,7 +133,8 @@
     `evacuated_at` the revisions at which they were evacuated, empty if the
     peer doesn't send them. Each revision belongs to an era of the source, 0 if
     the peer doesn't send one. `suspects` are new or changed records of
-    requests that crashed upstreams.
+    requests that crashed upstreams. `has_lost_source` is whether the peer can
+    no longer renew this data, because the source does not answer it.
     """
 
     process: str
@@ -156,6 +164,7 @@
     evacuations_era: int = 0
     suspects: list[quarantine.Record] = []
     quarantine_generation: int = 0
+    has_lost_source: bool = False
 
     @property
     def upstreams_position(self) -> position.Position:
@@ -188,10 +197,12 @@
         """Return whether the data has at most `MAX_HOPS` hops."""
         return self.hops <= MAX_HOPS
 
-    @property
-    def is_fresh(self) -> bool:
+    def is_fresh(self, max_age_s: float = MAX_AGE_S) -> bool:
         """Return whether upstreams and table are recent enough to use."""
-        return _are_recent(self.age_ms / 1000, self.table_age_ms / 1000)
+        return (
+            0 <= self.age_ms <= max_age_s * 1000
+            and 0 <= self.table_age_ms <= MAX_TABLE_AGE_S * 1000
+        )
 
 
 class ChangeFeed:
@@ -234,6 +245,8 @@
         )
         self._hosts_by_id: dict[core.HostId, fleet.HostEntry] = {}
         self._changed = asyncio.Event()
+        # Whether the source does not answer this host.
+        self.has_lost_source = False
         upstream_directory.add_listener(self._on_upstreams)
         hosts.add_listener(self._on_hosts)
         tables.add_listener(lambda table: self.wake())
@@ -245,9 +258,9 @@
         """Return the reply to a poll after the next change or POLL_HOLD_S.
 
         It is sent at once if the peer lacks changes or cannot accept this
-        host's data. A starting host first waits for data, for at most
-        STARTUP_HOLD_S. The status is 404 for an unknown path, 400 for invalid
-        parameters.
+        host's data, and no later than when the data is too old for the peer. A
+        starting host first waits for data, for at most STARTUP_HOLD_S. The
+        status is 404 for an unknown path, 400 for invalid parameters.
         """
         path, _, query = request.target.decode('latin-1').partition('?')
         if path != PATH:
@@ -258,14 +271,19 @@
             )
         except msgspec.ValidationError as error:
             return messages.Reply(400, [], str(error).encode())
+        received_at = self._clock.now()
         if not self._initial_sync.is_complete:
             # This host has just started and has no data to send yet.
             await self._initial_sync.wait_at_most(STARTUP_HOLD_S)
-        elif not self._has_changes(known) and self._is_acceptable(known):
-            await self._wait_for_change()
+        elif not self._has_changes(known):
+            await self._wait_for_change(known)
         if known.process != self.process:
-            return self._get_full_reply(known)
-        return render_changes(self.list_changes(known))
+            reply = self._get_full_reply(known)
+        else:
+            reply = render_changes(self.list_changes(known))
+        held_ms = _to_ms(self._clock.now() - received_at)
+        reply.headers.append((HOLD_HEADER, b'%d' % held_ms))
+        return reply
 
     def _get_full_reply(self, known: Known) -> messages.Reply:
         """Return the full state, encoded once for polls at the same time."""
@@ -327,8 +345,16 @@
                 known.quarantine if has_baseline else 0
             ),
             quarantine_generation=self._quarantine.generation,
+            has_lost_source=self._is_cut_off,
         )
 
+    @property
+    def _is_cut_off(self) -> bool:
+        """Return whether the data is an own reading that can't be renewed."""
+        stamp = self._directory.stamp
+        is_own = stamp is not None and stamp.origin == self.process
+        return is_own and self.has_lost_source
+
     def _list_upstreams(
         self, known: Known, has_baseline: bool
     ) -> tuple[list[directory.Endpoint], list[str], bool]:
@@ -397,20 +423,31 @@
         era = known.evacuations_era
         return position.Position(era, known.evacuations) < changed_at
 
-    def _is_acceptable(self, known: Known) -> bool:
-        """Return whether this host's data is acceptable to a peer.
+    def _get_hold_s(self, known: Known) -> float:
+        """Return the seconds for which a poll without changes is held.
 
-        If it isn't, the poll is not held, so that the peer can switch to
-        another host.
+        This host's data is acceptable to the peer for that long. If it is not,
+        the poll is not held, so that the peer can switch to another host.
         """
-        if not _are_recent(
-            self._directory.age_s, self._tables.confirmed_age_s
-        ):
-            return False
-        return known.is_lost or self._directory.stamp.hops <= MAX_HOPS
+        age_s = self._directory.age_s
+        table_age_s = self._tables.confirmed_age_s
+        if age_s < 0 or table_age_s < 0:
+            return 0.0
+        has_better_peer = (
+            self._is_cut_off or self._directory.stamp.hops > MAX_HOPS
+        )
+        if has_better_peer and not known.is_lost:
+            return 0.0
+        return min(
+            POLL_HOLD_S,
+            known.max_age_ms / 1000 - age_s,
+            MAX_TABLE_AGE_S - table_age_s,
+        )
 
-    async def _wait_for_change(self) -> None:
-        await core.wait_for_event(self._changed, POLL_HOLD_S)
+    async def _wait_for_change(self, known: Known) -> None:
+        hold_s = self._get_hold_s(known)
+        if hold_s > 0:
+            await core.wait_for_event(self._changed, hold_s)
 
     def _on_upstreams(self, change: directory.DirectoryChange) -> None:
         self.generation += 1
@@ -456,6 +493,7 @@
         self._hosts: dict[core.HostId, fleet.HostEntry] = {}
         self._received_table_revision = position.NEVER_READ.revision
         self._received_table_version = routing.NO_VERSION
+        self._loop = asyncio.get_running_loop()
         self._client = http_client.HttpClient(
             core.split_address(entry.address)
         )
@@ -465,11 +503,13 @@
         in_force: InForce,
         is_lost: bool,
         timeout_s: float = POLL_HOLD_S + REPLY_MARGIN_S,
+        max_age_s: float = MAX_AGE_S,
     ) -> result.Result[Changes, sources.Unavailable]:
         """Return the peer's changes since the state that is in force here.
 
-        Returns `Unavailable` if the peer doesn't answer within `timeout_s`
-        seconds, or not with a valid reply.
+        The peer answers no later than when its upstreams are `max_age_s`
+        seconds old. Returns `Unavailable` if it doesn't answer within
+        `timeout_s` seconds, or not with a valid reply.
         """
         known = msgspec.structs.replace(
             self.known,
@@ -481,10 +521,12 @@
             era=in_force.upstreams.era,
             evacuations=in_force.evacuations.revision,
             evacuations_era=in_force.evacuations.era,
+            max_age_ms=_to_ms(max_age_s),
         )
         fields = msgspec.to_builtins(known)
         fields['is_lost'] = int(is_lost)
         query = urllib.parse.urlencode(fields)
+        sent_at = self._loop.time()
         answer = await self._client.call(
             b'GET', f'{PATH}?{query}'.encode(), b'', timeout_s
         )
@@ -496,7 +538,9 @@
                     sources.Unavailable(f'status {reply.status}')
                 )
         try:
-            changes = read_changes(answer.ok_value)
+            changes = read_changes(
+                answer.ok_value, self._loop.time() - sent_at
+            )
         except (msgspec.DecodeError, zlib.error) as error:
             return result.Err(sources.Unavailable(f'unreadable: {error}'))
         if changes.table is not None:
@@ -545,9 +589,11 @@
     )
 
 
-def read_changes(reply: messages.Reply) -> Changes:
-    """Return the changes in a reply, with ages that include its caching.
+def read_changes(reply: messages.Reply, elapsed_s: float = 0.0) -> Changes:
+    """Return the changes in a reply, with ages that include its delays.
 
+    These are the time for which the reply was cached, and the part of the
+    `elapsed_s` seconds since the poll for which the peer did not hold it.
     Raises `msgspec.DecodeError` or `zlib.error` if the reply can't be decoded.
     A reply that decompresses to more than `MAX_REPLY_BYTES` is truncated,
     which makes it invalid.
@@ -556,25 +602,27 @@
     if reply.get_header(DEFLATE_HEADER[0]) == DEFLATE_HEADER[1]:
         body = zlib.decompressobj().decompress(body, MAX_REPLY_BYTES)
     changes = msgspec.json.decode(body, type=Changes)
-    cache_age = reply.get_header(CACHE_AGE_HEADER) or b''
-    if not cache_age.isdigit():
-        return changes
+    delay_ms = _read_ms(reply, CACHE_AGE_HEADER) or 0
+    held_ms = _read_ms(reply, HOLD_HEADER)
+    if held_ms is not None:
+        # Hosts of the previous version do not say how long they held a poll.
+        delay_ms += max(0, _to_ms(elapsed_s) - held_ms)
     return msgspec.structs.replace(
         changes,
-        age_ms=_add_age(changes.age_ms, int(cache_age)),
-        table_age_ms=_add_age(changes.table_age_ms, int(cache_age)),
+        age_ms=_add_age(changes.age_ms, delay_ms),
+        table_age_ms=_add_age(changes.table_age_ms, delay_ms),
     )
 
 
+def _read_ms(reply: messages.Reply, name: bytes) -> int | None:
+    value = reply.get_header(name) or b''
+    return int(value) if value.isdigit() else None
+
+
 def _add_age(age_ms: int, by_ms: int) -> int:
     """Return an age after `by_ms` more; -1 (no reading) is unchanged."""
     return age_ms + by_ms if age_ms >= 0 else age_ms
 
 
-def _are_recent(upstreams_s: float, table_s: float) -> bool:
-    """Return whether both ages, in seconds, are recent; -1 is no reading."""
-    return 0 <= upstreams_s <= MAX_AGE_S and 0 <= table_s <= MAX_TABLE_AGE_S
-
-
 def _to_ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -25,6 +25,7 @@
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _initial_sync as initial_sync_module
 from rudderrock.gateway.discovery import _operator_data as operator_data
+from rudderrock.gateway.discovery import _patience as patience
 from rudderrock.gateway.discovery import _peers as peers
 from rudderrock.gateway.discovery import _quarantine as quarantine
 from rudderrock.gateway.discovery import _sources as sources
@@ -180,7 +181,7 @@
             return False
         changes = answer.ok_value
         self._apply_changes(client, changes)
-        return changes.is_fresh and self._initial_sync.is_complete
+        return changes.is_fresh() and self._initial_sync.is_complete
 
     async def _synchronize_once(self) -> None:
         """Update once from peers or from the source.
@@ -200,8 +201,11 @@
         if self.lost_at is not None and not self._is_due(retry_s):
             await self._pause(RETRY_INTERVAL_S)
             return
+        began_at = self._clock.now()
         if await self._read_source():
-            await self._pause(READ_INTERVAL_S)
+            # A reading is as old as the call that made it.
+            elapsed_s = self._clock.now() - began_at
+            await self._pause(READ_INTERVAL_S - elapsed_s)
         else:
             await self._pause(RETRY_INTERVAL_S)
 
@@ -271,13 +275,17 @@
         """Ask peers in turn until one has fresh data; return success."""
         for entry in self._list_peers():
             client = self._switch_to_peer(entry)
+            max_age_s = self._get_max_age_s()
             answer = await client.ask(
-                self._get_in_force(), self._accepts_relayed()
+                self._get_in_force(),
+                self._accepts_relayed(),
+                self._get_poll_timeout_s(max_age_s),
+                max_age_s,
             )
             match answer:
                 case result.Ok(changes):
                     self._apply_changes(client, changes)
-                    if self._is_sufficient(changes):
+                    if self._is_sufficient(changes, max_age_s):
                         is_incremental = client.is_incremental
                         await self._pause(
                             AFTER_ANSWER_PAUSE_S
@@ -289,7 +297,9 @@
                         f'{changes.age_ms} ms, table {changes.table_age_ms} ms'
                     )
                     skip_s = (
-                        PEER_SKIP_S if changes.is_fresh else STALE_PEER_SKIP_S
+                        PEER_SKIP_S
+                        if changes.is_fresh() and not changes.has_lost_source
+                        else STALE_PEER_SKIP_S
                     )
                     self._skip_peer(
                         entry,
@@ -298,11 +308,31 @@
                     )
                 case result.Err(problem):
                     self._skip_peer(entry, problem.detail, PEER_SKIP_S)
-                    if self.lost_at is None:
+                    age_s = self._directory.age_s
+                    if (
+                        self.lost_at is None
+                        and age_s > patience.LAST_PEER_AGE_S
+                    ):
                         # Waiting for another peer might take too long.
                         return False
         return False
 
+    def _get_max_age_s(self) -> float:
+        """Return the age at which a peer's upstreams are too old."""
+        if self.lost_at is not None:
+            return peers.MAX_AGE_S
+        ranked = [each.host for each in self._hosts.rank_readers()]
+        return patience.get_max_age_s(
+            ranked.index(self._hosts.own.host),
+            len(self._hosts.list_earlier_readers()),
+        )
+
+    def _get_poll_timeout_s(self, max_age_s: float) -> float:
+        """Return the timeout of a poll, by the age of the own upstreams."""
+        is_lost = self.lost_at is not None
+        age_s = -1.0 if is_lost else self._directory.age_s
+        return patience.get_poll_timeout_s(max_age_s, age_s)
+
     def _get_in_force(self) -> peers.InForce:
         return peers.InForce(
             table_version=self._tables.version,
@@ -311,14 +341,14 @@
             evacuations=self._evacuated.current.position,
         )
 
-    def _is_sufficient(self, changes: peers.Changes) -> bool:
+    def _is_sufficient(self, changes: peers.Changes, max_age_s: float) -> bool:
         """Return whether the changes of a peer replace an own reading.
 
         Each relay adds up to one polling period to the age. Data that was
         relayed several times is therefore enough only where `_accepts_relayed`
         allows it.
         """
-        if not changes.is_fresh:
+        if not changes.is_fresh(max_age_s):
             return False
         if changes.era < self._directory.position.era:
             # Readings from an earlier era are ignored here, so the changes
@@ -326,6 +356,8 @@
             return False
         if self._accepts_relayed():
             return True
+        if changes.has_lost_source:
+            return False
         return changes.is_near and changes.origin != self._changes.process
 
     def _accepts_relayed(self) -> bool:
@@ -436,7 +468,7 @@
         Return whether it returned the upstreams; the hosts or the table may
         have failed.
         """
-        self._last_try_at = self._clock.now()
+        began_at = self._last_try_at = self._clock.now()
         self._retry_factor = self._rng.uniform(0.5, 1.5)
         match await self._source.list_upstreams():
             case result.Err(problem):
@@ -444,7 +476,7 @@
                 return False
             case result.Ok(reading):
                 self._record_source_back()
-                self._apply_upstreams(reading)
+                self._apply_upstreams(reading, began_at)
         if self.peer is not None:
             self._drop_peer()
             self._events.record(events.LogKind.READING_FROM, peer='', zone='')
@@ -476,7 +508,9 @@
                 origin=origin,
             )
 
-    def _apply_upstreams(self, reading: sources.UpstreamReading) -> None:
+    def _apply_upstreams(
+        self, reading: sources.UpstreamReading, began_at: float
+    ) -> None:
         self._log_new_problems(reading.problems)
         if self._era.record_position(
             reading.position, self._directory.position, 'source'
@@ -486,7 +520,7 @@
             self._hosts_read_at = -HOSTS_INTERVAL_S
         self._reading_count += 1
         stamp = directory.ReadingStamp(
-            self._changes.process, self._reading_count, self._clock.now()
+            self._changes.process, self._reading_count, began_at
         )
         change = self._directory.apply_reading(
             reading.endpoints, reading.position, stamp
@@ -519,6 +553,7 @@
         if self.lost_at is not None:
             return
         self.lost_at = self._clock.now()
+        self._changes.has_lost_source = True
         self._changes.wake()
         self._events.record(
             events.LogKind.DEPENDENCY_LOST,
@@ -532,6 +567,7 @@
             return
         away_s = self._clock.now() - self.lost_at
         self.lost_at = None
+        self._changes.has_lost_source = False
         if self._directory.age_s > directory.MAX_HARMLESS_OUTAGE_S:
             self._directory.hold_for(directory.REREGISTRATION_GRACE_S)
         # The watch may have been disconnected without an error.
@@ -544,4 +580,4 @@
 
     async def _pause(self, mean_s: float) -> None:
         factor = 1.0 + _JITTER * (2 * self._rng.random() - 1.0)
-        await asyncio.sleep(mean_s * factor)
+        await asyncio.sleep(max(0.0, mean_s * factor))
--- a/rudderrock/standins/_host_source.py
+++ b/rudderrock/standins/_host_source.py
@@ -1,6 +1,7 @@
 """A host's connection to a shared source, with faults for that host only."""
 
 import asyncio
+import collections
 import functools
 
 import result
@@ -29,7 +30,7 @@
     after `timeout_s`, as if the host's packets were dropped; calls in flight
     when it is set time out too. `delay_s` delays each call, as a slow link
     does; None is no delay, and 0 only yields to the event loop. `calls`
-    counts all calls.
+    counts all calls, and `calls_by_name` those of each method.
     """
 
     def __init__(
@@ -38,17 +39,22 @@
         self.is_refused = False
         self.is_silent = False
         self.delay_s: float | None = None
-        self.calls = 0
+        self.calls_by_name: collections.Counter[str] = collections.Counter()
         self._source = source
         self._timeout_s = timeout_s
 
+    @property
+    def calls(self) -> int:
+        """Return the number of all calls."""
+        return self.calls_by_name.total()
+
     def __getattr__(self, name: str):
         if name in _FORWARDED_CALLS:
             return functools.partial(self._call, name)
         return getattr(self._source, name)
 
     async def _call(self, name: str, *arguments):
-        self.calls += 1
+        self.calls_by_name[name] += 1
         if self.is_refused:
             return result.Err(gateway.Unavailable('refused'))
         if self.delay_s is not None:
