Start and restart with fewer calls to the source

Cause: hosts that restart together while the source is down each retried it every 0.5 s, and once it was back each read everything (upstreams, hosts, table, a watch) every second until the registry listed all of them, which took up to 4 s because registrations were retried at a fixed interval.

It registers again as soon as it has data, else with backoff and jitter. The first reading of a process starts no watch, and a host that gets fresh data from peers lists no hosts itself.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -260,6 +260,19 @@
     And the gateways have called the source at most 130 times in total
     And only 1 of the gateways reads the source
 
+  Scenario: hosts that restart together during an outage of the source serve soon after it, with few calls
+    Given 3 seed gateways and 45 others start together with an upstream "u1" of "notes"
+    When 10 seconds pass
+    And the source is down
+    And all gateways are killed and restart together
+    And 3 seconds pass
+    And the source is back
+    And 1 second passes
+    Then all gateways are ready
+    When 8 seconds pass
+    Then every gateway counts 48 hosts
+    And the gateways have read from the source at most 131 times in total
+
   Scenario: the retries of many hosts during an outage of the source are bounded
     Given 3 seed gateways and 45 others start together with an upstream "u1" of "notes"
     And an upstream "u2" of "scans"
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -251,6 +251,17 @@
     assert count_calls(context) <= int(maximum), count_calls(context)
 
 
+@then(r'the gateways have read from the source at most (\d+) times in total')
+def check_all_reads(context, maximum):
+    count = sum(
+        calls
+        for member in context.fleet.members.values()
+        for name, calls in member.source.calls_by_name.items()
+        if name.startswith(('list_', 'read_', 'watch_'))
+    )
+    assert count <= int(maximum), count
+
+
 @when(r'a new peer asks the gateway that reads the source for changes')
 def ask_as_new_peer(context):
     async def ask():
--- a/rudderrock/gateway/discovery/_operator_data.py
+++ b/rudderrock/gateway/discovery/_operator_data.py
@@ -34,10 +34,17 @@
         self._evacuated = evacuated
         self._events = events
         self._task: asyncio.Task | None = None
+        self._has_read = False
+        # The position of a read after which no watch was started.
+        self._unwatched: position.Position | None = None
 
     async def ensure_running(self) -> result.Result[None, sources.Unavailable]:
-        """Start a watch unless one runs, after a full read if needed."""
-        read = None
+        """Start a watch unless one runs, after a full read if needed.
+
+        The first call of a process only reads. A host that has just started
+        usually gets the data from a peer from then on.
+        """
+        read, self._unwatched = self._unwatched, None
         if self._task is not None:
             if not self._task.done():
                 return result.Ok(None)
@@ -50,11 +57,16 @@
                     pass
                 case result.Err() as failed:
                     return failed
+        if not self._has_read:
+            self._has_read = True
+            self._unwatched = read
+            return result.Ok(None)
         self._task = asyncio.create_task(self._watch(read))
         return result.Ok(None)
 
     def stop(self) -> None:
         """Stop the watch; the data already applied stays in force."""
+        self._unwatched = None
         if self._task is not None:
             self._task.cancel()
             self._task = None
--- a/rudderrock/gateway/discovery/_registration.py
+++ b/rudderrock/gateway/discovery/_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import result
 
@@ -10,15 +11,26 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _fleet as fleet
+from rudderrock.gateway.discovery import _initial_sync as initial_sync_module
 from rudderrock.gateway.discovery import _sources as sources
 
 LEASE_TTL_S = 12.0
+# Mean interval between renewals, in seconds. Two may fail before the lease
+# ends.
 RENEW_INTERVAL_S = 4.0
+# Limit on the mean interval between attempts to register, in seconds. It
+# doubles after each failure, from `RENEW_INTERVAL_S` on.
+MAX_RETRY_INTERVAL_S = 8.0
+# Each interval varies at random by this fraction, so that hosts that start or
+# fail together do not call simultaneously.
+_JITTER = 0.15
 
 
 class Registration:
     """Keeps this host registered while it runs.
 
+    A host that cannot register at its start tries again once it has data: if
+    even its seeds have none, the source is usually down.
     A source that was restored from a backup may have lost the lease and
     assigned its number to another owner. A lease from an earlier era is
     therefore renewed only after the registry has named it as the lease of this
@@ -30,16 +42,19 @@
         source: sources.SourcePort,
         hosts: fleet.Fleet,
         source_era: era.SourceEra,
-        clock: core.Clock,
+        initial_sync: initial_sync_module.InitialSync,
+        rng: random.Random,
         events: log.EventLog,
     ):
         self._source = source
         self._hosts = hosts
         self._era = source_era
-        self._clock = clock
+        self._initial_sync = initial_sync
+        self._rng = rng
         self._events = events
         self._lease: sources.Lease | None = None
         self._missing_count = 0
+        self._failure_count = 0
 
     async def run(self) -> None:
         """Register and renew until cancelled."""
@@ -48,7 +63,19 @@
                 await self._register()
             else:
                 await self._renew_or_register()
-            await asyncio.sleep(RENEW_INTERVAL_S)
+            interval_s = self._get_interval_s()
+            if self._lease is None and not self._initial_sync.is_complete:
+                await self._initial_sync.wait_at_most(interval_s)
+            else:
+                await asyncio.sleep(interval_s)
+
+    def _get_interval_s(self) -> float:
+        """Return the time until the next call, drawn at random."""
+        mean_s = RENEW_INTERVAL_S
+        if self._lease is None:
+            doubled_s = mean_s * 2 ** max(0, self._failure_count - 1)
+            mean_s = min(MAX_RETRY_INTERVAL_S, doubled_s)
+        return mean_s * self._rng.uniform(1 - _JITTER, 1 + _JITTER)
 
     async def withdraw(self) -> None:
         """Remove the registration so that peers stop calling this host."""
@@ -69,7 +96,9 @@
             case result.Ok(lease):
                 self._lease = lease
                 self._missing_count = 0
+                self._failure_count = 0
             case result.Err(problem):
+                self._failure_count += 1
                 self._log_failure('register', problem.detail)
 
     async def _renew_or_register(self) -> None:
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -11,7 +11,6 @@
 
 import asyncio
 from collections.abc import Iterable
-import contextlib
 import random
 
 import result
@@ -28,6 +27,7 @@
 from rudderrock.gateway.discovery import _patience as patience
 from rudderrock.gateway.discovery import _peers as peers
 from rudderrock.gateway.discovery import _quarantine as quarantine
+from rudderrock.gateway.discovery import _seed_sync as seed_sync_module
 from rudderrock.gateway.discovery import _sources as sources
 
 # Interval between readings of the upstreams, in seconds. A draining upstream
@@ -62,16 +62,8 @@
 STARTUP_RELAY_PERIOD_S = PEER_SKIP_S + 2.0
 # Peers asked in turn before the source is tried.
 MAX_PEERS_ASKED = 3
-# How long a starting host asks its seeds while no caller waits, in seconds.
-# Hosts that start together begin to listen within about 0.3 s of each other.
-# Each host that reads the source at its start makes four calls, so 195 hosts
-# that start together would make about 780 calls in the one second in which
-# callers wait for data.
-SEED_SYNC_TIMEOUT_S = 1.5
 # Timeout of one request to a seed, in seconds.
 SEED_REQUEST_TIMEOUT_S = 0.8
-# Pause before all seeds are asked again, in seconds.
-SEED_RETRY_PAUSE_S = 0.1
 # Pause after an answer from a peer, in seconds. It prevents a busy loop if two
 # peers that each have newer data of some kind are asked alternately, and is
 # too short to matter otherwise.
@@ -115,8 +107,12 @@
         self._seeds = fleet.make_seed_entries(seeds, hosts.own)
         # Seeds do not ask one another at start: all of them would wait.
         self._is_seed = len(self._seeds) < len(seeds)
-        # The seed that supplied the data at start.
-        self._seed_peer: fleet.HostEntry | None = None
+        self._seed_sync = seed_sync_module.SeedSync(
+            self._seeds, self._ask_seed, initial_sync, rng
+        )
+        # Seeds that are asked before the source until the registry lists this
+        # host.
+        self._start_seeds = [] if self._is_seed else self._seeds
         self._skip_until: dict[core.HostId, float] = {}
         self._hosts_read_at = -HOSTS_INTERVAL_S
         self._started_at = clock.now()
@@ -132,44 +128,29 @@
     async def run(self) -> None:
         """Synchronize until cancelled."""
         try:
-            if not await self._sync_from_seeds():
-                await self._read_source()
+            await self._sync_first()
             while True:
                 await self._synchronize_once()
         finally:
             self._drop_peer()
             self._operators.stop()
 
-    async def _sync_from_seeds(self) -> bool:
-        """Load all data from a seed for the first time; return success."""
+    async def _sync_first(self) -> None:
+        """Load all data for the first time, from a seed or the source."""
         if self._is_seed or not self._seeds:
-            return False
-        asking = asyncio.create_task(self._ask_seeds())
-        waiter = asyncio.create_task(
-            self._initial_sync.wait_for_first_request()
-        )
-        async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(core.end_task, asking)
-            stack.push_async_callback(core.end_task, waiter)
-            await asyncio.wait(
-                {asking, waiter},
-                timeout=SEED_SYNC_TIMEOUT_S,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            return asking.done() and asking.result()
-
-    async def _ask_seeds(self) -> bool:
-        """Ask the seeds in random order until one has fresh data."""
-        seeds = list(self._seeds)
-        self._rng.shuffle(seeds)
-        while True:
-            for entry in seeds:
-                if await self._ask_seed(entry):
-                    self._seed_peer = entry
-                    return True
-            await asyncio.sleep(SEED_RETRY_PAUSE_S)
-
-    async def _ask_seed(self, entry: fleet.HostEntry) -> bool:
+            await self._read_source()
+            return
+        if await self._seed_sync.sync():
+            return
+        while not (
+            await self._read_source() or self._initial_sync.is_complete
+        ):
+            if await self._seed_sync.sync_again():
+                return
+
+    async def _ask_seed(
+        self, entry: fleet.HostEntry
+    ) -> seed_sync_module.SeedAnswer:
         """Apply the data of a seed; return whether it suffices to serve."""
         client = self._switch_to_peer(entry)
         answer = await client.ask(
@@ -178,10 +159,12 @@
             timeout_s=SEED_REQUEST_TIMEOUT_S,
         )
         if answer.is_err():
-            return False
+            return seed_sync_module.SeedAnswer.UNREACHABLE
         changes = answer.ok_value
         self._apply_changes(client, changes)
-        return changes.is_fresh() and self._initial_sync.is_complete
+        if changes.is_fresh() and self._initial_sync.is_complete:
+            return seed_sync_module.SeedAnswer.SYNCED
+        return seed_sync_module.SeedAnswer.NO_DATA
 
     async def _synchronize_once(self) -> None:
         """Update once from peers or from the source.
@@ -225,6 +208,8 @@
         return self._clock.now() - self._last_try_at >= retry_s
 
     def _is_first_reader(self) -> bool:
+        if self._list_seeds():
+            return False
         return self._hosts.rank_readers()[0].host == self._hosts.own.host
 
     def _list_peers(self) -> list[fleet.HostEntry]:
@@ -236,25 +221,16 @@
         included, or the seeds if no other host is known.
         """
         now = self._clock.now()
-        if self._hosts.is_listed:
-            # Drop the seed permanently. A later list, from another peer, may
-            # be older and lack this host, which would then keep switching
-            # between the seed and its peers without a pause.
-            self._seed_peer = None
         ranked = self._hosts.rank_readers()
         own = self._hosts.own.host
         rank = [each.host for each in ranked].index(own)
         candidates = ranked[:rank]
-        if self._seed_peer is not None:
-            # Until the registry lists this host, its list of hosts is
-            # incomplete, because others have started at the same time; their
-            # order of hosts differs.
-            candidates = [self._seed_peer, *candidates]
         if not (candidates or self._directory.differs_from_reading):
             # While upstreams are kept or left out, only full listings show
             # when that ends. They are too large to send between zones, so this
             # host then reads the source itself.
             candidates = self._hosts.list_earlier_readers()
+        candidates = [*self._list_seeds(), *candidates]
         if self.lost_at is not None:
             candidates = ranked[:rank] + ranked[rank + 1 :]
             candidates += self._hosts.list_hosts_of_other_zones()
@@ -271,6 +247,22 @@
             if self._skip_until.get(each.host, now) <= now
         ][:MAX_PEERS_ASKED]
 
+    def _list_seeds(self) -> list[fleet.HostEntry]:
+        """Return the seeds to ask until the registry lists this host.
+
+        Until then its list of hosts is incomplete, because others have started
+        at the same time; their order of hosts differs.
+        """
+        if self._hosts.is_listed:
+            # Drop the seeds permanently. A later list, from another peer, may
+            # be older and lack this host, which would then keep switching
+            # between the seed and its peers without a pause.
+            self._start_seeds = []
+        supplier = self._seed_sync.supplier
+        if supplier in self._start_seeds:
+            return [supplier]
+        return self._start_seeds
+
     async def _ask_peers(self) -> bool:
         """Ask peers in turn until one has fresh data; return success."""
         for entry in self._list_peers():
@@ -286,6 +278,8 @@
                 case result.Ok(changes):
                     self._apply_changes(client, changes)
                     if self._is_sufficient(changes, max_age_s):
+                        # The peer's list of hosts is as new as its reading.
+                        self._hosts_read_at = self._clock.now()
                         is_incremental = client.is_incremental
                         await self._pause(
                             AFTER_ANSWER_PAUSE_S
@@ -480,10 +474,11 @@
         if self.peer is not None:
             self._drop_peer()
             self._events.record(events.LogKind.READING_FROM, peer='', zone='')
-        await self._read_hosts()
         match await self._operators.ensure_running():
             case result.Err(problem):
                 self._record_source_lost('table', problem.detail)
+        # Last, since this host registers once it has the rest.
+        await self._read_hosts()
         return True
 
     async def _read_hosts(self) -> None:
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -75,7 +75,12 @@
         settings.seeds,
     )
     registration = gateway.Registration(
-        source, hosts, source_era, clock, events
+        source,
+        hosts,
+        source_era,
+        initial_sync,
+        make_rng('registration'),
+        events,
     )
     served = gateway.Gateway(settings, dependencies)
     return gateway.GatewayProcess(
