Start gateways with less memory

An empty deque in the pool of each upstream took 0.7 KB, 0.5 MB for 675 upstreams (tracemalloc).

Change: event lines go to a standard logger, and absl, which logs defects and unreadable data, is loaded at the first of them. Pools queue in a list.

The scenarios collect event lines from the logger that has them now.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -166,7 +166,7 @@
         root_log = logging.getLogger()
         root_log.addHandler(self.log)
         self._stack.callback(root_log.removeHandler, self.log)
-        logging.getLogger('absl').setLevel(logging.INFO)
+        logging.getLogger(gateway.LOGGER_NAME).setLevel(logging.INFO)
 
     async def add_upstream(
         self,
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -4,6 +4,8 @@
 from rudderrock.gateway._events import KIND_INFO
 from rudderrock.gateway._events import LogKind
 from rudderrock.gateway._log import EventLog
+from rudderrock.gateway._log import load_absl_log
+from rudderrock.gateway._log import LOGGER_NAME
 from rudderrock.gateway._log import PipeHandler
 from rudderrock.gateway._log import set_up_log
 from rudderrock.gateway._metrics import GatewayMetrics
@@ -139,6 +141,7 @@
     'KIND_INFO',
     'KeyDigest',
     'Known',
+    'LOGGER_NAME',
     'Lease',
     'LeaseEnded',
     'Link',
@@ -199,6 +202,7 @@
     'digest_key',
     'digest_request',
     'format_event_page',
+    'load_absl_log',
     'merge_records',
     'read_changes',
     'read_records',
--- a/rudderrock/gateway/_log.py
+++ b/rudderrock/gateway/_log.py
@@ -2,7 +2,8 @@
 
 Each line is one JSON object. Logging never blocks a request. Lines that exceed
 a rate limit are dropped and counted in `EventLog.dropped`, and lines for which
-the reader is too slow in `PipeHandler.dropped`.
+the reader is too slow in `PipeHandler.dropped`. Defects and unreadable data
+are logged through absl, which is loaded at the first of them: it takes 1.4 MB.
 """
 
 import asyncio
@@ -11,8 +12,6 @@
 import os
 from typing import Any
 
-from absl import flags
-from absl import logging
 import msgspec
 
 from rudderrock import core
@@ -22,6 +21,8 @@
 _BURST_S = 2.0
 # Bytes buffered for a slow reader before lines are dropped.
 MAX_BUFFERED_BYTES = 256 * 1024
+LOGGER_NAME = 'rudderrock'
+_logger = standard_logging.getLogger(LOGGER_NAME)
 
 
 class _TokenBucket:
@@ -95,7 +96,7 @@
             'kind': kind.value,
             **fields,
         }
-        logging.info('%s', msgspec.json.encode(line).decode())
+        _logger.info('%s', msgspec.json.encode(line).decode())
 
 
 class PipeHandler(standard_logging.Handler):
@@ -165,13 +166,26 @@
 
     Returns the handler that buffers them.
     """
-    flags.FLAGS.mark_as_parsed()
     handler = PipeHandler(descriptor)
     handler.setFormatter(standard_logging.Formatter('%(message)s'))
     root = standard_logging.getLogger()
     for existing in list(root.handlers):
         root.removeHandler(existing)
     root.addHandler(handler)
-    logging.get_absl_logger().propagate = True
-    logging.set_verbosity('info')
+    _logger.setLevel(standard_logging.INFO)
     return handler
+
+
+def load_absl_log():
+    """Return absl's logging module, which logs to the handlers of the root.
+
+    It is loaded at the first call.
+    """
+    from absl import flags
+    from absl import logging
+
+    if not flags.FLAGS.is_parsed():
+        flags.FLAGS.mark_as_parsed()
+        logging.get_absl_logger().propagate = True
+        logging.set_verbosity('info')
+    return logging
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -6,10 +6,9 @@
 import contextlib
 import enum
 
-from absl import logging
-
 from rudderrock import core
 from rudderrock.gateway import _events as events
+from rudderrock.gateway import _log as log
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway.discovery import _broadcast as broadcast
 from rudderrock.gateway.discovery import _fleet as fleet
@@ -235,7 +234,7 @@
         try:
             await background_task()
         except Exception:
-            logging.exception(
+            log.load_absl_log().exception(
                 '%s failed on a defect', background_task.__qualname__
             )
         await asyncio.sleep(RESTART_DELAY_S)
--- a/rudderrock/gateway/discovery/_broadcast.py
+++ b/rudderrock/gateway/discovery/_broadcast.py
@@ -13,11 +13,11 @@
 from collections.abc import Iterable
 import itertools
 
-from absl import logging
 import msgspec
 import result
 
 from rudderrock import core
+from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quarantine as quarantine
 from rudderrock.gateway.http import _http_client as http_client
@@ -107,7 +107,7 @@
         try:
             self._quarantine.merge(read_records(body), origin)
         except msgspec.DecodeError as error:
-            logging.warning(
+            log.load_absl_log().warning(
                 'Invalid quarantine records from %s: %s', origin, error
             )
 
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -7,10 +7,10 @@
 
 import collections
 
-from absl import logging
 import result
 
 from rudderrock import core
+from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _topology as topology
@@ -60,7 +60,9 @@
             answer = await self._ask_hosts(delegation, call)
         except Exception:
             # An unexpected error must only affect this part, and be logged.
-            logging.exception('unexpected error while fetching a part')
+            log.load_absl_log().exception(
+                'unexpected error while fetching a part'
+            )
             self._mark_failed(
                 'unexpected error', service_call.PartFailure.LOST
             )
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 import contextlib
 
-from absl import logging
 import httptools
 
+from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.http import _messages as messages
 
@@ -213,7 +213,7 @@
         except Exception:
             # A defect in the gateway fails this request only and leaves the
             # caller's connection open. The traceback is logged.
-            logging.exception('a request failed on a defect')
+            log.load_absl_log().exception('a request failed on a defect')
             return messages.Reply(500, [])
 
     def _write(
--- a/rudderrock/gateway/http/_pool.py
+++ b/rudderrock/gateway/http/_pool.py
@@ -1,7 +1,6 @@
 """Connection pool of this host for one upstream."""
 
 import asyncio
-import collections
 from collections.abc import Callable
 import math
 
@@ -60,9 +59,9 @@
         self._free: list[link_module.Link] = []
         self._links: set[link_module.Link] = set()
         self._connecting: set[asyncio.Task] = set()
-        self._waiting: collections.deque[link_module.Exchange] = (
-            collections.deque()
-        )
+        # A list, since an empty deque takes 0.7 KB and most pools, one for
+        # each upstream, never have a queue.
+        self._waiting: list[link_module.Exchange] = []
         self._retired = False
 
     @property
@@ -191,7 +190,7 @@
         """Fail the queued exchanges and let those in flight finish."""
         self._retired = True
         while self._waiting:
-            exchange = self._waiting.popleft()
+            exchange = self._waiting.pop(0)
             exchange.finish(
                 link_module.ConnectionLost(False, 'upstream was removed')
             )
@@ -267,14 +266,14 @@
         if any(link.exchange is not None for link in self._links):
             return
         while self._waiting:
-            exchange = self._waiting.popleft()
+            exchange = self._waiting.pop(0)
             exchange.finish(
                 link_module.ConnectionLost(False, f'no connection: {detail}')
             )
 
     def _on_free(self, link: link_module.Link) -> None:
         if self._waiting and link.is_free:
-            link.start(self._waiting.popleft())
+            link.start(self._waiting.pop(0))
         elif self._retired or not link.is_free:
             link.abort()
         else:
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -3,7 +3,6 @@
 import dataclasses
 import urllib.parse
 
-from absl import logging
 import msgspec
 import result
 
@@ -183,7 +182,9 @@
                 entry = msgspec.json.decode(raw, type=gateway.HostEntry)
             except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
                 # An invalid entry must not hide the others.
-                logging.warning('ignoring invalid %s: %s', item.key, error)
+                gateway.load_absl_log().warning(
+                    'ignoring invalid %s: %s', item.key, error
+                )
                 continue
             entries.append(entry)
         return result.Ok(entries)
--- a/rudderrock/programs/gateway.py
+++ b/rudderrock/programs/gateway.py
@@ -7,7 +7,6 @@
 import signal
 import sys
 
-from absl import logging
 import result
 
 from rudderrock import core
@@ -71,7 +70,7 @@
     try:
         await process.run()
     except OSError as error:
-        logging.error('cannot listen: %s', error)
+        gateway.load_absl_log().error('cannot listen: %s', error)
         exits.fail(str(error), exits.Exit.FAILED)
     finally:
         source.close()
