--- a/rudderrock/gateway/discovery/_registration.py
+++ b/rudderrock/gateway/discovery/_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 
 import result
 
@@ -10,15 +11,28 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _fleet as fleet
+from rudderrock.gateway.discovery import _initial_sync as initial_sync_module
 from rudderrock.gateway.discovery import _sources as sources
 
 LEASE_TTL_S = 12.0
+# Mean interval between renewals, in seconds. Two may fail before the lease
+# ends.
 RENEW_INTERVAL_S = 4.0
+# Limit on the mean interval between attempts to register, in seconds. It
+# doubles after each failure, from `RENEW_INTERVAL_S` on.
+MAX_RETRY_INTERVAL_S = 8.0
+# Each interval varies at random by this fraction, so that hosts that start or
+# fail together do not call simultaneously.
+_JITTER = 0.15
 
 
 class Registration:
     """Keeps this host registered while it runs.
 
+    A host that cannot register at its start tries again once it has data: if
+    even its seeds have none, the source is usually down. If the list of hosts
+    still contains this host from before a restart, the lease of that entry is
+    taken over, which costs less than a new one.
     A source that was restored from a backup may have lost the lease and
     assigned its number to another owner. A lease from an earlier era is
     therefore renewed only after the registry has named it as the lease of this
@@ -30,25 +44,41 @@
         source: sources.SourcePort,
         hosts: fleet.Fleet,
         source_era: era.SourceEra,
-        clock: core.Clock,
+        initial_sync: initial_sync_module.InitialSync,
+        rng: random.Random,
         events: log.EventLog,
     ):
         self._source = source
         self._hosts = hosts
         self._era = source_era
-        self._clock = clock
+        self._initial_sync = initial_sync
+        self._rng = rng
         self._events = events
         self._lease: sources.Lease | None = None
         self._missing_count = 0
+        self._failure_count = 0
+        self._has_registered = False
 
     async def run(self) -> None:
         """Register and renew until cancelled."""
         while True:
-            if self._lease is None:
+            if self._lease is not None:
+                await self._renew_or_register()
+            elif not await self._take_over():
                 await self._register()
+            interval_s = self._get_interval_s()
+            if self._lease is None and not self._initial_sync.is_complete:
+                await self._initial_sync.wait_at_most(interval_s)
             else:
-                await self._renew_or_register()
-            await asyncio.sleep(RENEW_INTERVAL_S)
+                await asyncio.sleep(interval_s)
+
+    def _get_interval_s(self) -> float:
+        """Return the time until the next call, drawn at random."""
+        mean_s = RENEW_INTERVAL_S
+        if self._lease is None:
+            doubled_s = mean_s * 2 ** max(0, self._failure_count - 1)
+            mean_s = min(MAX_RETRY_INTERVAL_S, doubled_s)
+        return mean_s * self._rng.uniform(1 - _JITTER, 1 + _JITTER)
 
     async def withdraw(self) -> None:
         """Remove the registration so that peers stop calling this host."""
@@ -62,14 +92,37 @@
         if answer.is_err():
             self._log_failure('withdraw', answer.err_value.detail)
 
+    async def _take_over(self) -> bool:
+        """Renew the lease of an earlier process of this host, if listed.
+
+        Return whether registering is not needed, or not possible now.
+        """
+        if self._has_registered or not self._hosts.is_listed:
+            return False
+        match await self._source.find_lease(self._hosts.own.host):
+            case result.Err(problem):
+                self._failure_count += 1
+                self._log_failure('find_lease', problem.detail)
+                return True
+            case result.Ok(None):
+                return False
+            case result.Ok(found):
+                self._has_registered = True
+                renewed = await self._source.renew(found)
+                self._lease = found if renewed.is_ok() else None
+                return renewed.is_ok()
+
     async def _register(self) -> None:
         self._lease = None
         answer = await self._source.register(self._hosts.own, LEASE_TTL_S)
         match answer:
             case result.Ok(lease):
                 self._lease = lease
+                self._has_registered = True
                 self._missing_count = 0
+                self._failure_count = 0
             case result.Err(problem):
+                self._failure_count += 1
                 self._log_failure('register', problem.detail)
 
     async def _renew_or_register(self) -> None:
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -3,7 +3,6 @@
 import dataclasses
 import urllib.parse
 
-from absl import logging
 import msgspec
 import result
 
@@ -390,7 +389,10 @@
             entries.append(msgspec.json.decode(raw, type=kind))
         except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
             # An invalid entry must not hide the others.
-            logging.warning('ignoring invalid %s: %s', item.key, error)
+            # An invalid entry must not hide the others.
+            gateway.load_absl_log().warning(
+                'ignoring invalid %s: %s', item.key, error
+            )
     return entries
 
 
