Hosts that turn slow step back from wide queries by themselves

A host stated the cores of its settings however it ran, so one that turned slower kept half of its zone's wide queries until some of them were late. Each host now compares the time for which sending a query occupies its event loop with the usual time of that class, and samples how late timers run. The expected load of a query is multiplied by the measured slowness; a query that would be delayed is refused with the reason slow, and the host that asked goes to the next one for 0.5 to 1.5 s. The pattern of refusal reasons accepted a delay after the last reason only; it now does after each.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -372,12 +372,15 @@
         zones: list[str],
         capacities: list[float] | None = None,
         link_bytes_s: float = 0.0,
+        cores: float = 1.0,
     ) -> None:
         """Start one gateway for each element of `zones`."""
         self._harness.keep_log()
         capacities = capacities or [1.0] * len(zones)
         for zone, capacity in zip(zones, capacities, strict=True):
-            await self.add(zone, capacity, link_bytes_s=link_bytes_s)
+            await self.add(
+                zone, capacity, link_bytes_s=link_bytes_s, cores=cores
+            )
         await asyncio.sleep(1.0)
 
     async def add(
@@ -388,6 +391,7 @@
         is_refused: bool = False,
         link_bytes_s: float = 0.0,
         number: int | None = None,
+        cores: float = 1.0,
     ) -> None:
         """Start another gateway.
 
@@ -413,6 +417,7 @@
             peers=(ip, _PORT + 3),
             capacity=capacity,
             link_bytes_s=link_bytes_s,
+            cores=cores,
             seeds=seeds,
         )
         source = standins.HostSource(self._harness.source)
--- /dev/null
+++ b/features/uneven.feature
@@ -0,0 +1,19 @@
+Feature: Work goes where it is done soonest when hosts and upstreams are uneven
+
+  # A slow host would get half of the zone's wide queries by its stated cores.
+  # The other coordinator and the hosts ranked next have room for them.
+  Scenario: a host that turns five times slower steps back before it loses queries
+    Given 8 gateways with a goal of 0.2 seconds in front of 60 shards, 2 of them coordinators that take 0.012 seconds per query
+    When the other gateways are asked for all shards 40 times a second for 2 seconds
+    Then at least 0.99 of the answers of the last 2 seconds take at most 0.2 seconds
+    When one coordinator turns 5 times slower
+    And the other gateways are asked for all shards 40 times a second for 6 seconds
+    Then at least 0.97 of the answers of the last 6 seconds take at most 0.2 seconds
+    And the slow coordinator started at most 0.2 of the queries of the last 5 seconds
+    And no query was lost
+    And at most 0.01 of the requests to shards were extra ones
+    And the log reports that the slow coordinator has noticed it
+    When the slow coordinator turns as fast as before
+    And 3 seconds pass
+    And the other gateways are asked for all shards 40 times a second for 4 seconds
+    Then the slow coordinator started at least 0.3 of the queries of the last 4 seconds
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -21,6 +21,7 @@
     NOT_READY = 'not_ready'
     DEPENDENCY_LOST = 'dependency_lost'
     DEPENDENCY_BACK = 'dependency_back'
+    HOST_SLOW = 'host_slow'
     TABLE_IN_FORCE = 'table_in_force'
     TABLE_REJECTED = 'table_rejected'
     REGIONS_UNKNOWN = 'regions_unknown'
@@ -112,6 +113,13 @@
         '`detail` gives the reason for each host that is no longer used.',
         ('zone', 'before', 'hosts', 'detail'),
     ),
+    LogKind.HOST_SLOW: KindInfo(
+        'This host has become slower than usual (`slow`), or no longer is. '
+        'Its event loop runs late by `delay_ms` on average, and sending the '
+        'requests of wide queries takes `slowness` times as long as usual. '
+        'A slow host refuses wide queries that it would delay.',
+        ('slow', 'delay_ms', 'slowness'),
+    ),
     LogKind.TABLE_IN_FORCE: KindInfo(
         'A routing table has replaced version `before`; `origin` is the '
         'source or the peer that sent it.',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -117,6 +117,7 @@
                 self._broadcaster.pull,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
+                self.gateway.loop_monitor.run,
             ):
                 task = asyncio.create_task(_run_forever(background_task))
                 stack.push_async_callback(core.end_task, task)
@@ -218,6 +219,11 @@
             'retries_total': counters.retries,
             'extras_denied_total': counters.extras_denied,
             'overloaded_total': self.gateway.admission.refused,
+            'loop_delay_seconds': (
+                self.gateway.load_estimator.get_loop_delay_s()
+            ),
+            'host_slowness': self.gateway.load_estimator.get_slowness(),
+            'slow_refusals_total': self.gateway.slow_refusals,
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
--- a/rudderrock/gateway/decisions/_host_load.py
+++ b/rudderrock/gateway/decisions/_host_load.py
@@ -8,8 +8,11 @@
 """
 
 import dataclasses
+import enum
 
 from rudderrock import core
+from rudderrock.gateway.decisions import _loop_delay as loop_delay_module
+from rudderrock.gateway.decisions import _pace as pace
 from rudderrock.gateway.discovery import _routing as routing
 
 # Mean processor time of one shard request, in seconds of one whole core, with
@@ -63,20 +66,52 @@
         self.updated_at = now
 
 
+class Room(enum.Enum):
+    """Whether this host has room for another wide query.
+
+    With `FULL` the estimated work in progress is too much; it is done soon.
+    With `SLOW` the host is measured to be slower than usual, or its event loop
+    runs late.
+    """
+
+    FREE = 'free'
+    FULL = 'full'
+    SLOW = 'slow'
+
+
 class LoadEstimator:
     """Estimate the load of the wide queries that this host runs.
 
     Parameters: `cores` is the speed of the processor in whole cores, and
     `link_bytes_s` the bandwidth of the link in bytes per second, 0 if unknown.
+    `loop_delay` is the measured delay of the event loop, if it is measured.
     """
 
-    def __init__(self, clock: core.Clock, cores: float, link_bytes_s: float):
+    def __init__(
+        self,
+        clock: core.Clock,
+        cores: float,
+        link_bytes_s: float,
+        loop_delay: loop_delay_module.LoopDelay | None = None,
+    ):
+        self._loop_delay = loop_delay or loop_delay_module.LoopDelay(clock)
         self._clock = clock
         self._cores = cores
         self._link_bytes_s = link_bytes_s
         self._processor = _LeakyBucket()
         self._link = _LeakyBucket()
         self._averages: dict[QueryClass, tuple[float, float]] = {}
+        self._pace = pace.Pace(clock)
+
+    def get_slowness(self) -> float:
+        """Return how many times slower than usual this host works."""
+        return self._pace.get_slowness()
+
+    def record_send_time(
+        self, query_class: QueryClass, taken_s: float
+    ) -> None:
+        """Record how long sending a query occupied the event loop."""
+        self._pace.record(query_class, taken_s)
 
     def get_delay_s(self) -> float:
         """Return the estimated work in progress that delays a new query.
@@ -86,9 +121,23 @@
         now = self._clock.now()
         return max(self._processor.get(now), self._link.get(now))
 
-    def has_room(self, goal_s: float) -> bool:
+    def get_loop_delay_s(self) -> float:
+        """Return the measured delay of the event loop in seconds."""
+        return self._loop_delay.get_s()
+
+    def find_room(self, goal_s: float) -> Room:
         """Return whether to run a query with this latency goal here."""
-        return self.get_delay_s() <= MAX_DELAY_FRACTION * goal_s
+        self._loop_delay.record_query()
+        max_delay_s = MAX_DELAY_FRACTION * goal_s
+        if self._loop_delay.get_s() > max_delay_s:
+            return Room.SLOW
+        if self.get_delay_s() > max_delay_s:
+            return Room.SLOW if self.get_slowness() > 1.0 else Room.FULL
+        return Room.FREE
+
+    def has_room(self, goal_s: float) -> bool:
+        """Return whether there is room for a query with this goal."""
+        return self.find_room(goal_s) is Room.FREE
 
     def record_start(self, query_class: QueryClass, shards: int) -> None:
         """Add the estimated load of a query that starts.
@@ -100,7 +149,8 @@
             query_class, (shards, shards * ANSWER_OVERHEAD_BYTES)
         )
         now = self._clock.now()
-        self._processor.add(now, requests * REQUEST_CPU_S / self._cores)
+        work_s = requests * REQUEST_CPU_S / self._cores
+        self._processor.add(now, work_s * self.get_slowness())
         if self._link_bytes_s > 0:
             self._link.add(now, size / self._link_bytes_s)
 
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -45,6 +45,9 @@
 # A host is skipped if it has not answered this long after the latency goal,
 # both counted from the time at which it was asked.
 LATE_MARGIN_S = 0.1
+# How long on average a host is skipped that has measured itself to be slow.
+# Asking again costs one round trip.
+SLOW_SKIP_S = 1.0
 # Headers of a delegated query: the table version of the delegating host, and
 # the time in ms since that host received the query, with an estimate of the
 # round trip and the overhead of the other host added.
@@ -120,11 +123,12 @@
     STOPPING = 'stopping'
     TABLE = 'another table'
     FULL = 'full'
+    SLOW = 'slow'
 
 
 # Valid values of the header `REFUSAL_REASON`; others are not logged.
 _REASON_PATTERN = re.compile(
-    '|'.join(each.value for each in RefusalReason) + r'( \d{1,6} ms)?'
+    f'({"|".join(each.value for each in RefusalReason)})' + r'( \d{1,6} ms)?'
 )
 
 
@@ -414,11 +418,23 @@
         if not _REASON_PATTERN.fullmatch(reason):
             reason = 'no reason that is known'
         detail = f'did not take a query: {reason}'
-        is_full = reason.startswith(RefusalReason.FULL.value)
-        skip_s = FULL_SKIP_S if is_full else REFUSAL_SKIP_S
+        skip_s = REFUSAL_SKIP_S
+        if reason.startswith(RefusalReason.FULL.value):
+            skip_s = FULL_SKIP_S
+        elif reason.startswith(RefusalReason.SLOW.value):
+            skip_s = SLOW_SKIP_S * self._get_spread(entry)
         self.coordinators.skip_for(entry, detail, skip_s)
         return result.Err(http_client.NoReply(False, detail))
 
+    def _get_spread(self, entry: fleet.HostEntry) -> float:
+        """Return a factor from 0.5 to 1.5, specific to a pair of hosts.
+
+        It keeps the hosts that were refused together from coming back at
+        once.
+        """
+        rank = fleet.rank_pair(self._hosts.own.host, entry.host)
+        return 0.5 + rank / 2**64
+
     def close(self) -> None:
         """Close all connections to other hosts."""
         for each in self._clients.values():
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -16,6 +16,7 @@
 from rudderrock.gateway.decisions import _cold as cold
 from rudderrock.gateway.decisions import _host_load as host_load
 from rudderrock.gateway.decisions import _identity as identity_module
+from rudderrock.gateway.decisions import _loop_delay as loop_delay
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
@@ -32,6 +33,7 @@
 from rudderrock.gateway.forwarding import _delegate as delegate
 from rudderrock.gateway.forwarding import _forward as forward
 from rudderrock.gateway.forwarding import _gather as gather
+from rudderrock.gateway.forwarding import _loop_monitor as loop_monitor
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.forwarding import _service_call as service_call
 from rudderrock.gateway.forwarding import _zones as zones
@@ -115,9 +117,14 @@
         )
         self.counters = calls.Counters()
         self.admission = admission.Admission(dependencies.clock)
+        delay = loop_delay.LoopDelay(dependencies.clock)
         self.load_estimator = host_load.LoadEstimator(
-            dependencies.clock, config.cores, config.link_bytes_s
+            dependencies.clock, config.cores, config.link_bytes_s, delay
         )
+        self.loop_monitor = loop_monitor.LoopMonitor(
+            delay, self.load_estimator, dependencies.clock, dependencies.events
+        )
+        self.slow_refusals = 0
         self.delegated_in_flight = 0
         self.accepts_delegated = True
         self._config = config
@@ -206,12 +213,9 @@
             or self._has_same_meaning(table, request, int(version))
         ):
             return delegate.make_refusal(names, delegate.RefusalReason.TABLE)
-        if not self._has_room_for(table, request):
-            return delegate.make_refusal(
-                names,
-                delegate.RefusalReason.FULL,
-                f'{1000 * self.load_estimator.get_delay_s():.0f} ms',
-            )
+        refusal = self._check_room(table, request)
+        if refusal is not None:
+            return refusal
         elapsed = request.get_header(delegate.ELAPSED) or b''
         if elapsed.isdigit():
             request.arrived -= int(elapsed) / 1000
@@ -247,14 +251,33 @@
         digest = request.get_header(delegate.ROUTE)
         return route is not None and route.digest == digest
 
-    def _has_room_for(
+    def _check_room(
         self, table: routing.RoutingTable, request: messages.Request
-    ) -> bool:
-        """Return whether this host has capacity for a delegated query."""
+    ) -> messages.Reply | None:
+        """Return a refusal if there is no room for a delegated query."""
         if request.get_header(delegate.MUST_RUN) is not None:
-            return True
+            return None
         route = self._find_route(table, request)
-        return route is None or self.load_estimator.has_room(route.goal_s)
+        if route is None:
+            return None
+        names = self._config.names
+        load = self.load_estimator
+        match load.find_room(route.goal_s):
+            case host_load.Room.FULL:
+                return delegate.make_refusal(
+                    names,
+                    delegate.RefusalReason.FULL,
+                    f'{1000 * load.get_delay_s():.0f} ms',
+                )
+            case host_load.Room.SLOW:
+                self.slow_refusals += 1
+                delay_s = max(load.get_delay_s(), load.get_loop_delay_s())
+                return delegate.make_refusal(
+                    names,
+                    delegate.RefusalReason.SLOW,
+                    f'{1000 * delay_s:.0f} ms',
+                )
+        return None
 
     async def handle(
         self,
@@ -338,6 +361,7 @@
             case routing.Scatter() if shards:
                 query_class = host_load.QueryClass(route.name, is_part=True)
                 self.load_estimator.record_start(query_class, len(shards))
+                self.loop_monitor.measure_sending(query_class)
                 min_answers = request.get_header(delegate.MIN_ANSWERS) or b'1'
                 result = await gather.answer_part(
                     self._context,
@@ -466,6 +490,7 @@
         congested = None
         query_class = host_load.QueryClass(call.route.name, is_part=False)
         self.load_estimator.record_start(query_class, len(scatter.shards))
+        self.loop_monitor.measure_sending(query_class)
         try:
             result = await gather.forward_to_all(
                 self._context, call, scatter, threshold, self.delegation
