A zone without room offers wide queries to other zones

Callers choose the zone, so its hosts could be asked for more than they can do while hosts of other zones were idle; the last host that was offered a query had to run it. Before that, zones of the region are asked now, and zones of other regions if the hosts here would delay the query by more than 0.3 of its goal. A host gives such queries half of its usual room. Refusals tell the delay, which is kept with its age.

--- a/features/slow_processor.py
+++ b/features/slow_processor.py
@@ -1,6 +1,7 @@
 """A processor whose work takes virtual time, for one gateway of a fleet."""
 
 import asyncio
+import functools
 
 _ROUNDING_S = 1e-9
 
@@ -23,7 +24,7 @@
     """One first-in first-out processor that runs a gateway's event loop.
 
     Each wide query or part takes `query_s` seconds when it starts. Data of
-    peers, timers of the loop monitor and replies to peers wait until the
+    peers, timers of the loop monitor, requests and replies wait until the
     work before them is done.
     """
 
@@ -39,8 +40,11 @@
         estimator = member.gateway.load_estimator
         self._record_start = estimator.record_start
         estimator.record_start = self._start_query
-        self._handle = member.process.peers.handle
-        member.process.peers.handle = self._answer
+        for listener in (
+            member.process.peers,
+            member.process._caller_listener,
+        ):
+            listener.handle = functools.partial(self._answer, listener.handle)
         if hasattr(member.gateway, 'loop_monitor'):
             member.gateway.loop_monitor.sleep = self._sleep
             member.gateway.loop_monitor.call_soon = self.call
@@ -58,9 +62,9 @@
         self._free_at = max(now, self._free_at) + self.query_s
         self._record_start(query_class, shards)
 
-    async def _answer(self, request):
+    async def _answer(self, handle, request):
         await self._wait()
-        reply = await self._handle(request)
+        reply = await handle(request)
         await self._wait()
         return reply
 
--- a/features/steps/uneven.py
+++ b/features/steps/uneven.py
@@ -44,17 +44,112 @@
     context.fast = list(context.fleet.members)[: int(fast)]
     context.query_s = float(query_s)
 
+    install_processors(context, context.fast)
+
+
+def install_processors(context, names):
+    """Give each of these gateways a processor whose work takes time."""
+
     async def install():
         return [
             slow_processor.SlowProcessor(
-                context.fleet.members[name], float(query_s)
+                context.fleet.members[name], context.query_s
             )
-            for name in context.fast
+            for name in names
         ]
 
     context.processors = run(context, install())
 
 
+@given(
+    r'(\d+) gateways in each of two zones with a goal of ([\d.]+) seconds in '
+    r'front of (\d+) shards with a replica in each zone, that take ([\d.]+) '
+    r'seconds per query'
+)
+def start_two_zones(context, count, goal_s, shards, query_s):
+    harness = gateway_steps.get(context)
+    context.zones = ['north-1'] * int(count) + ['north-2'] * int(count)
+    for number in range(int(shards)):
+        name = f'shard-{number}'
+        context.shards.append(name)
+        for zone in ('north-1', 'north-2'):
+            run(
+                context,
+                harness.add_upstream(
+                    f'{name}-{zone}',
+                    name,
+                    zone=zone,
+                    records=b'r' * 32,
+                    work_s=0.02,
+                ),
+            )
+    delegate.start_gateways(
+        context,
+        context.zones,
+        goal_s=float(goal_s),
+        cores=int(shards) * _REQUEST_CPU_S / float(query_s),
+    )
+    context.query_s = float(query_s)
+    install_processors(context, list(context.fleet.members))
+
+
+def list_zone(context, first):
+    """Return the gateways of the first or of the second zone."""
+    names = list(context.fleet.members)
+    half = len(names) // 2
+    return names[:half] if first else names[half:]
+
+
+def count_elsewhere(context, names):
+    """Return how many queries of these gateways other zones have run."""
+    return sum(
+        context.fleet.members[name].gateway.delegation.overflow.sent
+        for name in names
+    )
+
+
+@when(
+    r'each zone in turn is asked (\d+) times a second for (\d+) seconds? '
+    r'while the other is asked (\d+) times a second, (\d+) times'
+)
+def swing(context, high, seconds, low, times):
+    async def play():
+        found = []
+        context.sent_by_quiet = 0
+        for number in range(int(times)):
+            busy = list_zone(context, number % 2 == 0)
+            quiet = list_zone(context, number % 2 == 1)
+            before = count_elsewhere(context, quiet)
+            for each in await asyncio.gather(
+                query_timed(context, busy, int(high), int(seconds)),
+                query_timed(context, quiet, int(low), int(seconds)),
+            ):
+                found += each
+            context.sent_by_quiet += count_elsewhere(context, quiet) - before
+        return found
+
+    context.timed = run(context, play())
+
+
+@when(r'both zones are asked (\d+) times a second for (\d+) seconds')
+def query_both(context, rate, seconds):
+    context.sent_before = count_elsewhere(context, context.fleet.members)
+    names = list(context.fleet.members)
+    load = query_timed(context, names, 2 * int(rate), int(seconds))
+    context.timed = run(context, load)
+
+
+@then(r'the zone with less load sent at most (\d+) queries to the other one')
+def check_quiet(context, maximum):
+    assert context.sent_by_quiet <= int(maximum), context.sent_by_quiet
+
+
+@then(r'each zone has run its own queries')
+def check_own(context):
+    sent = count_elsewhere(context, context.fleet.members)
+    assert sent == context.sent_before, (sent, context.sent_before)
+
+
 @when(r'one coordinator turns (\d+) times slower')
 def slow_down(context, factor):
     context.processors[0].query_s = int(factor) * context.query_s
@@ -95,8 +190,8 @@
 
 
 @then(
-    r'at least ([\d.]+) of the answers of the last \d+ seconds take at most '
-    r'([\d.]+) seconds'
+    r'at least ([\d.]+) of the answers (?:of the last \d+ seconds )?take at '
+    r'most ([\d.]+) seconds'
 )
 def check_in_time(context, fraction, goal_s):
     in_time = sum(
--- a/features/uneven.feature
+++ b/features/uneven.feature
@@ -17,3 +17,15 @@
     And 3 seconds pass
     And the other gateways are asked for all shards 40 times a second for 4 seconds
     Then the slow coordinator started at least 0.3 of the queries of the last 4 seconds
+
+  # A zone can run 50 queries a second, and 30 without long waits. Both zones
+  # together have room for all queries at any time.
+  Scenario: two zones whose load swings out of step help each other and do not swap their work
+    Given 2 gateways in each of two zones with a goal of 0.3 seconds in front of 48 shards with a replica in each zone, that take 0.04 seconds per query
+    When each zone in turn is asked 48 times a second for 2 seconds while the other is asked 4 times a second, 2 times
+    Then at least 0.9 of the answers take at most 0.3 seconds
+    And the zone with less load sent at most 2 queries to the other one
+    When 2 seconds pass
+    And both zones are asked 10 times a second for 2 seconds
+    Then at least 0.99 of the answers take at most 0.3 seconds
+    And each zone has run its own queries
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -224,6 +224,9 @@
             ),
             'host_slowness': self.gateway.load_estimator.get_slowness(),
             'slow_refusals_total': self.gateway.slow_refusals,
+            'queries_sent_elsewhere_total': (
+                self.gateway.delegation.overflow.sent
+            ),
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
--- a/rudderrock/gateway/decisions/_host_load.py
+++ b/rudderrock/gateway/decisions/_host_load.py
@@ -125,6 +125,10 @@
         """Return the measured delay of the event loop in seconds."""
         return self._loop_delay.get_s()
 
+    def get_total_delay_s(self) -> float:
+        """Return the longer one of the estimated and the measured delay."""
+        return max(self.get_delay_s(), self.get_loop_delay_s())
+
     def find_room(self, goal_s: float) -> Room:
         """Return whether to run a query with this latency goal here."""
         self._loop_delay.record_query()
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -21,8 +21,10 @@
 from rudderrock import core
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _coordinators as coordinators
+from rudderrock.gateway.decisions import _overflow as overflow
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.discovery import _topology as topology
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _header_names as header_names
@@ -66,11 +68,13 @@
 CRASHED_UPSTREAMS = b'rudderrock-held-back'
 # Requires a host to run the query even if it is full.
 MUST_RUN = b'rudderrock-must-run'
+# Marks a whole query of a zone without room.
+ELSEWHERE = b'rudderrock-elsewhere'
 # Reason why a host has not started the query.
 REFUSAL_REASON = b'rudderrock-not-taken'
 # Headers that are never forwarded to upstreams.
 DELEGATION_HEADERS = frozenset(
-    {VERSION, ELAPSED, SHARDS, MIN_ANSWERS, MUST_RUN, ROUTE}
+    {VERSION, ELAPSED, SHARDS, MIN_ANSWERS, MUST_RUN, ROUTE, ELSEWHERE}
 )
 _MAX_CONNECTIONS = 16
 # Connections to a host of another zone that are opened in advance. Opening one
@@ -110,11 +114,13 @@
     """The host to ask next for a query, or for a part of one.
 
     If `is_last` is true, no other host is asked after it, so it must run the
-    query even if it is full.
+    query even if it is full. `is_elsewhere` is true for a whole query that
+    goes to another zone because the own one has no room.
     """
 
     entry: fleet.HostEntry
     is_last: bool
+    is_elsewhere: bool = False
 
 
 class RefusalReason(enum.Enum):
@@ -169,7 +175,9 @@
         clock: core.Clock,
         events: log.EventLog,
         get_version: Callable[[], int],
+        place: topology.Topology,
     ):
+        self.overflow = overflow.Overflow(hosts, place, clock)
         self.coordinators = coordinators.Coordinators(hosts, clock, events)
         self._hosts = hosts
         self._names = names
@@ -179,27 +187,62 @@
 
     def choose(
         self,
-        request_id: bytes,
-        has_room: bool,
+        call: calls.Call,
+        own_delay_s: float | None,
         tried: tuple[core.HostId, ...],
     ) -> Candidate | None:
         """Return the host to run a wide query, or None for this host.
 
-        This host runs the query if it is a coordinator with free capacity,
-        or if no other candidate is left.
+        `own_delay_s` is the delay at this host, or None if it has room. This
+        host runs the query if it is a coordinator with free capacity, or if
+        no other candidate is left. Before a host of this zone must run a
+        query without room for it, hosts of other zones are asked.
         """
         own = self._hosts.own
+        has_room = own_delay_s is None
         if self.coordinators.has_own() and has_room:
             return None
+        tried_here, tried_elsewhere = self.overflow.split(tried)
         if not has_room:
-            tried = (*tried, own.host)
+            tried_here = (*tried_here, own.host)
         candidate = self._pick_candidate(
-            own.zone, request_id, tried, coordinators.MAX_ATTEMPTS
+            own.zone, call.request_id, tried_here, coordinators.MAX_ATTEMPTS
         )
+        if candidate is None or candidate.is_last:
+            elsewhere = self._pick_elsewhere(
+                call, own_delay_s, tried_here, tried_elsewhere
+            )
+            if elsewhere is not None:
+                return elsewhere
         return (
             None if candidate is None or candidate.entry == own else candidate
         )
 
+    def _pick_elsewhere(
+        self,
+        call: calls.Call,
+        own_delay_s: float | None,
+        tried_here: tuple[core.HostId, ...],
+        tried_elsewhere: tuple[core.HostId, ...],
+    ) -> Candidate | None:
+        """Return the host of another zone to ask for a whole query."""
+        if len(tried_elsewhere) >= coordinators.MAX_REMOTE_ATTEMPTS:
+            return None
+        for zone in self.overflow.list_zones(
+            call.route, call.request_id, own_delay_s, tried_here
+        ):
+            found = [
+                each
+                for each in self.coordinators.list_available(
+                    zone, tried_elsewhere
+                )
+                if self.overflow.expects_room(each, call.route.goal_s)
+            ]
+            if found and self.has_time_to_hedge(zone, call):
+                entry = found[fleet.rank_name(call.request_id) % len(found)]
+                return Candidate(entry, is_last=False, is_elsewhere=True)
+        return None
+
     def choose_in_zone(
         self,
         zone: core.ZoneId,
@@ -359,6 +402,8 @@
         entry = candidate.entry
         if candidate.is_last:
             extra_headers = [*extra_headers, (MUST_RUN, b'1')]
+        if candidate.is_elsewhere:
+            extra_headers = [*extra_headers, (ELSEWHERE, b'1')]
         peer = self._get_client(entry)
         round_trip_s = peer.round_trip_s or DEFAULT_ROUND_TRIP_S
         version = self._get_version()
@@ -398,9 +443,10 @@
         match answer:
             case result.Ok(reply) if reply.get_header(REFUSAL_REASON) is None:
                 self.coordinators.record_success(entry)
+                self.overflow.sent += candidate.is_elsewhere
                 return answer
             case result.Ok(reply):
-                return self._handle_refusal(entry, reply)
+                return self._handle_refusal(candidate, reply)
             case result.Err(problem):
                 skip_s = (
                     coordinators.SKIP_S
@@ -411,21 +457,39 @@
                 return answer
 
     def _handle_refusal(
-        self, entry: fleet.HostEntry, reply: messages.Reply
+        self, candidate: Candidate, reply: messages.Reply
     ) -> result.Err[http_client.NoReply]:
-        """Skip a host that refused a query, for a time set by its reason."""
+        """Skip a host that refused a query, for a time set by its reason.
+
+        A host without room for queries of other zones is not skipped: it may
+        have room for those of its own zone and for parts.
+        """
+        entry = candidate.entry
         reason = (reply.get_header(REFUSAL_REASON) or b'').decode('latin-1')
         if not _REASON_PATTERN.fullmatch(reason):
             reason = 'no reason that is known'
         detail = f'did not take a query: {reason}'
-        skip_s = REFUSAL_SKIP_S
-        if reason.startswith(RefusalReason.FULL.value):
-            skip_s = FULL_SKIP_S
-        elif reason.startswith(RefusalReason.SLOW.value):
-            skip_s = SLOW_SKIP_S * self._get_spread(entry)
-        self.coordinators.skip_for(entry, detail, skip_s)
+        kind, _, delay = reason.partition(' ')
+        is_out_of_room = kind in (
+            RefusalReason.FULL.value,
+            RefusalReason.SLOW.value,
+        )
+        if is_out_of_room:
+            self.overflow.record_no_room(entry, _parse_ms(delay))
+        if not (is_out_of_room and candidate.is_elsewhere):
+            skip_s = self._get_skip_s(entry, kind)
+            self.coordinators.skip_for(entry, detail, skip_s)
         return result.Err(http_client.NoReply(False, detail))
 
+    def _get_skip_s(self, entry: fleet.HostEntry, kind: str) -> float:
+        """Return how long to skip a host after a kind of refusal."""
+        match kind:
+            case RefusalReason.FULL.value:
+                return FULL_SKIP_S
+            case RefusalReason.SLOW.value:
+                return SLOW_SKIP_S * self._get_spread(entry)
+        return REFUSAL_SKIP_S
+
     def _get_spread(self, entry: fleet.HostEntry) -> float:
         """Return a factor from 0.5 to 1.5, specific to a pair of hosts.
 
@@ -477,6 +541,11 @@
         return client
 
 
+def _parse_ms(text: str) -> float:
+    """Return the delay in seconds of a refusal such as 'full 30 ms'."""
+    return int(text.removesuffix(' ms') or 0) / 1000
+
+
 def make_missing_header(
     services: Iterable[routing.ServiceName],
 ) -> tuple[bytes, bytes]:
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -17,6 +17,7 @@
 from rudderrock.gateway.decisions import _host_load as host_load
 from rudderrock.gateway.decisions import _identity as identity_module
 from rudderrock.gateway.decisions import _loop_delay as loop_delay
+from rudderrock.gateway.decisions import _overflow as overflow
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
@@ -83,6 +84,7 @@
             dependencies.clock,
             dependencies.events,
             lambda: dependencies.tables.version,
+            config.place,
         )
         self._connections = connections.ConnectionPlanner(
             dependencies.tables,
@@ -262,7 +264,9 @@
             return None
         names = self._config.names
         load = self.load_estimator
-        match load.find_room(route.goal_s):
+        is_elsewhere = request.get_header(delegate.ELSEWHERE) is not None
+        share = overflow.ROOM_FRACTION if is_elsewhere else 1.0
+        match load.find_room(share * route.goal_s):
             case host_load.Room.FULL:
                 return delegate.make_refusal(
                     names,
@@ -271,7 +275,7 @@
                 )
             case host_load.Room.SLOW:
                 self.slow_refusals += 1
-                delay_s = max(load.get_delay_s(), load.get_loop_delay_s())
+                delay_s = load.get_total_delay_s()
                 return delegate.make_refusal(
                     names,
                     delegate.RefusalReason.SLOW,
@@ -450,10 +454,11 @@
         is_last = False
         tried: tuple[core.HostId, ...] = ()
         while not is_last:
-            has_room = self.load_estimator.has_room(call.route.goal_s)
-            candidate = self.delegation.choose(
-                call.request_id, has_room, tried
-            )
+            load = self.load_estimator
+            own_delay_s = None
+            if not load.has_room(call.route.goal_s):
+                own_delay_s = load.get_total_delay_s()
+            candidate = self.delegation.choose(call, own_delay_s, tried)
             if candidate is None:
                 break
             match await self.delegation.run(candidate, call):
