Measure a host's pace by requests sent, not by query

Parts of one route have between 3 and all shards, so a large part after small ones looked like a slow host. The time is divided by the requests that were sent, and fewer than 16 are not counted. Scenarios of the measurements by themselves: one long query, two in a row, and a freeze.

--- a/features/slow_processor.py
+++ b/features/slow_processor.py
@@ -45,9 +45,8 @@
             member.process._caller_listener,
         ):
             listener.handle = functools.partial(self._answer, listener.handle)
-        if hasattr(member.gateway, 'loop_monitor'):
-            member.gateway.loop_monitor.sleep = self._sleep
-            member.gateway.loop_monitor.call_soon = self.call
+        member.gateway.loop_monitor.sleep = self._sleep
+        member.gateway.loop_monitor.call_soon = self.call
 
     def call(self, function, *args) -> None:
         """Call a function as soon as the work before it is done."""
--- a/features/steps/uneven.py
+++ b/features/steps/uneven.py
@@ -13,6 +13,8 @@
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_checks
 from features.steps.common import run
+from rudderrock import gateway
+from rudderrock import state
 
 use_step_matcher('re')
 
@@ -275,3 +277,47 @@
         if not name.endswith('-0')
     }
     assert not any(arrivals.values()), arrivals
+
+
+_QUERY_CLASS = gateway.QueryClass(gateway.RouteName('all'), is_part=False)
+
+
+@given(r'a host that samples the delay of its event loop')
+def make_estimator(context):
+    clock = state.Clock(context.loop)
+    context.delay = gateway.LoopDelay(clock)
+    context.estimator = gateway.LoadEstimator(clock, 1.0, 0.0, context.delay)
+
+
+@given(r'a host that has sent (\d+) requests in (\d+) ms (\d+) times')
+def send_usual(context, requests, taken_ms, times):
+    make_estimator(context)
+    for _ in range(int(times)):
+        send_requests(context, requests, taken_ms)
+
+
+@when(r'it sends (\d+) requests in ([\d.]+) ms')
+def send_requests(context, requests, taken_ms):
+    context.estimator.record_send_time(
+        _QUERY_CLASS, int(requests), float(taken_ms) / 1000
+    )
+
+
+@then(r'the host is (not )?slow')
+def check_slow(context, is_not):
+    slowness = context.estimator.get_slowness()
+    assert (slowness > 1.0) is not bool(is_not), slowness
+
+
+@when(r'it is frozen for ([\d.]+) seconds? during a sample')
+def freeze(context, seconds):
+    wait_s = context.delay.start_sample() + float(seconds)
+    run(context, asyncio.sleep(wait_s))
+
+
+@when(r'(\d+) samples are on time')
+def sample(context, count):
+    context.delay.end_sample()
+    for _ in range(int(count)):
+        run(context, asyncio.sleep(context.delay.start_sample()))
+        context.delay.end_sample()
--- a/features/uneven.feature
+++ b/features/uneven.feature
@@ -44,3 +44,27 @@
     And the upstreams have forgotten their requests
     And callers ask for "/all/1" 10 times a second for 2 seconds
     Then the upstreams of the other region got no request
+
+  # The usual work of 60 requests takes 3 ms. A host is slow from three times
+  # as much on, twice in a row, and forgets half of it in 2 seconds.
+  Scenario: one long query does not make a host slow, two in a row do
+    Given a host that has sent 60 requests in 3 ms 10 times
+    When it sends 60 requests in 30 ms
+    And it sends 60 requests in 3 ms
+    Then the host is not slow
+    When it sends 60 requests in 18 ms
+    Then the host is not slow
+    When it sends 60 requests in 18 ms
+    Then the host is slow
+    When it sends 5 requests in 0.2 ms
+    Then the host is slow
+    When 4 seconds pass
+    Then the host is not slow
+
+  Scenario: a host that wakes after a freeze refuses queries until it runs on time
+    Given a host that samples the delay of its event loop
+    Then a query with a goal of 0.3 seconds has room
+    When it is frozen for 1 second during a sample
+    Then a query with a goal of 0.3 seconds has none
+    When 20 samples are on time
+    Then a query with a goal of 0.3 seconds has room
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -17,6 +17,7 @@
 from rudderrock.gateway.decisions._cold import ColdLimits
 from rudderrock.gateway.decisions._host_load import LoadEstimator
 from rudderrock.gateway.decisions._host_load import QueryClass
+from rudderrock.gateway.decisions._loop_delay import LoopDelay
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._shares import compute_connection_share
@@ -143,6 +144,7 @@
     'LeaseEnded',
     'Link',
     'LoadEstimator',
+    'LoopDelay',
     'LogKind',
     'NEVER_READ',
     'NO_VERSION',
--- a/rudderrock/gateway/decisions/_host_load.py
+++ b/rudderrock/gateway/decisions/_host_load.py
@@ -108,10 +108,10 @@
         return self._pace.get_slowness()
 
     def record_send_time(
-        self, query_class: QueryClass, taken_s: float
+        self, query_class: QueryClass, requests: int, taken_s: float
     ) -> None:
-        """Record how long sending a query occupied the event loop."""
-        self._pace.record(query_class, taken_s)
+        """Record how long sending requests occupied the event loop."""
+        self._pace.record(query_class, requests, taken_s)
 
     def get_delay_s(self) -> float:
         """Return the estimated work in progress that delays a new query.
--- a/rudderrock/gateway/decisions/_pace.py
+++ b/rudderrock/gateway/decisions/_pace.py
@@ -17,6 +17,9 @@
 # Time in seconds in which half of a measured slowness is forgotten. A host
 # that refuses queries measures nothing, so it has to try again.
 HALF_LIFE_S = 2.0
+# Minimum number of requests of a measurement. With fewer, the work that a
+# query takes besides them dominates.
+MIN_REQUESTS = 16
 # Weights with which a faster and a slower query change the usual time. It
 # follows a lasting change within some hundred queries.
 _FASTER_WEIGHT = 0.2
@@ -24,7 +27,7 @@
 
 
 class Pace:
-    """Compare the time of a piece of work with the usual time of its kind.
+    """Compare the time that a request takes with the usual time of its kind.
 
     A single slow measurement, as by a garbage collection, has no effect: the
     slowness is the smaller one of the two latest.
@@ -37,12 +40,15 @@
         self._slowness = 1.0
         self._measured_at = 0.0
 
-    def record(self, kind: Hashable, taken_s: float) -> None:
-        """Record that a piece of work of a kind took `taken_s` seconds."""
-        usual_s = self._usual_s.get(kind, taken_s)
-        weight = _FASTER_WEIGHT if taken_s < usual_s else _SLOWER_WEIGHT
-        self._usual_s[kind] = usual_s + weight * (taken_s - usual_s)
-        found = max(1.0, taken_s / usual_s) if usual_s > 0.0 else 1.0
+    def record(self, kind: Hashable, requests: int, taken_s: float) -> None:
+        """Record that sending some requests took `taken_s` seconds."""
+        if requests < MIN_REQUESTS:
+            return
+        request_s = taken_s / requests
+        usual_s = self._usual_s.get(kind, request_s)
+        weight = _FASTER_WEIGHT if request_s < usual_s else _SLOWER_WEIGHT
+        self._usual_s[kind] = usual_s + weight * (request_s - usual_s)
+        found = max(1.0, request_s / usual_s) if usual_s > 0.0 else 1.0
         self._slowness = min(found, self._latest)
         self._latest = found
         self._measured_at = self._clock.now()
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -124,7 +124,11 @@
             dependencies.clock, config.cores, config.link_bytes_s, delay
         )
         self.loop_monitor = loop_monitor.LoopMonitor(
-            delay, self.load_estimator, dependencies.clock, dependencies.events
+            delay,
+            self.load_estimator,
+            self.counters,
+            dependencies.clock,
+            dependencies.events,
         )
         self.slow_refusals = 0
         self.delegated_in_flight = 0
--- a/rudderrock/gateway/forwarding/_loop_monitor.py
+++ b/rudderrock/gateway/forwarding/_loop_monitor.py
@@ -9,18 +9,21 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _host_load as host_load
 from rudderrock.gateway.decisions import _loop_delay as loop_delay
+from rudderrock.gateway.forwarding import _calls as calls
 
 
 class LoopMonitor:
     """Samples the delay of the event loop, and times the work of queries.
 
-    `sleep` and `call_soon` are those of the event loop.
+    `sleep` and `call_soon` are those of the event loop. `counters` are those
+    of the requests that this host sends.
     """
 
     def __init__(
         self,
         delay: loop_delay.LoopDelay,
         estimator: host_load.LoadEstimator,
+        counters: calls.Counters,
         clock: core.Clock,
         events: log.EventLog,
     ):
@@ -28,6 +31,7 @@
         self.call_soon = asyncio.get_running_loop().call_soon
         self._delay = delay
         self._estimator = estimator
+        self._counters = counters
         self._clock = clock
         self._events = events
         self._was_slow = False
@@ -46,13 +50,18 @@
         callback.
         """
         started_at = self._clock.now()
-        self.call_soon(self._record_sent, query_class, started_at)
+        sent_before = self._counters.first_attempts
+        self.call_soon(self._record_sent, query_class, started_at, sent_before)
 
     def _record_sent(
-        self, query_class: host_load.QueryClass, started_at: float
+        self,
+        query_class: host_load.QueryClass,
+        started_at: float,
+        sent_before: int,
     ) -> None:
+        requests = self._counters.first_attempts - sent_before
         taken_s = self._clock.now() - started_at
-        self._estimator.record_send_time(query_class, taken_s)
+        self._estimator.record_send_time(query_class, requests, taken_s)
         self._log_change()
 
     def _log_change(self) -> None:
