--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -374,12 +374,15 @@
         zones: list[str],
         capacities: list[float] | None = None,
         link_bytes_s: float = 0.0,
+        cores: float = 1.0,
     ) -> None:
         """Start one gateway for each element of `zones`."""
         self._harness.keep_log()
         capacities = capacities or [1.0] * len(zones)
         for zone, capacity in zip(zones, capacities, strict=True):
-            await self.add(zone, capacity, link_bytes_s=link_bytes_s)
+            await self.add(
+                zone, capacity, link_bytes_s=link_bytes_s, cores=cores
+            )
         await asyncio.sleep(1.0)
 
     async def add(
@@ -390,6 +393,7 @@
         is_refused: bool = False,
         link_bytes_s: float = 0.0,
         number: int | None = None,
+        cores: float = 1.0,
     ) -> None:
         """Start another gateway.
 
@@ -415,6 +419,7 @@
             peers=(ip, _PORT + 3),
             capacity=capacity,
             link_bytes_s=link_bytes_s,
+            cores=cores,
             seeds=seeds,
             **self.settings,
         )
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -20,6 +20,7 @@
 from rudderrock.gateway.decisions._cold import ColdLimits
 from rudderrock.gateway.decisions._host_load import LoadEstimator
 from rudderrock.gateway.decisions._host_load import QueryClass
+from rudderrock.gateway.decisions._loop_delay import LoopDelay
 from rudderrock.gateway.decisions._quota import Denied
 from rudderrock.gateway.decisions._quota import Granted
 from rudderrock.gateway.decisions._quota import QuotaBounds
@@ -160,6 +161,7 @@
     'LeaseEnded',
     'Link',
     'LoadEstimator',
+    'LoopDelay',
     'LogKind',
     'NEVER_READ',
     'NO_VERSION',
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -3,11 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from absl import logging
 import msgspec
 import result
 
 from rudderrock import core
+from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.http import _http_client as http_client
@@ -65,7 +65,7 @@
                 try:
                     return quota_messages.decode_answer(found.body)
                 except msgspec.DecodeError as error:
-                    logging.warning(
+                    log.load_absl_log().warning(
                         'Invalid answer from %s: %s', host.host, error
                     )
         self._skipped_until[host.host] = self._clock.now() + SKIP_S
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -21,8 +21,10 @@
 from rudderrock import core
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _coordinators as coordinators
+from rudderrock.gateway.decisions import _overflow as overflow
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.discovery import _topology as topology
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _header_names as header_names
@@ -45,6 +47,9 @@
 # A host is skipped if it has not answered this long after the latency goal,
 # both counted from the time at which it was asked.
 LATE_MARGIN_S = 0.1
+# How long on average a host is skipped that has measured itself to be slow.
+# Asking again costs one round trip.
+SLOW_SKIP_S = 1.0
 # Headers of a delegated query: the table version of the delegating host, and
 # the time in ms since that host received the query, with an estimate of the
 # round trip and the overhead of the other host added.
@@ -63,11 +68,13 @@
 CRASHED_UPSTREAMS = b'rudderrock-held-back'
 # Requires a host to run the query even if it is full.
 MUST_RUN = b'rudderrock-must-run'
+# Marks a whole query of a zone without room.
+ELSEWHERE = b'rudderrock-elsewhere'
 # Reason why a host has not started the query.
 REFUSAL_REASON = b'rudderrock-not-taken'
 # Headers that are never forwarded to upstreams.
 DELEGATION_HEADERS = frozenset(
-    {VERSION, ELAPSED, SHARDS, MIN_ANSWERS, MUST_RUN, ROUTE}
+    {VERSION, ELAPSED, SHARDS, MIN_ANSWERS, MUST_RUN, ROUTE, ELSEWHERE}
 )
 _MAX_CONNECTIONS = 16
 # Connections to a host of another zone that are opened in advance. Opening one
@@ -107,11 +114,13 @@
     """The host to ask next for a query, or for a part of one.
 
     If `is_last` is true, no other host is asked after it, so it must run the
-    query even if it is full.
+    query even if it is full. `is_elsewhere` is true for a whole query that
+    goes to another zone because the own one has no room.
     """
 
     entry: fleet.HostEntry
     is_last: bool
+    is_elsewhere: bool = False
 
 
 class RefusalReason(enum.Enum):
@@ -120,11 +129,12 @@
     STOPPING = 'stopping'
     TABLE = 'another table'
     FULL = 'full'
+    SLOW = 'slow'
 
 
 # Valid values of the header `REFUSAL_REASON`; others are not logged.
 _REASON_PATTERN = re.compile(
-    '|'.join(each.value for each in RefusalReason) + r'( \d{1,6} ms)?'
+    f'({"|".join(each.value for each in RefusalReason)})' + r'( \d{1,6} ms)?'
 )
 
 
@@ -165,7 +175,9 @@
         clock: core.Clock,
         events: log.EventLog,
         get_version: Callable[[], int],
+        place: topology.Topology,
     ):
+        self.overflow = overflow.Overflow(hosts, place, clock)
         self.coordinators = coordinators.Coordinators(hosts, clock, events)
         self._hosts = hosts
         self._names = names
@@ -175,27 +187,62 @@
 
     def choose(
         self,
-        request_id: bytes,
-        has_room: bool,
+        call: calls.Call,
+        own_delay_s: float | None,
         tried: tuple[core.HostId, ...],
     ) -> Candidate | None:
         """Return the host to run a wide query, or None for this host.
 
-        This host runs the query if it is a coordinator with free capacity,
-        or if no other candidate is left.
+        `own_delay_s` is the delay at this host, or None if it has room. This
+        host runs the query if it is a coordinator with free capacity, or if
+        no other candidate is left. Before a host of this zone must run a
+        query without room for it, hosts of other zones are asked.
         """
         own = self._hosts.own
+        has_room = own_delay_s is None
         if self.coordinators.has_own() and has_room:
             return None
+        tried_here, tried_elsewhere = self.overflow.split(tried)
         if not has_room:
-            tried = (*tried, own.host)
+            tried_here = (*tried_here, own.host)
         candidate = self._pick_candidate(
-            own.zone, request_id, tried, coordinators.MAX_ATTEMPTS
+            own.zone, call.request_id, tried_here, coordinators.MAX_ATTEMPTS
         )
+        if candidate is None or candidate.is_last:
+            elsewhere = self._pick_elsewhere(
+                call, own_delay_s, tried_here, tried_elsewhere
+            )
+            if elsewhere is not None:
+                return elsewhere
         return (
             None if candidate is None or candidate.entry == own else candidate
         )
 
+    def _pick_elsewhere(
+        self,
+        call: calls.Call,
+        own_delay_s: float | None,
+        tried_here: tuple[core.HostId, ...],
+        tried_elsewhere: tuple[core.HostId, ...],
+    ) -> Candidate | None:
+        """Return the host of another zone to ask for a whole query."""
+        if len(tried_elsewhere) >= coordinators.MAX_REMOTE_ATTEMPTS:
+            return None
+        for zone in self.overflow.list_zones(
+            call.route, call.request_id, own_delay_s, tried_here
+        ):
+            found = [
+                each
+                for each in self.coordinators.list_available(
+                    zone, tried_elsewhere
+                )
+                if self.overflow.expects_room(each, call.route.goal_s)
+            ]
+            if found and self.has_time_to_hedge(zone, call):
+                entry = found[fleet.rank_name(call.request_id) % len(found)]
+                return Candidate(entry, is_last=False, is_elsewhere=True)
+        return None
+
     def choose_in_zone(
         self,
         zone: core.ZoneId,
@@ -355,6 +402,8 @@
         entry = candidate.entry
         if candidate.is_last:
             extra_headers = [*extra_headers, (MUST_RUN, b'1')]
+        if candidate.is_elsewhere:
+            extra_headers = [*extra_headers, (ELSEWHERE, b'1')]
         peer = self._get_client(entry)
         round_trip_s = peer.round_trip_s or DEFAULT_ROUND_TRIP_S
         version = self._get_version()
@@ -395,9 +444,10 @@
         match answer:
             case result.Ok(reply) if reply.get_header(REFUSAL_REASON) is None:
                 self.coordinators.record_success(entry)
+                self.overflow.sent += candidate.is_elsewhere
                 return answer
             case result.Ok(reply):
-                return self._handle_refusal(entry, reply)
+                return self._handle_refusal(candidate, reply)
             case result.Err(problem):
                 skip_s = (
                     coordinators.SKIP_S
@@ -408,18 +458,48 @@
                 return answer
 
     def _handle_refusal(
-        self, entry: fleet.HostEntry, reply: messages.Reply
+        self, candidate: Candidate, reply: messages.Reply
     ) -> result.Err[http_client.NoReply]:
-        """Skip a host that refused a query, for a time set by its reason."""
+        """Skip a host that refused a query, for a time set by its reason.
+
+        A host without room for queries of other zones is not skipped: it may
+        have room for those of its own zone and for parts.
+        """
+        entry = candidate.entry
         reason = (reply.get_header(REFUSAL_REASON) or b'').decode('latin-1')
         if not _REASON_PATTERN.fullmatch(reason):
             reason = 'no reason that is known'
         detail = f'did not take a query: {reason}'
-        is_full = reason.startswith(RefusalReason.FULL.value)
-        skip_s = FULL_SKIP_S if is_full else REFUSAL_SKIP_S
-        self.coordinators.skip_for(entry, detail, skip_s)
+        kind, _, delay = reason.partition(' ')
+        is_out_of_room = kind in (
+            RefusalReason.FULL.value,
+            RefusalReason.SLOW.value,
+        )
+        if is_out_of_room:
+            self.overflow.record_no_room(entry, _parse_ms(delay))
+        if not (is_out_of_room and candidate.is_elsewhere):
+            skip_s = self._get_skip_s(entry, kind)
+            self.coordinators.skip_for(entry, detail, skip_s)
         return result.Err(http_client.NoReply(False, detail))
 
+    def _get_skip_s(self, entry: fleet.HostEntry, kind: str) -> float:
+        """Return how long to skip a host after a kind of refusal."""
+        match kind:
+            case RefusalReason.FULL.value:
+                return FULL_SKIP_S
+            case RefusalReason.SLOW.value:
+                return SLOW_SKIP_S * self._get_spread(entry)
+        return REFUSAL_SKIP_S
+
+    def _get_spread(self, entry: fleet.HostEntry) -> float:
+        """Return a factor from 0.5 to 1.5, specific to a pair of hosts.
+
+        It keeps the hosts that were refused together from coming back at
+        once.
+        """
+        rank = fleet.rank_pair(self._hosts.own.host, entry.host)
+        return 0.5 + rank / 2**64
+
     def close(self) -> None:
         """Close all connections to other hosts."""
         for each in self._clients.values():
@@ -462,6 +542,11 @@
         return client
 
 
+def _parse_ms(text: str) -> float:
+    """Return the delay in seconds of a refusal such as 'full 30 ms'."""
+    return int(text.removesuffix(' ms') or 0) / 1000
+
+
 def make_missing_header(
     services: Iterable[routing.ServiceName],
 ) -> tuple[bytes, bytes]:
