Retry patient requests until their deadline, within the budget

A rejected attempt counted towards the route's limit on attempts, though it has not run, and a call without budget failed at once. While four in five upstreams reject six in ten requests although they have room, three rejections meet one shard in nine, and a query that may lack one in twenty ended with 502.

It takes effect for patient requests, whose deadline (the lower of the caller's and the route's timeout) is at least six latency goals; for others all stays as it was. Rejected attempts of patient requests do not count as attempts, their retries back off exponentially, and wait for the budget if it allows one before the deadline. After the goal at most 32 requests of a host are retried, half of them of one team, and late calls leave half of the allowance to others, but a tenth is theirs.

--- /dev/null
+++ b/features/answers.feature
@@ -0,0 +1,73 @@
+Feature: Requests are answered, also late, as long as an answer is possible
+
+  # Four in five upstreams reject six in ten requests, although they have room.
+  # Three rejections in a row meet one shard in nine, so that hardly a query
+  # had enough shards while a rejection counted as one of three attempts.
+  Scenario: queries are answered in time while upstreams with room reject requests
+    Given 60 shards of 3 replicas
+    And the patient route "/all/" to all shards, at least 0.95 of them
+    And 80 in 100 upstreams reject 60 in 100 requests
+    And a gateway with a slack of 100 extra requests
+    When 30 patient requests for "/all/1" are sent at 6 a second
+    Then at least 29 replies are 200
+    And at least 28 replies are 200 and took less than 0.2 seconds
+    And no service got more than 0.2 extra requests per request plus 100 in any 10 seconds
+    And no request ran at more than 3 upstreams of a shard
+
+  Scenario: retries until the deadline stay within the budget of extra requests
+    Given 20 shards of 3 replicas
+    And the patient route "/all/" to all shards, at least 0.95 of them
+    And 100 in 100 upstreams reject 60 in 100 requests
+    And a gateway with a slack of 6 extra requests
+    When the upstreams stop to reject requests after 5 seconds
+    And 40 patient requests for "/all/1" are sent at 4 a second
+    Then every one of the last 18 replies is 200 and took less than 0.2 seconds
+    And no service got more than 0.2 extra requests per request plus 6 in any 10 seconds
+
+  Scenario: a query is answered late when the upstreams of a shard are back
+    Given 20 shards of 2 replicas
+    And the patient route "/all/" to all shards, at least 1 of them
+    And a gateway with a slack of 20 extra requests
+    When every upstream of shard 3 rejects all requests for 0.6 seconds
+    And a caller sends GET "/all/1" with a deadline of 2 seconds
+    Then the reply is 200
+    And it took less than 1.0 seconds
+
+  # At most 32 queries of a host are retried after their latency goal.
+  Scenario: the number of queries that are retried after their goal is limited
+    Given 4 shards of 2 replicas
+    And the patient route "/all/" to all shards, at least 1 of them
+    And every upstream of shard 3 is shedding
+    And a gateway with a slack of 4000 extra requests
+    When 100 patient requests for "/all/1" are sent at 1000 a second
+    Then at most 32 replies took more than 0.2 seconds
+    And every reply is a 502
+
+  Scenario: a request that may run once is retried while all upstreams reject it
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes" that runs once
+    And a gateway with a slack of 20 extra requests
+    When every upstream rejects all requests for 0.6 seconds
+    And a caller sends POST "/notes/1" with a deadline of 2 seconds
+    Then the reply is 200
+    And "u1" ran it once
+
+  Scenario: a request is refused at once when no retry is possible before its deadline
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes"
+    And a gateway with a slack of 0 extra requests
+    And "u1" is shedding
+    When a caller sends GET "/notes/1" with a deadline of 2 seconds
+    Then the reply is 503
+    And the reply has a Retry-After of less than 1 second
+    And it took less than 0.05 seconds
+
+  # A route with a timeout of five goals.
+  Scenario: a request is not retried for longer if its deadline is near its goal
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And a gateway with a slack of 20 extra requests
+    And "u1" is shedding
+    When a caller sends GET "/notes/1"
+    Then the reply is 503
+    And it took less than 0.1 seconds
--- a/rudderrock/gateway/decisions/_budget.py
+++ b/rudderrock/gateway/decisions/_budget.py
@@ -5,9 +5,14 @@
 of extra requests is bounded for all hosts together: each host may send
 `ratio` extra requests for each of its own requests, plus its share of a fixed
 allowance, the slack. Hosts therefore need not coordinate.
+
+Extra requests for calls after their latency goal come after the others: they
+leave a part of the allowance unused, but have a small part for themselves, so
+that they are not starved.
 """
 
 import collections
+import math
 
 from rudderrock import core
 
@@ -16,6 +21,12 @@
 # Factor applied to `ratio`. The rest is a safety margin: a host and its
 # upstreams may count the same request in different windows.
 RATIO_MARGIN = 0.85
+# Fraction of the allowance that late calls leave for others.
+LATE_UNUSED_FRACTION = 0.5
+# Fraction of the allowance that is left for late calls, for this time in
+# seconds after one was denied.
+LATE_SHARE = 0.1
+LATE_DEMAND_S = 1.0
 
 
 class ExtraRequestBudget:
@@ -31,36 +42,87 @@
         self.slack = slack
         self._clock = clock
         self._ratio = ratio * RATIO_MARGIN
+        self._window_s = window_s
         self._bucket_s = window_s / _BUCKETS_PER_WINDOW
-        # Each bucket holds its number, its requests and its extra requests.
+        # Each bucket holds its number, its requests, its extra requests, and
+        # those of them for late calls.
         self._buckets: collections.deque[list[int]] = collections.deque()
         self._requests = 0
         self._extras = 0
+        self._late_extras = 0
+        self._late_denied_at = -math.inf
+        # Calls that wait until an extra request is allowed.
+        self.waiting = 0
 
     def count_request(self) -> None:
         """Count the first request of a call."""
         self._get_bucket()[1] += 1
         self._requests += 1
 
-    def try_spend(self) -> bool:
-        """Return whether an extra request is allowed; if so, count it."""
+    def try_spend(self, is_late: bool = False) -> bool:
+        """Return whether an extra request is allowed; if so, count it.
+
+        It is for a late call if `is_late`.
+        """
         bucket = self._get_bucket()
         allowed = self._ratio * self._requests + self.slack
-        if self._extras + 1 > allowed:
+        if self._extras + 1 > self._get_usable(allowed, is_late):
+            if is_late:
+                self._late_denied_at = self._clock.now()
             return False
         bucket[2] += 1
         self._extras += 1
+        bucket[3] += is_late
+        self._late_extras += is_late
         return True
 
+    def get_wait_s(self, is_late: bool = False) -> float:
+        """Return when an extra request will be allowed, in seconds from now.
+
+        The estimate is 0 if it is allowed now. Else it supposes that the calls
+        that wait go first, and that first requests go on arriving at the rate
+        of the window.
+        """
+        self._get_bucket()
+        allowed = self._ratio * self._requests + self.slack
+        excess = self._extras + 1 - self._get_usable(allowed, is_late)
+        if excess <= 0:
+            return 0.0
+        now = self._clock.now()
+        if is_late:
+            self._late_denied_at = now
+        excess += self.waiting
+        expired = 0
+        for number, _, extras, _ in self._buckets:
+            expired += extras
+            if expired >= excess:
+                left_at = (number + _BUCKETS_PER_WINDOW + 1) * self._bucket_s
+                return max(left_at - now, 0.0)
+        rate = self._ratio * self._requests / self._window_s
+        return excess / rate if rate else math.inf
+
+    def _get_usable(self, allowed: float, is_late: bool) -> float:
+        """Return how many of the `allowed` extra requests a call may use."""
+        late_share = int(LATE_SHARE * allowed)
+        late_left = max(0, late_share - self._late_extras)
+        if is_late:
+            if late_left:
+                return allowed
+            return (1 - LATE_UNUSED_FRACTION) * allowed
+        if self._clock.now() - self._late_denied_at < LATE_DEMAND_S:
+            return allowed - late_left
+        return allowed
+
     def _get_bucket(self) -> list[int]:
         number = int(self._clock.now() / self._bucket_s)
         while (
             self._buckets
             and self._buckets[0][0] < number - _BUCKETS_PER_WINDOW
         ):
-            _, requests, extras = self._buckets.popleft()
+            _, requests, extras, late_extras = self._buckets.popleft()
             self._requests -= requests
             self._extras -= extras
+            self._late_extras -= late_extras
         if not self._buckets or self._buckets[-1][0] != number:
-            self._buckets.append([number, 0, 0])
+            self._buckets.append([number, 0, 0, 0])
         return self._buckets[-1]
--- a/rudderrock/gateway/forwarding/_calls.py
+++ b/rudderrock/gateway/forwarding/_calls.py
@@ -8,6 +8,7 @@
 from rudderrock.gateway.decisions import _budget as budget
 from rudderrock.gateway.decisions import _canary as canary
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.http import _header_names as header_names
@@ -38,6 +39,7 @@
     get_budget: Callable[[routing.ServiceName], budget.ExtraRequestBudget]
     counters: Counters
     checker: reach.ReachChecker
+    late_requests: retry_plan.LateRequests
 
 
 @dataclasses.dataclass(slots=True)
@@ -50,7 +52,8 @@
     may be missing from the answer. If `may_have_run_elsewhere` is true,
     another host may have started the request, so each attempt of this host
     counts against the budget of extra requests. `canary` decides which
-    attempts may be sent. `team` is None if the request needs no key.
+    attempts may be sent. `team` is None if the request needs no key. If
+    `is_patient` is true, failed attempts are retried until the deadline.
     """
 
     request: messages.Request
@@ -64,6 +67,12 @@
     team: teams.Team | None = None
     max_missing: int = 0
     may_have_run_elsewhere: bool = False
+    is_patient: bool = False
+
+    @property
+    def team_id(self) -> core.TeamId | None:
+        """Return the team's id, None if the request needs no key."""
+        return None if self.team is None else self.team.team
 
     def format_remaining_ms(self, now: float) -> bytes:
         """Return the remaining time in ms as a header value, at least 1."""
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -108,7 +108,9 @@
         delegation: delegate.Delegation | None = None,
     ):
         self.service_calls = [
-            service_call.ServiceCall(context, call, service, self._on_settled)
+            service_call.ServiceCall(
+                context, call, service, self._on_settled, self._on_wait
+            )
             for service in services
         ]
         self.parts: list[parts.Part] = []
@@ -124,6 +126,8 @@
         self._open_count = len(services)
         self._failed_count = 0
         self._late_recorded = False
+        # Whether the call is one of the host's late requests.
+        self._is_late_request = False
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: list[asyncio.Task] = []
         self._finished: asyncio.Future[None] = context.loop.create_future()
@@ -136,9 +140,7 @@
         call = self._call
         self._timers = [
             loop.call_at(loop.time() + call.late_after_s, self._on_late),
-            loop.call_at(
-                min(call.goal_at, call.expires_at), self._finish_if_sufficient
-            ),
+            loop.call_at(min(call.goal_at, call.expires_at), self._on_goal),
             loop.call_at(call.expires_at, self._time_out),
         ]
         try:
@@ -149,6 +151,8 @@
                 timer.cancel()
             for task in self._tasks:
                 task.cancel()
+            if self._is_late_request:
+                self._context.late_requests.remove(call.team_id)
             for each in self.service_calls:
                 if not each.settled:
                     each.abort()
@@ -233,6 +237,39 @@
             self._finish()
         elif self._context.loop.time() >= self._call.goal_at:
             self._finish_if_sufficient()
+        else:
+            self._on_wait()
+
+    def _on_wait(self) -> None:
+        """Finish if only retries after the latency goal could add answers."""
+        if self.count_answers() < self._scope.min_answers:
+            return
+        goal_at = self._call.goal_at
+        if all(
+            each.settled
+            or (each.retries_at is not None and each.retries_at >= goal_at)
+            for each in self.service_calls
+        ):
+            self._finish()
+
+    def _on_goal(self) -> None:
+        """Finish, or decide whether failed attempts are still retried.
+
+        A part is not, because the host that asked for it may do without the
+        missing shards, or ask for them itself.
+        """
+        self._finish_if_sufficient()
+        if self._finished.done() or not self._call.is_patient:
+            return
+        match self._scope:
+            case WholeQuery():
+                self._is_late_request = self._context.late_requests.try_add(
+                    self._call.team_id
+                )
+        if not self._is_late_request:
+            self._call.is_patient = False
+            for each in self.service_calls:
+                each.end_wait()
 
     def _finish_if_sufficient(self) -> None:
         if self.count_answers() >= self._scope.min_answers:
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -17,6 +17,7 @@
 from rudderrock.gateway.decisions import _host_load as host_load
 from rudderrock.gateway.decisions import _identity as identity_module
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _evacuations as evacuations
@@ -137,6 +138,7 @@
             self._get_budget,
             self.counters,
             self.checker,
+            retry_plan.LateRequests(),
         )
         dependencies.tables.add_listener(self._on_table_change)
         dependencies.hosts.add_listener(self._on_hosts_change)
@@ -491,16 +493,14 @@
         team: teams.Team | None,
     ) -> calls.Call:
         names = self._config.names
-        time_limit_s = (
-            min(deadline_s, route.timeout_s) - forward.REPLY_MARGIN_S
-        )
+        time_limit_s = min(deadline_s, route.timeout_s)
         excluded_headers = {names.deadline_ms, names.expected_upstream}
         excluded_headers |= delegate.DELEGATION_HEADERS
         return calls.Call(
             request=request,
             request_id=request_id,
             route=route,
-            expires_at=request.arrived + time_limit_s,
+            expires_at=request.arrived + time_limit_s - forward.REPLY_MARGIN_S,
             goal_at=request.arrived + route.goal_s - forward.REPLY_MARGIN_S,
             late_after_s=self._thresholds.get(route).get(),
             forwarded_headers=[
@@ -510,6 +510,7 @@
             ],
             canary=call_canary,
             team=team,
+            is_patient=retry_plan.is_patient(time_limit_s, route.goal_s),
         )
 
     def _make_canary(
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -9,6 +9,8 @@
 from rudderrock import core
 from rudderrock.gateway.decisions import _canary as canary
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.decisions import _retry_plan as retry_plan
+from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.http import _header_names as header_names
@@ -16,19 +18,12 @@
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.http import _verdicts as verdicts
 
-# With less time left, a request is not retried, because the upstream could
-# not answer in time.
-MIN_TIME_LEFT_S = 0.003
 # How long an attempt may continue after another attempt has answered. Closing
 # its connection at once would cost the upstream a new handshake.
 ABANDONED_TIMEOUT_S = 0.3
-# Maximum number of attempts that do not reach an upstream. They do not count
-# towards the route's limit on attempts.
-MAX_UNSENT = 4
 NO_UPSTREAM = 'no upstream is registered'
 QUARANTINED = 'quarantined: upstreams crashed while handling it'
-# Delay before a retry may go to an upstream that was tried before.
-SAME_UPSTREAM_RETRY_S = 0.04
+NOT_AFTER_GOAL = 'not retried after the latency goal'
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +55,8 @@
     """The call to one service on behalf of a request.
 
     After `start`, `on_settled` is called once, unless the call is aborted.
-    There are then three cases:
+    Before that, `on_wait` is called whenever a retry is put off. There are
+    three cases when the call has settled:
 
     - `answer` is set.
     - `is_in_part` is set: another host was asked for a part of the query, and
@@ -74,6 +70,7 @@
         call: calls.Call,
         service: routing.ServiceName,
         on_settled: Callable[['ServiceCall'], None],
+        on_wait: Callable[[], None] = lambda: None,
     ):
         self.service = service
         self.answer: messages.Reply | None = None
@@ -99,10 +96,14 @@
         self._context = context
         self._call = call
         self._on_settled = on_settled
+        self._on_wait = on_wait
         self._attempts: list[Attempt] = []
         self._delegated_replica: replicas.Replica | None = None
         self._tried: tuple[core.UpstreamId, ...] = ()
         self._unsent_count = 0
+        # Attempts that were rejected, and delays before retries.
+        self._rejected_count = 0
+        self._pause_count = 0
         self._timer: asyncio.TimerHandle | None = None
         self._budget = context.get_budget(service)
         self._is_idempotent = call.route.repeat is routing.Repeat.IDEMPOTENT
@@ -139,6 +140,22 @@
         attempts = [each.describe(now) for each in self._attempts]
         return f'{self.service}: {", ".join(attempts) or self.detail}'
 
+    @property
+    def retries_at(self) -> float | None:
+        """Return the loop time of the next retry, None if none is put off."""
+        return None if self._timer is None else self._timer.when()
+
+    @property
+    def _run_count(self) -> int:
+        """Return how many attempts may have run."""
+        return self.sent - self._rejected_count
+
+    @property
+    def _is_late(self) -> bool:
+        """Return whether the call can't be answered in time any more."""
+        call = self._call
+        return call.is_patient and self._context.loop.time() >= call.goal_at
+
     def start(self) -> None:
         """Send the first attempt as soon as the canary allows it."""
         self._run_when_allowed(self._send_first)
@@ -183,7 +200,10 @@
     def _send_first(self) -> None:
         replica = self._choose()
         if replica is None:
-            self._fail(NO_UPSTREAM)
+            self.detail = NO_UPSTREAM
+            if self._call.is_patient:
+                self._budget.count_request()
+            self._retry(retry_plan.Failure.UNREACHABLE)
         elif not self._call.may_have_run_elsewhere:
             self._budget.count_request()
             self._context.counters.first_attempts += 1
@@ -225,10 +245,11 @@
     ) -> None:
         """Fail or retry after a part without an answer for this service.
 
-        With `NO_ANSWER` the other host has tried all replicas, so the call
-        fails. With `HELD_BACK` or `LOST` it is retried if the route allows an
-        attempt at each replica. The number of attempts that the other host
-        made for a lost part is unknown, but at most the number of replicas.
+        With `NO_ANSWER` the other host has tried all replicas until the
+        latency goal, so the call fails unless it is patient. Else it is
+        retried if the route allows an attempt at each replica. The number of
+        attempts that the other host made for a lost part is unknown, but at
+        most the number of replicas.
         A missing interim reply does not show that it made none, because the
         interim reply can be late on a slow link.
         """
@@ -237,12 +258,12 @@
         self.detail = detail
         if part_failure is PartFailure.NO_ANSWER:
             replica.record_failure()
-            self._fail(detail)
-            return
+            if not self._call.is_patient:
+                self._fail(detail)
+                return
         if self._has_attempts_for_all():
             self._tried = ()
-            retry = functools.partial(self._retry, verdicts.Verdict.LOST)
-            self._run_when_allowed(retry)
+            self._retry_when_allowed(retry_plan.Failure.MAY_HAVE_RUN)
         else:
             self._fail(detail)
 
@@ -311,14 +332,25 @@
 
         Return False if the route or the budget does not allow it.
         """
-        if self.sent >= self._call.route.max_attempts:
+        if not self._may_run_again():
             return False
-        if self._budget.try_spend():
+        if self._budget.try_spend(self._is_late):
             self.extras += 1
             return True
+        self._record_denied()
+        return False
+
+    def _may_run_again(self) -> bool:
+        """Return whether the route allows another attempt.
+
+        Rejected attempts of a call that is not patient count like others.
+        """
+        count = self._run_count if self._call.is_patient else self.sent
+        return count < self._call.route.max_attempts
+
+    def _record_denied(self) -> None:
         self.denied += 1
         self._context.counters.extras_denied += 1
-        return False
 
     def _send(self, replica: replicas.Replica) -> None:
         call = self._call
@@ -361,8 +393,10 @@
                 attempt.replica.record_failure()
             case verdicts.Verdict.REJECTED:
                 attempt.replica.record_failure(replicas.SHED_AVOID_S)
+                self._rejected_count += 1
             case verdicts.Verdict.MISDIRECTED:
                 attempt.replica.record_misdirected()
+                self._rejected_count += 1
             case verdicts.Verdict.INVALID_REPLY | verdicts.Verdict.LOST:
                 self.may_have_run = True
                 self.lost += verdict is verdicts.Verdict.LOST
@@ -376,7 +410,7 @@
             if self.may_have_run and not self._is_idempotent:
                 self._fail(self.detail)
             else:
-                self._run_when_allowed(functools.partial(self._retry, verdict))
+                self._retry_when_allowed(_classify_failure(verdict))
 
     def _update_canary(
         self,
@@ -405,39 +439,66 @@
             case _:
                 call_canary.record_inconclusive()
 
-    def _retry(self, verdict: verdicts.Verdict) -> None:
-        now = self._context.loop.time()
-        if self._call.expires_at - now < MIN_TIME_LEFT_S:
-            self._fail(f'{self.detail}, no time left for a retry')
-            return
-        if (
-            verdict is verdicts.Verdict.UNSENT
-            and self._unsent_count >= MAX_UNSENT
-        ):
-            self._fail(self.detail)
-            return
+    def _retry_when_allowed(self, failure: retry_plan.Failure) -> None:
+        self._run_when_allowed(functools.partial(self._retry, failure))
+
+    def _retry(self, failure: retry_plan.Failure) -> None:
+        """Send another attempt now or later, or fail the call."""
         other = self._choose()
-        if other is not None:
-            self._resend(other)
-        elif verdict in verdicts.NOT_RUN:
-            self._timer = self._context.loop.call_later(
-                SAME_UPSTREAM_RETRY_S, self._retry_any
+        match self._plan_retry(failure, other):
+            case retry_plan.SendNow():
+                self._resend(other)
+            case retry_plan.SendLater(delay_s=delay_s):
+                self._put_off(failure, delay_s)
+            case retry_plan.GiveUp(reason=''):
+                self._fail(self.detail)
+            case retry_plan.GiveUp(reason=reason):
+                self._fail(f'{self.detail}, {reason}')
+
+    def _plan_retry(
+        self, failure: retry_plan.Failure, other: replicas.Replica | None
+    ) -> retry_plan.Decision:
+        call = self._call
+        candidates = retry_plan.Candidates.UNTRIED
+        if other is None:
+            candidates = (
+                retry_plan.Candidates.TRIED
+                if self._tried
+                else retry_plan.Candidates.NONE
             )
-        else:
-            self._fail(self.detail)
+        wait_s = self._budget.get_wait_s(self._is_late) if self.sent else 0.0
+        if wait_s and other is not None and self._may_run_again():
+            self._record_denied()
+        # A hash varies the delays without a source of randomness of its own.
+        seed = call.request_id + self.service.encode()
+        return retry_plan.plan_retry(
+            retry_plan.Progress(
+                failure,
+                candidates,
+                call.is_patient,
+                runs=self._run_count if call.is_patient else self.sent,
+                max_attempts=call.route.max_attempts,
+                unsent=self._unsent_count,
+                pauses=self._pause_count,
+                left_s=call.expires_at - self._context.loop.time(),
+                budget_wait_s=wait_s,
+                jitter=fleet.rank_name(seed) % 201 / 100 - 1,
+            )
+        )
 
-    def _retry_any(self) -> None:
-        """Retry at any replica, including those tried before."""
-        self._timer = None
-        self._run_when_allowed(self._send_to_any)
+    def _put_off(self, failure: retry_plan.Failure, delay_s: float) -> None:
+        self._pause_count += 1
+        self._budget.waiting += 1
+        self._timer = self._context.loop.call_later(
+            delay_s, self._retry_any, failure
+        )
+        self._on_wait()
 
-    def _send_to_any(self) -> None:
+    def _retry_any(self, failure: retry_plan.Failure) -> None:
+        """Retry at any replica, including those tried before."""
+        self._cancel_timer()
         self._tried = ()
-        replica = self._choose()
-        if replica is None:
-            self._fail(self.detail)
-        else:
-            self._resend(replica)
+        self._retry_when_allowed(failure)
 
     def _resend(self, replica: replicas.Replica) -> None:
         if self.sent == 0:
@@ -449,6 +510,11 @@
         else:
             self._fail(self.detail)
 
+    def end_wait(self) -> None:
+        """Fail the call if its next attempt was put off."""
+        if self._timer is not None:
+            self._fail(f'{self.detail}, {NOT_AFTER_GOAL}')
+
     def _fail(self, detail: str) -> None:
         self.detail = detail
         self._settle()
@@ -469,6 +535,16 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+            self._budget.waiting -= 1
+
+
+def _classify_failure(verdict: verdicts.Verdict) -> retry_plan.Failure:
+    match verdict:
+        case verdicts.Verdict.UNSENT:
+            return retry_plan.Failure.UNREACHABLE
+        case verdicts.Verdict.REJECTED | verdicts.Verdict.MISDIRECTED:
+            return retry_plan.Failure.REJECTED
+    return retry_plan.Failure.MAY_HAVE_RUN
 
 
 def _is_signed(outcome: link.Outcome, names: header_names.HeaderNames) -> bool:
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import random
 
 from rudderrock import gateway
 from rudderrock.standins import _wire_server as wire_server
@@ -94,6 +95,8 @@
         self.records = records
         self.work_s = work_s
         self.fault_mode = FaultMode.GOOD
+        # Percentage of arrivals that are rejected although there is room.
+        self.shed_percent = 0
         self.lethal: frozenset[str] = frozenset()
         # The time of each crash and the target of the request that caused it.
         self.crash_log: list[tuple[float, str]] = []
@@ -176,6 +179,11 @@
             writer.write(_render_reply(421, [], b''))
             return True
         match self.fault_mode:
+            case FaultMode.GOOD if self._rejects_arrival():
+                writer.write(
+                    _render_reply(503, [(self._names.not_run, b'1')], b'')
+                )
+                return True
             case FaultMode.SHEDDING:
                 writer.write(
                     _render_reply(503, [(self._names.not_run, b'1')], b'')
@@ -195,6 +203,11 @@
             return False
         return await self._answer(run, writer)
 
+    def _rejects_arrival(self) -> bool:
+        """Return whether the latest arrival is one that is rejected."""
+        rng = random.Random(f'{self.upstream}/{len(self.timed_arrivals)}')
+        return 100 * rng.random() < self.shed_percent
+
     async def _work(self, reader) -> bool:
         """Process a request; return False if the connection is closed."""
         disconnected = asyncio.ensure_future(reader.read(1))
