Query missing shards of a part again, and tell why a query is late

A host that queries a part of a query for another one retried until the deadline, though it is of use only before its latency goal, and the host that asked for it did not query shards that no upstream had run. It retries until the goal now and reports which missing shards have not run; these are queried by the other host, within its own share of the budget.

A coordinator was skipped, for 4 s or more, when an answer was 0.1 s later than the goal, also if its shards were the cause. It sends an interim reply (102) when the goal has passed and it goes on, and is not skipped then.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -71,3 +71,20 @@
     When a caller sends GET "/notes/1"
     Then the reply is 503
     And it took less than 0.1 seconds
+
+  Scenario: a host that waits for its shards is not skipped for being late
+    Given all hosts together have a slack of 100 extra requests
+    And 4 gateways in front of 60 shards, 2 of the gateways with a fast link
+    When the upstreams of 10 shards reject 100 in 100 requests for 1.0 seconds
+    And a gateway with a slow link is asked for all shards
+    Then every answer is 200
+    And no gateway was skipped
+
+  # The hosts of the second zone have the upstreams near, and their share of the
+  # budget of extra requests is spent first.
+  Scenario: shards that a part lacks are queried within the share of the host that asked for it
+    Given all hosts together have a slack of 36 extra requests
+    And 3 gateways in each of two regions in front of 20 shards of 3 replicas, 7 of them in the other region
+    When the upstreams of 7 shards reject 60 in 100 requests for 20 seconds
+    And the gateways of the first zone are asked for all shards 2 times a second for 6 seconds
+    Then at least 11 of 12 answers are 200 and took less than 0.5 seconds
--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -126,6 +126,8 @@
         self.log = LogCollector()
         self.replies: list[Reply] = []
         self.version = 0
+        # Slack of the extra requests of all hosts of a `FleetHarness`.
+        self.extra_slack = 20.0
         self._stack = stack
         self._upstream_count = 0
 
@@ -414,6 +416,7 @@
             capacity=capacity,
             link_bytes_s=link_bytes_s,
             seeds=seeds,
+            extra_slack=self._harness.extra_slack,
         )
         source = standins.HostSource(self._harness.source)
         source.is_refused = is_refused
@@ -442,10 +445,13 @@
 
     async def ask(self, name: str, raw: bytes) -> Reply:
         """Send a request to one gateway, and return its reply."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
         caller = await self.connect(name)
         await caller.send(raw)
         reply = await caller.read()
         caller.leave()
+        reply.elapsed = loop.time() - started_at
         return reply
 
     async def connect(self, name: str) -> Caller:
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -3,12 +3,15 @@
 import random
 
 from behave import given
+from behave import step
 from behave import then
 from behave import use_step_matcher
 from behave import when
 
+from features.steps import delegate
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_callers
+from features.steps import gateway_checks
 from features.steps.common import run
 from rudderrock import gateway
 
@@ -32,7 +35,7 @@
     )
 
 
-@given(r'(\d+) in 100 upstreams reject (\d+) in 100 requests')
+@step(r'(\d+) in 100 upstreams reject (\d+) in 100 requests')
 def set_rejecting(context, upstreams, percent):
     for name, model in gateway_steps.get(context).upstreams.items():
         if 100 * random.Random(name).random() < int(upstreams):
@@ -72,16 +75,61 @@
 )
 def reject_for_a_time(context, number, seconds):
     prefix = '' if number is None else f'shard-{number}-'
+    reject(context, (prefix,), seconds)
+
+
+@given(r'all hosts together have a slack of (\d+) extra requests')
+def set_slack(context, slack):
+    gateway_steps.get(context).extra_slack = float(slack)
+
+
+@when(
+    r'the upstreams of (\d+) shards reject (\d+) in 100 requests for '
+    + _SECONDS
+)
+def reject_at_shards(context, count, percent, seconds):
+    prefixes = tuple(f'shard-{number}-' for number in range(int(count)))
+    reject(context, prefixes, seconds, int(percent))
+
+
+def reject(context, prefixes, seconds, percent=100):
+    """Make upstreams whose names start so reject requests for a time."""
     models = [
         model
         for name, model in gateway_steps.get(context).upstreams.items()
-        if name.startswith(prefix)
+        if name.startswith(prefixes)
     ]
     for model in models:
-        model.shed_percent = 100
+        model.shed_percent = percent
     context.loop.call_later(float(seconds), accept_all, models)
 
 
+@when(r'a gateway with a slow link is asked for all shards')
+def query_slow_gateway(context):
+    delegate.query_gateways(context, list(context.fleet.members)[-1:])
+
+
+@then(r'no gateway was skipped')
+def check_not_skipped(context):
+    lines = gateway_checks.list_lines(context, 'peer_skipped')
+    assert not lines, lines
+
+
+@then(
+    r'at least (\d+) of (\d+) answers are 200 and took less than ' + _SECONDS
+)
+def check_answers(context, count, total, seconds):
+    found = [
+        (reply.status, round(reply.elapsed, 3))
+        for _, _, reply in context.answers
+    ]
+    good = [
+        status == 200 and elapsed < float(seconds) for status, elapsed in found
+    ]
+    assert len(found) == int(total), found
+    assert sum(good) >= int(count), found
+
+
 def list_replies(context, seconds):
     """Return the replies with status 200 within a time, all if None."""
     return [
--- a/rudderrock/gateway/decisions/_retry_plan.py
+++ b/rudderrock/gateway/decisions/_retry_plan.py
@@ -89,7 +89,7 @@
 
     `runs` attempts may have run of the `max_attempts` that may. `unsent`
     attempts did not reach an upstream, and `pauses` is the number of delays so
-    far. There are `left_s` seconds until the deadline, and the budget allows
+    far. There are `left_s` seconds left for retries, and the budget allows
     an attempt in `budget_wait_s` seconds. `jitter` is between -1 and 1.
     """
 
--- a/rudderrock/gateway/forwarding/_calls.py
+++ b/rudderrock/gateway/forwarding/_calls.py
@@ -53,7 +53,8 @@
     another host may have started the request, so each attempt of this host
     counts against the budget of extra requests. `canary` decides which
     attempts may be sent. `team` is None if the request needs no key. If
-    `is_patient` is true, failed attempts are retried until the deadline.
+    `is_patient` is true, failed attempts are retried until the deadline, or
+    until `retry_until` if that is not None.
     """
 
     request: messages.Request
@@ -68,6 +69,13 @@
     max_missing: int = 0
     may_have_run_elsewhere: bool = False
     is_patient: bool = False
+    retry_until: float | None = None
+
+    def get_retry_time_s(self, now: float) -> float:
+        """Return for how many seconds failed attempts may be retried."""
+        if self.is_patient and self.retry_until is not None:
+            return min(self.expires_at, self.retry_until) - now
+        return self.expires_at - now
 
     @property
     def team_id(self) -> core.TeamId | None:
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -61,6 +61,8 @@
 # Comma-separated upstreams that crashed while handling the query. The header
 # is present if shards are missing for that reason.
 CRASHED_UPSTREAMS = b'rudderrock-held-back'
+# Comma-separated missing shards whose upstreams have not run the query.
+NOT_RUN_SHARDS = b'rudderrock-not-run-shards'
 # Requires a host to run the query even if it is full.
 MUST_RUN = b'rudderrock-must-run'
 # Reason why a host has not started the query.
@@ -136,13 +138,15 @@
     merged in `body`. `missing` are the shards without an answer.
     `crashed_upstreams` are the upstreams that crashed while handling the
     query, or None if no shard is missing for that reason. If it is not None,
-    the delegating host has to query the missing shards itself.
+    the delegating host has to query the missing shards itself. No upstream has
+    run the query for those of the missing shards that are in `not_run`.
     """
 
     stamps: list[bytes]
     body: bytes
     missing: frozenset[routing.ServiceName]
     crashed_upstreams: tuple[core.UpstreamIncarnation, ...] | None = None
+    not_run: frozenset[routing.ServiceName] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -315,9 +319,14 @@
                     True, 'stamps and missing shards do not match'
                 )
             )
+        not_run = parse_service_names(reply.get_header(NOT_RUN_SHARDS) or b'')
         return result.Ok(
             PartAnswer(
-                stamps, reply.body, missing, parse_crashed_header(reply)
+                stamps,
+                reply.body,
+                missing,
+                parse_crashed_header(reply),
+                missing.intersection(not_run),
             )
         )
 
@@ -388,6 +397,8 @@
                 make_headers,
                 call.request_id,
                 interim_timeout_s=round_trip_s + INTERIM_REPLY_TIMEOUT_S,
+                # The host says that it waits for its shards.
+                on_progress=late_timer.cancel,
             )
         finally:
             late_timer.cancel()
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -255,8 +255,7 @@
     def _on_goal(self) -> None:
         """Finish, or decide whether failed attempts are still retried.
 
-        A part is not, because the host that asked for it may do without the
-        missing shards, or ask for them itself.
+        Those of a part are not.
         """
         self._finish_if_sufficient()
         if self._finished.done() or not self._call.is_patient:
@@ -266,11 +265,20 @@
                 self._is_late_request = self._context.late_requests.try_add(
                     self._call.team_id
                 )
-        if not self._is_late_request:
+        if self._is_late_request:
+            self._report_progress()
+        else:
             self._call.is_patient = False
             for each in self.service_calls:
                 each.end_wait()
 
+    def _report_progress(self) -> None:
+        """Tell the host that delegated the query why its answer is late."""
+        request = self._call.request
+        is_delegated = request.get_header(delegate.VERSION) is not None
+        if is_delegated and request.send_progress is not None:
+            request.send_progress()
+
     def _finish_if_sufficient(self) -> None:
         if self.count_answers() >= self._scope.min_answers:
             self._finish()
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -70,6 +70,10 @@
     A header of the reply lists the missing shards. Once the latency goal is
     reached, `min_answers` answers are enough.
     """
+    # After the goal the other host may do without the missing shards, or
+    # query them within its own share of the budget.
+    is_patient = call.is_patient
+    call = dataclasses.replace(call, retry_until=call.goal_at)
     scope = forward.QueryPart(len(scatter.shards), min_answers)
     forwarder = forward.Forwarder(context, call, shards, threshold, scope)
     await forwarder.run()
@@ -78,6 +82,14 @@
         each.service for each in forwarder.service_calls if not each.has_answer
     ]
     merged.reply.headers.append(delegate.make_missing_header(missing))
+    not_run = [
+        each.service
+        for each in forwarder.service_calls
+        if is_patient and not forward.may_have_run([each])
+    ]
+    if not_run:
+        header = delegate.NOT_RUN_SHARDS, ','.join(not_run).encode()
+        merged.reply.headers.append(header)
     if missing and call.canary.is_held:
         merged.reply.headers.append(
             delegate.make_crashed_header(call.canary.list_crashed())
--- a/rudderrock/gateway/forwarding/_parts.py
+++ b/rudderrock/gateway/forwarding/_parts.py
@@ -113,17 +113,20 @@
         """Settle the service calls according to the answer of the part."""
         if len(part_answer.missing) < len(self._replicas_by_call):
             self.answer = part_answer
-        part_failure = service_call.PartFailure.NO_ANSWER
+        missing_failure = service_call.PartFailure.NO_ANSWER
         for each in self._replicas_by_call:
             if each.service not in part_answer.missing:
                 each.settle_from_part()
         if part_answer.crashed_upstreams is not None:
-            part_failure = service_call.PartFailure.HELD_BACK
+            missing_failure = service_call.PartFailure.HELD_BACK
             call.canary.mark_suspected(part_answer.crashed_upstreams)
         # Missing shards are handled last: once a shard has answered, the
         # request no longer counts as suspect, and retries need not wait.
         for each in self._replicas_by_call:
             if each.service in part_answer.missing:
+                part_failure = missing_failure
+                if each.service in part_answer.not_run:
+                    part_failure = service_call.PartFailure.NOT_RUN
                 each.handle_part_failure(
                     f'no answer in the part from {host}', part_failure
                 )
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -45,6 +45,8 @@
     """Why a part run by another host has no answer for a service."""
 
     NO_ANSWER = 'lacking'
+    # No replica has run the request.
+    NOT_RUN = 'not run'
     # The other host has not tried all replicas, because the request may crash
     # them.
     HELD_BACK = 'held'
@@ -247,16 +249,22 @@
 
         With `NO_ANSWER` the other host has tried all replicas until the
         latency goal, so the call fails unless it is patient. Else it is
-        retried if the route allows an attempt at each replica. The number of
+        retried if the route allows an attempt at each replica. With `NOT_RUN`
+        a patient call is retried in any case. The number of
         attempts that the other host made for a lost part is unknown, but at
         most the number of replicas.
         A missing interim reply does not show that it made none, because the
         interim reply can be late on a slow link.
         """
         replica, self._delegated_replica = self._delegated_replica, None
-        self.may_have_run = True
         self.detail = detail
-        if part_failure is PartFailure.NO_ANSWER:
+        if part_failure is PartFailure.NOT_RUN and self._call.is_patient:
+            self._rejected_count += 1
+            self._tried = ()
+            self._retry_when_allowed(retry_plan.Failure.REJECTED)
+            return
+        self.may_have_run = True
+        if part_failure in (PartFailure.NO_ANSWER, PartFailure.NOT_RUN):
             replica.record_failure()
             if not self._call.is_patient:
                 self._fail(detail)
@@ -480,7 +488,7 @@
                 max_attempts=call.route.max_attempts,
                 unsent=self._unsent_count,
                 pauses=self._pause_count,
-                left_s=call.expires_at - self._context.loop.time(),
+                left_s=call.get_retry_time_s(self._context.loop.time()),
                 budget_wait_s=wait_s,
                 jitter=fleet.rank_name(seed) % 201 / 100 - 1,
             )
--- a/rudderrock/gateway/http/_http_client.py
+++ b/rudderrock/gateway/http/_http_client.py
@@ -102,6 +102,7 @@
         make_headers: Callable[[], messages.Headers] | None = None,
         request_id: bytes = b'',
         interim_timeout_s: float | None = None,
+        on_progress: Callable[[], None] = lambda: None,
     ) -> result.Result[messages.Reply, NoReply]:
         """Send one request and return its reply, or why there is none.
 
@@ -109,7 +110,8 @@
         request is written. A reply with a request id is accepted only if that
         id equals `request_id`. If `interim_timeout_s` is given, an interim
         reply is requested, and the call fails if no reply of either kind
-        arrives within `interim_timeout_s` seconds.
+        arrives within `interim_timeout_s` seconds. `on_progress` is called for
+        each further interim reply.
         """
 
         def render() -> bytes:
@@ -125,6 +127,9 @@
         pending = _PendingReply(self._loop)
 
         def on_interim_reply() -> None:
+            if pending.has_interim_reply:
+                on_progress()
+                return
             now = self._loop.time()
             self._pool.record_round_trip(now - exchange.sent_at)
             pending.record_interim_reply()
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -156,9 +156,14 @@
             self._started_at,
             self._parser.should_keep_alive(),
         )
+        if request.get_header(b'expect') is not None:
+            request.send_progress = self._send_progress
         self._reset()
         self._pending.put_nowait(request)
 
+    def _send_progress(self) -> None:
+        self._transport.write(b'HTTP/1.1 102 Processing\r\n\r\n')
+
     def _reset(self) -> None:
         self._in_message = False
         self._head_done = False
--- a/rudderrock/gateway/http/_messages.py
+++ b/rudderrock/gateway/http/_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and replies, and their serialization."""
 
+from collections.abc import Callable
 import dataclasses
 import http
 
@@ -33,6 +34,8 @@
 
     `arrived` is the loop time in seconds at which the first byte of the
     request was read. `team` is the team that a key has identified, or ''.
+    `send_progress` sends an interim reply that says that the request is still
+    processed; it is None if the sender does not expect interim replies.
     """
 
     method: bytes
@@ -42,6 +45,7 @@
     arrived: float
     keep_alive: bool = True
     team: str = ''
+    send_progress: Callable[[], None] | None = None
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
