Keep requests that have the time while a host knows no routes

A host that starts while the source is away refused requests after half a second, and later ones at once, with a Retry-After of 0.3 s. Callers that try only once more lost requests whose deadline was seconds away.

decisions/_waiting.py decides without I/O which requests wait: those with a deadline of at least 1.5 s, up to 256 of them and 4 MiB, half of them from senders with the same key. They are given up 0.15 s before the deadline. When the routes are known, requests that may be in time are answered first, by deadline, and late ones after them, 10 ms apart. The Retry-After of a refused request is the time for which the data has been missing, from 0.3 to 2 s and at most half of the caller's remaining time.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -88,3 +88,39 @@
     When the upstreams of 7 shards reject 60 in 100 requests for 20 seconds
     And the gateways of the first zone are asked for all shards 2 times a second for 6 seconds
     Then at least 11 of 12 answers are 200 and took less than 0.5 seconds
+
+  # All hosts start while the source is away, and callers send their requests
+  # twice at most.
+  Scenario: a host without routes keeps the requests that have the time
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes"
+    And a gateway that starts while the source is down
+    When the source is back after 1.0 seconds
+    And 20 patient requests for "/notes/1" are sent at 20 a second
+    Then at least 20 replies are 200
+
+  Scenario: requests that came last are answered first when the routes are known
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes"
+    And a gateway that starts while the source is down
+    When the source is back after 0.95 seconds
+    And 20 patient requests for "/notes/1" are sent at 20 a second
+    Then the last 5 of them were answered first
+
+  Scenario: a host without routes refuses what it cannot keep at once
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes"
+    And a gateway that starts while the source is down
+    When 400 patient requests for "/notes/1" are sent at 4000 a second, each with a key of its own
+    Then 144 replies are 503 within 0.01 seconds, with a Retry-After between 0.5 and 2 seconds
+    And every reply is 503 before its deadline
+
+  Scenario: one sender cannot take all places of requests that wait for routes
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes"
+    And a gateway that starts while the source is down
+    When the source is back after 1.0 seconds
+    And 200 patient requests for "/notes/1" are sent at 4000 a second with one key
+    And 100 patient requests for "/notes/1" are sent at 4000 a second, each with a key of its own
+    Then 72 replies are 503 within 0.01 seconds, with a Retry-After between 0.5 and 2 seconds
+    And at least 228 replies are 200
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -1,5 +1,6 @@
 """Steps on requests that are retried until they are answered."""
 
+import asyncio
 import random
 
 from behave import given
@@ -8,6 +9,7 @@
 from behave import use_step_matcher
 from behave import when
 
+from features import gateway_bench
 from features.steps import delegate
 from features.steps import gateway as gateway_steps
 from features.steps import gateway_callers
@@ -54,13 +56,89 @@
         model.shed_percent = 0
 
 
-@when(r'(\d+) patient requests for "([^"]+)" are sent at (\d+) a second')
-def send_patient(context, count, path, rate):
+@when(
+    r'(\d+) patient requests for "([^"]+)" are sent at (\d+) a second'
+    r'( with one key|, each with a key of its own)?'
+)
+def send_patient(context, count, path, rate, keys):
+    """Send requests; without `keys`, wait for their replies."""
     harness = gateway_steps.get(context)
-    load = harness.ask_at_rate(
-        path, float(rate), int(count) / float(rate), deadline_ms=2000
-    )
-    context.replies = run(context, load)
+
+    async def send_each():
+        tasks = []
+        for number in range(int(count)):
+            request_id = gateway_steps.next_id(context)
+            key = request_id if keys and 'own' in keys else 'one'
+            raw = gateway_bench.make_raw(
+                request_id,
+                path,
+                deadline_ms=2000,
+                extra=f'Authorization: Bearer {key}\r\n',
+            )
+            tasks.append(asyncio.create_task(harness.ask(raw)))
+            await asyncio.sleep(1.0 / int(rate))
+        return tasks
+
+    tasks = run(context, send_each())
+    if keys:
+        context.pending = [*getattr(context, 'pending', ()), *tasks]
+    else:
+        context.replies = run(context, gather(tasks))
+
+
+async def gather(tasks):
+    """Return the results of tasks."""
+    return await asyncio.gather(*tasks)
+
+
+@given(r'a gateway that starts while the source is down')
+def start_without_source(context):
+    harness = gateway_steps.get(context)
+    harness.publish()
+    harness.source.is_down = True
+    run(context, harness.start())
+
+
+@when(r'the source is back after ' + _SECONDS)
+def restore_source(context, seconds):
+    source = gateway_steps.get(context).source
+
+    def restore():
+        source.is_down = False
+
+    context.loop.call_later(float(seconds), restore)
+
+
+@then(
+    r'(\d+) replies are 503 within ' + _SECONDS + r', with a Retry-After '
+    r'between ([\d.]+) and ([\d.]+) seconds'
+)
+def check_refused(context, count, seconds, least, most):
+    run(context, gather(context.pending))
+    refused = [
+        each
+        for each in gateway_steps.get(context).replies
+        if each.status == 503 and each.elapsed < float(seconds)
+    ]
+    assert len(refused) == int(count), len(refused)
+    for each in refused:
+        retry_after_s = float(each.headers['retry-after'])
+        assert float(least) <= retry_after_s <= float(most), each
+
+
+@then(r'every reply is 503 before its deadline')
+def check_refused_in_time(context):
+    for each in gateway_steps.get(context).replies:
+        assert (each.status, each.elapsed < 2.0) == (503, True), each
+
+
+@then(r'the last (\d+) of them were answered first')
+def check_order(context, count):
+    # Replies are listed in the order of their arrival.
+    first = gateway_steps.get(context).replies[: int(count)]
+    longest_s = max(each.elapsed for each in first)
+    others = gateway_steps.get(context).replies[int(count) :]
+    assert longest_s < min(each.elapsed for each in others), (first, others)
 
 
 @when(r'a caller sends POST "([^"]+)" with a deadline of ' + _SECONDS)
--- a/rudderrock/gateway/discovery/_initial_sync.py
+++ b/rudderrock/gateway/discovery/_initial_sync.py
@@ -6,6 +6,7 @@
 import asyncio
 
 from rudderrock import core
+from rudderrock.gateway.decisions import _waiting as waiting
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _evacuations as evacuations
 from rudderrock.gateway.discovery import _sources as sources
@@ -35,6 +36,8 @@
         self._directory = upstream_directory
         self._clock = clock
         self._started_at = clock.now()
+        self.kept = waiting.KeptRequests()
+        self._released: dict[waiting.KeptRequest, asyncio.Event] = {}
         self._complete = asyncio.Event()
         self._has_waiter = asyncio.Event()
         tables.add_listener(lambda table: self._update())
@@ -55,6 +58,32 @@
         if self._clock.now() - self._started_at < STARTUP_WAIT_PERIOD_S:
             await self.wait_at_most(STARTUP_WAIT_S)
 
+    async def keep(self, request: waiting.KeptRequest) -> None:
+        """Keep a request until all is known and it is its turn.
+
+        Returns earlier if the limits do not allow to keep it, or when it is
+        too late for an answer. Also ends `wait_for_first_request`.
+        """
+        self._has_waiter.set()
+        if not self.kept.try_add(request):
+            await self.wait()
+            return
+        turn = self._released[request] = asyncio.Event()
+        try:
+            left_s = request.give_up_at - self._clock.now()
+            await core.wait_for_event(turn, max(left_s, 0.0))
+        finally:
+            del self._released[request]
+            self.kept.remove(request)
+
+    def estimate_retry_after_s(self, left_s: float | None) -> float:
+        """Return when a refused caller may retry, in seconds.
+
+        `left_s` is the time until its deadline, None if there is none.
+        """
+        missing_s = self._clock.now() - self._started_at
+        return waiting.estimate_retry_after_s(missing_s, left_s)
+
     async def wait_at_most(self, seconds: float) -> None:
         """Wait until all is known, for at most this many seconds."""
         await core.wait_for_event(self._complete, seconds)
@@ -65,5 +94,11 @@
 
     def _update(self) -> None:
         known = self._tables.current is not None and self._evacuated.is_known
-        if known and self._directory.stamp is not None:
-            self._complete.set()
+        if not known or self._directory.stamp is None or self.is_complete:
+            return
+        self._complete.set()
+        loop = asyncio.get_running_loop()
+        for request, delay_s in waiting.plan_release(
+            self._released, self._clock.now()
+        ):
+            loop.call_later(delay_s, self._released[request].set)
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -18,6 +18,7 @@
 from rudderrock.gateway.decisions import _identity as identity_module
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.decisions import _retry_plan as retry_plan
+from rudderrock.gateway.decisions import _waiting as waiting
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _evacuations as evacuations
@@ -266,12 +267,12 @@
     ) -> messages.Reply:
         """Answer one request, and log and count its outcome.
 
-        During startup it first waits for the initial data, for a limited
-        time. `is_delegated` is true if another host sends the request. If
+        During startup it first waits for the initial data, depending on its
+        deadline. `is_delegated` is true if another host sends the request. If
         `shards` is not empty, only these shards are queried.
         """
         if not self.is_ready:
-            await self._dependencies.initial_sync.wait()
+            await self._wait_until_ready(request, is_delegated)
         table = self._dependencies.tables.current
         route = self._find_route(table, request)
         # Recorded if `_answer` does not return, usually because the caller has
@@ -289,6 +290,38 @@
             self._record(table, route, request, result)
         return result.reply
 
+    async def _wait_until_ready(
+        self, request: messages.Request, is_delegated: bool
+    ) -> None:
+        """Wait for the initial data as long as the request has the time.
+
+        Another host that has delegated a request asks elsewhere instead.
+        """
+        deadline_s = self._get_deadline_s(request)
+        if is_delegated or deadline_s is None:
+            await self._dependencies.initial_sync.wait()
+            return
+        kept = waiting.KeptRequest(
+            arrived=request.arrived,
+            expires_at=request.arrived + deadline_s,
+            size=len(request.body)
+            + sum(len(name) + len(value) for name, value in request.headers),
+            owner=hash(request.get_header(b'authorization')),
+        )
+        await self._dependencies.initial_sync.keep(kept)
+
+    def _get_deadline_s(self, request: messages.Request) -> float | None:
+        return _read_deadline(
+            request.get_header(self._config.names.deadline_ms)
+        )
+
+    def _estimate_ready_s(self, request: messages.Request) -> float:
+        """Return the retry-after of a request that came too early."""
+        left_s = self._get_deadline_s(request)
+        if left_s is not None:
+            left_s -= self._dependencies.clock.now() - request.arrived
+        return self._dependencies.initial_sync.estimate_retry_after_s(left_s)
+
     async def _answer(
         self,
         table: routing.RoutingTable | None,
@@ -305,7 +338,7 @@
             return results.make_refusal_result(
                 names,
                 request_id,
-                NOT_READY_RETRY_AFTER_S,
+                self._estimate_ready_s(request),
                 results.Outcome.NOT_READY,
             )
         if route is None:
@@ -317,7 +350,7 @@
                 request.team = team.team
             case identity_module.Anonymous():
                 team = None
-        deadline_s = _read_deadline(request.get_header(names.deadline_ms))
+        deadline_s = self._get_deadline_s(request)
         if deadline_s is None:
             deadline_s = route.timeout_s
         call_canary = self._make_canary(request, is_part=bool(shards))
