Do not wait for retries that a query can do without

A patient query with enough answers waited for its latency goal if a retry at a shard was put off, and asked again for shards that a part lacked near the goal. It ends when only retries could add answers, unless they follow a rejection and start as early as a hedge may. Shards that a part lacks are asked again after the goal, if the query lacks answers then; at once only if no upstream has run it and a round of answers still fits before the goal.

--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -128,6 +128,8 @@
         self._late_recorded = False
         # Whether the call is one of the host's late requests.
         self._is_late_request = False
+        # Whether a retry was put off.
+        self._has_waited = False
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: list[asyncio.Task] = []
         self._finished: asyncio.Future[None] = context.loop.create_future()
@@ -237,18 +239,24 @@
             self._finish()
         elif self._context.loop.time() >= self._call.goal_at:
             self._finish_if_sufficient()
-        else:
+        elif self._has_waited:
             self._on_wait()
 
     def _on_wait(self) -> None:
-        """Finish if only retries after the latency goal could add answers."""
-        if self.count_answers() < self._scope.min_answers:
-            return
-        goal_at = self._call.goal_at
-        if all(
-            each.settled
-            or (each.retries_at is not None and each.retries_at >= goal_at)
-            for each in self.service_calls
+        """Finish if only late retries could add answers that are not needed.
+
+        Retries must start as early as hedges, so that the answer is in time.
+        """
+        self._has_waited = True
+        call = self._call
+        cutoff_s = HEDGE_CUTOFF_FRACTION * call.route.goal_s
+        retry_by = call.request.arrived + cutoff_s
+        if (
+            call.is_patient
+            and self.count_answers() >= self._scope.min_answers
+            and not any(
+                each.may_answer_by(retry_by) for each in self.service_calls
+            )
         ):
             self._finish()
 
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -106,6 +106,8 @@
         # Attempts that were rejected, and delays before retries.
         self._rejected_count = 0
         self._pause_count = 0
+        # Failure that led to the latest delay before a retry.
+        self._last_failure: retry_plan.Failure | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._budget = context.get_budget(service)
         self._is_idempotent = call.route.repeat is routing.Repeat.IDEMPOTENT
@@ -142,10 +144,16 @@
         attempts = [each.describe(now) for each in self._attempts]
         return f'{self.service}: {", ".join(attempts) or self.detail}'
 
-    @property
-    def retries_at(self) -> float | None:
-        """Return the loop time of the next retry, None if none is put off."""
-        return None if self._timer is None else self._timer.when()
+    def may_answer_by(self, time: float) -> bool:
+        """Return whether an answer may come by a loop time.
+
+        That is not expected of a retry that is put off, unless the attempt
+        before it was rejected.
+        """
+        if self._timer is None:
+            return not self.settled
+        was_rejected = self._last_failure is retry_plan.Failure.REJECTED
+        return was_rejected and self._timer.when() < time
 
     @property
     def _run_count(self) -> int:
@@ -260,21 +268,38 @@
         self.detail = detail
         if part_failure is PartFailure.NOT_RUN and self._call.is_patient:
             self._rejected_count += 1
-            self._tried = ()
-            self._retry_when_allowed(retry_plan.Failure.REJECTED)
+            self._retry_after_part(retry_plan.Failure.REJECTED)
             return
         self.may_have_run = True
         if part_failure in (PartFailure.NO_ANSWER, PartFailure.NOT_RUN):
             replica.record_failure()
-            if not self._call.is_patient:
+            if self._call.is_patient and self._has_attempts_for_all():
+                self._retry_after_part(retry_plan.Failure.MAY_HAVE_RUN)
+            else:
                 self._fail(detail)
-                return
+            return
         if self._has_attempts_for_all():
             self._tried = ()
             self._retry_when_allowed(retry_plan.Failure.MAY_HAVE_RUN)
         else:
             self._fail(detail)
 
+    def _retry_after_part(self, failure: retry_plan.Failure) -> None:
+        """Retry now if the upstreams have room and the time is enough.
+
+        Else the retry waits for the latency goal, after which it is sent if
+        the query lacks answers.
+        """
+        left_s = self._call.goal_at - self._context.loop.time()
+        is_rejected = failure is retry_plan.Failure.REJECTED
+        if left_s > 0 and not (
+            is_rejected and left_s > self._call.late_after_s
+        ):
+            self._put_off(failure, left_s)
+            return
+        self._tried = ()
+        self._retry_when_allowed(failure)
+
     def _has_attempts_for_all(self) -> bool:
         """Return whether the route allows an attempt at each ready replica."""
         ready = self._context.selector.list_ready(
@@ -496,6 +521,7 @@
 
     def _put_off(self, failure: retry_plan.Failure, delay_s: float) -> None:
         self._pause_count += 1
+        self._last_failure = failure
         self._budget.waiting += 1
         self._timer = self._context.loop.call_later(
             delay_s, self._retry_any, failure
