--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -218,6 +218,8 @@
             'retries_total': counters.retries,
             'extras_denied_total': counters.extras_denied,
             'overloaded_total': self.gateway.admission.refused,
+            'requests_late': self.gateway.late_requests.count,
+            'requests_kept': self.gateway.kept_requests,
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
--- a/rudderrock/gateway/decisions/_waiting.py
+++ b/rudderrock/gateway/decisions/_waiting.py
@@ -35,14 +35,14 @@
     """A request that may be kept.
 
     `arrived` and `expires_at` are loop times in seconds. `size` is in bytes.
-    `owner` tells apart the senders of requests; it is a hash, because no key
-    can be verified yet.
+    `owner` tells apart the senders of requests by a hash of their keys,
+    because no key can be verified yet; it is None for requests without a key.
     """
 
     arrived: float
     expires_at: float
     size: int
-    owner: int
+    owner: int | None
 
     @property
     def give_up_at(self) -> float:
@@ -74,7 +74,9 @@
         if request.expires_at - request.arrived < MIN_KEPT_S:
             return False
         same_owner = [
-            each for each in self._kept if each.owner == request.owner
+            each
+            for each in self._kept
+            if each.owner == request.owner is not None
         ]
         for kept, fraction in (
             (self._kept, 1.0),
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -116,6 +116,7 @@
             ),
         )
         self.counters = calls.Counters()
+        self.late_requests = retry_plan.LateRequests()
         self.admission = admission.Admission(dependencies.clock)
         self.load_estimator = host_load.LoadEstimator(
             dependencies.clock, config.cores, config.link_bytes_s
@@ -139,7 +140,7 @@
             self._get_budget,
             self.counters,
             self.checker,
-            retry_plan.LateRequests(),
+            self.late_requests,
         )
         dependencies.tables.add_listener(self._on_table_change)
         dependencies.hosts.add_listener(self._on_hosts_change)
@@ -157,6 +158,11 @@
         """Return whether routes, upstreams and evacuations are known."""
         return self._dependencies.initial_sync.is_complete
 
+    @property
+    def kept_requests(self) -> int:
+        """Return the number of requests that wait for the initial data."""
+        return self._dependencies.initial_sync.kept.count
+
     def _on_hosts_change(self) -> None:
         """Redistribute budgets and connections among the hosts."""
         self._share_slack()
@@ -301,12 +307,13 @@
         if is_delegated or deadline_s is None:
             await self._dependencies.initial_sync.wait()
             return
+        key = request.get_header(b'authorization')
         kept = waiting.KeptRequest(
             arrived=request.arrived,
             expires_at=request.arrived + deadline_s,
             size=len(request.body)
             + sum(len(name) + len(value) for name, value in request.headers),
-            owner=hash(request.get_header(b'authorization')),
+            owner=None if key is None else hash(key),
         )
         await self._dependencies.initial_sync.keep(kept)
 
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -23,6 +23,8 @@
 ABANDONED_TIMEOUT_S = 0.3
 NO_UPSTREAM = 'no upstream is registered'
 QUARANTINED = 'quarantined: upstreams crashed while handling it'
+# Delay of a retry that is sent only if the query goes on after its goal.
+AFTER_GOAL_S = 0.001
 NOT_AFTER_GOAL = 'not retried after the latency goal'
 
 
@@ -108,6 +110,7 @@
         self._pause_count = 0
         # Failure that led to the latest delay before a retry.
         self._last_failure: retry_plan.Failure | None = None
+        self._waits_for_budget = False
         self._timer: asyncio.TimerHandle | None = None
         self._budget = context.get_budget(service)
         self._is_idempotent = call.route.repeat is routing.Repeat.IDEMPOTENT
@@ -287,15 +290,15 @@
     def _retry_after_part(self, failure: retry_plan.Failure) -> None:
         """Retry now if the upstreams have room and the time is enough.
 
-        Else the retry waits for the latency goal, after which it is sent if
-        the query lacks answers.
+        Else the retry waits until the latency goal has passed, and is sent if
+        the query lacks answers then.
         """
         left_s = self._call.goal_at - self._context.loop.time()
         is_rejected = failure is retry_plan.Failure.REJECTED
         if left_s > 0 and not (
             is_rejected and left_s > self._call.late_after_s
         ):
-            self._put_off(failure, left_s)
+            self._put_off(failure, left_s + AFTER_GOAL_S)
             return
         self._tried = ()
         self._retry_when_allowed(failure)
@@ -482,6 +485,8 @@
             case retry_plan.SendNow():
                 self._resend(other)
             case retry_plan.SendLater(delay_s=delay_s):
+                self._waits_for_budget = other is not None
+                self._budget.waiting += self._waits_for_budget
                 self._put_off(failure, delay_s)
             case retry_plan.GiveUp(reason=''):
                 self._fail(self.detail)
@@ -522,7 +527,6 @@
     def _put_off(self, failure: retry_plan.Failure, delay_s: float) -> None:
         self._pause_count += 1
         self._last_failure = failure
-        self._budget.waiting += 1
         self._timer = self._context.loop.call_later(
             delay_s, self._retry_any, failure
         )
@@ -569,7 +573,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            self._budget.waiting -= 1
+            self._budget.waiting -= self._waits_for_budget
+            self._waits_for_budget = False
 
 
 def _classify_failure(verdict: verdicts.Verdict) -> retry_plan.Failure:
