End kept and late requests when a host stops

A stopping host is ended within its grace time, and requests that it had kept or retried until a later deadline were cut without an answer. It refuses kept requests at once, and when it accepts no more connections it ends the late ones whose retries are put off, with the status that is true. A call that another host may have run does not wait for upstreams to register.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -124,3 +124,21 @@
     And 100 patient requests for "/notes/1" are sent at 4000 a second, each with a key of its own
     Then 72 replies are 503 within 0.01 seconds, with a Retry-After between 0.5 and 2 seconds
     And at least 228 replies are 200
+
+  Scenario: a host without routes that stops refuses the requests that it keeps
+    Given an upstream "u1" of "notes"
+    And the patient route "/notes/" to "notes"
+    And a gateway that starts while the source is down
+    When 5 patient requests for "/notes/1" are sent at 4000 a second with one key
+    And the gateway is told to stop
+    Then every reply is 503 within 0.1 seconds
+
+  Scenario: a host that stops ends requests whose retries it cannot send any more
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes" with a timeout of 20 seconds
+    And every upstream is shedding
+    And a gateway with a slack of 4000 extra requests
+    When a caller sends a request for "/notes/1" that may take 20 seconds
+    And 1 second passes
+    And the gateway is told to stop
+    Then every reply is 503 within 5 seconds
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -257,3 +257,28 @@
 def check_status(context, status):
     statuses = {each.status for each in gateway_steps.get(context).replies}
     assert statuses == {int(status)}, statuses
+
+
+@when(r'a caller sends a request for "([^"]+)" that may take ' + _SECONDS)
+def send_in_background(context, path, seconds):
+    raw = gateway_bench.make_raw(
+        gateway_steps.next_id(context),
+        path,
+        deadline_ms=round(1000 * float(seconds)),
+    )
+    load = gateway_steps.get(context).ask(raw)
+    context.pending = [context.loop.create_task(load)]
+
+
+@when(r'the gateway is told to stop')
+def stop_gateway(context):
+    context.stopped_at = context.loop.time()
+    gateway_steps.get(context).process.stop()
+
+
+@then(r'every reply is 503 within ' + _SECONDS)
+def check_ended(context, seconds):
+    replies = run(context, gather(context.pending))
+    assert {each.status for each in replies} == {503}, replies
+    elapsed_s = context.loop.time() - context.stopped_at
+    assert elapsed_s < float(seconds), elapsed_s
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -133,6 +133,7 @@
         self.state = ProcessState.LEAVING
         self._caller_listener.is_stopping = True
         self.gateway.accepts_delegated = False
+        self._dependencies.initial_sync.stop()
         self._dependencies.events.record(
             events.LogKind.STOPPING, busy=self._caller_listener.busy
         )
@@ -151,6 +152,8 @@
         accept_until = started_at + stop_s * ACCEPT_FRACTION
         await asyncio.sleep(max(0.0, accept_until - loop.time()))
         self._caller_listener.stop_accepting()
+        # Retries until a later deadline would be cut when the process ends.
+        self.gateway.late_requests.stop()
         end = started_at + stop_s * DRAIN_FRACTION
         while self._is_busy() and loop.time() < end:
             self._caller_listener.close_idle()
--- a/rudderrock/gateway/decisions/_retry_plan.py
+++ b/rudderrock/gateway/decisions/_retry_plan.py
@@ -14,6 +14,7 @@
 at all of them after a rejection.
 """
 
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -160,26 +161,40 @@
     """
 
     def __init__(self) -> None:
-        self._counts: dict[core.TeamId | None, int] = {}
+        self._teams: dict[Callable[[], None], core.TeamId | None] = {}
+        self._is_stopping = False
 
     @property
     def count(self) -> int:
         """Return the number of requests."""
-        return sum(self._counts.values())
+        return len(self._teams)
 
-    def try_add(self, team: core.TeamId | None) -> bool:
-        """Add a request of a team, None without one, if there is room."""
-        count = self._counts.get(team, 0)
+    def try_add(
+        self, team: core.TeamId | None, end: Callable[[], None]
+    ) -> bool:
+        """Add a request of a team, None without one, if there is room.
+
+        `end` ends the request unless one of its attempts is in flight.
+        """
+        team_count = sum(each == team for each in self._teams.values())
         team_limit = MAX_LATE_REQUESTS
         if team is not None:
             team_limit *= MAX_TEAM_FRACTION
-        if self.count >= MAX_LATE_REQUESTS or count >= team_limit:
+        if (
+            self._is_stopping
+            or self.count >= MAX_LATE_REQUESTS
+            or team_count >= team_limit
+        ):
             return False
-        self._counts[team] = count + 1
+        self._teams[end] = team
         return True
 
-    def remove(self, team: core.TeamId | None) -> None:
-        """Remove a request of a team."""
-        self._counts[team] -= 1
-        if not self._counts[team]:
-            del self._counts[team]
+    def remove(self, end: Callable[[], None]) -> None:
+        """Remove a request."""
+        del self._teams[end]
+
+    def stop(self) -> None:
+        """End all requests, and add no more, because the host stops."""
+        self._is_stopping = True
+        for end in list(self._teams):
+            end()
--- a/rudderrock/gateway/discovery/_initial_sync.py
+++ b/rudderrock/gateway/discovery/_initial_sync.py
@@ -37,6 +37,7 @@
         self._clock = clock
         self._started_at = clock.now()
         self.kept = waiting.KeptRequests()
+        self._is_stopping = False
         self._released: dict[waiting.KeptRequest, asyncio.Event] = {}
         self._complete = asyncio.Event()
         self._has_waiter = asyncio.Event()
@@ -65,7 +66,7 @@
         too late for an answer. Also ends `wait_for_first_request`.
         """
         self._has_waiter.set()
-        if not self.kept.try_add(request):
+        if self._is_stopping or not self.kept.try_add(request):
             await self.wait()
             return
         turn = self._released[request] = asyncio.Event()
@@ -76,6 +77,12 @@
             del self._released[request]
             self.kept.remove(request)
 
+    def stop(self) -> None:
+        """Keep requests no longer, because the host stops."""
+        self._is_stopping = True
+        for turn in self._released.values():
+            turn.set()
+
     def estimate_retry_after_s(self, left_s: float | None) -> float:
         """Return when a refused caller may retry, in seconds.
 
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -154,7 +154,7 @@
             for task in self._tasks:
                 task.cancel()
             if self._is_late_request:
-                self._context.late_requests.remove(call.team_id)
+                self._context.late_requests.remove(self._end_waits)
             for each in self.service_calls:
                 if not each.settled:
                     each.abort()
@@ -271,14 +271,18 @@
         match self._scope:
             case WholeQuery():
                 self._is_late_request = self._context.late_requests.try_add(
-                    self._call.team_id
+                    self._call.team_id, self._end_waits
                 )
         if self._is_late_request:
             self._report_progress()
         else:
-            self._call.is_patient = False
-            for each in self.service_calls:
-                each.end_wait()
+            self._end_waits()
+
+    def _end_waits(self) -> None:
+        """Fail the calls whose retries are put off, and retry no more."""
+        self._call.is_patient = False
+        for each in self.service_calls:
+            each.end_wait()
 
     def _report_progress(self) -> None:
         """Tell the host that delegated the query why its answer is late."""
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -212,7 +212,9 @@
 
     def _send_first(self) -> None:
         replica = self._choose()
-        if replica is None:
+        if replica is None and self._call.may_have_run_elsewhere:
+            self._fail(NO_UPSTREAM)
+        elif replica is None:
             self.detail = NO_UPSTREAM
             if self._call.is_patient:
                 self._budget.count_request()
