--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -145,6 +145,7 @@
         self.state = ProcessState.LEAVING
         self._caller_listener.is_stopping = True
         self.gateway.accepts_delegated = False
+        self._dependencies.initial_sync.stop()
         self._dependencies.events.record(
             events.LogKind.STOPPING, busy=self._caller_listener.busy
         )
@@ -163,6 +164,8 @@
         accept_until = started_at + stop_s * ACCEPT_FRACTION
         await asyncio.sleep(max(0.0, accept_until - loop.time()))
         self._caller_listener.stop_accepting()
+        # Retries until a later deadline would be cut when the process ends.
+        self.gateway.late_requests.stop()
         end = started_at + stop_s * DRAIN_FRACTION
         while self._is_busy() and loop.time() < end:
             self._caller_listener.close_idle()
@@ -243,6 +246,8 @@
             'queries_sent_elsewhere_total': (
                 self.gateway.delegation.overflow.sent
             ),
+            'requests_late': self.gateway.late_requests.count,
+            'requests_kept': self.gateway.kept_requests,
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -108,7 +108,9 @@
         delegation: delegate.Delegation | None = None,
     ):
         self.service_calls = [
-            service_call.ServiceCall(context, call, service, self._on_settled)
+            service_call.ServiceCall(
+                context, call, service, self._on_settled, self._on_wait
+            )
             for service in services
         ]
         self.parts: list[parts.Part] = []
@@ -124,6 +126,10 @@
         self._open_count = len(services)
         self._failed_count = 0
         self._late_recorded = False
+        # Whether the call is one of the host's late requests.
+        self._is_late_request = False
+        # Whether a retry was put off.
+        self._has_waited = False
         self._timers: list[asyncio.TimerHandle] = []
         self._tasks: list[asyncio.Task] = []
         self._finished: asyncio.Future[None] = context.loop.create_future()
@@ -136,9 +142,7 @@
         call = self._call
         self._timers = [
             loop.call_at(loop.time() + call.late_after_s, self._on_late),
-            loop.call_at(
-                min(call.goal_at, call.expires_at), self._finish_if_sufficient
-            ),
+            loop.call_at(min(call.goal_at, call.expires_at), self._on_goal),
             loop.call_at(call.expires_at, self._time_out),
         ]
         try:
@@ -149,6 +153,8 @@
                 timer.cancel()
             for task in self._tasks:
                 task.cancel()
+            if self._is_late_request:
+                self._context.late_requests.remove(self._end_waits)
             for each in self.service_calls:
                 if not each.settled:
                     each.abort()
@@ -233,6 +239,57 @@
             self._finish()
         elif self._context.loop.time() >= self._call.goal_at:
             self._finish_if_sufficient()
+        elif self._has_waited:
+            self._on_wait()
+
+    def _on_wait(self) -> None:
+        """Finish if only late retries could add answers that are not needed.
+
+        Retries must start as early as hedges, so that the answer is in time.
+        """
+        self._has_waited = True
+        call = self._call
+        cutoff_s = HEDGE_CUTOFF_FRACTION * call.route.goal_s
+        retry_by = call.request.arrived + cutoff_s
+        if (
+            call.is_patient
+            and self.count_answers() >= self._scope.min_answers
+            and not any(
+                each.may_answer_by(retry_by) for each in self.service_calls
+            )
+        ):
+            self._finish()
+
+    def _on_goal(self) -> None:
+        """Finish, or decide whether failed attempts are still retried.
+
+        Those of a part are not.
+        """
+        self._finish_if_sufficient()
+        if self._finished.done() or not self._call.is_patient:
+            return
+        match self._scope:
+            case WholeQuery():
+                self._is_late_request = self._context.late_requests.try_add(
+                    self._call.team_id, self._end_waits
+                )
+        if self._is_late_request:
+            self._report_progress()
+        else:
+            self._end_waits()
+
+    def _end_waits(self) -> None:
+        """Fail the calls whose retries are put off, and retry no more."""
+        self._call.is_patient = False
+        for each in self.service_calls:
+            each.end_wait()
+
+    def _report_progress(self) -> None:
+        """Tell the host that delegated the query why its answer is late."""
+        request = self._call.request
+        is_delegated = request.get_header(delegate.VERSION) is not None
+        if is_delegated and request.send_progress is not None:
+            request.send_progress()
 
     def _finish_if_sufficient(self) -> None:
         if self.count_answers() >= self._scope.min_answers:
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -19,6 +19,8 @@
 from rudderrock.gateway.decisions import _loop_delay as loop_delay
 from rudderrock.gateway.decisions import _overflow as overflow
 from rudderrock.gateway.decisions import _replicas as replicas
+from rudderrock.gateway.decisions import _retry_plan as retry_plan
+from rudderrock.gateway.decisions import _waiting as waiting
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
 from rudderrock.gateway.discovery import _evacuations as evacuations
@@ -120,6 +122,7 @@
             ),
         )
         self.counters = calls.Counters()
+        self.late_requests = retry_plan.LateRequests()
         self.admission = admission.Admission(dependencies.clock)
         delay = loop_delay.LoopDelay(dependencies.clock)
         self.load_estimator = host_load.LoadEstimator(
@@ -152,6 +155,7 @@
             self._get_budget,
             self.counters,
             self.checker,
+            self.late_requests,
         )
         dependencies.tables.add_listener(self._on_table_change)
         dependencies.hosts.add_listener(self._on_hosts_change)
@@ -169,6 +173,11 @@
         """Return whether routes, upstreams and evacuations are known."""
         return self._dependencies.initial_sync.is_complete
 
+    @property
+    def kept_requests(self) -> int:
+        """Return the number of requests that wait for the initial data."""
+        return self._dependencies.initial_sync.kept.count
+
     def _on_hosts_change(self) -> None:
         """Redistribute budgets and connections among the hosts."""
         self._share_slack()
@@ -297,12 +306,12 @@
     ) -> messages.Reply:
         """Answer one request, and log and count its outcome.
 
-        During startup it first waits for the initial data, for a limited
-        time. `is_delegated` is true if another host sends the request. If
+        During startup it first waits for the initial data, depending on its
+        deadline. `is_delegated` is true if another host sends the request. If
         `shards` is not empty, only these shards are queried.
         """
         if not self.is_ready:
-            await self._dependencies.initial_sync.wait()
+            await self._wait_until_ready(request, is_delegated)
         table = self._dependencies.tables.current
         route = self._find_route(table, request)
         # Recorded if `_answer` does not return, usually because the caller has
@@ -320,6 +329,39 @@
             self._record(table, route, request, result)
         return result.reply
 
+    async def _wait_until_ready(
+        self, request: messages.Request, is_delegated: bool
+    ) -> None:
+        """Wait for the initial data as long as the request has the time.
+
+        Another host that has delegated a request asks elsewhere instead.
+        """
+        deadline_s = self._get_deadline_s(request)
+        if is_delegated or deadline_s is None:
+            await self._dependencies.initial_sync.wait()
+            return
+        key = request.get_header(b'authorization')
+        kept = waiting.KeptRequest(
+            arrived=request.arrived,
+            expires_at=request.arrived + deadline_s,
+            size=len(request.body)
+            + sum(len(name) + len(value) for name, value in request.headers),
+            owner=None if key is None else hash(key),
+        )
+        await self._dependencies.initial_sync.keep(kept)
+
+    def _get_deadline_s(self, request: messages.Request) -> float | None:
+        return _read_deadline(
+            request.get_header(self._config.names.deadline_ms)
+        )
+
+    def _estimate_ready_s(self, request: messages.Request) -> float:
+        """Return the retry-after of a request that came too early."""
+        left_s = self._get_deadline_s(request)
+        if left_s is not None:
+            left_s -= self._dependencies.clock.now() - request.arrived
+        return self._dependencies.initial_sync.estimate_retry_after_s(left_s)
+
     async def _answer(
         self,
         table: routing.RoutingTable | None,
@@ -336,7 +378,7 @@
             return results.make_refusal_result(
                 names,
                 request_id,
-                NOT_READY_RETRY_AFTER_S,
+                self._estimate_ready_s(request),
                 results.Outcome.NOT_READY,
             )
         if route is None:
@@ -385,8 +427,7 @@
         shards: tuple[routing.ServiceName, ...],
     ) -> results.Result:
         """Answer a request that is allowed."""
-        names = self._config.names
-        deadline_s = _read_deadline(request.get_header(names.deadline_ms))
+        deadline_s = self._get_deadline_s(request)
         if deadline_s is None:
             deadline_s = route.timeout_s
         call_canary = self._make_canary(request, is_part=bool(shards))
@@ -566,16 +607,14 @@
         team: teams.Team | None,
     ) -> calls.Call:
         names = self._config.names
-        time_limit_s = (
-            min(deadline_s, route.timeout_s) - forward.REPLY_MARGIN_S
-        )
+        time_limit_s = min(deadline_s, route.timeout_s)
         excluded_headers = {names.deadline_ms, names.expected_upstream}
         excluded_headers |= delegate.DELEGATION_HEADERS
         return calls.Call(
             request=request,
             request_id=request_id,
             route=route,
-            expires_at=request.arrived + time_limit_s,
+            expires_at=request.arrived + time_limit_s - forward.REPLY_MARGIN_S,
             goal_at=request.arrived + route.goal_s - forward.REPLY_MARGIN_S,
             late_after_s=self._thresholds.get(route).get(),
             forwarded_headers=[
@@ -585,6 +624,7 @@
             ],
             canary=call_canary,
             team=team,
+            is_patient=retry_plan.is_patient(time_limit_s, route.goal_s),
         )
 
     def _make_canary(
--- a/rudderrock/gateway/http/_messages.py
+++ b/rudderrock/gateway/http/_messages.py
@@ -1,5 +1,6 @@
 """HTTP requests and replies, and their serialization."""
 
+from collections.abc import Callable
 import dataclasses
 import http
 
@@ -34,6 +35,8 @@
     `arrived` is the loop time in seconds at which the first byte of the
     request was read. `team` is the team that a key has identified, or ''.
     `was_sent` is set once it has been written to an upstream or another host.
+    `send_progress` sends an interim reply that says that the request is still
+    processed; it is None if the sender does not expect interim replies.
     """
 
     method: bytes
@@ -44,6 +47,7 @@
     keep_alive: bool = True
     team: str = ''
     was_sent: bool = False
+    send_progress: Callable[[], None] | None = None
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
