--- a/features/answers.feature
+++ b/features/answers.feature
@@ -99,6 +99,15 @@
     And 20 patient requests for "/notes/1" are sent at 20 a second
     Then at least 20 replies are 200
 
+  Scenario: a kept request whose route allows less time is not sent any more
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes" with a timeout of 1 second
+    And a gateway that starts while the source is down
+    When the source is back after 2.0 seconds
+    And 5 patient requests for "/notes/1" are sent at 20 a second
+    Then every reply is a 503
+    And no upstream ran anything
+
   Scenario: requests that came last are answered first when the routes are known
     Given an upstream "u1" of "notes"
     And the patient route "/notes/" to "notes"
--- a/features/delegate.feature
+++ b/features/delegate.feature
@@ -50,6 +50,12 @@
     Then some gateways have lost queries, none more than 1
     And no shard got a request twice
 
+  Scenario: a query that another host may run is not answered as not run
+    Given 4 gateways in front of 60 shards, 2 of the gateways with a fast link
+    When both gateways with a fast link are frozen
+    And the gateways with a slow link are asked for all shards, and admit none
+    Then every answer is 502
+
   Scenario: a coordinator that stops accepts no queries and finishes those it has
     Given 6 gateways in front of 60 shards that take 0.1 seconds per request, 2 of the gateways with a fast link
     When one gateway with a fast link is stopped while it runs queries for others
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -276,6 +276,16 @@
     Then the request is clear
     And the source has 0 saved records after 3 writes
 
+  Scenario: an expired record is saved again if its request crashes upstreams again
+    Given a host that saves its records, with 3 recorded crashes
+    When 50000 seconds pass
+    And 50000 seconds pass
+    And the host is replaced by one that loads the saved records
+    And 2 more crashes of it are recorded before expired records are removed
+    And 2 seconds pass
+    And the host is replaced by one that loads the saved records
+    Then the request is suspect
+
   Scenario: a host that reports a crash gets the receiver's record in reply
     Given a host with 3 recorded crashes of a request
     When a host with one recorded crash of it sends its record
--- a/features/steps/archive.py
+++ b/features/steps/archive.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import use_step_matcher
 from behave import when
+import result
 
 from features.steps import gateway as gateway_steps
 from features.steps import quarantine as quarantine_steps
@@ -51,6 +52,23 @@
     context.request_quarantine = host
 
 
+@when(
+    r'(\d+) more crashes of it are recorded before expired records are removed'
+)
+def record_before_removal(context, count):
+    async def hold_back(written, removed):
+        return result.Err(gateway.Unavailable('held back'))
+
+    source = context.record_source
+    source.save_records, save_records = hold_back, source.save_records
+    run(context, core.end_task(context.archive_task))
+    _start_host(context)
+    quarantine_steps.record_crashes_of(
+        context, context.request_quarantine, int(count)
+    )
+    source.save_records = save_records
+
+
 @when(r'the host is replaced by one that loads the saved records')
 def replace_host(context):
     run(context, core.end_task(context.archive_task))
--- a/features/steps/delegate.py
+++ b/features/steps/delegate.py
@@ -617,3 +617,23 @@
     ]
     assert found
     assert set(found) == {float(count)}, found
+
+
+@when(r'both gateways with a fast link are frozen')
+def freeze_both(context):
+    for name in context.fast:
+        run(context, context.fleet.members[name].simulate_freeze())
+
+
+@when(
+    r'the gateways with a slow link are asked for all shards, and admit none'
+)
+def query_without_admission(context):
+    table = context.gateway.make_table(1)
+    slow = [each for each in context.fleet.members if each not in context.fast]
+    for name in slow:
+        member = context.fleet.members[name]
+        for route in table.routes.values():
+            limit = member.gateway.admission.get_limit(route.target.shards)
+            limit.in_flight = limit.limit = 1
+    query_gateways(context, slow)
--- a/features/steps/teams.py
+++ b/features/steps/teams.py
@@ -226,3 +226,10 @@
 def check_rejected(context, problem):
     assert context.decoded.is_err()
     assert problem in context.decoded.err_value, context.decoded.err_value
+
+
+@then(r'"([^"]+)" was sent the UTF-8 header "([^"]+)" as "([^"]+)"')
+def check_utf8_header(context, upstream, header, value):
+    run_found = context.gateway.upstreams[upstream].runs[-1]
+    found = run_found.headers[header].encode('latin-1').decode()
+    assert found == value, found
--- a/features/teams.feature
+++ b/features/teams.feature
@@ -20,6 +20,13 @@
     Then the reply is 200
     And "a" was sent the header "rudderrock-team" as "billing"
 
+  Scenario: the name of a team may have any letters
+    Given the team "Łódź" with the key "k-far"
+    And a gateway
+    When a caller with the key "k-far" sends GET "/desk/7"
+    Then the reply is 200
+    And "a" was sent the UTF-8 header "rudderrock-team" as "Łódź"
+
   Scenario Outline: a request without a listed key is refused: <case>
     Given a gateway
     When a caller sends GET "/desk/7" with the headers "<headers>"
@@ -106,3 +113,4 @@
       | clubs   | k2   | -1   | 1     | 1    | rate_per_s of tenant clubs must be finite |
       | clubs   | k2   | 1    | -1    | 1    | burst of tenant clubs must be finite      |
       | clubs   | k2   | 1    | 1     | top  | tenants                                   |
+      |         | k2   | 1    | 1     | 1    | the name of a tenant must be printable    |
--- a/rudderrock/gateway/decisions/_identity.py
+++ b/rudderrock/gateway/decisions/_identity.py
@@ -70,7 +70,7 @@
     name = request.get_header(names.team)
     if table.teams is None or name is None:
         return Anonymous()
-    team = core.TeamId(name.decode('latin-1'))
+    team = core.TeamId(name.decode(errors='replace'))
     found = table.teams.find(team)
     return Identified(found if found is not None else teams.Team(team=team))
 
@@ -88,4 +88,4 @@
     ]
     match identity:
         case Identified(team=team):
-            request.headers.append((names.team, team.team.encode('latin-1')))
+            request.headers.append((names.team, team.team.encode()))
--- a/rudderrock/gateway/discovery/_archive.py
+++ b/rudderrock/gateway/discovery/_archive.py
@@ -132,6 +132,8 @@
             for each in changed
             if not each.answered
         ]
+        # A request whose record had expired may have crashed upstreams again.
+        self._expired -= {each.digest for each in changed}
         removed = self._expired | {
             each.digest for each in changed if each.answered
         }
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -70,13 +70,25 @@
 NOT_RUN_SHARDS = b'rudderrock-not-run-shards'
 # Requires a host to run the query even if it is full.
 MUST_RUN = b'rudderrock-must-run'
+# The delegating host retries the query until its deadline, so the other host
+# does too. It can't tell from the deadline, which is shorter by then.
+PATIENT = b'rudderrock-patient'
 # Marks a whole query of a zone without room.
 ELSEWHERE = b'rudderrock-elsewhere'
 # Reason why a host has not started the query.
 REFUSAL_REASON = b'rudderrock-not-taken'
 # Headers that are never forwarded to upstreams.
 DELEGATION_HEADERS = frozenset(
-    {VERSION, ELAPSED, SHARDS, MIN_ANSWERS, MUST_RUN, ROUTE, ELSEWHERE}
+    {
+        VERSION,
+        ELAPSED,
+        SHARDS,
+        MIN_ANSWERS,
+        MUST_RUN,
+        ROUTE,
+        ELSEWHERE,
+        PATIENT,
+    }
 )
 _MAX_CONNECTIONS = 16
 # Connections to a host of another zone that are opened in advance. Opening one
@@ -411,6 +423,8 @@
         entry = candidate.entry
         if candidate.is_last:
             extra_headers = [*extra_headers, (MUST_RUN, b'1')]
+        if call.is_patient:
+            extra_headers = [*extra_headers, (PATIENT, b'1')]
         if candidate.is_elsewhere:
             extra_headers = [*extra_headers, (ELSEWHERE, b'1')]
         peer = self._get_client(entry)
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -436,6 +436,17 @@
         call = self._make_call(
             request, request_id, route, deadline_s, call_canary, team
         )
+        if is_delegated:
+            call.is_patient = request.get_header(delegate.PATIENT) is not None
+        elif call.expires_at <= self._dependencies.clock.now():
+            # It was kept for longer than its route's timeout.
+            return results.make_refusal_result(
+                self._config.names,
+                request_id,
+                NOT_READY_RETRY_AFTER_S,
+                results.Outcome.NOT_RUN,
+                'its time had passed when routes were known',
+            )
         threshold = self._thresholds.get(route)
         match route.target:
             case routing.Single(service=service):
@@ -571,12 +582,17 @@
         if not self.admission.try_acquire(
             concurrency, rank, call.team, len(scatter.shards)
         ):
+            detail = self.admission.describe(concurrency, rank, call.team)
+            if call.may_have_run_elsewhere:
+                return results.make_lost_result(
+                    self._config.names, call.request_id, False, detail
+                )
             return results.make_refusal_result(
                 self._config.names,
                 call.request_id,
                 self.admission.get_retry_after_s(concurrency, call.team),
                 results.Outcome.OVERLOADED,
-                self.admission.describe(concurrency, rank, call.team),
+                detail,
             )
         congested = None
         query_class = host_load.QueryClass(call.route.name, is_part=False)
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -187,6 +187,11 @@
 
 
 def _make_team(tenant: _Tenant) -> gateway.Team:
+    # The name is the value of a header.
+    if not (tenant.name and tenant.name.isprintable()):
+        raise ValueError(
+            f'the name of a tenant must be printable, not {tenant.name!r}'
+        )
     for name, value in (
         ('rate_per_s', tenant.rate_per_s),
         ('burst', tenant.burst),
