--- a/features/answers.feature
+++ b/features/answers.feature
@@ -142,3 +142,32 @@
     And 1 second passes
     And the gateway is told to stop
     Then every reply is 503 within 5 seconds
+
+  Scenario Outline: a patient call, and another, after an attempt that was <failure>
+    When of 2 attempts that may run, <runs> may have, and the last one was <failure>
+    And <candidates> upstreams are left, and the budget allows an attempt in <wait> seconds of 2
+    Then a patient call is <patient> and another one is <other>
+
+    Examples:
+      | failure      | runs | candidates | wait | patient            | other              |
+      | rejected     | 0    | untried    | 0    | sent now           | sent now           |
+      | rejected     | 0    | tried      | 0    | sent in 0.04 s     | sent in 0.04 s     |
+      | rejected     | 0    | untried    | 0.5  | sent in 0.5 s      | given up           |
+      | rejected     | 0    | untried    | 3    | given up           | given up           |
+      | unreachable  | 0    | no         | 0    | sent in 0.04 s     | given up           |
+      | may have run | 1    | untried    | 0    | sent now           | sent now           |
+      | may have run | 1    | tried      | 0    | sent in 0.04 s     | given up           |
+      | may have run | 2    | untried    | 0    | given up           | given up           |
+
+  Scenario: late calls leave half of the budget to others, which leave them a tenth
+    Given a budget of 20 extra requests in 10 seconds
+    When late calls ask for 30 extra requests
+    Then 10 are allowed
+    When other calls ask for 30 extra requests
+    Then 10 are allowed
+    When 11 seconds pass
+    And other calls ask for 15 extra requests
+    And late calls ask for 30 extra requests
+    Then 2 are allowed
+    When other calls ask for 30 extra requests
+    Then 3 are allowed
--- a/features/steps/answers.py
+++ b/features/steps/answers.py
@@ -16,6 +16,7 @@
 from features.steps import gateway_checks
 from features.steps.common import run
 from rudderrock import gateway
+from rudderrock import state
 
 use_step_matcher('re')
 
@@ -282,3 +283,65 @@
     assert {each.status for each in replies} == {503}, replies
     elapsed_s = context.loop.time() - context.stopped_at
     assert elapsed_s < float(seconds), elapsed_s
+
+
+@when(
+    r'of (\d+) attempts that may run, (\d+) may have, and the last one was '
+    r'([a-z ]+)'
+)
+def set_progress(context, most, runs, failure):
+    context.progress = {
+        'failure': gateway.Failure(failure),
+        'runs': int(runs),
+        'max_attempts': int(most),
+        'unsent': 0,
+        'pauses': 0,
+    }
+
+
+@when(
+    r'(untried|tried|no) upstreams are left, and the budget allows an attempt '
+    r'in ([\d.]+) seconds of ([\d.]+)'
+)
+def set_candidates(context, candidates, wait, left):
+    name = 'none' if candidates == 'no' else candidates
+    context.progress |= {
+        'candidates': gateway.Candidates(name),
+        'budget_wait_s': float(wait),
+        'left_s': float(left),
+    }
+
+
+@then(r'a patient call is (.+) and another one is (.+)')
+def check_decisions(context, patient, other):
+    found = []
+    for is_patient in (True, False):
+        progress = gateway.Progress(is_patient=is_patient, **context.progress)
+        match gateway.plan_retry(progress):
+            case gateway.SendNow():
+                found.append('sent now')
+            case gateway.SendLater(delay_s=delay_s):
+                found.append(f'sent in {delay_s:g} s')
+            case gateway.GiveUp():
+                found.append('given up')
+    assert found == [patient, other], found
+
+
+@given(r'a budget of (\d+) extra requests in (\d+) seconds')
+def make_budget(context, slack, seconds):
+    clock = state.Clock(context.loop)
+    context.budget = gateway.ExtraRequestBudget(
+        clock, 0.0, float(seconds), float(slack)
+    )
+
+
+@when(r'(late|other) calls ask for (\d+) extra requests')
+def spend(context, kind, count):
+    context.allowed = sum(
+        context.budget.try_spend(kind == 'late') for _ in range(int(count))
+    )
+
+
+@then(r'(\d+) are allowed')
+def check_allowed(context, count):
+    assert context.allowed == int(count), context.allowed
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -19,6 +19,13 @@
 from rudderrock.gateway.decisions._host_load import QueryClass
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
+from rudderrock.gateway.decisions._retry_plan import Candidates
+from rudderrock.gateway.decisions._retry_plan import Failure
+from rudderrock.gateway.decisions._retry_plan import GiveUp
+from rudderrock.gateway.decisions._retry_plan import plan_retry
+from rudderrock.gateway.decisions._retry_plan import Progress
+from rudderrock.gateway.decisions._retry_plan import SendLater
+from rudderrock.gateway.decisions._retry_plan import SendNow
 from rudderrock.gateway.decisions._shares import compute_connection_share
 from rudderrock.gateway.decisions._shares import ConnectionShare
 from rudderrock.gateway.discovery._broadcast import QuarantineBroadcaster
@@ -108,6 +115,7 @@
     'Anywhere',
     'CallerListener',
     'Canary',
+    'Candidates',
     'ChangeFeed',
     'Changes',
     'ColdLimits',
@@ -122,12 +130,14 @@
     'EventLog',
     'Exchange',
     'ExtraRequestBudget',
+    'Failure',
     'Fleet',
     'Gateway',
     'GatewayDependencies',
     'GatewayMetrics',
     'GatewayProcess',
     'GatewaySettings',
+    'GiveUp',
     'HeaderNames',
     'Headers',
     'HistoryCompacted',
@@ -153,6 +163,7 @@
     'Pool',
     'Position',
     'ProcessState',
+    'Progress',
     'Quarantine',
     'QuarantineBroadcaster',
     'QuarantineRecord',
@@ -173,6 +184,8 @@
     'RoutingTable',
     'Scatter',
     'SendDecision',
+    'SendLater',
+    'SendNow',
     'Service',
     'ServiceName',
     'Share',
@@ -200,6 +213,7 @@
     'digest_request',
     'format_event_page',
     'merge_records',
+    'plan_retry',
     'read_changes',
     'read_records',
     'remove_hop_by_hop_headers',
