--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -29,6 +29,13 @@
 from rudderrock.gateway.decisions._quota_spending import TeamSpending
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
+from rudderrock.gateway.decisions._retry_plan import Candidates
+from rudderrock.gateway.decisions._retry_plan import Failure
+from rudderrock.gateway.decisions._retry_plan import GiveUp
+from rudderrock.gateway.decisions._retry_plan import plan_retry
+from rudderrock.gateway.decisions._retry_plan import Progress
+from rudderrock.gateway.decisions._retry_plan import SendLater
+from rudderrock.gateway.decisions._retry_plan import SendNow
 from rudderrock.gateway.decisions._shares import compute_connection_share
 from rudderrock.gateway.decisions._shares import ConnectionShare
 from rudderrock.gateway.discovery._archive import QuarantineArchive
@@ -123,6 +130,7 @@
     'Anywhere',
     'CallerListener',
     'Canary',
+    'Candidates',
     'ChangeFeed',
     'Changes',
     'ColdLimits',
@@ -138,6 +146,7 @@
     'EventLog',
     'Exchange',
     'ExtraRequestBudget',
+    'Failure',
     'Fleet',
     'Gateway',
     'GatewayDependencies',
@@ -145,6 +154,7 @@
     'GatewayProcess',
     'GatewaySettings',
     'Granted',
+    'GiveUp',
     'HeaderNames',
     'Headers',
     'HistoryCompacted',
@@ -172,6 +182,7 @@
     'Pool',
     'Position',
     'ProcessState',
+    'Progress',
     'Quarantine',
     'QuarantineArchive',
     'QuarantineBroadcaster',
@@ -196,6 +207,8 @@
     'SavedRecord',
     'Scatter',
     'SendDecision',
+    'SendLater',
+    'SendNow',
     'Service',
     'ServiceName',
     'Share',
@@ -228,6 +241,7 @@
     'load_absl_log',
     'merge_records',
     'rank_pair',
+    'plan_retry',
     'read_changes',
     'read_records',
     'remove_hop_by_hop_headers',
