--- a/features/steps/archive.py
+++ b/features/steps/archive.py
@@ -41,8 +41,7 @@
 
     async def start():
         began = context.loop.time()
-        async with archive.load_along():
-            pass
+        await archive.load(is_starting=True)
         context.loading_s = context.loop.time() - began
         context.archive_task = asyncio.create_task(archive.run())
         context.stack.push_async_callback(core.end_task, context.archive_task)
@@ -93,11 +92,7 @@
 
 @when(r'the records are loaded again')
 def load_again(context):
-    async def load():
-        async with context.archive.load_along():
-            pass
-
-    run(context, load())
+    run(context, context.archive.load(is_starting=True))
 
 
 @then(r'loading took at most ([\d.]+) seconds')
--- a/rudderrock/gateway/discovery/_archive.py
+++ b/rudderrock/gateway/discovery/_archive.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Iterable
-import contextlib
 
 import result
 
@@ -54,21 +53,19 @@
         self._changed = asyncio.Event()
         known_quarantine.add_listener(self._changed.set)
 
-    @contextlib.asynccontextmanager
-    async def load_along(self):
-        """Load the saved records, unless done, while the body runs.
+    async def load(self, is_starting: bool) -> None:
+        """Load the saved records, unless done.
 
-        Waits for them for up to `LOAD_WAIT_S` after the body. Records that
-        come later are used once they come. If none come, the next reading
-        asks again.
+        A host that `is_starting` waits for them for up to `LOAD_WAIT_S`.
+        Records that come later are used once they come. If none come, the
+        next reading asks again.
         """
         if self.is_loaded:
-            yield
             return
         if self._loading is None or self._loading.done():
             self._loading = asyncio.create_task(self._load())
-        yield
-        await asyncio.wait({self._loading}, timeout=LOAD_WAIT_S)
+        if is_starting:
+            await asyncio.wait({self._loading}, timeout=LOAD_WAIT_S)
 
     def save_again(self) -> None:
         """Save all records of this host again.
--- a/rudderrock/gateway/discovery/_registration.py
+++ b/rudderrock/gateway/discovery/_registration.py
@@ -21,6 +21,8 @@
 # Limit on the mean interval between attempts to register, in seconds. It
 # doubles after each failure, from `RENEW_INTERVAL_S` on.
 MAX_RETRY_INTERVAL_S = 8.0
+# Time in seconds over which hosts that have waited for data register.
+START_SPREAD_S = 0.5
 # Each interval varies at random by this fraction, so that hosts that start or
 # fail together do not call simultaneously.
 _JITTER = 0.15
@@ -69,6 +71,8 @@
             interval_s = self._get_interval_s()
             if self._lease is None and not self._initial_sync.is_complete:
                 await self._initial_sync.wait_at_most(interval_s)
+                # Data may have come to all hosts at the same moment.
+                await asyncio.sleep(self._rng.uniform(0.0, START_SPREAD_S))
             else:
                 await asyncio.sleep(interval_s)
 
@@ -110,6 +114,8 @@
                 self._has_registered = True
                 renewed = await self._source.renew(found)
                 self._lease = found if renewed.is_ok() else None
+                if renewed.is_ok():
+                    self._failure_count = 0
                 return renewed.is_ok()
 
     async def _register(self) -> None:
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -338,7 +338,9 @@
             evacuations=self._evacuated.current.position,
         )
 
-    def _is_sufficient(self, changes: peers.Changes, max_age_s: float) -> bool:
+    def _is_sufficient(
+        self, changes: peers.Changes, max_age_s: float = peers.MAX_AGE_S
+    ) -> bool:
         """Return whether the changes of a peer replace an own reading.
 
         Each relay adds up to one polling period to the age. Data that was
@@ -468,8 +470,12 @@
         """
         began_at = self._last_try_at = self._clock.now()
         self._retry_factor = self._rng.uniform(0.5, 1.5)
-        async with self._archive.load_along():
-            listed = await self._source.list_upstreams()
+        was_lost = self.lost_at is not None
+        listed = await self._source.list_upstreams()
+        if listed.is_ok() and not was_lost:
+            # After an outage all hosts read at once, and most of them get the
+            # saved records from the few that go on reading.
+            await self._archive.load(not self._initial_sync.is_complete)
         match listed:
             case result.Err(problem):
                 self._record_source_lost('upstreams', problem.detail)
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -280,6 +280,10 @@
         names = self._config.names
         load = self.load_estimator
         is_elsewhere = request.get_header(delegate.ELSEWHERE) is not None
+        place = self._config.place
+        if is_elsewhere and not place.allows(route.residency, place.zone):
+            # The table of the other host may allow more regions.
+            return delegate.make_refusal(names, delegate.RefusalReason.TABLE)
         share = overflow.ROOM_FRACTION if is_elsewhere else 1.0
         match load.find_room(share * route.goal_s):
             case host_load.Room.FULL:
@@ -587,6 +591,14 @@
                 return results.make_lost_result(
                     self._config.names, call.request_id, False, detail
                 )
+            if call.request.get_header(delegate.ELSEWHERE) is not None:
+                # The zone of the caller still has to run the query.
+                refusal = delegate.make_refusal(
+                    self._config.names, delegate.RefusalReason.FULL
+                )
+                return results.Result(
+                    refusal, results.Outcome.OVERLOADED, detail
+                )
             return results.make_refusal_result(
                 self._config.names,
                 call.request_id,
