Count the reports of hosts whose clocks stood still

The owner of a team kept the smallest difference to the clock of a process for as long as it knew the process. Once the clock of a sender had stood still for a window, each of its reports was dated before the window and not counted.

The difference is now the smallest of the last two periods of 10 s, and one that reaches the window means that the clock has changed: the report counts from when it arrives.

In the new scenario the clocks of all hosts but the owner fall back by 6 s.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -233,6 +233,19 @@
     When 2.2 seconds pass
     Then the owner of "any" counts 0 requests
 
+  Scenario: the clocks of all hosts but the owner stood still
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When these teams send for 2 seconds
+      | team | rate |
+      | hot  | 6    |
+    And the clocks of all hosts but the owner of "hot" fall back by 6 s
+    And these teams send for 8 seconds
+      | team | rate |
+      | hot  | 50   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+
   Scenario: a request that is given back while its report is under way is reported again
     Given a host that has admitted the requests 1, 2
     When it reports them, and gives back the request 2 before the owner "p1" has confirmed
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -202,6 +202,25 @@
     peers.handle = handle_later
 
 
+@when(
+    r'the clocks of all hosts but the owner of "([^"]+)" fall back by (\d+) s'
+)
+def set_clocks_back(context, team, seconds):
+    peers = context.fleet.members[_get_owner(context, team)].process.peers
+    handle = peers.handle
+
+    async def handle_earlier(request):
+        if _get_sender(request) is not None:
+            report = json.loads(request.body)
+            report[2] -= 1000 * int(seconds)
+            request = dataclasses.replace(
+                request, body=json.dumps(report).encode()
+            )
+        return await handle(request)
+
+    peers.handle = handle_earlier
+
+
 @when(r'the zone "([^"]+)" gets no answers from the other zones')
 def cut_zone_one_way(context, zone):
     members = context.fleet.members
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -26,6 +26,10 @@
 CHECKED_FRACTION = 0.5
 # Maximum number of processes whose clocks are remembered.
 MAX_CLOCKS = 4096
+# How long the fastest message from a process is the measure of the others, in
+# seconds; up to twice as long, as clocks drift, and stand still on hosts that
+# are suspended.
+CLOCK_PERIOD_S = 10.0
 
 
 class OwnerRanking:
@@ -78,6 +82,30 @@
     unreported: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClockOffset:
+    """Smallest differences between this clock and that of a process.
+
+    They are those of the period that began at `since`, and of the one before.
+    """
+
+    since: float
+    smallest: float
+    earlier: float
+
+    def add(self, offset: float, now: float) -> 'ClockOffset':
+        """Return the differences with another one that was seen at `now`."""
+        if now - self.since < CLOCK_PERIOD_S:
+            return dataclasses.replace(
+                self, smallest=min(self.smallest, offset)
+            )
+        return ClockOffset(now, offset, self.smallest)
+
+    def get_smallest(self) -> float:
+        """Return the smallest difference of both periods."""
+        return min(self.smallest, self.earlier)
+
+
 class OwnedTeams:
     """Ledgers of the teams that this host owns, or stands in for.
 
@@ -109,8 +137,7 @@
         self._started_at = clock.now()
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
-        # Smallest difference seen between this clock and that of a process.
-        self._clock_offsets: dict[quota.ProcessId, float] = {}
+        self._clock_offsets: dict[quota.ProcessId, ClockOffset] = {}
         self._heard_at: dict[tuple[core.HostId, core.ZoneId], float] = {}
 
     def handle(self, report: quota_messages.Report) -> quota_messages.Answer:
@@ -169,13 +196,24 @@
     def _measure_delay(
         self, report: quota_messages.Report, now: float
     ) -> float:
-        """Return how much longer a message took than the fastest one."""
+        """Return how much longer a message took than the fastest one.
+
+        Always less than the window, so that no report is dated before it: a
+        longer difference means that the clock of the process has changed.
+        """
         offset = now - report.sent_ms / 1000
-        smallest = min(offset, self._clock_offsets.pop(report.process, offset))
-        self._clock_offsets[report.process] = smallest
+        known = self._clock_offsets.pop(report.process, None)
+        if known is not None:
+            known = known.add(offset, now)
+        if (
+            known is None
+            or offset - known.get_smallest() >= self._bounds.window_s
+        ):
+            known = ClockOffset(now, offset, offset)
+        self._clock_offsets[report.process] = known
         if len(self._clock_offsets) > MAX_CLOCKS:
             del self._clock_offsets[next(iter(self._clock_offsets))]
-        return offset - smallest
+        return offset - known.get_smallest()
 
     def _handle_team(
         self,
