Take no answer of an owner that lacks the quota for a grant

An owner whose table lacked a team, or listed it without a quota, answered each report of it as granted and kept nothing. Senders with a newer table took that for an admission, confirmed their requests and did not report them again.

An owner now leaves such teams out of its answer. Senders keep their requests of them as unreported, and ask the next host in rank about this request only, or decide as if no owner answered.

In the new scenario the owner learns of the quota after the other hosts.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -153,6 +153,23 @@
       | hot  | 20   |
     Then none of the last 60 requests of "hot" is refused
 
+  Scenario: the owner of a team learns of its quota after the other hosts
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 0    | 0     |
+    When the owner of "hot" does not get new tables
+    And the quota of "hot" becomes 10 and 40
+    And 1 second passes
+    And these teams send for 4 seconds
+      | team | rate |
+      | hot  | 40   |
+    And the owner of "hot" gets the table
+    And these teams send for 6 seconds
+      | team | rate |
+      | hot  | 40   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.8 times its quota
+
   Scenario: a team leaves the table, and its name is given to another later
     Given 6 gateways with the teams
       | team | rate | burst |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import json
+import types
 
 from behave import given
 from behave import then
@@ -86,6 +87,21 @@
     context.gateway.publish()
 
 
+@when(r'the owner of "([^"]+)" does not get new tables')
+def hold_table(context, team):
+    owned = context.fleet.members[_get_owner(context, team)].process.quotas
+    context.held_tables = owned.owned._tables
+    owned.owned._tables = types.SimpleNamespace(
+        current=context.held_tables.current
+    )
+
+
+@when(r'the owner of "([^"]+)" gets the table')
+def release_table(context, team):
+    owner = context.fleet.members[_get_owner(context, team)]
+    owner.process.quotas.owned._tables = context.held_tables
+
+
 @when(r'the team "([^"]+)" leaves the table')
 def remove_team(context, team):
     del context.teams[team]
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 
 import msgspec
 import result
@@ -121,3 +122,18 @@
         """Close all connections to other hosts."""
         for each in self._clients.values():
             each.close()
+
+
+def make_team_report(
+    team: core.TeamId,
+    spent: Iterable[tuple[int, float]],
+    given_back: list[int],
+    asked: int | None,
+) -> quota_messages.TeamReport:
+    """Return a report of requests with their ages in seconds."""
+    return quota_messages.TeamReport(
+        team,
+        [(number, quota_messages.to_ms(age_s)) for number, age_s in spent],
+        given_back,
+        asked,
+    )
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection
 import dataclasses
 import itertools
 from typing import NamedTuple
@@ -271,8 +271,10 @@
         self.asked += 1
         was_unanswered = True
         verdict: Permit | Refusal | None = None
+        asked: set[core.HostId] = set()
         try:
-            while (owner := self._pick_owner(team.team)) is not None:
+            while (owner := self._pick_owner(team.team, asked)) is not None:
+                asked.add(owner.host)
                 verdict = await self._ask_one(owner, team, spending, number)
                 if verdict is not None:
                     was_unanswered = False
@@ -293,20 +295,26 @@
         spending: quota_spending.TeamSpending,
         number: int,
     ) -> Permit | Refusal | None:
-        """Return the decision of one host, or None if it doesn't answer."""
+        """Return the decision of one host, or None if it has none."""
         asked_at = self._clock.now()
         spent, given_back = spending.list_unreported(asked_at)
-        found = _make_team_report(team.team, spent, given_back, number)
+        found = quota_client.make_team_report(
+            team.team, spent, given_back, number
+        )
         answer = await self._send(owner, [found], ASK_TIMEOUT_S)
         if answer is None:
             return None
         now = self._clock.now()
-        for reply in answer.teams:
-            if reply.team == team.team and reply.retry_after_ms is not None:
-                denied = quota.Denied(
-                    reply.retry_after_ms / 1000, reply.count, reply.limit
-                )
-                return Refusal(denied, owner.host, now - asked_at)
+        reply = next(
+            (each for each in answer.teams if each.team == team.team), None
+        )
+        if reply is None:
+            return None
+        if reply.retry_after_ms is not None:
+            denied = quota.Denied(
+                reply.retry_after_ms / 1000, reply.count, reply.limit
+            )
+            return Refusal(denied, owner.host, now - asked_at)
         # The team may have left and returned while the owner was asked.
         self._get_spending(team.team).record_granted(
             number, now, answer.process
@@ -325,7 +333,7 @@
             spent, given_back = spending.list_unreported(now)
             entries[owner.host] = owner
             by_owner.setdefault(owner.host, []).append(
-                _make_team_report(team, spent, given_back, None)
+                quota_client.make_team_report(team, spent, given_back, None)
             )
         answers = await asyncio.gather(
             *(
@@ -352,7 +360,10 @@
         if answer is None:
             return None
         self._heard_at = self._clock.now()
+        answered = {each.team for each in answer.teams}
         for each in found:
+            if each.team not in answered:
+                continue
             spending = self._get_spending(each.team)
             spending.confirm(
                 answer.process,
@@ -366,14 +377,19 @@
                 self._apply_ask_first(each.team, each.ask_first_ms)
         return answer
 
-    def _pick_owner(self, team: core.TeamId) -> fleet.HostEntry | None:
-        """Return the first host in rank that answers, or None."""
+    def _pick_owner(
+        self,
+        team: core.TeamId,
+        asked: Collection[core.HostId] = (),
+    ) -> fleet.HostEntry | None:
+        """Return the first host in rank to ask that answers, or None."""
         for each in self._ranking.list_candidates(team):
-            if not self.client.is_skipped(each.host):
-                if self._last_owner.get(team) != each.host:
-                    self._last_owner[team] = each.host
-                    self._get_spending(team).expect_owner()
-                return each
+            if each.host in asked or self.client.is_skipped(each.host):
+                continue
+            if self._last_owner.get(team) != each.host:
+                self._last_owner[team] = each.host
+                self._get_spending(team).expect_owner()
+            return each
         return None
 
     def _on_table_change(self, table) -> None:
@@ -388,17 +404,3 @@
     def _forget(self, team: core.TeamId) -> None:
         self._spending.pop(team, None)
         self._last_owner.pop(team, None)
-
-
-def _make_team_report(
-    team: core.TeamId,
-    spent: Iterable[tuple[int, float]],
-    given_back: list[int],
-    asked: int | None,
-) -> quota_messages.TeamReport:
-    return quota_messages.TeamReport(
-        team,
-        [(number, quota_messages.to_ms(age_s)) for number, age_s in spent],
-        given_back,
-        asked,
-    )
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -144,10 +144,14 @@
         """Record what a host reports, and answer what it asks."""
         now = self._clock.now()
         sent_at = now - self._measure_delay(report, now)
-        answers = [
-            self._handle_team(report, each, sent_at, now)
-            for each in report.teams
-        ]
+        answers = []
+        for each in report.teams:
+            team = self._find_limited_team(each.team)
+            # The sender may have a newer table than this host.
+            if team is not None:
+                answers.append(
+                    self._handle_team(team, report, each, sent_at, now)
+                )
         return quota_messages.Answer(self.process, answers)
 
     def check(self) -> None:
@@ -217,14 +221,12 @@
 
     def _handle_team(
         self,
+        team: teams.Team,
         report: quota_messages.Report,
         found: quota_messages.TeamReport,
         sent_at: float,
         now: float,
     ) -> quota_messages.TeamAnswer:
-        team = self._find_limited_team(found.team)
-        if team is None:
-            return quota_messages.TeamAnswer(found.team)
         ledger = self._ledgers.get(found.team)
         if ledger is None:
             ledger = quota.TeamLedger(self._bounds)
