Withdraw a request that an owner may have counted before another refused it

If an owner counted a request but its answer was lost, and the next host in rank refused it, the request was not withdrawn, and the owner counted it for a whole window. It is withdrawn now whenever a host did not answer and the request was not admitted in the end. The record of a team's requests is looked up again after each question, as it may have been dropped meanwhile.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -153,6 +153,18 @@
       | hot  | 20   |
     Then none of the last 60 requests of "hot" is refused
 
+  Scenario: a stand-in refuses what the owner has counted without an answer
+    Given 6 gateways that allow no overshoot with the teams
+      | team | rate | burst |
+      | any  | 1    | 3     |
+    When the answers of the owner of "any" are lost
+    And the team "any" sends 1 request to the last host in rank
+    Then the owner of "any" counts 1 requests
+    When the owner answers again
+    And 3.2 seconds pass
+    And the team "any" sends 1 request to the last host in rank
+    Then the owner of "any" counts 1 requests
+
   Scenario: the owner of a team learns of its quota after the other hosts
     Given 6 gateways with the teams
       | team | rate | burst |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -164,13 +164,18 @@
     run(context, _ask(context, team, host))
 
 
-def _get_owner(context, team):
+def _list_ranked(context, team):
+    """Return the hosts by rank, the owner first."""
     member = next(iter(context.fleet.members.values()))
     ranked = sorted(
         member.hosts.list_hosts(),
         key=lambda each: gateway.rank_pair(team, each.host),
     )
-    return ranked[0].host
+    return [each.host for each in ranked]
+
+
+def _get_owner(context, team):
+    return _list_ranked(context, team)[0]
 
 
 @when(r'the owner of "([^"]+)" is killed')
@@ -237,6 +242,23 @@
     peers.handle = handle_earlier
 
 
+@when(r'the answers of the owner of "([^"]+)" are lost')
+def lose_answers(context, team):
+    context.unanswered = set(context.fleet.members)
+    owner = context.fleet.members[_get_owner(context, team)]
+    _drop_answers(owner, context.unanswered.__contains__)
+
+
+@when(r'the owner answers again')
+def answer_again(context):
+    context.unanswered.clear()
+
+
+@when(r'the team "([^"]+)" sends 1 request to the last host in rank')
+def send_to_last(context, team):
+    run(context, _ask(context, team, _list_ranked(context, team)[-1]))
+
+
 @when(r'the zone "([^"]+)" gets no answers from the other zones')
 def cut_zone_one_way(context, zone):
     members = context.fleet.members
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -136,7 +136,7 @@
             spending.record(number, now)
             self._has_unreported.set()
             return Permit(team.team, number)
-        return await self._ask(team, spending, number)
+        return await self._ask(team, number)
 
     def give_back(self, permit: Permit) -> None:
         """Withdraw a request that has not run; only once for each permit."""
@@ -261,30 +261,29 @@
         )
         return Refusal(denied, self._hosts.own.host, now - self._heard_at)
 
-    async def _ask(
-        self,
-        team: teams.Team,
-        spending: quota_spending.TeamSpending,
-        number: int,
-    ) -> Permit | Refusal:
+    async def _ask(self, team: teams.Team, number: int) -> Permit | Refusal:
         """Ask the owner of a team, or those that stand in for it."""
         self.asked += 1
-        was_unanswered = True
-        verdict: Permit | Refusal | None = None
         asked: set[core.HostId] = set()
+        was_missed = False
+        verdict: Permit | Refusal | None = None
         try:
             while (owner := self._pick_owner(team.team, asked)) is not None:
                 asked.add(owner.host)
-                verdict = await self._ask_one(owner, team, spending, number)
+                verdict = await self._ask_one(owner, team, number)
                 if verdict is not None:
-                    was_unanswered = False
                     break
+                was_missed = True
             else:
+                spending = self._get_spending(team.team)
                 verdict = self._admit_isolated(team, spending, number)
             return verdict
         finally:
-            if was_unanswered and not isinstance(verdict, Permit):
+            if verdict is None or (
+                was_missed and isinstance(verdict, Refusal)
+            ):
                 # A host that did not answer may have counted the request.
+                spending = self._get_spending(team.team)
                 spending.give_back(number, self._clock.now())
                 self._has_unreported.set()
 
@@ -292,11 +291,11 @@
         self,
         owner: fleet.HostEntry,
         team: teams.Team,
-        spending: quota_spending.TeamSpending,
         number: int,
     ) -> Permit | Refusal | None:
         """Return the decision of one host, or None if it has none."""
         asked_at = self._clock.now()
+        spending = self._get_spending(team.team)
         spent, given_back = spending.list_unreported(asked_at)
         found = quota_client.make_team_report(
             team.team, spent, given_back, number
