Run no timers and print no gauges of quotas where no team has one

The check of quotas woke every 0.5 s on each host, each change of the hosts woke the sending of reports, and the gauges were always printed, also in deployments without quotas. The check now waits until the host keeps something about a team, the change of hosts matters only then, and the gauges appear once the table has a quota or one is in use.

The scenario of gateways without quotas also checks that.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -226,6 +226,7 @@
       | any  | 20   |
     Then no request of "any" is refused
     And no gateway has sent a message about quotas
+    And no gateway has timers or metrics of quotas
 
   Scenario: without an allowance the owner decides about each request
     Given 6 gateways that allow no overshoot with the teams
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -493,6 +493,25 @@
         )
 
 
+@then(r'no gateway has timers or metrics of quotas')
+def check_no_timers(context):
+    calls = []
+
+    async def record_report():
+        calls.append('report')
+
+    for name, member in context.fleet.members.items():
+        quotas = member.process.quotas
+        quotas.owned.check = lambda: calls.append('check')
+        quotas._report_once = record_report
+        metrics = run(context, _scrape(context, name))
+        assert not [key for key in metrics if 'quota' in key], metrics
+    # Also when a host joins.
+    run(context, context.fleet.add(_ZONES[0]))
+    run(context, asyncio.sleep(3.0))
+    assert not calls, calls
+
+
 @then(r'no gateway keeps anything about "([^"]+)"')
 def check_forgotten(context, team):
     for member in context.fleet.members.values():
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -213,6 +213,17 @@
         kind = (b'content-type', b'text/plain; version=0.0.4')
         return messages.Reply(200, [kind], '\n'.join(lines).encode() + b'\n')
 
+    def _list_quota_gauges(self) -> dict[str, float]:
+        if not self.quotas.is_in_use:
+            return {}
+        return {
+            'quota_questions_total': self.quotas.asked,
+            'quota_reports_total': self.quotas.client.reports_sent,
+            'quota_notices_total': self.quotas.client.notices_sent,
+            'quota_unreported_age_seconds': self.quotas.unreported_age_s,
+            'quota_largest_excess': self.quotas.owned.largest_excess,
+        }
+
     def _list_gauges(self) -> dict[str, float]:
         tables = self._dependencies.tables
         upstream_directory = self._dependencies.upstream_directory
@@ -251,11 +262,7 @@
             'requests_in_quarantine': (
                 self._dependencies.quarantine.count_quarantined()
             ),
-            'quota_questions_total': self.quotas.asked,
-            'quota_reports_total': self.quotas.client.reports_sent,
-            'quota_notices_total': self.quotas.client.notices_sent,
-            'quota_unreported_age_seconds': self.quotas.unreported_age_s,
-            'quota_largest_excess': self.quotas.owned.largest_excess,
+            **self._list_quota_gauges(),
             'reach_checks_total': self.gateway.checker.checks,
             'connections_opened_total': (
                 self.gateway.selector.connections_opened
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -94,6 +94,8 @@
             hosts, clock, self._reach.record_answer
         )
         self._has_unreported = asyncio.Event()
+        # Set while this host keeps anything about the quota of a team.
+        self._in_use = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
         self.owned = quota_owner.OwnedTeams(
@@ -107,7 +109,7 @@
             self._announce,
             self._reach,
         )
-        hosts.add_listener(self._has_unreported.set)
+        hosts.add_listener(self._on_host_change)
         tables.add_listener(self._on_table_change)
 
     async def admit(self, team: teams.Team) -> Permit | Refusal | None:
@@ -151,9 +153,15 @@
             report = quota_messages.decode_report(request.body)
         except msgspec.DecodeError as error:
             return messages.Reply(400, [], str(error).encode())
-        answer = self.owned.handle(report)
+        answer = self._handle(report)
         return messages.Reply(200, [], quota_messages.encode(answer))
 
+    def _handle(self, report: quota_messages.Report) -> quota_messages.Answer:
+        answer = self.owned.handle(report)
+        if answer.teams:
+            self._in_use.set()
+        return answer
+
     def handle_notice(self, request: messages.Request) -> messages.Reply:
         """Ask first for the teams in a notice of their owner."""
         try:
@@ -164,6 +172,11 @@
             self._apply_ask_first(team, ask_first_ms)
         return messages.Reply(200, [])
 
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether teams have quotas, or have had them of late."""
+        return self._in_use.is_set() or self.owned.has_quotas()
+
     def list_teams(self) -> set[core.TeamId]:
         """Return the teams about which this host keeps something."""
         return {*self._spending, *self.owned.list_teams()}
@@ -204,6 +217,7 @@
     async def check(self) -> None:
         """Renew notices and drop unused state until cancelled."""
         while True:
+            await self._in_use.wait()
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.owned.check()
             self.client.close_unused()
@@ -213,12 +227,15 @@
                     self._has_unreported.set()
                 elif spending.is_idle(now):
                     self._forget(team)
+            if not self.list_teams():
+                self._in_use.clear()
 
     def _get_spending(self, team: core.TeamId) -> quota_spending.TeamSpending:
         spending = self._spending.get(team)
         if spending is None:
             spending = quota_spending.TeamSpending(self._bounds)
             self._spending[team] = spending
+            self._in_use.set()
         return spending
 
     def _make_report(
@@ -353,7 +370,7 @@
         """Send a report to an owner, and apply its answer; None if none."""
         report = self._make_report(found)
         if owner.host == self._hosts.own.host:
-            answer = self.owned.handle(report)
+            answer = self._handle(report)
         else:
             answer = await self.client.call(owner, report, timeout_s)
         if answer is None:
@@ -391,6 +408,10 @@
             return each
         return None
 
+    def _on_host_change(self) -> None:
+        if self._spending:
+            self._has_unreported.set()
+
     def _on_table_change(self, table) -> None:
         """Drop the state of teams that have left the table."""
         listed = set()
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -172,6 +172,13 @@
         """Return the teams with a ledger."""
         return list(self._ledgers)
 
+    def has_quotas(self) -> bool:
+        """Return whether a team of the table in force has a quota."""
+        table = self._tables.current
+        if table is None or table.teams is None:
+            return False
+        return any(each.rate_per_s > 0 for each in table.teams.list_teams())
+
     def list_use(self) -> list[TeamUse]:
         """Return the use of the quotas of the teams with recent requests."""
         now = self._clock.now()
