Count a zone for a stand-in only if one of its hosts has reported

A host that stands in for the owner of a team renewed the evidence of its own zone with each check of its notices, without any report from there. It took itself to hear of one zone more than it did, and admitted more than what needs no knowledge of others. Only a report counts as evidence now.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -165,6 +165,13 @@
     And the team "any" sends 1 request to the last host in rank
     Then the owner of "any" counts 1 requests
 
+  Scenario: a stand-in that hears of one zone does not count its own
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When a host of another zone asks the second host in rank for "hot" 40 times in 4 seconds
+    Then it admits 14 requests, which need no knowledge of others
+
   Scenario: the owner of a team learns of its quota after the other hosts
     Given 6 gateways with the teams
       | team | rate | burst |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -542,6 +542,35 @@
     assert member.process.quotas.handle_report(request).status == 200
 
 
+@when(
+    r'a host of another zone asks the second host in rank for "([^"]+)" '
+    r'(\d+) times in (\d+) seconds'
+)
+def ask_stand_in(context, team, count, seconds):
+    members = context.fleet.members
+    stand_in = members[_list_ranked(context, team)[1]]
+    sender = next(
+        name
+        for name, each in members.items()
+        if each.hosts.own.zone != stand_in.hosts.own.zone
+    )
+    context.granted = 0
+    for number in range(int(count)):
+        sent_ms = round(context.loop.time() * 1000)
+        teams = [[team, [], [], number]]
+        body = json.dumps(['p1', sender, sent_ms, teams]).encode()
+        request = gateway.Request(b'POST', b'/v1/quota/report', [], body, 0.0)
+        reply = stand_in.process.quotas.handle_report(request)
+        ((_, _, retry_after_ms, _, _),) = json.loads(reply.body)[1]
+        context.granted += retry_after_ms is None
+        run(context, asyncio.sleep(float(seconds) / int(count)))
+
+
+@then(r'it admits (\d+) requests, which need no knowledge of others')
+def check_granted(context, count):
+    assert context.granted == int(count), context.granted
+
+
 @given(r'a ledger of a team with the quota (\d+) and (\d+)')
 def make_ledger(context, rate, burst):
     context.team = gateway.Team(
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -239,7 +239,8 @@
             ledger = quota.TeamLedger(self._bounds)
             self._ledgers[found.team] = ledger
         self._check_reach_if_needed(team, ledger, now)
-        standing = self._get_standing(team, report.host, now)
+        self._record_zone(team, report.host, now)
+        standing = self._get_standing(team, now)
         for number, age_ms in found.admitted:
             at = sent_at - age_ms / 1000
             ledger.record(report.process, number, at, now)
@@ -279,9 +280,7 @@
         now: float,
         standing: quota.Standing | None = None,
     ) -> None:
-        standing = standing or self._get_standing(
-            team, self._hosts.own.host, now
-        )
+        standing = standing or self._get_standing(team, now)
         if not ledger.needs_notice(team, now, standing):
             return
         ledger.ask_first_until = now + quota.ASK_FIRST_S
@@ -322,9 +321,16 @@
         team = table.teams.find(name)
         return team if team is not None and team.rate_per_s > 0 else None
 
-    def _get_standing(
+    def _record_zone(
         self, team: teams.Team, sender: core.HostId, now: float
-    ) -> quota.Standing:
+    ) -> None:
+        """Record that a host reports to this one, maybe as a stand-in."""
+        owner = self._ranking.find_owner(team.team)
+        for each in self._hosts.list_hosts():
+            if each.host == sender and owner.host != self._hosts.own.host:
+                self._heard_at[(owner.host, each.zone)] = now
+
+    def _get_standing(self, team: teams.Team, now: float) -> quota.Standing:
         """Return this host's position as the owner of a team or stand-in.
 
         A stand-in counts the zones whose hosts report to it instead of the
@@ -336,17 +342,14 @@
                 started_at=self._started_at,
                 coverage=0.0 if self._reach.is_cut_off else 1.0,
             )
-        zones = {each.host: each.zone for each in self._hosts.list_hosts()}
-        sender_zone = zones.get(sender)
-        if sender_zone is not None:
-            self._heard_at[(owner.host, sender_zone)] = now
         self._heard_at = {
             key: at
             for key, at in self._heard_at.items()
             if now - at < COVERAGE_PERIOD_S
         }
         heard = sum(host == owner.host for host, _ in self._heard_at)
+        zones = {each.zone for each in self._hosts.list_hosts()}
         return quota.Standing(
             started_at=self._started_at,
-            coverage=min(1.0, heard / len(set(zones.values()))),
+            coverage=min(1.0, heard / max(1, len(zones))),
         )
