--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -153,6 +153,42 @@
       | hot  | 20   |
     Then none of the last 60 requests of "hot" is refused
 
+  Scenario: a stand-in refuses what the owner has counted without an answer
+    Given 6 gateways that allow no overshoot with the teams
+      | team | rate | burst |
+      | any  | 1    | 3     |
+    When the answers of the owner of "any" are lost
+    And the team "any" sends 1 request to the last host in rank
+    Then the owner of "any" counts 1 requests
+    When the owner answers again
+    And 3.2 seconds pass
+    And the team "any" sends 1 request to the last host in rank
+    Then the owner of "any" counts 1 requests
+
+  Scenario: a stand-in that hears of one zone does not count its own
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When a host of another zone asks the second host in rank for "hot" 40 times in 4 seconds
+    Then it admits 14 requests, which need no knowledge of others
+
+  Scenario: the owner of a team learns of its quota after the other hosts
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 0    | 0     |
+    When the owner of "hot" does not get new tables
+    And the quota of "hot" becomes 10 and 40
+    And 1 second passes
+    And these teams send for 4 seconds
+      | team | rate |
+      | hot  | 40   |
+    And the owner of "hot" gets the table
+    And these teams send for 6 seconds
+      | team | rate |
+      | hot  | 40   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.8 times its quota
+
   Scenario: a team leaves the table, and its name is given to another later
     Given 6 gateways with the teams
       | team | rate | burst |
@@ -197,6 +233,7 @@
       | any  | 20   |
     Then no request of "any" is refused
     And no gateway has sent a message about quotas
+    And no gateway has timers or metrics of quotas
 
   Scenario: without an allowance the owner decides about each request
     Given 6 gateways that allow no overshoot with the teams
@@ -233,6 +270,19 @@
     When 2.2 seconds pass
     Then the owner of "any" counts 0 requests
 
+  Scenario: the clocks of all hosts but the owner stood still
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 10   | 40    |
+    When these teams send for 2 seconds
+      | team | rate |
+      | hot  | 6    |
+    And the clocks of all hosts but the owner of "hot" fall back by 6 s
+    And these teams send for 8 seconds
+      | team | rate |
+      | hot  | 50   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+
   Scenario: a request that is given back while its report is under way is reported again
     Given a host that has admitted the requests 1, 2
     When it reports them, and gives back the request 2 before the owner "p1" has confirmed
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import json
+import types
 
 from behave import given
 from behave import then
@@ -86,6 +87,21 @@
     context.gateway.publish()
 
 
+@when(r'the owner of "([^"]+)" does not get new tables')
+def hold_table(context, team):
+    owned = context.fleet.members[_get_owner(context, team)].process.quotas
+    context.held_tables = owned.owned._tables
+    owned.owned._tables = types.SimpleNamespace(
+        current=context.held_tables.current
+    )
+
+
+@when(r'the owner of "([^"]+)" gets the table')
+def release_table(context, team):
+    owner = context.fleet.members[_get_owner(context, team)]
+    owner.process.quotas.owned._tables = context.held_tables
+
+
 @when(r'the team "([^"]+)" leaves the table')
 def remove_team(context, team):
     del context.teams[team]
@@ -148,13 +164,18 @@
     run(context, _ask(context, team, host))
 
 
-def _get_owner(context, team):
+def _list_ranked(context, team):
+    """Return the hosts by rank, the owner first."""
     member = next(iter(context.fleet.members.values()))
     ranked = sorted(
         member.hosts.list_hosts(),
         key=lambda each: gateway.rank_pair(team, each.host),
     )
-    return ranked[0].host
+    return [each.host for each in ranked]
+
+
+def _get_owner(context, team):
+    return _list_ranked(context, team)[0]
 
 
 @when(r'the owner of "([^"]+)" is killed')
@@ -202,6 +223,42 @@
     peers.handle = handle_later
 
 
+@when(
+    r'the clocks of all hosts but the owner of "([^"]+)" fall back by (\d+) s'
+)
+def set_clocks_back(context, team, seconds):
+    peers = context.fleet.members[_get_owner(context, team)].process.peers
+    handle = peers.handle
+
+    async def handle_earlier(request):
+        if _get_sender(request) is not None:
+            report = json.loads(request.body)
+            report[2] -= 1000 * int(seconds)
+            request = dataclasses.replace(
+                request, body=json.dumps(report).encode()
+            )
+        return await handle(request)
+
+    peers.handle = handle_earlier
+
+
+@when(r'the answers of the owner of "([^"]+)" are lost')
+def lose_answers(context, team):
+    context.unanswered = set(context.fleet.members)
+    owner = context.fleet.members[_get_owner(context, team)]
+    _drop_answers(owner, context.unanswered.__contains__)
+
+
+@when(r'the owner answers again')
+def answer_again(context):
+    context.unanswered.clear()
+
+
+@when(r'the team "([^"]+)" sends 1 request to the last host in rank')
+def send_to_last(context, team):
+    run(context, _ask(context, team, _list_ranked(context, team)[-1]))
+
+
 @when(r'the zone "([^"]+)" gets no answers from the other zones')
 def cut_zone_one_way(context, zone):
     members = context.fleet.members
@@ -436,6 +493,25 @@
         )
 
 
+@then(r'no gateway has timers or metrics of quotas')
+def check_no_timers(context):
+    calls = []
+
+    async def record_report():
+        calls.append('report')
+
+    for name, member in context.fleet.members.items():
+        quotas = member.process.quotas
+        quotas.owned.check = lambda: calls.append('check')
+        quotas._report_once = record_report
+        metrics = run(context, _scrape(context, name))
+        assert not [key for key in metrics if 'quota' in key], metrics
+    # Also when a host joins.
+    run(context, context.fleet.add(_ZONES[0]))
+    run(context, asyncio.sleep(3.0))
+    assert not calls, calls
+
+
 @then(r'no gateway keeps anything about "([^"]+)"')
 def check_forgotten(context, team):
     for member in context.fleet.members.values():
@@ -466,6 +542,35 @@
     assert member.process.quotas.handle_report(request).status == 200
 
 
+@when(
+    r'a host of another zone asks the second host in rank for "([^"]+)" '
+    r'(\d+) times in (\d+) seconds'
+)
+def ask_stand_in(context, team, count, seconds):
+    members = context.fleet.members
+    stand_in = members[_list_ranked(context, team)[1]]
+    sender = next(
+        name
+        for name, each in members.items()
+        if each.hosts.own.zone != stand_in.hosts.own.zone
+    )
+    context.granted = 0
+    for number in range(int(count)):
+        sent_ms = round(context.loop.time() * 1000)
+        teams = [[team, [], [], number]]
+        body = json.dumps(['p1', sender, sent_ms, teams]).encode()
+        request = gateway.Request(b'POST', b'/v1/quota/report', [], body, 0.0)
+        reply = stand_in.process.quotas.handle_report(request)
+        ((_, _, retry_after_ms, _, _),) = json.loads(reply.body)[1]
+        context.granted += retry_after_ms is None
+        run(context, asyncio.sleep(float(seconds) / int(count)))
+
+
+@then(r'it admits (\d+) requests, which need no knowledge of others')
+def check_granted(context, count):
+    assert context.granted == int(count), context.granted
+
+
 @given(r'a ledger of a team with the quota (\d+) and (\d+)')
 def make_ledger(context, rate, burst):
     context.team = gateway.Team(
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -7,7 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Collection
 import dataclasses
 import itertools
 from typing import NamedTuple
@@ -94,6 +94,8 @@
             hosts, clock, self._reach.record_answer
         )
         self._has_unreported = asyncio.Event()
+        # Set while this host keeps anything about the quota of a team.
+        self._in_use = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
         self.owned = quota_owner.OwnedTeams(
@@ -107,7 +109,7 @@
             self._announce,
             self._reach,
         )
-        hosts.add_listener(self._has_unreported.set)
+        hosts.add_listener(self._on_host_change)
         tables.add_listener(self._on_table_change)
 
     async def admit(self, team: teams.Team) -> Permit | Refusal | None:
@@ -136,7 +138,7 @@
             spending.record(number, now)
             self._has_unreported.set()
             return Permit(team.team, number)
-        return await self._ask(team, spending, number)
+        return await self._ask(team, number)
 
     def give_back(self, permit: Permit) -> None:
         """Withdraw a request that has not run; only once for each permit."""
@@ -151,9 +153,15 @@
             report = quota_messages.decode_report(request.body)
         except msgspec.DecodeError as error:
             return messages.Reply(400, [], str(error).encode())
-        answer = self.owned.handle(report)
+        answer = self._handle(report)
         return messages.Reply(200, [], quota_messages.encode(answer))
 
+    def _handle(self, report: quota_messages.Report) -> quota_messages.Answer:
+        answer = self.owned.handle(report)
+        if answer.teams:
+            self._in_use.set()
+        return answer
+
     def handle_notice(self, request: messages.Request) -> messages.Reply:
         """Ask first for the teams in a notice of their owner."""
         try:
@@ -164,6 +172,11 @@
             self._apply_ask_first(team, ask_first_ms)
         return messages.Reply(200, [])
 
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether teams have quotas, or have had them of late."""
+        return self._in_use.is_set() or self.owned.has_quotas()
+
     def list_teams(self) -> set[core.TeamId]:
         """Return the teams about which this host keeps something."""
         return {*self._spending, *self.owned.list_teams()}
@@ -204,6 +217,7 @@
     async def check(self) -> None:
         """Renew notices and drop unused state until cancelled."""
         while True:
+            await self._in_use.wait()
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.owned.check()
             self.client.close_unused()
@@ -213,12 +227,15 @@
                     self._has_unreported.set()
                 elif spending.is_idle(now):
                     self._forget(team)
+            if not self.list_teams():
+                self._in_use.clear()
 
     def _get_spending(self, team: core.TeamId) -> quota_spending.TeamSpending:
         spending = self._spending.get(team)
         if spending is None:
             spending = quota_spending.TeamSpending(self._bounds)
             self._spending[team] = spending
+            self._in_use.set()
         return spending
 
     def _make_report(
@@ -261,28 +278,29 @@
         )
         return Refusal(denied, self._hosts.own.host, now - self._heard_at)
 
-    async def _ask(
-        self,
-        team: teams.Team,
-        spending: quota_spending.TeamSpending,
-        number: int,
-    ) -> Permit | Refusal:
+    async def _ask(self, team: teams.Team, number: int) -> Permit | Refusal:
         """Ask the owner of a team, or those that stand in for it."""
         self.asked += 1
-        was_unanswered = True
+        asked: set[core.HostId] = set()
+        was_missed = False
         verdict: Permit | Refusal | None = None
         try:
-            while (owner := self._pick_owner(team.team)) is not None:
-                verdict = await self._ask_one(owner, team, spending, number)
+            while (owner := self._pick_owner(team.team, asked)) is not None:
+                asked.add(owner.host)
+                verdict = await self._ask_one(owner, team, number)
                 if verdict is not None:
-                    was_unanswered = False
                     break
+                was_missed = True
             else:
+                spending = self._get_spending(team.team)
                 verdict = self._admit_isolated(team, spending, number)
             return verdict
         finally:
-            if was_unanswered and not isinstance(verdict, Permit):
+            if verdict is None or (
+                was_missed and isinstance(verdict, Refusal)
+            ):
                 # A host that did not answer may have counted the request.
+                spending = self._get_spending(team.team)
                 spending.give_back(number, self._clock.now())
                 self._has_unreported.set()
 
@@ -290,23 +308,29 @@
         self,
         owner: fleet.HostEntry,
         team: teams.Team,
-        spending: quota_spending.TeamSpending,
         number: int,
     ) -> Permit | Refusal | None:
-        """Return the decision of one host, or None if it doesn't answer."""
+        """Return the decision of one host, or None if it has none."""
         asked_at = self._clock.now()
+        spending = self._get_spending(team.team)
         spent, given_back = spending.list_unreported(asked_at)
-        found = _make_team_report(team.team, spent, given_back, number)
+        found = quota_client.make_team_report(
+            team.team, spent, given_back, number
+        )
         answer = await self._send(owner, [found], ASK_TIMEOUT_S)
         if answer is None:
             return None
         now = self._clock.now()
-        for reply in answer.teams:
-            if reply.team == team.team and reply.retry_after_ms is not None:
-                denied = quota.Denied(
-                    reply.retry_after_ms / 1000, reply.count, reply.limit
-                )
-                return Refusal(denied, owner.host, now - asked_at)
+        reply = next(
+            (each for each in answer.teams if each.team == team.team), None
+        )
+        if reply is None:
+            return None
+        if reply.retry_after_ms is not None:
+            denied = quota.Denied(
+                reply.retry_after_ms / 1000, reply.count, reply.limit
+            )
+            return Refusal(denied, owner.host, now - asked_at)
         # The team may have left and returned while the owner was asked.
         self._get_spending(team.team).record_granted(
             number, now, answer.process
@@ -325,7 +349,7 @@
             spent, given_back = spending.list_unreported(now)
             entries[owner.host] = owner
             by_owner.setdefault(owner.host, []).append(
-                _make_team_report(team, spent, given_back, None)
+                quota_client.make_team_report(team, spent, given_back, None)
             )
         answers = await asyncio.gather(
             *(
@@ -346,13 +370,16 @@
         """Send a report to an owner, and apply its answer; None if none."""
         report = self._make_report(found)
         if owner.host == self._hosts.own.host:
-            answer = self.owned.handle(report)
+            answer = self._handle(report)
         else:
             answer = await self.client.call(owner, report, timeout_s)
         if answer is None:
             return None
         self._heard_at = self._clock.now()
+        answered = {each.team for each in answer.teams}
         for each in found:
+            if each.team not in answered:
+                continue
             spending = self._get_spending(each.team)
             spending.confirm(
                 answer.process,
@@ -366,16 +393,25 @@
                 self._apply_ask_first(each.team, each.ask_first_ms)
         return answer
 
-    def _pick_owner(self, team: core.TeamId) -> fleet.HostEntry | None:
-        """Return the first host in rank that answers, or None."""
+    def _pick_owner(
+        self,
+        team: core.TeamId,
+        asked: Collection[core.HostId] = (),
+    ) -> fleet.HostEntry | None:
+        """Return the first host in rank to ask that answers, or None."""
         for each in self._ranking.list_candidates(team):
-            if not self.client.is_skipped(each.host):
-                if self._last_owner.get(team) != each.host:
-                    self._last_owner[team] = each.host
-                    self._get_spending(team).expect_owner()
-                return each
+            if each.host in asked or self.client.is_skipped(each.host):
+                continue
+            if self._last_owner.get(team) != each.host:
+                self._last_owner[team] = each.host
+                self._get_spending(team).expect_owner()
+            return each
         return None
 
+    def _on_host_change(self) -> None:
+        if self._spending:
+            self._has_unreported.set()
+
     def _on_table_change(self, table) -> None:
         """Drop the state of teams that have left the table."""
         listed = set()
@@ -388,17 +424,3 @@
     def _forget(self, team: core.TeamId) -> None:
         self._spending.pop(team, None)
         self._last_owner.pop(team, None)
-
-
-def _make_team_report(
-    team: core.TeamId,
-    spent: Iterable[tuple[int, float]],
-    given_back: list[int],
-    asked: int | None,
-) -> quota_messages.TeamReport:
-    return quota_messages.TeamReport(
-        team,
-        [(number, quota_messages.to_ms(age_s)) for number, age_s in spent],
-        given_back,
-        asked,
-    )
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -26,6 +26,10 @@
 CHECKED_FRACTION = 0.5
 # Maximum number of processes whose clocks are remembered.
 MAX_CLOCKS = 4096
+# How long the fastest message from a process is the measure of the others, in
+# seconds; up to twice as long, as clocks drift, and stand still on hosts that
+# are suspended.
+CLOCK_PERIOD_S = 10.0
 
 
 class OwnerRanking:
@@ -78,6 +82,30 @@
     unreported: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClockOffset:
+    """Smallest differences between this clock and that of a process.
+
+    They are those of the period that began at `since`, and of the one before.
+    """
+
+    since: float
+    smallest: float
+    earlier: float
+
+    def add(self, offset: float, now: float) -> 'ClockOffset':
+        """Return the differences with another one that was seen at `now`."""
+        if now - self.since < CLOCK_PERIOD_S:
+            return dataclasses.replace(
+                self, smallest=min(self.smallest, offset)
+            )
+        return ClockOffset(now, offset, self.smallest)
+
+    def get_smallest(self) -> float:
+        """Return the smallest difference of both periods."""
+        return min(self.smallest, self.earlier)
+
+
 class OwnedTeams:
     """Ledgers of the teams that this host owns, or stands in for.
 
@@ -109,18 +137,21 @@
         self._started_at = clock.now()
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
-        # Smallest difference seen between this clock and that of a process.
-        self._clock_offsets: dict[quota.ProcessId, float] = {}
+        self._clock_offsets: dict[quota.ProcessId, ClockOffset] = {}
         self._heard_at: dict[tuple[core.HostId, core.ZoneId], float] = {}
 
     def handle(self, report: quota_messages.Report) -> quota_messages.Answer:
         """Record what a host reports, and answer what it asks."""
         now = self._clock.now()
         sent_at = now - self._measure_delay(report, now)
-        answers = [
-            self._handle_team(report, each, sent_at, now)
-            for each in report.teams
-        ]
+        answers = []
+        for each in report.teams:
+            team = self._find_limited_team(each.team)
+            # The sender may have a newer table than this host.
+            if team is not None:
+                answers.append(
+                    self._handle_team(team, report, each, sent_at, now)
+                )
         return quota_messages.Answer(self.process, answers)
 
     def check(self) -> None:
@@ -141,6 +172,13 @@
         """Return the teams with a ledger."""
         return list(self._ledgers)
 
+    def has_quotas(self) -> bool:
+        """Return whether a team of the table in force has a quota."""
+        table = self._tables.current
+        if table is None or table.teams is None:
+            return False
+        return any(each.rate_per_s > 0 for each in table.teams.list_teams())
+
     def list_use(self) -> list[TeamUse]:
         """Return the use of the quotas of the teams with recent requests."""
         now = self._clock.now()
@@ -169,30 +207,40 @@
     def _measure_delay(
         self, report: quota_messages.Report, now: float
     ) -> float:
-        """Return how much longer a message took than the fastest one."""
+        """Return how much longer a message took than the fastest one.
+
+        Always less than the window, so that no report is dated before it: a
+        longer difference means that the clock of the process has changed.
+        """
         offset = now - report.sent_ms / 1000
-        smallest = min(offset, self._clock_offsets.pop(report.process, offset))
-        self._clock_offsets[report.process] = smallest
+        known = self._clock_offsets.pop(report.process, None)
+        if known is not None:
+            known = known.add(offset, now)
+        if (
+            known is None
+            or offset - known.get_smallest() >= self._bounds.window_s
+        ):
+            known = ClockOffset(now, offset, offset)
+        self._clock_offsets[report.process] = known
         if len(self._clock_offsets) > MAX_CLOCKS:
             del self._clock_offsets[next(iter(self._clock_offsets))]
-        return offset - smallest
+        return offset - known.get_smallest()
 
     def _handle_team(
         self,
+        team: teams.Team,
         report: quota_messages.Report,
         found: quota_messages.TeamReport,
         sent_at: float,
         now: float,
     ) -> quota_messages.TeamAnswer:
-        team = self._find_limited_team(found.team)
-        if team is None:
-            return quota_messages.TeamAnswer(found.team)
         ledger = self._ledgers.get(found.team)
         if ledger is None:
             ledger = quota.TeamLedger(self._bounds)
             self._ledgers[found.team] = ledger
         self._check_reach_if_needed(team, ledger, now)
-        standing = self._get_standing(team, report.host, now)
+        self._record_zone(team, report.host, now)
+        standing = self._get_standing(team, now)
         for number, age_ms in found.admitted:
             at = sent_at - age_ms / 1000
             ledger.record(report.process, number, at, now)
@@ -232,9 +280,7 @@
         now: float,
         standing: quota.Standing | None = None,
     ) -> None:
-        standing = standing or self._get_standing(
-            team, self._hosts.own.host, now
-        )
+        standing = standing or self._get_standing(team, now)
         if not ledger.needs_notice(team, now, standing):
             return
         ledger.ask_first_until = now + quota.ASK_FIRST_S
@@ -275,9 +321,16 @@
         team = table.teams.find(name)
         return team if team is not None and team.rate_per_s > 0 else None
 
-    def _get_standing(
+    def _record_zone(
         self, team: teams.Team, sender: core.HostId, now: float
-    ) -> quota.Standing:
+    ) -> None:
+        """Record that a host reports to this one, maybe as a stand-in."""
+        owner = self._ranking.find_owner(team.team)
+        for each in self._hosts.list_hosts():
+            if each.host == sender and owner.host != self._hosts.own.host:
+                self._heard_at[(owner.host, each.zone)] = now
+
+    def _get_standing(self, team: teams.Team, now: float) -> quota.Standing:
         """Return this host's position as the owner of a team or stand-in.
 
         A stand-in counts the zones whose hosts report to it instead of the
@@ -289,17 +342,14 @@
                 started_at=self._started_at,
                 coverage=0.0 if self._reach.is_cut_off else 1.0,
             )
-        zones = {each.host: each.zone for each in self._hosts.list_hosts()}
-        sender_zone = zones.get(sender)
-        if sender_zone is not None:
-            self._heard_at[(owner.host, sender_zone)] = now
         self._heard_at = {
             key: at
             for key, at in self._heard_at.items()
             if now - at < COVERAGE_PERIOD_S
         }
         heard = sum(host == owner.host for host, _ in self._heard_at)
+        zones = {each.zone for each in self._hosts.list_hosts()}
         return quota.Standing(
             started_at=self._started_at,
-            coverage=min(1.0, heard / len(set(zones.values()))),
+            coverage=min(1.0, heard / max(1, len(zones))),
         )
