The demo shows two teams that compete and one over its quota

The demo showed three teams but no competition and no refusal. A new step slows the upstreams of front_desk, which front-desk and kiosk-app share, and limits billing-run to two queries per second while it sends five. It prints a line for each team.

--- a/rudderrock/programs/demo.py
+++ b/rudderrock/programs/demo.py
@@ -11,6 +11,7 @@
 import dataclasses
 import random
 import tomllib
+from typing import Self
 
 import defopt
 from hdrh import histogram
@@ -57,6 +58,10 @@
 _QUERIES_PER_TEAM = 30
 _QUERY_INTERVAL_S = 0.2
 _EDIT_TIMEOUT_S = 5.0
+# The slow-down at which two teams need most of the upstreams of front_desk.
+_COMPETE_SLOW_FACTOR = 60.0
+# Two queries per second; a query needs one of each of the 30 services.
+_QUOTA = 60.0
 _PERCENTILES = (50.0, 90.0, 99.0)
 _US_PER_S = 1_000_000
 _SHOWN_KINDS = frozenset(state.EventKind) - {
@@ -81,6 +86,13 @@
         default_factory=lambda: histogram.HdrHistogram(1, 60 * _US_PER_S, 2)
     )
 
+    def add(self, other: Self) -> None:
+        """Add the observations of another period."""
+        self.outcomes += other.outcomes
+        self.shards += other.shards
+        self.answered += other.answered
+        self.latency.add(other.latency)
+
 
 class _Demo:
     """The hosts, stand-ins and callers of the demo."""
@@ -108,18 +120,52 @@
         models[0].faults.slow_factor = 20.0
         await self._send_queries()
         models[0].faults.slow_factor = 1.0
-        print('3. an operator doubles the weight of kiosk-app')
+        await self._compete()
+        print('4. an operator doubles the weight of kiosk-app')
         await self._edit('kiosk-app', weight=4.0)
-        print('4. an upstream drains while queries run')
+        print('5. an upstream drains while queries run')
         models[5].faults.leaving = True
         await self._send_queries()
-        print('5. host-3 is stopped gracefully while queries run')
+        print('6. host-3 is stopped gracefully while queries run')
         stopping = asyncio.create_task(self._hosts[2].stop())
         await self._send_queries()
         await stopping
         await self._host_tasks[2]
         self._report()
 
+    async def _compete(self) -> None:
+        """Let two teams compete and a third exceed its quota."""
+        print(
+            '3. front-desk and kiosk-app compete for slow upstreams; '
+            'billing-run may send 2 queries/s and sends 5'
+        )
+        table = (await self._editor.read()).unwrap()
+        usual_rate = table.rows['billing-run'].rate
+        await self._edit('billing-run', rate=_QUOTA)
+        models = [
+            model
+            for upstream, model in self._standins.models.items()
+            if upstream.startswith('front_desk')
+        ]
+        for model in models:
+            model.faults.slow_factor = _COMPETE_SLOW_FACTOR
+        earlier = self._team_stats
+        self._team_stats = {team: _TeamStats() for team in _TEAMS}
+        await self._send_queries()
+        for model in models:
+            model.faults.slow_factor = 1.0
+        for team, stats in self._team_stats.items():
+            median_ms = stats.latency.get_value_at_percentile(50.0) / 1000
+            refused = stats.outcomes['status 429']
+            over = f', {refused} refused: over its quota' if refused else ''
+            print(
+                f'   {team}: {stats.outcomes["answered"]} of '
+                f'{_QUERIES_PER_TEAM} answered, half of them within '
+                f'{median_ms:.0f} ms{over}'
+            )
+            stats.add(earlier[team])
+        await self._edit('billing-run', rate=usual_rate)
+
     async def _start(self) -> None:
         raw = tomllib.loads(_DEPLOYMENT)
         deployment = state.validate(standins.Deployment, raw).unwrap()
