Draw test ports from those that outgoing connections do not get

Cause: the soak and the scenario of real processes took ports that the kernel also gives to outgoing connections, released them and bound them later. A host found its port taken in a run beside others (`127.0.0.1:43573: Address already in use`, one failure of 571 scenarios). Change: ports are drawn below that range.

--- a/features/run.py
+++ b/features/run.py
@@ -38,12 +38,14 @@
     failed = 0
     for feature in test_runner.features:
         for scenario in feature.walk_scenarios():
+            # The names of examples of an outline end in a space.
+            name = scenario.name.strip()
             if scenario.status is model_type.Status.passed:
                 passed += 1
             elif scenario.status is model_type.Status.skipped:
                 continue
-            elif scenario.name.strip() in known:
-                print(f'KNOWN RED: {scenario.name}: {known[scenario.name.strip()]}')
+            elif name in known:
+                print(f'KNOWN RED: {name}: {known[name]}')
             else:
                 failed += 1
     print(f'{passed} passed, {failed} failed')
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -21,6 +21,7 @@
 from rudderrock import coordination
 from rudderrock import experiments
 from rudderrock import protocol
+from rudderrock import soak
 from rudderrock import standins
 from rudderrock import state
 from rudderrock import transport
@@ -202,10 +203,7 @@
 
 
 def _find_free_address():
-    listener = transport.bind('127.0.0.1:0').unwrap()
-    address = transport.get_address(listener)
-    listener.close()
-    return address
+    return f'127.0.0.1:{soak.find_port_range(1)}'
 
 
 def _read_outcome(reply):
--- a/rudderrock/soak/__init__.py
+++ b/rudderrock/soak/__init__.py
@@ -10,6 +10,7 @@
 
 from rudderrock.soak._checks import check_records
 from rudderrock.soak._checks import Violation
+from rudderrock.soak._environment import find_port_range
 from rudderrock.soak._plan import Fault
 from rudderrock.soak._plan import FaultKind
 from rudderrock.soak._plan import make_plan
@@ -24,6 +25,7 @@
     'Report',
     'Violation',
     'check_records',
+    'find_port_range',
     'make_plan',
     'run_seed',
 ]
--- a/rudderrock/soak/_environment.py
+++ b/rudderrock/soak/_environment.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -32,6 +33,9 @@
 # file names the first, the second and the fourth of them; it also names the
 # port 9 above the first, which is not checked.
 _PORTS_PER_HOST = 4
+# Below the ports that the kernel gives to outgoing connections.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
 _NET_BASE = 10
 _NET_COUNT = 200
 _READY_TRIES = 300
@@ -357,11 +361,14 @@
 
 
 def find_port_range(count: int, ip: str = '127.0.0.1') -> int:
-    """Return the first of `count` consecutive free ports of an address."""
+    """Return the first of `count` consecutive free ports of an address.
+
+    They are drawn from ports that the kernel does not give to outgoing
+    connections, which could take one of them before it is bound again.
+    """
+    source = random.SystemRandom()
     while True:
-        with socket.socket() as probe:
-            probe.bind((ip, 0))
-            first = probe.getsockname()[1]
+        first = source.randrange(_FIRST_PORT, _LAST_PORT - count)
         try:
             with contextlib.ExitStack() as stack:
                 for port in range(first, first + count):
