--- a/benchmarks/quota_request.py
+++ b/benchmarks/quota_request.py
@@ -46,7 +46,7 @@
             if min(_HOSTS, key=lambda host: gateway.rank_pair(each, host))
             == _HOSTS[-1]
         )
-        found.append(gateway.Team(team=name, rate_per_s=rate, burst=1.0))
+        found.append(gateway.Team(team=name, quota_per_s=rate, burst=1.0))
     return found
 
 
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -77,7 +77,7 @@
 def _set_team(context, team, rate, burst):
     """List a team whose only key is its name."""
     teams_steps.add_team(
-        context, team, [team], rate_per_s=float(rate), burst=float(burst)
+        context, team, [team], quota_per_s=float(rate), burst=float(burst)
     )
 
 
@@ -378,7 +378,7 @@
 
 def _get_limit(context, team):
     found, _ = context.teams[team]
-    return found.rate_per_s * _WINDOW_S + found.burst
+    return found.quota_per_s * _WINDOW_S + found.burst
 
 
 @then(r'the quota of "([^"]+)" is never exceeded by more than the allowance')
@@ -413,7 +413,7 @@
 def check_used(context, team, share):
     times = _list_run_times(context, team)
     found, _ = context.teams[team]
-    due = found.burst + found.rate_per_s * (times[-1] - times[0])
+    due = found.burst + found.quota_per_s * (times[-1] - times[0])
     assert len(times) >= float(share) * due, (len(times), due)
 
 
@@ -574,7 +574,7 @@
 @given(r'a ledger of a team with the quota (\d+) and (\d+)')
 def make_ledger(context, rate, burst):
     context.team = gateway.Team(
-        team=state.TeamId('any'), rate_per_s=float(rate), burst=float(burst)
+        team=state.TeamId('any'), quota_per_s=float(rate), burst=float(burst)
     )
     bounds = gateway.QuotaBounds(
         window_s=_WINDOW_S, overage=_OVERAGE, slack=_SLACK
--- a/features/steps/team_shares.py
+++ b/features/steps/team_shares.py
@@ -31,7 +31,7 @@
 )
 def add_team_with_quota(context, name, key, rate):
     team_steps.add_team(
-        context, name, [key], rate_per_s=float(rate), burst=float(rate)
+        context, name, [key], quota_per_s=float(rate), burst=float(rate)
     )
 
 
--- a/features/steps/teams.py
+++ b/features/steps/teams.py
@@ -200,7 +200,7 @@
     assert found == gateway.Team(
         team=state.TeamId(name),
         priority=int(priority),
-        rate_per_s=float(rate),
+        quota_per_s=float(rate),
         burst=float(burst),
     ), found
 
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -1,6 +1,6 @@
 """Quota of a team over all hosts together.
 
-A quota allows a number of requests in any window of time: `rate_per_s` times
+A quota allows a number of requests in any window of time: `quota_per_s` times
 the window, plus `burst`. The load to answer is a team that sends several times
 its usual rate at once, through any hosts, while teams of one request in
 minutes must not notice that there are quotas.
@@ -62,13 +62,13 @@
         """Return the number of requests of a team in any window.
 
         >>> bounds = QuotaBounds(window_s=5.0, overage=0.1, slack=20.0)
-        >>> team = teams.Team(team='clubs', rate_per_s=8.0, burst=40.0)
+        >>> team = teams.Team(team='clubs', quota_per_s=8.0, burst=40.0)
         >>> bounds.get_limit(team)
         80.0
         >>> bounds.get_allowance(team)
         28.0
         """
-        return team.rate_per_s * self.window_s + team.burst
+        return team.quota_per_s * self.window_s + team.burst
 
     def get_allowance(self, team: teams.Team) -> float:
         """Return how many more requests may run because of old knowledge."""
@@ -79,7 +79,7 @@
 
         Requests that a team sends within its quota may arrive closer together.
         """
-        jitter = 1.0 + team.rate_per_s * ARRIVAL_JITTER_S
+        jitter = 1.0 + team.quota_per_s * ARRIVAL_JITTER_S
         return min(jitter, self.get_allowance(team) * JITTER_FRACTION)
 
     def get_unknown_limit(self, team: teams.Team) -> float:
@@ -289,7 +289,7 @@
         if age_s >= self._bounds.window_s:
             return math.inf
         initial = max(1.0, self._bounds.get_unknown_limit(team))
-        allowed = initial + team.rate_per_s * age_s
+        allowed = initial + team.quota_per_s * age_s
         return allowed - self._count_since(standing.started_at)
 
     def _reserve_return(
@@ -308,7 +308,7 @@
         if place < len(self._times):
             return_at = self._times[place] + window_s
         else:
-            return_at = now + min(window_s, (place + 1) / team.rate_per_s)
+            return_at = now + min(window_s, (place + 1) / team.quota_per_s)
         return_at = max(return_at, now + MIN_RETRY_AFTER_S)
         self._promised.append(return_at)
         return return_at - now
--- a/rudderrock/gateway/decisions/_team_shares.py
+++ b/rudderrock/gateway/decisions/_team_shares.py
@@ -154,4 +154,4 @@
 
 def get_weight(team: teams.Team) -> float:
     """Return the weight of a team: its quota, or 1 if it has none."""
-    return team.rate_per_s or 1.0
+    return team.quota_per_s or 1.0
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -114,7 +114,7 @@
 
     async def admit(self, team: teams.Team) -> Permit | Refusal | None:
         """Admit a request of a team; None if the team has no quota."""
-        if team.rate_per_s <= 0:
+        if team.quota_per_s <= 0:
             return None
         verdict = await self._decide(team)
         counts = self.counts.get(team.team, TeamCounts())
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -177,7 +177,7 @@
         table = self._tables.current
         if table is None or table.teams is None:
             return False
-        return any(each.rate_per_s > 0 for each in table.teams.list_teams())
+        return any(each.quota_per_s > 0 for each in table.teams.list_teams())
 
     def list_use(self) -> list[TeamUse]:
         """Return the use of the quotas of the teams with recent requests."""
@@ -319,7 +319,7 @@
         if table is None or table.teams is None:
             return None
         team = table.teams.find(name)
-        return team if team is not None and team.rate_per_s > 0 else None
+        return team if team is not None and team.quota_per_s > 0 else None
 
     def _record_zone(
         self, team: teams.Team, sender: core.HostId, now: float
--- a/rudderrock/gateway/discovery/_teams.py
+++ b/rudderrock/gateway/discovery/_teams.py
@@ -25,14 +25,14 @@
     """A team, its priority and its quota.
 
     `priority`, where 0 is the most urgent, replaces the priority of routes
-    unless it is None. All hosts together accept `rate_per_s` requests per
+    unless it is None. All hosts together accept `quota_per_s` requests per
     second of the team, plus a burst of `burst` requests; a rate of 0 sets no
     limit.
     """
 
     team: core.TeamId
     priority: int | None = None
-    rate_per_s: float = 0.0
+    quota_per_s: float = 0.0
     burst: float = 0.0
 
 
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -204,7 +204,7 @@
     return gateway.Team(
         team=core.TeamId(tenant.name),
         priority=tenant.priority,
-        rate_per_s=tenant.rate_per_s,
+        quota_per_s=tenant.rate_per_s,
         burst=tenant.burst,
     )
 
