--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -388,7 +388,6 @@
             raw = decode.decode_value(item.value)
             entries.append(msgspec.json.decode(raw, type=kind))
         except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
-            # An invalid entry must not hide the others.
             # An invalid entry must not hide the others.
             gateway.load_absl_log().warning(
                 'ignoring invalid %s: %s', item.key, error
