Log which sources a gateway was built from

What a script starts is the copy under target/, and neither its log nor its exit code told an earlier build from the checkout's sources.

Change: the build writes a digest of the sources, `started` lines have it as `build`, and deploy/build_id.sh prints that of a checkout.

--- a/rudderrock/core/__init__.py
+++ b/rudderrock/core/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from rudderrock.core._addresses import split_address
+from rudderrock.core._build import read_build_id
 from rudderrock.core._clock import Clock
 from rudderrock.core._clock import make_random
 from rudderrock.core._ids import CollectionId
@@ -47,6 +48,7 @@
     'ZoneId',
     'end_task',
     'make_random',
+    'read_build_id',
     'run_loop',
     'split_address',
     'wait_for_event',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -54,8 +54,10 @@
 
 KIND_INFO: dict[LogKind, KindInfo] = {
     LogKind.STARTED: KindInfo(
-        'The process is listening. `place` is the zone of this host.',
-        ('place',),
+        'The process is listening. `place` is the zone of this host, and '
+        '`build` the output of `deploy/build_id.sh` for the sources that it '
+        'was built from, empty if it was not built.',
+        ('place', 'build'),
     ),
     LogKind.STOPPING: KindInfo(
         'A graceful shutdown has started with `busy` requests in flight.',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -133,7 +133,11 @@
                 task = asyncio.create_task(_run_forever(background_task))
                 stack.push_async_callback(core.end_task, task)
             self.state = ProcessState.SERVING
-            record(events.LogKind.STARTED, place=config.place.zone)
+            record(
+                events.LogKind.STARTED,
+                place=config.place.zone,
+                build=config.build_id,
+            )
             async with registration_module.keep_registered(self._registration):
                 await self._stop.wait()
             await self._drain()
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -40,6 +40,8 @@
     `capacity` is used to compare hosts: cores times link bandwidth in Mbit/s.
     `seeds` are addresses at which some hosts serve their peers, for a host
     that starts while the source does not answer; they may be outdated.
+    `build_id` identifies the sources that the program was built from, and is
+    empty if that is unknown.
     """
 
     host: str
@@ -63,3 +65,4 @@
     capacity: float = 1.0
     assumed_hosts: int = ASSUMED_HOSTS
     seeds: tuple[Address, ...] = ()
+    build_id: str = ''
--- a/rudderrock/programs/gateway.py
+++ b/rudderrock/programs/gateway.py
@@ -1,6 +1,7 @@
 """The gateway daemon, which forwards callers' requests to upstreams."""
 
 import asyncio
+import dataclasses
 import os
 import pathlib
 import secrets
@@ -49,7 +50,9 @@
     loop = asyncio.get_running_loop()
     clock = runtime.make_system_clock()
     source = platform.StoreSource(settings_file.store)
-    config = settings_file.settings
+    config = dataclasses.replace(
+        settings_file.settings, build_id=core.read_build_id()
+    )
     events = gateway.EventLog(config.host, clock)
     process = gateway_root.make_gateway(
         config, source, clock, secrets.randbits(32), events
