Believe a rejection only if it has the request's id

Callers saw, in a scenario: a request that may run once ran twice.

Cause: a reply without a request id was taken for the reply to whatever request the connection carried, also if it said that the request had not run. A late copy of such a rejection rejects the next request on the connection, which the upstream runs, and the gateway sends it again.

Change: a rejection (status 421, or the header that says so) without a request id has the verdict UNIDENTIFIED: the request may have run. The stand-in upstream echoes the id in its rejections, as the protocol asks.

Why it works: a guarantee is about one request, and only a reply that names it can be one; with the id, no connection carries a request twice.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -234,6 +234,23 @@
       | 100   |
       | 1     |
 
+  # Guards against a 503 to a request that runs: a late copy of another
+  # request's rejection was taken for its own, because neither had an id.
+  Scenario Outline: a rejection without a request id is not taken for a request's own: status <status>
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes" that runs once
+    And "u1" rejects every second request twice with status <status>, without its id
+    And a gateway with a slack of 40 extra requests
+    When 40 requests for "/notes/1" are sent at 25 a second
+    Then no request that ran got a reply that promises the contrary
+    And each request ran at most 1 time
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+      | 421    |
+
   Scenario: a request that all upstreams shed is refused quickly and has not run
     Given an upstream "u1" of "notes"
     And an upstream "u2" of "notes" in "south-1"
--- a/features/steps/gateway.py
+++ b/features/steps/gateway.py
@@ -316,6 +316,15 @@
     set_conduct(context, upstream, 'rejecting twice')
 
 
+@given(
+    r'"([^"]+)" rejects every second request twice with status (\d+), without '
+    r'its id'
+)
+def set_anonymous_rejections(context, upstream, status):
+    set_conduct(context, upstream, 'rejecting without an id')
+    get(context).upstreams[upstream].rejection_status = int(status)
+
+
 @given(r'every upstream of shard (\d+) is (\w+)')
 def set_shard_conduct(context, number, conduct):
     for name, model in get(context).upstreams.items():
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -18,6 +18,8 @@
 use_step_matcher('re')
 
 _SECONDS = r'([\d.]+) seconds?'
+# Statuses that promise that a request has not run and never will.
+_PROMISES = (408, 421, 429, 503)
 
 
 @then(r'its request is lost and may have run')
@@ -59,6 +61,24 @@
     assert runs == [1] * count, runs
 
 
+@then(r'each request ran at most 1 time')
+def check_none_ran_twice(context):
+    count = len(context.replies)
+    runs = [len(get(context).list_runs(f'load-{n}')) for n in range(count)]
+    assert max(runs) <= 1, runs
+
+
+@then(r'no request that ran got a reply that promises the contrary')
+def check_promises(context):
+    broken = [
+        each
+        for number, each in enumerate(context.replies)
+        if each.status in _PROMISES
+        and get(context).list_runs(f'load-{number}')
+    ]
+    assert not broken, (len(broken), broken[0])
+
+
 @then(r'"([^"]+)" never had more than (\d+) connections?')
 def check_upstream_connections(context, upstream, limit):
     peak = get(context).upstreams[upstream].peak_connections
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -437,7 +437,11 @@
             case verdicts.Verdict.MISDIRECTED:
                 attempt.replica.record_misdirected()
                 self._rejected_count += 1
-            case verdicts.Verdict.INVALID_REPLY | verdicts.Verdict.LOST:
+            case (
+                verdicts.Verdict.UNIDENTIFIED
+                | verdicts.Verdict.INVALID_REPLY
+                | verdicts.Verdict.LOST
+            ):
                 self.may_have_run = True
                 self.lost += verdict is verdicts.Verdict.LOST
                 attempt.replica.record_failure()
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -34,6 +34,8 @@
     # Sheds the first attempt of each request. Sends a second copy of that
     # rejection once it has read the next request on the connection.
     REPEATED_REJECTION = 'rejecting twice'
+    # The same for every second request, and neither copy has the request id.
+    ANONYMOUS_REJECTION = 'rejecting without an id'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +102,9 @@
         self.fault_mode = FaultMode.GOOD
         # Percentage of arrivals that are rejected although there is room.
         self.shed_percent = 0
+        # Statuses of rejections and of failures after a run.
+        self.rejection_status = 503
+        self.failure_status = 500
         self.lethal: frozenset[str] = frozenset()
         # The time of each crash and the target of the request that caused it.
         self.crash_log: list[tuple[float, str]] = []
@@ -178,34 +183,30 @@
 
     async def _handle_request(self, run: WireRun, reader, writer) -> bool:
         """Answer one request; return whether the connection stays open."""
+        echo = (self._names.request_id, run.request_id.encode())
+        rejected = (self._names.not_run, b'1')
         expected = run.headers.get(self._names.expected_upstream.decode())
         if expected not in (None, self.upstream):
-            writer.write(_render_reply(421, [], b''))
+            writer.write(_render_reply(421, [echo], b''))
             return True
         writer.write(self._late_copies.pop(writer, b''))
+        is_first = self.arrivals.count(run.request_id) == 1
+        is_odd = len(set(self.arrivals)) % 2 == 1
         match self.fault_mode:
-            case FaultMode.REPEATED_REJECTION if (
-                self.arrivals.count(run.request_id) == 1
-            ):
-                echo = (self._names.request_id, run.request_id.encode())
-                rejection = _render_reply(
-                    503, [echo, (self._names.not_run, b'1')], b''
-                )
-                writer.write(rejection)
-                self._late_copies[writer] = rejection
+            case FaultMode.REPEATED_REJECTION if is_first:
+                self._reject_twice(writer, [echo, rejected])
+                return True
+            case FaultMode.ANONYMOUS_REJECTION if is_first and is_odd:
+                self._reject_twice(writer, [rejected])
                 return True
             case FaultMode.GOOD if self._rejects_arrival():
-                writer.write(
-                    _render_reply(503, [(self._names.not_run, b'1')], b'')
-                )
+                writer.write(_render_reply(503, [echo, rejected], b''))
                 return True
             case FaultMode.SHEDDING:
-                writer.write(
-                    _render_reply(503, [(self._names.not_run, b'1')], b'')
-                )
+                writer.write(_render_reply(503, [echo, rejected], b''))
                 return True
             case FaultMode.MISDIRECTED:
-                writer.write(_render_reply(421, [], b''))
+                writer.write(_render_reply(421, [echo], b''))
                 return True
         self.runs.append(run)
         if not await self._work(reader):
@@ -218,6 +219,14 @@
             return False
         return await self._answer(run, writer)
 
+    def _reject_twice(
+        self, writer: asyncio.StreamWriter, headers: gateway.Headers
+    ) -> None:
+        """Send a rejection, and a copy once the next request is there."""
+        rejection = _render_reply(self.rejection_status, headers, b'')
+        writer.write(rejection)
+        self._late_copies[writer] = rejection
+
     def _rejects_arrival(self) -> bool:
         """Return whether the latest arrival is one that is rejected."""
         rng = random.Random(f'{self.upstream}/{len(self.timed_arrivals)}')
@@ -252,10 +261,15 @@
         body = self._make_body(run.request_id)
         full_reply = _render_reply(200, [echo, stamp], body)
         match self.fault_mode:
-            case FaultMode.GOOD | FaultMode.REPEATED_REJECTION:
+            case (
+                FaultMode.GOOD
+                | FaultMode.REPEATED_REJECTION
+                | FaultMode.ANONYMOUS_REJECTION
+            ):
                 writer.write(full_reply)
             case FaultMode.FAILING:
-                writer.write(_render_reply(500, [echo, stamp], b'failed'))
+                status = self.failure_status
+                writer.write(_render_reply(status, [echo, stamp], b'failed'))
             case FaultMode.RESETTING:
                 return False
             case FaultMode.SILENT:
