Bound the age of what hosts know after an outage too

Callers saw, in scenarios: requests reach an upstream 2.9 s after it drained and later, from hosts that reach the source.

Cause: a host that lost the source learns only by a call of its own that it is back, and makes none while peers have new data. It stayed in the state of a host without the source, in which it waits up to 1.7 s for each poll whatever the age of its data, and asks three peers before the source. When the reader then hung just after a reading, its data grew too old.

Change: a host may call the source once a retry is due, or once another host has read it since its own last attempt. It then gives up on peers at the age and in the order of hosts that never lost the source.

Why it works: whether the source is back is taken from what peers have read, so a host that reaches it keeps the bound of all others, and one that does not makes one attempt a reading at most.

--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -72,6 +72,54 @@
       | 10      | hangs at once   |
       | 10      | hangs 1.33 s on |
 
+  # Guards against a route that is handled as an older table says: the table has
+  # an age of its own, and so a wait of its own.
+  Scenario Outline: a table changes just after the last reading of the host that reads for all zones: <seconds> s, <fault>
+    Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "scans"
+    When <seconds> seconds pass
+    And the gateway that reads the source loses it just after a reading, and <fault>
+    And the route "/notes/" is moved to "scans"
+    And 2.9 seconds pass
+    Then every other gateway sends "/notes/1" to "u2"
+
+    Examples:
+      | seconds | fault           |
+      | 10      | serves peers    |
+      | 11.4    | serves peers    |
+      | 13      | serves peers    |
+      | 10      | hangs at once   |
+      | 12.5    | hangs at once   |
+      | 11      | hangs 1.33 s on |
+
+  # Guards against work for an upstream that has drained: hosts that had lost the
+  # source waited longer for their peers, also long after it was back.
+  Scenario Outline: an upstream drains after an outage, just after the last reading of the host that reads for all zones: <count> hosts, <seconds> s, <fault>
+    Given <count> gateways in "north-1" and <count> in "south-1" with an upstream "u1" of "notes"
+    And an upstream "u2" of "notes"
+    When 10 seconds pass
+    And the source is silent for all gateways
+    And 5 seconds pass
+    And the source is open for all gateways
+    And <seconds> seconds pass
+    And the gateway that reads the source loses it just after a reading, and <fault>
+    And "u1" says that it drains
+    And 2.9 seconds pass
+    Then every other gateway sends "/notes/1" to "u2"
+    And at most <readers> other gateways have read the source meanwhile
+
+    Examples:
+      | count | seconds | fault           | readers |
+      | 3     | 4.1     | serves peers    | 3       |
+      | 3     | 4.1     | hangs at once   | 3       |
+      | 3     | 4.1     | hangs 1.33 s on | 3       |
+      | 3     | 9.3     | hangs 1.33 s on | 3       |
+      | 24    | 4.1     | serves peers    | 14      |
+      | 24    | 4.1     | hangs at once   | 14      |
+      | 24    | 4.1     | hangs 1.33 s on | 14      |
+      | 24    | 6       | serves peers    | 14      |
+      | 24    | 9.3     | hangs 1.33 s on | 14      |
+
   Scenario: after an outage hosts of two zones do not take stale readings of one another for new ones
     Given 3 gateways in "north-1" and 3 in "south-1" with an upstream "u1" of "notes"
     And an upstream "u2" of "scans"
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -177,14 +177,13 @@
         due.
         """
         self._evacuated.expire_unconfirmed()
-        is_first = self._is_first_reader()
-        if not (is_first and self._is_due(FALLBACK_RETRY_INTERVAL_S)):
+        is_reader_due = self._is_first_reader() and self._is_due(
+            FALLBACK_RETRY_INTERVAL_S
+        )
+        if not is_reader_due:
             if await self._ask_peers():
                 return
-        retry_s = (
-            RETRY_INTERVAL_S if is_first else self._get_fallback_retry_s()
-        )
-        if self.lost_at is not None and not self._is_due(retry_s):
+        if not self._may_call_source():
             await self._pause(RETRY_INTERVAL_S)
             return
         began_at = self._clock.now()
@@ -195,11 +194,6 @@
         else:
             await self._pause(RETRY_INTERVAL_S)
 
-    def _get_fallback_retry_s(self) -> float:
-        """Return the retry interval of a host that asks peers first."""
-        all_s = self._hosts.count() / MAX_FALLBACK_TRIES_PER_S
-        return max(FALLBACK_RETRY_INTERVAL_S, all_s * self._retry_factor)
-
     def _is_due(self, retry_s: float) -> bool:
         """Return whether to try again to read a source that is lost.
 
@@ -210,6 +204,32 @@
             return False
         return self._clock.now() - self._last_try_at >= retry_s
 
+    def _may_call_source(self) -> bool:
+        """Return whether the source may be called if peers have no new data.
+
+        A host that lost the source does not call it while peers have new data,
+        and so does not learn by itself when it is back. It may call it once a
+        retry is due, or after another host has read it since the last attempt.
+        Until then there is no newer data to be had than that of its peers.
+        """
+        if self.lost_at is None:
+            return True
+        age_s = self._directory.age_s
+        read_at = self._clock.now() - age_s
+        if age_s >= 0 and read_at > self._last_try_at:
+            return True
+        return self._is_due(self._get_retry_s())
+
+    def _get_retry_s(self) -> float:
+        """Return the interval between attempts to read a source that is lost.
+
+        It is longer for hosts that ask peers first.
+        """
+        if self._is_first_reader():
+            return RETRY_INTERVAL_S
+        all_s = self._hosts.count() / MAX_FALLBACK_TRIES_PER_S
+        return max(FALLBACK_RETRY_INTERVAL_S, all_s * self._retry_factor)
+
     def _is_first_reader(self) -> bool:
         if self._list_seeds():
             return False
@@ -307,7 +327,7 @@
                     self._skip_peer(entry, problem.detail, PEER_SKIP_S)
                     age_s = self._directory.age_s
                     if (
-                        self.lost_at is None
+                        self._may_call_source()
                         and age_s > patience.LAST_PEER_AGE_S
                     ):
                         # Waiting for another peer might take too long.
@@ -316,7 +336,7 @@
 
     def _get_max_age_s(self) -> float:
         """Return the age at which a peer's upstreams are too old."""
-        if self.lost_at is not None:
+        if not self._may_call_source():
             return peers.MAX_AGE_S
         ranked = [each.host for each in self._hosts.rank_readers()]
         return patience.get_max_age_s(
@@ -326,8 +346,10 @@
 
     def _get_poll_timeout_s(self, max_age_s: float) -> float:
         """Return the timeout of a poll, by the age of the own upstreams."""
-        is_lost = self.lost_at is not None
-        age_s = -1.0 if is_lost else self._directory.age_s
+        age_s = self._directory.age_s
+        if age_s > max_age_s and not self._may_call_source():
+            # Only peers can have newer data, so there is no hurry.
+            age_s = -1.0
         return patience.get_poll_timeout_s(max_age_s, age_s)
 
     def _get_in_force(self) -> peers.InForce:
