Let repeats wait only while that is better than the caller's return

Three hosts sent nothing for up to 5 s and then all at once.

Cause: a patient request waited for the budget whenever that came before its deadline, and the budget was used up in a burst at the begin of each window, which began at the same moment at all hosts.

Change, for requests to one service that all its upstreams have rejected: they wait for the budget no longer than the caller's return would take, and are refused at once if it comes later. A request that was refused before goes first and waits until its latency goal. Windows begin at different moments at different hosts. Queries to many shards wait as before. Decision: decisions/_repeats.py. Metrics, a log field and an operators' page tell of the waits.

--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -20,7 +20,7 @@
 _SECONDS = r'([\d.]+) seconds?'
 # Statuses that promise that a request has not run; stated here on their own,
 # so that a change of the gateway's set fails the check.
-_PROMISES = (408, 421, 429, 503)
+PROMISES = (408, 421, 429, 503)
 
 
 @then(r'its request is lost and may have run')
@@ -79,8 +79,7 @@
     broken = [
         each
         for number, each in enumerate(context.replies)
-        if each.status in _PROMISES
-        and get(context).list_runs(f'load-{number}')
+        if each.status in PROMISES and get(context).list_runs(f'load-{number}')
     ]
     assert not broken, (len(broken), broken[0])
 
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -27,6 +27,9 @@
 from rudderrock.gateway.decisions._quota import Standing
 from rudderrock.gateway.decisions._quota import TeamLedger
 from rudderrock.gateway.decisions._quota_spending import TeamSpending
+from rudderrock.gateway.decisions._repeats import get_wait_limit_s
+from rudderrock.gateway.decisions._repeats import RefusedRequests
+from rudderrock.gateway.decisions._repeats import RepeatKind
 from rudderrock.gateway.decisions._replicas import Replica
 from rudderrock.gateway.decisions._replicas import ReplicaSelector
 from rudderrock.gateway.decisions._retry_plan import Candidates
@@ -194,7 +197,9 @@
     'ReadingStamp',
     'RegionId',
     'Registration',
+    'RefusedRequests',
     'Repeat',
+    'RepeatKind',
     'Replica',
     'ReplicaSelector',
     'Reply',
@@ -238,6 +243,7 @@
     'digest_key',
     'digest_request',
     'format_event_page',
+    'get_wait_limit_s',
     'load_absl_log',
     'merge_records',
     'rank_pair',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -196,7 +196,8 @@
         'about other requests. `team` is given if a key has identified one. '
         'For a request over the quota, `quota_by` is the host that decided, '
         '`quota_limit` what it allowed, and `quota_age_ms` the age of what it '
-        'or this host knew.',
+        'or this host knew. `budget_wait_ms` is the longest time for which '
+        'a shard waited until the budget allowed a retry, if one did.',
         (
             'request_id',
             'route',
@@ -217,7 +218,13 @@
             'waited_for',
             'elapsed_ms',
         ),
-        ('team', 'quota_by', 'quota_limit', 'quota_age_ms'),
+        (
+            'team',
+            'quota_by',
+            'quota_limit',
+            'quota_age_ms',
+            'budget_wait_ms',
+        ),
     ),
     LogKind.UNREADABLE: KindInfo(
         'A caller sent data that is not a valid request within the limits.',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -252,6 +252,9 @@
             'hedges_total': counters.hedges,
             'retries_total': counters.retries,
             'extras_denied_total': counters.extras_denied,
+            'budget_waits_total': counters.budget_waits,
+            'budget_wait_seconds_total': counters.budget_wait_s,
+            'budget_refusals_total': counters.budget_refusals,
             'overloaded_total': self.gateway.admission.refused,
             'loop_delay_seconds': (
                 self.gateway.load_estimator.get_loop_delay_s()
--- a/rudderrock/gateway/decisions/_retry_plan.py
+++ b/rudderrock/gateway/decisions/_retry_plan.py
@@ -8,7 +8,8 @@
 - All upstreams of a service are full, or cannot be reached, for a moment. They
   are tried again with exponential backoff.
 - The budget of extra requests is spent. The call waits until the budget allows
-  another attempt, if that is before its deadline.
+  another attempt, if that is before its deadline and the wait is worth more
+  than the caller's return.
 
 Other requests are retried at upstreams that were not tried yet, and once more
 at all of them after a rejection.
@@ -40,6 +41,7 @@
 # of answers.
 MAX_LATE_REQUESTS = 32
 MAX_TEAM_FRACTION = 0.5
+NO_BUDGET_SOON = 'the budget allows no retry soon enough'
 
 
 class Failure(enum.Enum):
@@ -91,7 +93,9 @@
     `runs` attempts may have run of the `max_attempts` that may. `unsent`
     attempts did not reach an upstream, and `pauses` is the number of delays so
     far. There are `left_s` seconds left for retries, and the budget allows
-    an attempt in `budget_wait_s` seconds. `jitter` is between -1 and 1.
+    an attempt in `budget_wait_s` seconds. A wait for the budget is worth
+    `worth_s` seconds at most, None without a limit. `jitter` is between -1
+    and 1.
     """
 
     failure: Failure
@@ -103,6 +107,7 @@
     pauses: int
     left_s: float
     budget_wait_s: float
+    worth_s: float | None = None
     jitter: float = 0.0
 
 
@@ -135,6 +140,12 @@
         delay_s = max(delay_s, _get_backoff_s(progress))
     if delay_s <= 0:
         return SendNow()
+    if (
+        progress.budget_wait_s > 0
+        and progress.worth_s is not None
+        and delay_s > progress.worth_s
+    ):
+        return GiveUp(NO_BUDGET_SOON)
     if delay_s > progress.left_s - MIN_TIME_LEFT_S:
         return GiveUp('no retry before the deadline')
     return SendLater(delay_s)
--- a/rudderrock/gateway/forwarding/_calls.py
+++ b/rudderrock/gateway/forwarding/_calls.py
@@ -7,10 +7,12 @@
 from rudderrock import core
 from rudderrock.gateway.decisions import _budget as budget
 from rudderrock.gateway.decisions import _canary as canary
+from rudderrock.gateway.decisions import _repeats as repeats
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _teams as teams
+from rudderrock.gateway.http import _digest as digest
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.http import _reach as reach
@@ -21,12 +23,18 @@
     """Counts of the attempts that this host has sent to upstreams.
 
     `extras_denied` counts extra attempts that the budget did not allow.
+    `budget_waits` counts the waits for the budget, which took `budget_wait_s`
+    seconds in all, and `budget_refusals` the calls that were refused because a
+    wait would not be worth it.
     """
 
     first_attempts: int = 0
     hedges: int = 0
     retries: int = 0
     extras_denied: int = 0
+    budget_waits: int = 0
+    budget_wait_s: float = 0.0
+    budget_refusals: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +48,7 @@
     counters: Counters
     checker: reach.ReachChecker
     late_requests: retry_plan.LateRequests
+    refused_requests: repeats.RefusedRequests
 
 
 @dataclasses.dataclass(slots=True)
@@ -77,6 +86,10 @@
             return min(self.expires_at, self.retry_until) - now
         return self.expires_at - now
 
+    def get_digest(self, names: header_names.HeaderNames) -> str:
+        """Return a digest that copies of the request have too."""
+        return digest.digest_request(self.request, names)
+
     @property
     def team_id(self) -> core.TeamId | None:
         """Return the team's id, None if the request needs no key."""
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -390,6 +390,7 @@
     await forwarder.run()
     settled_call = forwarder.service_calls[0]
     late = int(settled_call.is_late)
+    log_fields = make_wait_field([settled_call])
     if settled_call.answer is not None:
         reply = messages.make_forwardable(settled_call.answer)
         return results.Result(
@@ -399,6 +400,7 @@
             late=late,
             lost=settled_call.lost,
             far=count_cross_region([settled_call]),
+            log_fields=log_fields,
         )
     if settled_call.failure is not None and not _is_false_promise(
         call, settled_call.failure
@@ -410,6 +412,7 @@
             settled_call.detail,
             late=late,
             lost=settled_call.lost,
+            log_fields=log_fields,
         )
     failed = results.make_failure_result(
         context.names,
@@ -419,7 +422,11 @@
         settled_call.explain(),
         call.canary,
     )
-    return dataclasses.replace(failed, late=late, lost=settled_call.lost)
+    if failed.outcome is results.Outcome.NOT_RUN:
+        context.refused_requests.add(call.get_digest(context.names))
+    return dataclasses.replace(
+        failed, late=late, lost=settled_call.lost, log_fields=log_fields
+    )
 
 
 def _is_false_promise(call: calls.Call, failure: messages.Reply) -> bool:
@@ -432,6 +439,14 @@
     return not is_idempotent and failure.status in results.NOT_RUN_STATUSES
 
 
+def make_wait_field(
+    service_calls: list[service_call.ServiceCall],
+) -> dict[str, int]:
+    """Return the log field with the longest wait for the budget, if any."""
+    longest_s = max(each.budget_wait_s for each in service_calls)
+    return {'budget_wait_ms': round(1000 * longest_s)} if longest_s else {}
+
+
 def may_have_run(service_calls: list[service_call.ServiceCall]) -> bool:
     """Return whether any upstream may have run any of the service calls."""
     return any(
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -18,6 +18,7 @@
 from rudderrock.gateway.decisions import _identity as identity_module
 from rudderrock.gateway.decisions import _loop_delay as loop_delay
 from rudderrock.gateway.decisions import _overflow as overflow
+from rudderrock.gateway.decisions import _repeats as repeats
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.decisions import _waiting as waiting
@@ -156,6 +157,7 @@
             self.counters,
             self.checker,
             self.late_requests,
+            repeats.RefusedRequests(dependencies.clock),
         )
         dependencies.tables.add_listener(self._on_table_change)
         dependencies.hosts.add_listener(self._on_hosts_change)
@@ -746,6 +748,7 @@
                 self._config.extra_ratio,
                 self._config.extra_window_s,
                 self.get_extra_slack(service),
+                phase=fleet.rank_pair(self._config.host, service) % 100 / 100,
             )
             self._budgets[service] = extra_budget
         return extra_budget
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -161,6 +161,7 @@
         denied=sum(each.denied for each in service_calls),
         lost=sum(each.lost for each in service_calls),
         waited_for=forwarder.waited_for,
+        log_fields=forward.make_wait_field(service_calls),
     )
 
 
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -8,11 +8,13 @@
 
 from rudderrock import core
 from rudderrock.gateway.decisions import _canary as canary
+from rudderrock.gateway.decisions import _repeats as repeats
 from rudderrock.gateway.decisions import _replicas as replicas
 from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.forwarding import _calls as calls
+from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _link as link
 from rudderrock.gateway.http import _messages as messages
@@ -112,6 +114,10 @@
         # Failure that led to the latest delay before a retry.
         self._last_failure: retry_plan.Failure | None = None
         self._waits_for_budget = False
+        self._waits_since = 0.0
+        # Time in seconds for which retries have waited for the budget.
+        self.budget_wait_s = 0.0
+        self._repeat = repeats.RepeatKind.NONE
         self._timer: asyncio.TimerHandle | None = None
         self._budget = context.get_budget(service)
         self._is_idempotent = call.route.repeat is routing.Repeat.IDEMPOTENT
@@ -373,7 +379,7 @@
         """
         if not self._may_run_again():
             return False
-        if self._budget.try_spend(self._is_late):
+        if self._budget.try_spend(self._is_late, self._repeat):
             self.extras += 1
             return True
         self._record_denied()
@@ -489,21 +495,65 @@
     def _retry(self, failure: retry_plan.Failure) -> None:
         """Send another attempt now or later, or fail the call."""
         other = self._choose()
-        match self._plan_retry(failure, other):
+        self._update_repeat(other)
+        wait_s = 0.0
+        if self.sent:
+            wait_s = self._budget.get_wait_s(self._is_late, self._repeat)
+        match self._plan_retry(failure, other, wait_s):
             case retry_plan.SendNow():
                 self._resend(other)
             case retry_plan.SendLater(delay_s=delay_s):
-                self._waits_for_budget = other is not None
+                is_repeat = self._repeat is not repeats.RepeatKind.NONE
+                self._waits_for_budget = other is not None or (
+                    is_repeat and wait_s > 0
+                )
                 self._budget.waiting += self._waits_for_budget
+                self._context.counters.budget_waits += self._waits_for_budget
                 self._put_off(failure, delay_s)
             case retry_plan.GiveUp(reason=''):
                 self._fail(self.detail)
+            case retry_plan.GiveUp(reason=retry_plan.NO_BUDGET_SOON as reason):
+                self._context.counters.budget_refusals += 1
+                self._fail(f'{self.detail}, {reason}')
             case retry_plan.GiveUp(reason=reason):
                 self._fail(f'{self.detail}, {reason}')
 
+    def _update_repeat(self, other: replicas.Replica | None) -> None:
+        """Record that attempts are repeats once no upstream is untried."""
+        if (
+            other is not None
+            or not self._tried
+            or self._repeat is not repeats.RepeatKind.NONE
+        ):
+            return
+        match self._call.route.target:
+            case routing.Scatter():
+                return
+        digest = self._call.get_digest(self._context.names)
+        was_refused = self._context.refused_requests.take(digest)
+        self._repeat = (
+            repeats.RepeatKind.RETURNED
+            if was_refused
+            else repeats.RepeatKind.FIRST
+        )
+
+    def _get_worth_s(self) -> float | None:
+        """Return how long a wait for the budget is worth from now on."""
+        call = self._call
+        limit_s = repeats.get_wait_limit_s(
+            self._repeat, call.route.goal_s, results.RETRY_AFTER_S
+        )
+        if limit_s is None:
+            return None
+        return call.request.arrived + limit_s - self._context.loop.time()
+
     def _plan_retry(
-        self, failure: retry_plan.Failure, other: replicas.Replica | None
+        self,
+        failure: retry_plan.Failure,
+        other: replicas.Replica | None,
+        wait_s: float,
     ) -> retry_plan.Decision:
+        """Return what follows; the budget allows an attempt in `wait_s`."""
         call = self._call
         candidates = retry_plan.Candidates.UNTRIED
         if other is None:
@@ -512,7 +562,6 @@
                 if self._tried
                 else retry_plan.Candidates.NONE
             )
-        wait_s = self._budget.get_wait_s(self._is_late) if self.sent else 0.0
         if wait_s and other is not None and self._may_run_again():
             self._record_denied()
         # A hash varies the delays without a source of randomness of its own.
@@ -528,6 +577,7 @@
                 pauses=self._pause_count,
                 left_s=call.get_retry_time_s(self._context.loop.time()),
                 budget_wait_s=wait_s,
+                worth_s=self._get_worth_s(),
                 jitter=fleet.rank_name(seed) % 201 / 100 - 1,
             )
         )
@@ -535,6 +585,7 @@
     def _put_off(self, failure: retry_plan.Failure, delay_s: float) -> None:
         self._pause_count += 1
         self._last_failure = failure
+        self._waits_since = self._context.loop.time()
         self._timer = self._context.loop.call_later(
             delay_s, self._retry_any, failure
         )
@@ -581,8 +632,15 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            self._budget.waiting -= self._waits_for_budget
-            self._waits_for_budget = False
+            if self._waits_for_budget:
+                self._record_budget_wait()
+
+    def _record_budget_wait(self) -> None:
+        self._waits_for_budget = False
+        self._budget.waiting -= 1
+        waited_s = self._context.loop.time() - self._waits_since
+        self.budget_wait_s += waited_s
+        self._context.counters.budget_wait_s += waited_s
 
 
 def _classify_failure(verdict: verdicts.Verdict) -> retry_plan.Failure:
