Soak: proxies and upstreams keep their ports while they play a crash

Cause, shown for the port alone: a proxy that played a crash closed its only socket on a port that the kernel gives away. Another program could listen there, and the proxy's restart then ended with `Address already in use` without a word; its callers reached the other program.

Change: a proxy and an upstream keep a bound socket that does not listen, on a port below those of outgoing connections. The ports have a module of their own.

Test: "a proxy that plays a crash refuses connections and keeps its port".

Also from reading the diff: a query without service calls has no wait to log.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -95,3 +95,12 @@
   Scenario: the soak's checks accept records without violations
     Given the records of a soak without violations
     Then the checks report nothing
+
+  # Guards against records of one soak that hold requests of another program:
+  # the port of an upstream that played a crash was free for anyone.
+  Scenario: a proxy that plays a crash refuses connections and keeps its port
+    Given a proxy of a soak
+    When it refuses connections for 0.3 seconds
+    Then no other program can listen on its port, and connections are refused
+    When 0.5 seconds of real time pass
+    Then it accepts connections on the same port
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -1,7 +1,9 @@
 """Steps that run soaks and that alter the records of a soak."""
 
+import asyncio
 import dataclasses
 import pathlib
+import socket
 import tempfile
 
 from behave import given
@@ -266,3 +268,54 @@
         assert set(one) <= set(many), seed
         kinds = {fault.kind.value for fault in added}
         assert kinds == {'lethal_request'}, (seed, kinds)
+
+
+@given(r'a proxy of a soak')
+def start_proxy(context):
+    async def ignore(reader, writer):
+        writer.transport.abort()
+
+    async def start():
+        server = await asyncio.start_server(ignore, '127.0.0.1', 0)
+        context.stack.callback(server.close)
+        context.proxy = soak.Proxy(server.sockets[0].getsockname())
+        await context.proxy.start()
+        context.stack.push_async_callback(context.proxy.stop)
+
+    run(context, start())
+    context.proxy_address = ('127.0.0.1', context.proxy.port)
+
+
+@when(r'it refuses connections for ([\d.]+) seconds')
+def refuse_connections(context, seconds):
+    async def refuse():
+        context.proxy.refuse_connections(float(seconds))
+        await asyncio.sleep(0.01)
+
+    run(context, refuse())
+
+
+@then(r'no other program can listen on its port, and connections are refused')
+def check_port_kept(context):
+    with socket.socket() as other:
+        try:
+            other.bind(context.proxy_address)
+        except OSError:
+            pass
+        else:
+            raise AssertionError('the port was free')
+    with socket.socket() as caller:
+        assert caller.connect_ex(context.proxy_address) != 0
+
+
+@when(r'([\d.]+) seconds of real time pass')
+def wait(context, seconds):
+    run(context, asyncio.sleep(float(seconds)))
+
+
+@then(r'it accepts connections on the same port')
+def check_accepts(context):
+    with socket.socket() as caller:
+        assert caller.connect_ex(context.proxy_address) == 0
+    # The proxy closes its connection before the event loop is closed.
+    run(context, asyncio.sleep(0.05))
--- a/rudderrock/gateway/decisions/_repeats.py
+++ b/rudderrock/gateway/decisions/_repeats.py
@@ -21,7 +21,7 @@
 # Time in seconds for which a refused request is remembered. A caller that
 # returns later was not told so by its refusal.
 MEMORY_S = 10.0
-# Maximum number of refused requests that are remembered, about 40 kB.
+# Maximum number of refused requests that are remembered.
 MAX_REFUSED = 256
 # Repeats that may be sent at once after a time without any, and the rate of
 # the others as a multiple of the rate at which the budget is renewed. The
@@ -32,7 +32,7 @@
 
 
 class RepeatKind(enum.Enum):
-    """Whether an attempt repeats others, and the caller's previous luck.
+    """Whether an attempt repeats others, and the caller was refused before.
 
     NONE is an attempt at an upstream that has not rejected the request, or of
     a query to many shards. FIRST and RETURNED are repeats, for a caller that
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -443,7 +443,8 @@
     service_calls: list[service_call.ServiceCall],
 ) -> dict[str, int]:
     """Return the log field with the longest wait for the budget, if any."""
-    longest_s = max(each.budget_wait_s for each in service_calls)
+    waits_s = [each.budget_wait_s for each in service_calls]
+    longest_s = max(waits_s, default=0.0)
     return {'budget_wait_ms': round(1000 * longest_s)} if longest_s else {}
 
 
--- a/rudderrock/soak/__init__.py
+++ b/rudderrock/soak/__init__.py
@@ -10,11 +10,12 @@
 
 from rudderrock.soak._checks import check_records
 from rudderrock.soak._checks import Violation
-from rudderrock.soak._environment import find_port_range
 from rudderrock.soak._plan import Fault
 from rudderrock.soak._plan import FaultKind
 from rudderrock.soak._plan import make_plan
 from rudderrock.soak._plan import Plan
+from rudderrock.soak._ports import find_port_range
+from rudderrock.soak._proxy import Proxy
 from rudderrock.soak._run import Report
 from rudderrock.soak._run import run_seed
 
@@ -22,6 +23,7 @@
     'Fault',
     'FaultKind',
     'Plan',
+    'Proxy',
     'Report',
     'Violation',
     'check_records',
--- a/rudderrock/soak/_environment.py
+++ b/rudderrock/soak/_environment.py
@@ -5,15 +5,14 @@
 import contextlib
 import os
 import pathlib
-import random
 import signal
-import socket
 import sys
 
 from rudderrock import core
 from rudderrock import platform
 from rudderrock import standins
 from rudderrock.soak import _checks as checks
+from rudderrock.soak import _ports as ports
 from rudderrock.soak import _proxy as proxy
 from rudderrock.standins import platform as platform_standins
 
@@ -33,9 +32,6 @@
 # file names the first, the second and the fourth of them; it also names the
 # port 9 above the first, which is not checked.
 _PORTS_PER_HOST = 4
-# Below the ports that the kernel gives to outgoing connections.
-_FIRST_PORT = 10_000
-_LAST_PORT = 32_000
 _NET_BASE = 10
 _NET_COUNT = 200
 _READY_TRIES = 300
@@ -79,7 +75,7 @@
         """Start the proxy to the store and write the settings file."""
         self.proxy = proxy.Proxy(store)
         await self.proxy.start()
-        self.port = find_port_range(_PORTS_PER_HOST, self.ip)
+        self.port = ports.find_port_range(_PORTS_PER_HOST, self.ip)
         zone = 'north-1' if self.number % 2 else 'south-1'
         self._file.write_text(
             platform_standins.make_settings_file(
@@ -163,7 +159,7 @@
     async def open(self, hosts: int):
         """Start store, upstreams and hosts; stop them at context exit."""
         async with contextlib.AsyncExitStack() as stack:
-            port = find_port_range(1)
+            port = ports.find_port_range(1)
             await self.store.start('127.0.0.1', port)
             stack.push_async_callback(self.store.stop)
             self._stack = stack
@@ -190,7 +186,10 @@
             records=lambda request_id: checks.make_records(name, request_id),
             work_s=0.01,
         )
-        port = find_port_range(1)
+        # The upstream stops listening when it plays a crash.
+        reserved = ports.reserve_port()
+        self._stack.callback(reserved.close)
+        port = reserved.getsockname()[1]
         await upstream.start('127.0.0.1', port)
         self._stack.push_async_callback(upstream.stop)
         upstream_proxy = proxy.Proxy(('127.0.0.1', port))
@@ -358,22 +357,3 @@
     except (OSError, TimeoutError):
         return False
     return b' 200 ' in line
-
-
-def find_port_range(count: int, ip: str = '127.0.0.1') -> int:
-    """Return the first of `count` consecutive free ports of an address.
-
-    They are drawn from ports that the kernel does not give to outgoing
-    connections, which could take one of them before it is bound again.
-    """
-    source = random.SystemRandom()
-    while True:
-        first = source.randrange(_FIRST_PORT, _LAST_PORT - count)
-        try:
-            with contextlib.ExitStack() as stack:
-                for port in range(first, first + count):
-                    each = stack.enter_context(socket.socket())
-                    each.bind((ip, port))
-        except OSError:
-            continue
-        return first
--- /dev/null
+++ b/rudderrock/soak/_ports.py
@@ -0,0 +1,47 @@
+"""Loopback ports for the processes and stand-ins of a soak."""
+
+import contextlib
+import random
+import socket
+
+# Below the ports that the kernel gives to outgoing connections.
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_000
+
+
+def find_port_range(count: int, ip: str = '127.0.0.1') -> int:
+    """Return the first of `count` consecutive free ports of an address.
+
+    They are drawn from ports that the kernel does not give to outgoing
+    connections, which could take one of them before it is bound again.
+    """
+    source = random.SystemRandom()
+    while True:
+        first = source.randrange(_FIRST_PORT, _LAST_PORT - count)
+        try:
+            with contextlib.ExitStack() as stack:
+                for port in range(first, first + count):
+                    each = stack.enter_context(socket.socket())
+                    each.bind((ip, port))
+        except OSError:
+            continue
+        return first
+
+
+def reserve_port() -> socket.socket:
+    """Return a socket that keeps a port of 127.0.0.1 without listening.
+
+    A server of this process may listen on the port with `SO_REUSEADDR`, as
+    asyncio does, and stop. While it does not, connections are refused, and no
+    other program gets the port: `find_port_range` and the kernel pass it over.
+    """
+    while True:
+        port = find_port_range(1)
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            reserved.bind(('127.0.0.1', port))
+        except OSError:
+            reserved.close()
+            continue
+        return reserved
--- a/rudderrock/soak/_proxy.py
+++ b/rudderrock/soak/_proxy.py
@@ -1,10 +1,12 @@
 """A loopback proxy that delays, resets, stalls or refuses connections."""
 
 import asyncio
+import socket
 import struct
 
 from rudderrock import core
 from rudderrock.soak import _plan as plan
+from rudderrock.soak import _ports as ports
 
 _CHUNK_BYTES = 65536
 _DELAY_S = 0.3
@@ -19,17 +21,22 @@
         self.fault = plan.ProxyFault.NONE
         self.port = 0
         self._target = target
+        self._reserved: socket.socket | None = None
         self._server: asyncio.Server | None = None
         self._restart: asyncio.Task | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
-    async def start(self, port: int = 0) -> None:
-        """Listen on a loopback port; 0 picks a free one."""
+    async def start(self) -> None:
+        """Listen on a loopback port, which the proxy keeps until `stop`."""
+        self._reserved = ports.reserve_port()
+        self.port = self._reserved.getsockname()[1]
+        await self._listen()
+
+    async def _listen(self) -> None:
         self._server = await asyncio.start_server(
-            self._on_connection, '127.0.0.1', port
+            self._on_connection, '127.0.0.1', self.port
         )
-        self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
@@ -39,6 +46,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._reserved.close()
 
     def refuse_connections(self, seconds: float) -> None:
         """Drop all connections and refuse new ones for `seconds`.
@@ -52,7 +60,7 @@
 
     async def _restart_listening(self, after_s: float) -> None:
         await asyncio.sleep(after_s)
-        await self.start(self.port)
+        await self._listen()
 
     def set_fault(self, fault: plan.ProxyFault) -> None:
         """Set the fault; `RESET` also resets the open connections."""
