Give the waits for the budget a class of their own

Reading the diff: the call to a service kept three fields and a method for its waits beside its retries. The behaviour is the same.

--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -13,6 +13,7 @@
 from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.forwarding import _budget_wait as budget_wait
 from rudderrock.gateway.forwarding import _calls as calls
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _header_names as header_names
@@ -113,13 +114,12 @@
         self._pause_count = 0
         # Failure that led to the latest delay before a retry.
         self._last_failure: retry_plan.Failure | None = None
-        self._waits_for_budget = False
-        self._waits_since = 0.0
-        # Time in seconds for which retries have waited for the budget.
-        self.budget_wait_s = 0.0
         self._repeat = repeats.RepeatKind.NONE
         self._timer: asyncio.TimerHandle | None = None
         self._budget = context.get_budget(service)
+        self._budget_wait = budget_wait.BudgetWait(
+            context.loop, self._budget, context.counters
+        )
         self._is_idempotent = call.route.repeat is routing.Repeat.IDEMPOTENT
 
     @property
@@ -129,6 +129,11 @@
             attempt.exchange.sent_at is not None for attempt in self._attempts
         )
 
+    @property
+    def budget_wait_s(self) -> float:
+        """Return for how long retries have waited for the budget."""
+        return self._budget_wait.total_s
+
     @property
     def has_answer(self) -> bool:
         """Return whether there is an answer, directly or in a part."""
@@ -504,11 +509,8 @@
                 self._resend(other)
             case retry_plan.SendLater(delay_s=delay_s):
                 is_repeat = self._repeat is not repeats.RepeatKind.NONE
-                self._waits_for_budget = other is not None or (
-                    is_repeat and wait_s > 0
-                )
-                self._budget.waiting += self._waits_for_budget
-                self._context.counters.budget_waits += self._waits_for_budget
+                if other is not None or (is_repeat and wait_s > 0):
+                    self._budget_wait.begin()
                 self._put_off(failure, delay_s)
             case retry_plan.GiveUp(reason=''):
                 self._fail(self.detail)
@@ -585,7 +587,6 @@
     def _put_off(self, failure: retry_plan.Failure, delay_s: float) -> None:
         self._pause_count += 1
         self._last_failure = failure
-        self._waits_since = self._context.loop.time()
         self._timer = self._context.loop.call_later(
             delay_s, self._retry_any, failure
         )
@@ -632,15 +633,7 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-            if self._waits_for_budget:
-                self._record_budget_wait()
-
-    def _record_budget_wait(self) -> None:
-        self._waits_for_budget = False
-        self._budget.waiting -= 1
-        waited_s = self._context.loop.time() - self._waits_since
-        self.budget_wait_s += waited_s
-        self._context.counters.budget_wait_s += waited_s
+        self._budget_wait.end()
 
 
 def _classify_failure(verdict: verdicts.Verdict) -> retry_plan.Failure:
