Soak: use a network that no other program uses

Seen: review/1 and review/2 could not run (exit 2), once each at the same moment, beside two soaks: `front-quito-norte-1 is not ready`, within 5 s.

Cause: soak and scripts took the second octet of their addresses from the process id in the same way, and gateways of both listen on the metrics port of the same address. A gateway that cannot bind it ends. With another program on that port a script ends with the same message and exit code, and the gateway's log says `cannot listen: ... address already in use`. Load alone is ruled out: 12 starts at once at a load of 25 were ready.

Change: the soak draws a network of another range, and passes over one whose metrics port is taken.

Test: "a soak passes over a network that another program uses". Before, a soak chose its network from the process id, whatever was there.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -104,3 +104,9 @@
     Then no other program can listen on its port, and connections are refused
     When 0.5 seconds of real time pass
     Then it accepts connections on the same port
+
+  # Guards against a soak and another program that take the same addresses: a
+  # gateway then ended because its metrics port was taken.
+  Scenario: a soak passes over a network that another program uses
+    Given the network that a soak would use, with another program on its metrics port
+    Then the soak uses another network
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import pathlib
+import random
 import socket
 import tempfile
 
@@ -13,6 +14,7 @@
 
 from features.steps.common import run
 from rudderrock import gateway
+from rudderrock import platform
 from rudderrock import soak
 from rudderrock import standins
 from rudderrock.soak import _checks as checks
@@ -319,3 +321,20 @@
         assert caller.connect_ex(context.proxy_address) == 0
     # The proxy closes its connection before the event loop is closed.
     run(context, asyncio.sleep(0.05))
+
+
+@given(
+    r'the network that a soak would use, with another program on its metrics '
+    r'port'
+)
+def occupy_network(context):
+    port = platform.METRICS_PORT
+    context.network = soak.find_network(port, random.Random(1))
+    other = context.stack.enter_context(socket.socket())
+    other.bind((f'{context.network}.1', port))
+
+
+@then(r'the soak uses another network')
+def check_other_network(context):
+    found = soak.find_network(platform.METRICS_PORT, random.Random(1))
+    assert found != context.network, found
--- a/rudderrock/soak/__init__.py
+++ b/rudderrock/soak/__init__.py
@@ -14,6 +14,7 @@
 from rudderrock.soak._plan import FaultKind
 from rudderrock.soak._plan import make_plan
 from rudderrock.soak._plan import Plan
+from rudderrock.soak._ports import find_network
 from rudderrock.soak._ports import find_port_range
 from rudderrock.soak._proxy import Proxy
 from rudderrock.soak._run import Report
@@ -27,6 +28,7 @@
     'Report',
     'Violation',
     'check_records',
+    'find_network',
     'find_port_range',
     'make_plan',
     'run_seed',
--- a/rudderrock/soak/_environment.py
+++ b/rudderrock/soak/_environment.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections
 import contextlib
-import os
 import pathlib
 import signal
 import sys
@@ -32,8 +31,6 @@
 # file names the first, the second and the fourth of them; it also names the
 # port 9 above the first, which is not checked.
 _PORTS_PER_HOST = 4
-_NET_BASE = 10
-_NET_COUNT = 200
 _READY_TRIES = 300
 # Interval between snapshots of the store, and between the revisions that
 # `_advance_store` adds.
@@ -50,12 +47,10 @@
 class Host:
     """One gateway host; each start of its process is a new incarnation."""
 
-    def __init__(self, number: int, folder: pathlib.Path, log):
+    def __init__(self, number: int, network: str, folder: pathlib.Path, log):
         self.number = number
-        # Each host has its own address, as on the platform. The second octet
-        # depends on the process id, so that soaks that run on one machine at
-        # the same time use different networks.
-        self.ip = f'127.{_NET_BASE + os.getpid() % _NET_COUNT}.1.{number + 1}'
+        # Each host has its own address, as on the platform.
+        self.ip = f'{network}.{number + 1}'
         self.incarnation = 0
         self.port = 0
         self.proxy = None
@@ -166,8 +161,9 @@
             await self.add_service('once')
             await self.add_shards(SHARDS)
             await self.move_route()
+            network = ports.find_network(platform.METRICS_PORT)
             for number in range(hosts):
-                host = Host(number, self._folder, self._log)
+                host = Host(number, network, self._folder, self._log)
                 await host.configure(('127.0.0.1', port))
                 stack.push_async_callback(host.close)
                 await host.start()
--- a/rudderrock/soak/_ports.py
+++ b/rudderrock/soak/_ports.py
@@ -7,6 +7,29 @@
 # Below the ports that the kernel gives to outgoing connections.
 _FIRST_PORT = 10_000
 _LAST_PORT = 32_000
+# Range of the second and the third octet of the networks of hosts. Programs
+# that choose addresses of their own rarely use such a high second octet.
+_SECOND_OCTETS = (210, 250)
+_THIRD_OCTETS = (1, 250)
+
+
+def find_network(port: int, source: random.Random | None = None) -> str:
+    """Return the first three octets of a loopback network that is not used.
+
+    `port` is one that each host listens on at its own address. A network is
+    in use if another program listens there at the first host's address.
+    """
+    source = source or random.SystemRandom()
+    while True:
+        second = source.randint(*_SECOND_OCTETS)
+        third = source.randint(*_THIRD_OCTETS)
+        network = f'127.{second}.{third}'
+        try:
+            with socket.socket() as probe:
+                probe.bind((f'{network}.1', port))
+        except OSError:
+            continue
+        return network
 
 
 def find_port_range(count: int, ip: str = '127.0.0.1') -> int:
