--- a/rudderrock/gateway/decisions/_budget.py
+++ b/rudderrock/gateway/decisions/_budget.py
@@ -42,25 +42,17 @@
     """Extra requests that this host may send to one service.
 
     Parameters: each request of the last `window_s` seconds allows `ratio`
-    extra requests, and `slack` more are always allowed in the window. `phase`,
-    between 0 and 1, sets when the window moves on. If it differs among hosts,
-    those that have used up their budgets do not get them back simultaneously.
+    extra requests, and `slack` more are always allowed in the window.
     """
 
     def __init__(
-        self,
-        clock: core.Clock,
-        ratio: float,
-        window_s: float,
-        slack: float,
-        phase: float = 0.0,
+        self, clock: core.Clock, ratio: float, window_s: float, slack: float
     ):
         self.slack = slack
         self._clock = clock
         self._ratio = ratio * RATIO_MARGIN
         self._window_s = window_s
         self._bucket_s = window_s / _BUCKETS_PER_WINDOW
-        self._phase = phase
         self._repeat_pace = repeats.RepeatPace()
         self._paced_until = -math.inf
         # Each bucket holds its number, its requests, its extra requests, and
@@ -135,8 +127,8 @@
         for number, _, extras, _ in self._buckets:
             expired += extras
             if expired >= excess:
-                left = number + _BUCKETS_PER_WINDOW + 1 - self._phase
-                return max(left * self._bucket_s - now, _MIN_WAIT_S)
+                left_at = (number + _BUCKETS_PER_WINDOW + 1) * self._bucket_s
+                return max(left_at - now, _MIN_WAIT_S)
         rate = self._ratio * self._requests / self._window_s
         return excess / rate if rate else math.inf
 
@@ -176,7 +168,7 @@
         return allowed
 
     def _get_bucket(self) -> list[int]:
-        number = int(self._clock.now() / self._bucket_s + self._phase)
+        number = int(self._clock.now() / self._bucket_s)
         while (
             self._buckets
             and self._buckets[0][0] < number - _BUCKETS_PER_WINDOW
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -748,7 +748,6 @@
                 self._config.extra_ratio,
                 self._config.extra_window_s,
                 self.get_extra_slack(service),
-                phase=fleet.rank_pair(self._config.host, service) % 100 / 100,
             )
             self._budgets[service] = extra_budget
         return extra_budget
