Name the limit on a wait for the budget by what it limits

Reading the diff: `worth_s` did not say what it bounds, and a comment on how long refused requests are remembered had to be read twice. Names and comments alone; the test's step has the new name, its checks are the same.

--- a/features/steps/retries.py
+++ b/features/steps/retries.py
@@ -187,7 +187,9 @@
         'unsent': 0,
         'pauses': 0,
         'left_s': _DEADLINE_S - float(elapsed_s),
-        'worth_s': None if limit_s is None else limit_s - float(elapsed_s),
+        'max_budget_wait_s': None
+        if limit_s is None
+        else limit_s - float(elapsed_s),
     }
 
 
--- a/rudderrock/gateway/decisions/_repeats.py
+++ b/rudderrock/gateway/decisions/_repeats.py
@@ -18,8 +18,8 @@
 
 from rudderrock import core
 
-# Time in seconds for which a refused request is remembered. A caller that
-# returns later was not told so by its refusal.
+# Time in seconds for which a refused request is remembered. Refusals ask
+# callers to return sooner.
 MEMORY_S = 10.0
 # Maximum number of refused requests that are remembered.
 MAX_REFUSED = 256
--- a/rudderrock/gateway/decisions/_retry_plan.py
+++ b/rudderrock/gateway/decisions/_retry_plan.py
@@ -93,9 +93,9 @@
     `runs` attempts may have run of the `max_attempts` that may. `unsent`
     attempts did not reach an upstream, and `pauses` is the number of delays so
     far. There are `left_s` seconds left for retries, and the budget allows
-    an attempt in `budget_wait_s` seconds. A wait for the budget is worth
-    `worth_s` seconds at most, None without a limit. `jitter` is between -1
-    and 1.
+    an attempt in `budget_wait_s` seconds. A wait for the budget may
+    take `max_budget_wait_s` seconds, any time if that is None. `jitter` is
+    between -1 and 1.
     """
 
     failure: Failure
@@ -107,7 +107,7 @@
     pauses: int
     left_s: float
     budget_wait_s: float
-    worth_s: float | None = None
+    max_budget_wait_s: float | None = None
     jitter: float = 0.0
 
 
@@ -142,8 +142,8 @@
         return SendNow()
     if (
         progress.budget_wait_s > 0
-        and progress.worth_s is not None
-        and delay_s > progress.worth_s
+        and progress.max_budget_wait_s is not None
+        and delay_s > progress.max_budget_wait_s
     ):
         return GiveUp(NO_BUDGET_SOON)
     if delay_s > progress.left_s - MIN_TIME_LEFT_S:
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -539,7 +539,7 @@
             else repeats.RepeatKind.FIRST
         )
 
-    def _get_worth_s(self) -> float | None:
+    def _get_max_budget_wait_s(self) -> float | None:
         """Return how long a wait for the budget is worth from now on."""
         call = self._call
         limit_s = repeats.get_wait_limit_s(
@@ -579,7 +579,7 @@
                 pauses=self._pause_count,
                 left_s=call.get_retry_time_s(self._context.loop.time()),
                 budget_wait_s=wait_s,
-                worth_s=self._get_worth_s(),
+                max_budget_wait_s=self._get_max_budget_wait_s(),
                 jitter=fleet.rank_name(seed) % 201 / 100 - 1,
             )
         )
