Review: after an outage with lapsed leases several hosts hold a quota

Cause: the list of hosts is taken as the store has it, also when it is empty or short because the leases ran out while the store was down. A host that knows no other owns the quotas of all teams, and hosts with different lists have different owners, for some seconds.

--- a/review/tier.py
+++ b/review/tier.py
@@ -140,6 +140,7 @@
         self._leases = {}
         self._lease_ids = itertools.count(1)
         self._changed = asyncio.Event()
+        self._is_down = False
 
     def put(self, key, value, lease=0):
         """Write an item, as the operator or a server does."""
@@ -170,6 +171,16 @@
             )
             self._notify()
 
+    async def go_down(self, seconds):
+        """Reset all connections for a time, in which all leases run out."""
+        self._is_down = True
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.sleep(seconds)
+        for lease in list(self._leases):
+            self._end_lease(lease)
+        self._is_down = False
+
     def _notify(self):
         self._changed.set()
         self._changed = asyncio.Event()
@@ -187,6 +198,8 @@
                 self._end_lease(lease)
 
     async def handle(self, reader, writer):
+        if self._is_down:
+            return False
         first, _, body = await read_message(reader)
         method, target, _ = first.split(' ')
         path, _, query = target.partition('?')
