--- a/review/tier.py
+++ b/review/tier.py
@@ -172,13 +172,11 @@
             self._notify()
 
     async def go_down(self, seconds):
-        """Reset all connections for a time, in which all leases run out."""
+        """Reset all connections for a time, in which leases run on."""
         self._is_down = True
         for task in list(self._tasks):
             task.cancel()
         await asyncio.sleep(seconds)
-        for lease in list(self._leases):
-            self._end_lease(lease)
         self._is_down = False
 
     def _notify(self):
