--- a/review/tier.py
+++ b/review/tier.py
@@ -502,9 +502,7 @@
     @classmethod
     async def open(cls, node):
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
-                node.ip, FRONT_PORT
-            )
+            reader, writer = await asyncio.open_connection(node.ip, FRONT_PORT)
         return cls(node, reader, writer)
 
     async def ask(self, first, headers, body, deadline_s):
