Let a majority of three hosts decide within quotas

Cause: one host's word was enough to run a request, and which host that was followed from who answered. What the killed owner had admitted for its own callers was known to nobody.

Change: three hosts in different zones keep the quota of a team. A request near the limit is asked for in the order of their ranks and needs the grant of a majority. All admitted requests are reported to all three. A process that has kept a quota for less than a window says that it isn't informed; its grant needs that of an informed keeper.

Tests that named the one owner: a stand-in is asked only when two keepers are silent, so the scenario about a lost answer loses those of two keepers (and a new one those of one, after which the request runs); the log has a line of each of the three keepers; the first stand-in is the fourth host. The bounds are as they were.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -324,6 +324,9 @@
     hosts: gateway.Fleet
     task: asyncio.Task
     silent_server: asyncio.Server | None = None
+    stack: contextlib.AsyncExitStack = dataclasses.field(
+        default_factory=contextlib.AsyncExitStack
+    )
 
     def hang_peer_requests(self) -> None:
         """Delay replies to peers by an hour, as if their handler hung."""
@@ -351,6 +354,15 @@
             asyncio.Protocol, self.address, _PORT + 3
         )
 
+    async def simulate_wake(self) -> None:
+        """Reply to peers again after a simulated freeze."""
+        self.abort_peer_connections()
+        self.silent_server.close()
+        self.silent_server = None
+        await self.stack.enter_async_context(
+            self.process.peers.listen(self.address, _PORT + 3)
+        )
+
     def abort_peer_connections(self) -> None:
         """Abort the connections of peers, as if the process were killed."""
         for link in list(self.process.peers.links):
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -58,6 +58,53 @@
       | killed | within its quota | 9    | no request of "hot" is refused              |
       | frozen | within its quota | 9    | no request of "hot" is refused              |
 
+  # Guards against two hosts that act as the only keeper of a quota.
+  Scenario Outline: the owner of a team is killed <before> s into a hot load, and is back after <away> s
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 20    |
+    When these teams send for 6 seconds
+      | team | rate |
+      | hot  | 12.5 |
+    And these teams send for <before> seconds
+      | team | rate |
+      | hot  | 94   |
+    And the owner of "hot" is killed
+    And these teams send for <away> seconds
+      | team | rate |
+      | hot  | 94   |
+    And the killed gateway starts again
+    And these teams send for 8 seconds
+      | team | rate |
+      | hot  | 94   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.8 times its quota
+
+    Examples:
+      | before | away |
+      | 0.5    | 0.5  |
+      | 2      | 0.5  |
+      | 2      | 3    |
+      | 4.5    | 0.5  |
+      | 4.5    | 5    |
+
+  Scenario: the owner of a team within its quota is killed and starts again
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 20    |
+    When these teams send for 6 seconds
+      | team | rate |
+      | hot  | 18   |
+    And the owner of "hot" is killed
+    And these teams send for 0.5 seconds
+      | team | rate |
+      | hot  | 18   |
+    And the killed gateway starts again
+    And these teams send for 8 seconds
+      | team | rate |
+      | hot  | 18   |
+    Then no request of "hot" is refused
+
   Scenario: the hosts of one zone get no answers from the others
     Given 6 gateways with the teams
       | team  | rate | burst |
@@ -153,23 +200,32 @@
       | hot  | 20   |
     Then none of the last 60 requests of "hot" is refused
 
-  Scenario: a stand-in refuses what the owner has counted without an answer
+  Scenario: a stand-in refuses what two keepers have counted without an answer
     Given 6 gateways that allow no overshoot with the teams
       | team | rate | burst |
       | any  | 1    | 3     |
-    When the answers of the owner of "any" are lost
+    When the answers of the first 2 keepers of "any" are lost
     And the team "any" sends 1 request to the last host in rank
     Then the owner of "any" counts 1 requests
-    When the owner answers again
+    When all keepers answer again
     And 3.2 seconds pass
     And the team "any" sends 1 request to the last host in rank
     Then the owner of "any" counts 1 requests
 
+  Scenario: a request that one keeper has counted without an answer runs
+    Given 6 gateways that allow no overshoot with the teams
+      | team | rate | burst |
+      | any  | 1    | 3     |
+    When the answers of the first 1 keeper of "any" are lost
+    And the team "any" sends 1 request to the last host in rank
+    Then no request of "any" is refused
+    And the owner of "any" counts 1 requests
+
   Scenario: a stand-in that hears of one zone does not count its own
     Given 6 gateways with the teams
       | team | rate | burst |
       | hot  | 10   | 40    |
-    When a host of another zone asks the second host in rank for "hot" 40 times in 4 seconds
+    When a host of another zone asks the first stand-in for "hot" 40 times in 4 seconds
     Then it admits 14 requests, which need no knowledge of others
 
   Scenario: the owner of a team learns of its quota after the other hosts
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -27,6 +27,7 @@
 from rudderrock.gateway.decisions._quota import Standing
 from rudderrock.gateway.decisions._quota import TeamLedger
 from rudderrock.gateway.decisions._quota_spending import TeamSpending
+from rudderrock.gateway.decisions._quota_vote import KEEPER_COUNT
 from rudderrock.gateway.decisions._repeats import get_wait_limit_s
 from rudderrock.gateway.decisions._repeats import RefusedRequests
 from rudderrock.gateway.decisions._repeats import RepeatKind
@@ -70,6 +71,7 @@
 from rudderrock.gateway.discovery._quarantine import QuarantineState
 from rudderrock.gateway.discovery._quarantine import Record as QuarantineRecord
 from rudderrock.gateway.discovery._quota_exchange import QuotaExchange
+from rudderrock.gateway.discovery._quota_owner import rank_hosts
 from rudderrock.gateway.discovery._registration import Registration
 from rudderrock.gateway.discovery._routing import IntakeLimits
 from rudderrock.gateway.discovery._routing import NO_VERSION
@@ -166,6 +168,7 @@
     'InForce',
     'InitialSync',
     'IntakeLimits',
+    'KEEPER_COUNT',
     'KIND_INFO',
     'KeyDigest',
     'Known',
@@ -246,6 +249,7 @@
     'get_wait_limit_s',
     'load_absl_log',
     'merge_records',
+    'rank_hosts',
     'rank_pair',
     'plan_retry',
     'read_changes',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -124,7 +124,6 @@
                 self.quotas.report,
                 self.quotas.announce,
                 self.quotas.check,
-                self.quotas.check_reach,
                 self._archive.run,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
--- a/rudderrock/gateway/decisions/_quota_spending.py
+++ b/rudderrock/gateway/decisions/_quota_spending.py
@@ -1,16 +1,32 @@
 """Requests within quotas that this host has admitted, and reports of them."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
+import dataclasses
 import math
 
+from rudderrock import core
 from rudderrock.gateway.decisions import _quota as quota
+from rudderrock.gateway.decisions import _quota_vote as quota_vote
 from rudderrock.gateway.discovery import _teams as teams
 
 
+@dataclasses.dataclass(slots=True)
+class _Recipient:
+    """A host that is told of the requests, and what it doesn't know yet.
+
+    `process` is the process that has answered last, or None.
+    """
+
+    unreported: set[int]
+    process: quota.ProcessId | None = None
+
+
 class TeamSpending:
     """The requests of one team that this host has admitted.
 
-    They are kept for one window, so that a new owner can be told of them.
+    They are kept for one window, so that a host that becomes a keeper of the
+    quota, or whose process starts again, can be told of them.
     """
 
     def __init__(self, bounds: quota.QuotaBounds):
@@ -18,14 +34,20 @@
         self._bounds = bounds
         self._admitted: dict[int, float] = {}
         self._given_back: dict[int, float] = {}
-        self._unreported: set[int] = set()
-        self._owner: quota.ProcessId | None = None
+        self._recipients: dict[core.HostId, _Recipient] = {}
 
-    def may_admit(self, team: teams.Team, hosts: int, now: float) -> bool:
+    def may_admit(
+        self,
+        team: teams.Team,
+        keepers: Collection[core.HostId],
+        hosts: int,
+        now: float,
+    ) -> bool:
         """Return whether this host may admit a request without asking."""
-        return now >= self.ask_first_until and len(
-            self._unreported
-        ) < self._bounds.get_unreported_limit(team, hosts)
+        if now < self.ask_first_until:
+            return False
+        limit = self._bounds.get_unreported_limit(team, hosts)
+        return self._count_unreported(keepers) < limit
 
     def may_admit_isolated(
         self, team: teams.Team, hosts: int, now: float
@@ -43,30 +65,26 @@
         )
 
     def record(self, number: int, now: float) -> None:
-        """Remember a request that its owner does not know of yet."""
+        """Remember a request that has to be reported to all keepers."""
         self._prune(now)
         self._admitted[number] = now
-        self._unreported.add(number)
-
-    def record_granted(
-        self, number: int, now: float, owner: quota.ProcessId
-    ) -> None:
-        """Remember a request that an owner has admitted."""
-        self.record(number, now)
-        self.confirm(owner, [number], [])
+        self._add_unreported(number)
 
     def give_back(self, number: int, now: float) -> None:
         """Withdraw a request that has not run."""
         self._admitted.pop(number, None)
         self._given_back[number] = now
-        self._unreported.add(number)
+        self._add_unreported(number)
 
     def list_unreported(
-        self, now: float
+        self, host: core.HostId, now: float
     ) -> tuple[list[tuple[int, float]], list[int]]:
-        """Return the requests to report, with their ages, and withdrawals."""
+        """Return what to report to a host.
+
+        That is the requests with their ages in seconds, and withdrawals.
+        """
         self._prune(now)
-        numbers = sorted(self._unreported)
+        numbers = sorted(self._get_recipient(host).unreported)
         spent = [
             (each, now - self._admitted[each])
             for each in numbers
@@ -76,38 +94,51 @@
 
     def confirm(
         self,
-        owner: quota.ProcessId,
+        host: core.HostId,
+        process: quota.ProcessId,
         admitted: Iterable[int],
         given_back: Iterable[int],
     ) -> None:
-        """Record that an owner has received a report.
+        """Record that a process of a host has received a report.
 
-        A new owner, or one that has started again, has to be told of all
-        requests in the window, not only of the latest. A request that was
-        given back after the report was sent has to be reported again.
+        A process that has started again has to be told of all requests in the
+        window. A request that was given back after the report was sent has to
+        be reported again.
         """
-        if self._owner not in (None, owner):
-            self._unreported = {*self._admitted, *self._given_back}
-        self._owner = owner
-        self._unreported.difference_update(given_back)
-        self._unreported.difference_update(
+        recipient = self._get_recipient(host)
+        if recipient.process not in (None, process):
+            recipient.unreported = {*self._admitted, *self._given_back}
+        recipient.process = process
+        recipient.unreported.difference_update(given_back)
+        recipient.unreported.difference_update(
             each for each in admitted if each in self._admitted
         )
 
+    def mark_known(self, host: core.HostId, number: int) -> None:
+        """Record that a host has counted a request when it granted it."""
+        if number in self._admitted:
+            self._get_recipient(host).unreported.discard(number)
+
     def count(self, now: float) -> int:
         """Return the number of requests admitted in the last window."""
         self._prune(now)
         return len(self._admitted)
 
-    def get_report_age_s(self, now: float) -> float:
-        """Return the age of the oldest admitted request not yet reported."""
-        times = (self._admitted.get(each, now) for each in self._unreported)
+    def get_report_age_s(
+        self, keepers: Collection[core.HostId], now: float
+    ) -> float:
+        """Return the age of the oldest request that some keeper lacks."""
+        times = (
+            self._admitted.get(number, now)
+            for host in keepers
+            for number in self._get_recipient(host).unreported
+        )
         return now - min(times, default=now)
 
-    def has_unreported(self, now: float) -> bool:
-        """Return whether there is something to report."""
+    def has_unreported(self, host: core.HostId, now: float) -> bool:
+        """Return whether there is something to report to a host."""
         self._prune(now)
-        return bool(self._unreported)
+        return bool(self._get_recipient(host).unreported)
 
     def is_idle(self, now: float) -> bool:
         """Return whether there is nothing to remember."""
@@ -116,10 +147,28 @@
             self._admitted or self._given_back
         )
 
-    def expect_owner(self) -> None:
-        """Prepare to report all requests of the window to a new owner."""
-        self._owner = None
-        self._unreported = {*self._admitted, *self._given_back}
+    def retain_recipients(self, hosts: Collection[core.HostId]) -> None:
+        """Forget what was reported to any other hosts."""
+        for host in self._recipients.keys() - hosts:
+            del self._recipients[host]
+
+    def _count_unreported(self, keepers: Collection[core.HostId]) -> int:
+        """Return how many requests a majority of the keepers may lack."""
+        counts = sorted(
+            len(self._get_recipient(host).unreported) for host in keepers
+        )
+        return counts[quota_vote.get_majority(len(counts)) - 1]
+
+    def _add_unreported(self, number: int) -> None:
+        for recipient in self._recipients.values():
+            recipient.unreported.add(number)
+
+    def _get_recipient(self, host: core.HostId) -> _Recipient:
+        recipient = self._recipients.get(host)
+        if recipient is None:
+            recipient = _Recipient({*self._admitted, *self._given_back})
+            self._recipients[host] = recipient
+        return recipient
 
     def _prune(self, now: float) -> None:
         oldest = now - self._bounds.window_s
@@ -130,4 +179,5 @@
                 if listed[number] > oldest:
                     break
                 del listed[number]
-                self._unreported.discard(number)
+                for recipient in self._recipients.values():
+                    recipient.unreported.discard(number)
--- /dev/null
+++ b/rudderrock/gateway/decisions/_quota_vote.py
@@ -0,0 +1,94 @@
+"""Decision about a request from the answers of the keepers of a quota.
+
+A request may run if a majority of the keepers grants it (D. K. Gifford,
+"Weighted Voting for Replicated Data", 1979). Any two majorities share a
+keeper, so one keeper that has missed what the others counted, because it was
+killed, stood still or was cut off, can't admit anything by itself.
+
+The keepers are asked in the order of their ranks, and one that is informed
+and denies the request ends the poll. So the first keeper that answers decides
+which of several requests take the last room, and the others need not have
+counted those that it denies.
+"""
+
+import dataclasses
+
+from rudderrock import core
+from rudderrock.gateway.decisions import _quota as quota
+
+# Number of hosts that keep the quota of a team.
+KEEPER_COUNT = 3
+
+
+def get_majority(keepers: int) -> int:
+    """Return the smallest number of keepers that is a majority.
+
+    >>> [get_majority(count) for count in (1, 2, 3)]
+    [1, 2, 2]
+    """
+    return keepers // 2 + 1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeeperVote:
+    """The verdict of one keeper.
+
+    `is_informed` is whether it has kept the quota for a whole window, so that
+    it knows all requests that have been reported.
+    """
+
+    keeper: core.HostId
+    verdict: quota.Verdict
+    is_informed: bool
+
+
+class Poll:
+    """The votes on one request.
+
+    Parameters: `keepers` is the number of keepers, whether or not they answer.
+    `granted_by` are the keepers that have counted the request.
+    """
+
+    def __init__(self, keepers: int):
+        self.granted_by: list[core.HostId] = []
+        self._majority = get_majority(keepers)
+        self._grant: KeeperVote | None = None
+        self._denial: KeeperVote | None = None
+
+    def add(self, vote: KeeperVote) -> None:
+        """Add the vote of the next keeper."""
+        match vote.verdict:
+            case quota.Granted():
+                self.granted_by.append(vote.keeper)
+                self._grant = _prefer_informed(self._grant, vote)
+            case quota.Denied():
+                self._denial = _prefer_informed(self._denial, vote)
+
+    def decide_early(self) -> KeeperVote | None:
+        """Return the deciding vote if no other one is needed."""
+        if self._denial is not None and self._denial.is_informed:
+            return self._denial
+        if self._has_majority and self._grant.is_informed:
+            return self._grant
+        return None
+
+    def decide(self) -> KeeperVote | None:
+        """Return the deciding vote if no more votes come; None if undecided.
+
+        Keepers that aren't informed may grant what is beyond the quota, so
+        they decide only if no informed one has answered.
+        """
+        if (early := self.decide_early()) is not None:
+            return early
+        return self._grant if self._has_majority else self._denial
+
+    @property
+    def _has_majority(self) -> bool:
+        return len(self.granted_by) >= self._majority
+
+
+def _prefer_informed(found: KeeperVote | None, vote: KeeperVote) -> KeeperVote:
+    """Return an informed vote if one of two is, and the earlier one if not."""
+    if found is None or (vote.is_informed and not found.is_informed):
+        return vote
+    return found
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -1,7 +1,6 @@
 """Calls to other hosts about quotas."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Iterable
 
 import msgspec
@@ -22,22 +21,13 @@
 
 
 class QuotaClient:
-    """Sends reports to owners, and notices to all hosts.
+    """Sends reports to the keepers of quotas, and notices to all hosts."""
 
-    Parameters: `record_answer` is called with each host that has answered.
-    """
-
-    def __init__(
-        self,
-        hosts: fleet.Fleet,
-        clock: core.Clock,
-        record_answer: Callable[[fleet.HostEntry], None],
-    ):
+    def __init__(self, hosts: fleet.Fleet, clock: core.Clock):
         self.reports_sent = 0
         self.notices_sent = 0
         self._hosts = hosts
         self._clock = clock
-        self._record_answer = record_answer
         self._clients: dict[str, http_client.HttpClient] = {}
         self._skipped_until: dict[core.HostId, float] = {}
         self._notice_slots = asyncio.Semaphore(MAX_CONCURRENT_NOTICES)
@@ -62,7 +52,6 @@
         )
         match reply:
             case result.Ok(found) if found.status == 200:
-                self._record_answer(host)
                 try:
                     return quota_messages.decode_answer(found.body)
                 except msgspec.DecodeError as error:
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -1,13 +1,13 @@
 """Admission of requests within the quotas of teams.
 
-A host admits most requests by itself and reports them to the owner of the
-team within `REPORT_DELAY_S`. It asks the owner first while the team has little
-room left. If the owner doesn't answer, it turns to the next host in rank, and
-if nobody does, it admits a small number by itself.
+A host admits most requests by itself and reports them to the keepers of the
+team's quota within `REPORT_DELAY_S`. It asks the keepers first while the team
+has little room left, and a request runs if a majority of them grants it. If no
+majority answers, the host turns to one that stands in for the others, and if
+nobody answers, it admits a small number by itself.
 """
 
 import asyncio
-from collections.abc import Collection
 import dataclasses
 import itertools
 from typing import NamedTuple
@@ -18,11 +18,11 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _quota as quota
 from rudderrock.gateway.decisions import _quota_spending as quota_spending
+from rudderrock.gateway.decisions import _quota_vote as quota_vote
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_client as quota_client
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.discovery import _quota_owner as quota_owner
-from rudderrock.gateway.discovery import _quota_reach as quota_reach
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.http import _messages as messages
@@ -30,7 +30,7 @@
 # Time for which reports are collected before they are sent, in seconds.
 REPORT_DELAY_S = 0.03
 # Timeout of a question, in seconds, while a caller waits: a round trip of
-# 20 ms with a new connection, and a busy core at the owner.
+# 20 ms with a new connection, and a busy core at the keeper.
 ASK_TIMEOUT_S = 0.15
 # Timeout of reports and notices, in seconds, for which nobody waits.
 REPORT_TIMEOUT_S = 0.5
@@ -58,6 +58,18 @@
     age_s: float
 
 
+@dataclasses.dataclass(slots=True)
+class _Question:
+    """A request that is being decided.
+
+    `counted_by` are the hosts that may have counted it.
+    """
+
+    team: teams.Team
+    number: int
+    counted_by: set[core.HostId] = dataclasses.field(default_factory=set)
+
+
 class TeamCounts(NamedTuple):
     """Numbers of requests of one team at this host."""
 
@@ -86,13 +98,9 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._spending: dict[core.TeamId, quota_spending.TeamSpending] = {}
-        self._ranking = quota_owner.OwnerRanking(hosts)
-        self._last_owner: dict[core.TeamId, core.HostId] = {}
+        self._ranking = quota_owner.KeeperRanking(hosts, clock)
         self._heard_at = clock.now()
-        self._reach = quota_reach.Reach(hosts, clock)
-        self.client = quota_client.QuotaClient(
-            hosts, clock, self._reach.record_answer
-        )
+        self.client = quota_client.QuotaClient(hosts, clock)
         self._has_unreported = asyncio.Event()
         # Set while this host keeps anything about the quota of a team.
         self._in_use = asyncio.Event()
@@ -107,7 +115,6 @@
             clock,
             events,
             self._announce,
-            self._reach,
         )
         hosts.add_listener(self._on_host_change)
         tables.add_listener(self._on_table_change)
@@ -128,17 +135,16 @@
 
     async def _decide(self, team: teams.Team) -> Permit | Refusal:
         now = self._clock.now()
-        spending = self._get_spending(team.team)
         number = next(self._numbers)
-        owner = self._pick_owner(team.team)
-        if owner is None:
-            return self._admit_isolated(team, spending, number)
-        is_own = owner.host == self._hosts.own.host
-        if not is_own and spending.may_admit(team, self._hosts.count(), now):
-            spending.record(number, now)
-            self._has_unreported.set()
-            return Permit(team.team, number)
-        return await self._ask(team, number)
+        keepers = self._ranking.list_keepers(team.team)
+        hosts = [each.host for each in keepers]
+        if hosts != [self._hosts.own.host]:
+            spending = self._get_spending(team.team)
+            if spending.may_admit(team, hosts, self._hosts.count(), now):
+                spending.record(number, now)
+                self._has_unreported.set()
+                return Permit(team.team, number)
+        return await self._ask(team, keepers, number)
 
     def give_back(self, permit: Permit) -> None:
         """Withdraw a request that has not run; only once for each permit."""
@@ -163,7 +169,7 @@
         return answer
 
     def handle_notice(self, request: messages.Request) -> messages.Reply:
-        """Ask first for the teams in a notice of their owner."""
+        """Ask first for the teams in a notice of a keeper."""
         try:
             notice = quota_messages.decode_notice(request.body)
         except msgspec.DecodeError as error:
@@ -183,15 +189,18 @@
 
     @property
     def unreported_age_s(self) -> float:
-        """Return the age of the oldest request that no owner knows of."""
+        """Return the age of the oldest request that some keeper lacks."""
         now = self._clock.now()
         return max(
-            (each.get_report_age_s(now) for each in self._spending.values()),
+            (
+                spending.get_report_age_s(self._list_keepers(team), now)
+                for team, spending in self._spending.items()
+            ),
             default=0.0,
         )
 
     async def report(self) -> None:
-        """Report admitted requests to the owners until cancelled."""
+        """Report admitted requests to the keepers until cancelled."""
         while True:
             await self._has_unreported.wait()
             await asyncio.sleep(REPORT_DELAY_S)
@@ -210,10 +219,6 @@
             self._unannounced.clear()
             await self.client.send_notice(notice)
 
-    async def check_reach(self) -> None:
-        """Find out whether this host is cut off, when it matters."""
-        await self._reach.run(self.client, lambda: self._make_report([]))
-
     async def check(self) -> None:
         """Renew notices and drop unused state until cancelled."""
         while True:
@@ -223,10 +228,10 @@
             self.client.close_unused()
             now = self._clock.now()
             for team, spending in list(self._spending.items()):
-                if spending.has_unreported(now):
+                if spending.is_idle(now):
+                    self._spending.pop(team)
+                elif self._list_recipients(team, now):
                     self._has_unreported.set()
-                elif spending.is_idle(now):
-                    self._forget(team)
             if not self.list_teams():
                 self._in_use.clear()
 
@@ -265,7 +270,7 @@
         spending: quota_spending.TeamSpending,
         number: int,
     ) -> Permit | Refusal:
-        """Decide about a request while no owner answers."""
+        """Decide about a request while no other host can."""
         now = self._clock.now()
         hosts = self._hosts.count()
         if spending.may_admit_isolated(team, hosts, now):
@@ -278,101 +283,160 @@
         )
         return Refusal(denied, self._hosts.own.host, now - self._heard_at)
 
-    async def _ask(self, team: teams.Team, number: int) -> Permit | Refusal:
-        """Ask the owner of a team, or those that stand in for it."""
+    async def _ask(
+        self,
+        team: teams.Team,
+        keepers: list[fleet.HostEntry],
+        number: int,
+    ) -> Permit | Refusal:
+        """Ask the keepers of a team's quota, or one that stands in."""
         self.asked += 1
-        asked: set[core.HostId] = set()
-        was_missed = False
+        question = _Question(team, number)
+        poll = quota_vote.Poll(len(keepers))
         verdict: Permit | Refusal | None = None
         try:
-            while (owner := self._pick_owner(team.team, asked)) is not None:
-                asked.add(owner.host)
-                verdict = await self._ask_one(owner, team, number)
-                if verdict is not None:
-                    break
-                was_missed = True
-            else:
-                spending = self._get_spending(team.team)
-                verdict = self._admit_isolated(team, spending, number)
-            return verdict
+            vote = await self._ask_keepers(poll, keepers, question)
+            if vote is None:
+                vote = await self._ask_stand_ins(question)
+            verdict = self._conclude(question, vote)
         finally:
-            if verdict is None or (
-                was_missed and isinstance(verdict, Refusal)
-            ):
-                # A host that did not answer may have counted the request.
+            if not isinstance(verdict, Permit) and question.counted_by:
                 spending = self._get_spending(team.team)
                 spending.give_back(number, self._clock.now())
                 self._has_unreported.set()
+        self._confirm_granted(question, poll)
+        return verdict
 
-    async def _ask_one(
+    async def _ask_keepers(
         self,
-        owner: fleet.HostEntry,
-        team: teams.Team,
-        number: int,
-    ) -> Permit | Refusal | None:
-        """Return the decision of one host, or None if it has none."""
-        asked_at = self._clock.now()
-        spending = self._get_spending(team.team)
-        spent, given_back = spending.list_unreported(asked_at)
+        poll: quota_vote.Poll,
+        keepers: list[fleet.HostEntry],
+        question: _Question,
+    ) -> quota_vote.KeeperVote | None:
+        """Return the deciding vote, or None if there is no majority."""
+        for each in keepers:
+            vote = await self._ask_one(each, question)
+            if vote is None:
+                continue
+            poll.add(vote)
+            if (deciding := poll.decide_early()) is not None:
+                return deciding
+        return poll.decide()
+
+    async def _ask_stand_ins(
+        self, question: _Question
+    ) -> quota_vote.KeeperVote | None:
+        for each in self._ranking.list_stand_ins(question.team.team):
+            vote = await self._ask_one(each, question)
+            if vote is not None:
+                return vote
+        return None
+
+    async def _ask_one(
+        self, host: fleet.HostEntry, question: _Question
+    ) -> quota_vote.KeeperVote | None:
+        """Return the vote of one host, or None if it has none."""
+        if self.client.is_skipped(host.host):
+            return None
+        team = question.team.team
+        spent, given_back = self._get_spending(team).list_unreported(
+            host.host, self._clock.now()
+        )
         found = quota_client.make_team_report(
-            team.team, spent, given_back, number
+            team, spent, given_back, question.number
         )
-        answer = await self._send(owner, [found], ASK_TIMEOUT_S)
+        question.counted_by.add(host.host)
+        answer = await self._send(host, [found], ASK_TIMEOUT_S)
         if answer is None:
             return None
-        now = self._clock.now()
         reply = next(
-            (each for each in answer.teams if each.team == team.team), None
+            (each for each in answer.teams if each.team == team), None
         )
         if reply is None:
             return None
+        verdict: quota.Verdict = quota.Granted()
         if reply.retry_after_ms is not None:
-            denied = quota.Denied(
+            question.counted_by.discard(host.host)
+            verdict = quota.Denied(
                 reply.retry_after_ms / 1000, reply.count, reply.limit
             )
-            return Refusal(denied, owner.host, now - asked_at)
-        # The team may have left and returned while the owner was asked.
-        self._get_spending(team.team).record_granted(
-            number, now, answer.process
-        )
-        return Permit(team.team, number)
+        return quota_vote.KeeperVote(host.host, verdict, reply.is_informed)
+
+    def _conclude(
+        self, question: _Question, vote: quota_vote.KeeperVote | None
+    ) -> Permit | Refusal:
+        """Turn the deciding vote into the result of this host."""
+        team = question.team
+        # The team may have left and returned while the keepers were asked.
+        spending = self._get_spending(team.team)
+        if vote is None:
+            return self._admit_isolated(team, spending, question.number)
+        now = self._clock.now()
+        match vote.verdict:
+            case quota.Denied() as denied:
+                return Refusal(denied, vote.keeper, now - self._heard_at)
+        spending.record(question.number, now)
+        return Permit(team.team, question.number)
+
+    def _confirm_granted(
+        self, question: _Question, poll: quota_vote.Poll
+    ) -> None:
+        """Record which keepers know of a request that has been decided."""
+        team = question.team.team
+        spending = self._get_spending(team)
+        for host in poll.granted_by:
+            spending.mark_known(host, question.number)
+        if self._list_recipients(team, self._clock.now()):
+            self._has_unreported.set()
 
     async def _report_once(self) -> None:
-        """Send one report to each owner of a team with something to report."""
+        """Send one report to each keeper that lacks some requests."""
         now = self._clock.now()
-        by_owner: dict[core.HostId, list[quota_messages.TeamReport]] = {}
+        by_host: dict[core.HostId, list[quota_messages.TeamReport]] = {}
         entries: dict[core.HostId, fleet.HostEntry] = {}
         for team, spending in list(self._spending.items()):
-            owner = self._pick_owner(team)
-            if owner is None or not spending.has_unreported(now):
-                continue
-            spent, given_back = spending.list_unreported(now)
-            entries[owner.host] = owner
-            by_owner.setdefault(owner.host, []).append(
-                quota_client.make_team_report(team, spent, given_back, None)
-            )
-        answers = await asyncio.gather(
+            for each in self._list_recipients(team, now):
+                spent, given_back = spending.list_unreported(each.host, now)
+                entries[each.host] = each
+                by_host.setdefault(each.host, []).append(
+                    quota_client.make_team_report(
+                        team, spent, given_back, None
+                    )
+                )
+        await asyncio.gather(
             *(
                 self._send(entries[host], found, REPORT_TIMEOUT_S)
-                for host, found in by_owner.items()
+                for host, found in by_host.items()
             )
         )
-        if None in answers:
-            # The teams of a host that did not answer have another owner now.
-            self._has_unreported.set()
+
+    def _list_keepers(self, team: core.TeamId) -> list[core.HostId]:
+        return [each.host for each in self._ranking.list_keepers(team)]
+
+    def _list_recipients(
+        self, team: core.TeamId, now: float
+    ) -> list[fleet.HostEntry]:
+        """Return the keepers that lack requests and have answered of late."""
+        spending = self._get_spending(team)
+        return [
+            each
+            for each in self._ranking.list_keepers(team)
+            if not self.client.is_skipped(each.host)
+            and spending.has_unreported(each.host, now)
+        ]
 
     async def _send(
         self,
-        owner: fleet.HostEntry,
+        host: fleet.HostEntry,
         found: list[quota_messages.TeamReport],
         timeout_s: float,
     ) -> quota_messages.Answer | None:
-        """Send a report to an owner, and apply its answer; None if none."""
+        """Send a report to a host, and apply its answer; None if none."""
         report = self._make_report(found)
-        if owner.host == self._hosts.own.host:
+        if host.host == self._hosts.own.host:
             answer = self._handle(report)
         else:
-            answer = await self.client.call(owner, report, timeout_s)
+            answer = await self.client.call(host, report, timeout_s)
         if answer is None:
             return None
         self._heard_at = self._clock.now()
@@ -382,34 +446,22 @@
                 continue
             spending = self._get_spending(each.team)
             spending.confirm(
+                host.host,
                 answer.process,
                 [number for number, _ in each.admitted],
                 each.given_back,
             )
-            if spending.has_unreported(self._heard_at):
+            if spending.has_unreported(host.host, self._heard_at):
                 self._has_unreported.set()
         for each in answer.teams:
             if each.ask_first_ms:
                 self._apply_ask_first(each.team, each.ask_first_ms)
         return answer
 
-    def _pick_owner(
-        self,
-        team: core.TeamId,
-        asked: Collection[core.HostId] = (),
-    ) -> fleet.HostEntry | None:
-        """Return the first host in rank to ask that answers, or None."""
-        for each in self._ranking.list_candidates(team):
-            if each.host in asked or self.client.is_skipped(each.host):
-                continue
-            if self._last_owner.get(team) != each.host:
-                self._last_owner[team] = each.host
-                self._get_spending(team).expect_owner()
-            return each
-        return None
-
     def _on_host_change(self) -> None:
-        if self._spending:
+        for team, spending in self._spending.items():
+            candidates = self._ranking.list_candidates(team)
+            spending.retain_recipients({each.host for each in candidates})
             self._has_unreported.set()
 
     def _on_table_change(self, table) -> None:
@@ -418,9 +470,5 @@
         if table.teams is not None:
             listed = {each.team for each in table.teams.list_teams()}
         for team in {*self._spending, *self.counts} - listed:
-            self._forget(team)
+            self._spending.pop(team, None)
             self.counts.pop(team, None)
-
-    def _forget(self, team: core.TeamId) -> None:
-        self._spending.pop(team, None)
-        self._last_owner.pop(team, None)
--- a/rudderrock/gateway/discovery/_quota_messages.py
+++ b/rudderrock/gateway/discovery/_quota_messages.py
@@ -17,7 +17,7 @@
 
     `admitted` are pairs of a number and the time since that request was
     admitted, and `given_back` are requests that have not run. `asked` is a
-    request that may run only if the owner admits it.
+    request that may run only if a majority of the keepers admits it.
     """
 
     team: core.TeamId
@@ -40,11 +40,12 @@
 
 
 class TeamAnswer(msgspec.Struct, array_like=True, frozen=True):
-    """What the owner of a team answers to a report.
+    """What a keeper of a team's quota answers to a report.
 
     The host has to ask first for `ask_first_ms`. `retry_after_ms` is set if
     the request it asked for was refused, because `count` requests have run of
-    `limit` that are allowed.
+    `limit` that are allowed. `is_informed` is whether this host has kept the
+    quota for a whole window.
     """
 
     team: core.TeamId
@@ -52,10 +53,11 @@
     retry_after_ms: int | None = None
     count: int = 0
     limit: float = 0.0
+    is_informed: bool = True
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True):
-    """The reply to a report, by the process of an owner."""
+    """The reply to a report, by the process of a keeper."""
 
     process: quota.ProcessId
     teams: list[TeamAnswer]
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -1,29 +1,30 @@
 """Teams whose quotas this host keeps for all hosts."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
+import math
 
 from rudderrock import core
 from rudderrock.gateway import _events as event_kinds
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _quota as quota
+from rudderrock.gateway.decisions import _quota_vote as quota_vote
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
-from rudderrock.gateway.discovery import _quota_reach as quota_reach
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 
 # How long a report to a stand-in counts as a sign that a zone can't reach the
-# owner, in seconds. As long as hosts skip an owner, and some more.
+# keepers, in seconds. As long as hosts skip a keeper, and some more.
 COVERAGE_PERIOD_S = 5.0
-# Number of hosts in rank that are asked, and of further ones in the own zone.
-MAX_OWNERS = 2
-MAX_NEAR_OWNERS = 1
+# Number of hosts in rank that stand in, and of further ones in the own zone.
+MAX_STAND_INS = 1
+MAX_NEAR_STAND_INS = 1
+# How long earlier listings are kept, in seconds. Longer than any window.
+LISTING_RETENTION_S = 60.0
 # Maximum number of teams whose ranked hosts are kept.
 MAX_RANKED_TEAMS = 1024
-# An owner checks whether it is cut off, once a team has had this fraction of
-# what the owner would admit then.
-CHECKED_FRACTION = 0.5
 # Maximum number of processes whose clocks are remembered.
 MAX_CLOCKS = 4096
 # How long the fastest message from a process is the measure of the others, in
@@ -32,44 +33,105 @@
 CLOCK_PERIOD_S = 10.0
 
 
-class OwnerRanking:
-    """The hosts that own the teams, by rendezvous hashing.
+class KeeperRanking:
+    """The hosts that keep the quotas of teams, by rendezvous hashing.
 
     Hosts with the same listing compute the same order, so no election is
-    needed, and a host that joins or leaves moves only its own teams.
+    needed, and a host that joins or leaves moves only some teams. The keepers
+    of a team are in different zones if there are enough zones.
     """
 
-    def __init__(self, hosts: fleet.Fleet):
+    def __init__(self, hosts: fleet.Fleet, clock: core.Clock):
         self._hosts = hosts
-        self._owners: dict[core.TeamId, list[fleet.HostEntry]] = {}
-        hosts.add_listener(self._owners.clear)
-
-    def find_owner(self, team: core.TeamId) -> fleet.HostEntry:
-        """Return the host that owns a team."""
-        return self.list_candidates(team)[0]
+        self._clock = clock
+        self._ranked: dict[core.TeamId, list[fleet.HostEntry]] = {}
+        self._kept_since: dict[core.TeamId, float] = {}
+        self._listing = hosts.list_hosts()
+        # Earlier listings, with the times at which they were replaced.
+        self._replaced: list[tuple[float, list[fleet.HostEntry]]] = []
+        hosts.add_listener(self._on_host_change)
+
+    def list_keepers(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        """Return the keepers of a team's quota, the first in rank first."""
+        return self._rank(team)[: quota_vote.KEEPER_COUNT]
+
+    def is_keeper(self, team: core.TeamId) -> bool:
+        """Return whether this host is a keeper of a team's quota."""
+        own = self._hosts.own.host
+        return any(each.host == own for each in self.list_keepers(team))
+
+    def list_stand_ins(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        """Return the hosts to ask if no majority of the keepers answers.
+
+        The last one is in this host's zone, which may be the only one that it
+        reaches.
+        """
+        others = self._rank(team)[quota_vote.KEEPER_COUNT :]
+        own = self._hosts.own
+        near = [
+            each for each in others[MAX_STAND_INS:] if each.zone == own.zone
+        ]
+        return others[:MAX_STAND_INS] + near[:MAX_NEAR_STAND_INS]
 
     def list_candidates(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        """Return the owner of a team, and those that stand in for it.
+        """Return all hosts that this one may ask about a team."""
+        return self.list_keepers(team) + self.list_stand_ins(team)
+
+    def get_kept_since(self, team: core.TeamId) -> float:
+        """Return since when this host, a keeper now, has been one.
 
-        The last ones are in this host's zone, which may be the only one that
-        it reaches.
+        It is -inf if that is longer than listings are kept.
         """
-        found = self._owners.get(team)
+        since = self._kept_since.get(team)
+        if since is None:
+            since = self._find_kept_since(team)
+            self._kept_since[team] = since
+        return since
+
+    def _find_kept_since(self, team: core.TeamId) -> float:
+        own = self._hosts.own.host
+        for replaced_at, listing in reversed(self._replaced):
+            keepers = rank_hosts(team, listing)[: quota_vote.KEEPER_COUNT]
+            if all(each.host != own for each in keepers):
+                return replaced_at
+        return -math.inf
+
+    def _rank(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        found = self._ranked.get(team)
         if found is None:
-            if len(self._owners) >= MAX_RANKED_TEAMS:
-                self._owners.clear()
-            found = self._rank(team)
-            self._owners[team] = found
+            if len(self._ranked) >= MAX_RANKED_TEAMS:
+                self._ranked.clear()
+                self._kept_since.clear()
+            found = rank_hosts(team, self._listing)
+            self._ranked[team] = found
         return found
 
-    def _rank(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        own = self._hosts.own
-        ranked = sorted(
-            self._hosts.list_hosts() or [own],
-            key=lambda each: fleet.rank_pair(team, each.host),
-        )
-        near = [each for each in ranked[MAX_OWNERS:] if each.zone == own.zone]
-        return ranked[:MAX_OWNERS] + near[:MAX_NEAR_OWNERS]
+    def _on_host_change(self) -> None:
+        now = self._clock.now()
+        self._replaced = [
+            (at, listing)
+            for at, listing in self._replaced
+            if now - at < LISTING_RETENTION_S
+        ]
+        self._replaced.append((now, self._listing))
+        self._listing = self._hosts.list_hosts() or [self._hosts.own]
+        self._ranked.clear()
+        self._kept_since.clear()
+
+
+def rank_hosts(
+    team: core.TeamId, hosts: Iterable[fleet.HostEntry]
+) -> list[fleet.HostEntry]:
+    """Return the keepers of a team's quota and then the other hosts in rank.
+
+    The keepers are the first hosts in rank of different zones, and then of
+    zones that have one.
+    """
+    ranked = sorted(hosts, key=lambda each: fleet.rank_pair(team, each.host))
+    firsts = {each.zone: each for each in reversed(ranked)}
+    keepers = [each for each in ranked if firsts[each.zone] == each]
+    keepers = keepers[: quota_vote.KEEPER_COUNT]
+    return keepers + [each for each in ranked if each not in keepers]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,7 +169,7 @@
 
 
 class OwnedTeams:
-    """Ledgers of the teams that this host owns, or stands in for.
+    """Ledgers of the teams whose quota this host keeps, or stands in for.
 
     Parameters: `announce` is called with a team for which all hosts have to
     ask first from now on.
@@ -118,12 +180,11 @@
         process: quota.ProcessId,
         bounds: quota.QuotaBounds,
         hosts: fleet.Fleet,
-        ranking: OwnerRanking,
+        ranking: KeeperRanking,
         tables: sources.TableHolder,
         clock: core.Clock,
         events: log.EventLog,
         announce: Callable[[core.TeamId], None],
-        reach: quota_reach.Reach,
     ):
         self.process = process
         self._bounds = bounds
@@ -133,7 +194,6 @@
         self._clock = clock
         self._events = events
         self._announce = announce
-        self._reach = reach
         self._started_at = clock.now()
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
@@ -180,12 +240,17 @@
         return any(each.quota_per_s > 0 for each in table.teams.list_teams())
 
     def list_use(self) -> list[TeamUse]:
-        """Return the use of the quotas of the teams with recent requests."""
+        """Return the use of the quotas of the teams with recent requests.
+
+        Only the first keeper in rank lists a team, so that sums over hosts
+        count each team once.
+        """
         now = self._clock.now()
         found = []
         for name, ledger in self._ledgers.items():
             team = self._find_limited_team(name)
-            if team is not None:
+            first = self._ranking.list_keepers(name)[0]
+            if team is not None and first.host == self._hosts.own.host:
                 found.append(
                     TeamUse(
                         name,
@@ -238,7 +303,6 @@
         if ledger is None:
             ledger = quota.TeamLedger(self._bounds)
             self._ledgers[found.team] = ledger
-        self._check_reach_if_needed(team, ledger, now)
         self._record_zone(team, report.host, now)
         standing = self._get_standing(team, now)
         for number, age_ms in found.admitted:
@@ -255,6 +319,7 @@
         ask_first_ms = quota_messages.to_ms(
             max(0.0, ledger.ask_first_until - now)
         )
+        is_informed = now - standing.started_at >= self._bounds.window_s
         match verdict:
             case quota.Denied():
                 return quota_messages.TeamAnswer(
@@ -263,15 +328,11 @@
                     quota_messages.to_ms(verdict.retry_after_s),
                     verdict.count,
                     verdict.limit,
+                    is_informed,
                 )
-        return quota_messages.TeamAnswer(found.team, ask_first_ms)
-
-    def _check_reach_if_needed(
-        self, team: teams.Team, ledger: quota.TeamLedger, now: float
-    ) -> None:
-        checked = self._bounds.get_unknown_limit(team) * CHECKED_FRACTION
-        if ledger.count(now) >= checked:
-            self._reach.check_if_old()
+        return quota_messages.TeamAnswer(
+            found.team, ask_first_ms, is_informed=is_informed
+        )
 
     def _notify_if_needed(
         self,
@@ -324,30 +385,34 @@
     def _record_zone(
         self, team: teams.Team, sender: core.HostId, now: float
     ) -> None:
-        """Record that a host reports to this one, maybe as a stand-in."""
-        owner = self._ranking.find_owner(team.team)
+        """Record that a host reports to this one as a stand-in."""
+        if self._ranking.is_keeper(team.team):
+            return
+        first = self._ranking.list_keepers(team.team)[0]
         for each in self._hosts.list_hosts():
-            if each.host == sender and owner.host != self._hosts.own.host:
-                self._heard_at[(owner.host, each.zone)] = now
+            if each.host == sender:
+                self._heard_at[(first.host, each.zone)] = now
 
     def _get_standing(self, team: teams.Team, now: float) -> quota.Standing:
-        """Return this host's position as the owner of a team or stand-in.
+        """Return this host's position as a keeper of a quota or stand-in.
 
         A stand-in counts the zones whose hosts report to it instead of the
-        owner.
+        keepers.
         """
-        owner = self._ranking.find_owner(team.team)
-        if owner.host == self._hosts.own.host:
+        if self._ranking.is_keeper(team.team):
             return quota.Standing(
-                started_at=self._started_at,
-                coverage=0.0 if self._reach.is_cut_off else 1.0,
+                started_at=max(
+                    self._started_at, self._ranking.get_kept_since(team.team)
+                ),
+                coverage=1.0,
             )
+        first = self._ranking.list_keepers(team.team)[0]
         self._heard_at = {
             key: at
             for key, at in self._heard_at.items()
             if now - at < COVERAGE_PERIOD_S
         }
-        heard = sum(host == owner.host for host, _ in self._heard_at)
+        heard = sum(host == first.host for host, _ in self._heard_at)
         zones = {each.zone for each in self._hosts.list_hosts()}
         return quota.Standing(
             started_at=self._started_at,
