--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -88,6 +88,35 @@
       | 4.5    | 0.5  |
       | 4.5    | 5    |
 
+  # Guards against a keeper that missed what others counted while it was frozen.
+  Scenario Outline: the owner of a team freezes <before> s into a hot load, and wakes after <away> s
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 20    |
+    When these teams send for 6 seconds
+      | team | rate |
+      | hot  | 12.5 |
+    And these teams send for <before> seconds
+      | team | rate |
+      | hot  | 94   |
+    And the owner of "hot" is frozen
+    And these teams send for <away> seconds
+      | team | rate |
+      | hot  | 94   |
+    And the frozen gateway wakes
+    And these teams send for 8 seconds
+      | team | rate |
+      | hot  | 94   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.8 times its quota
+
+    Examples:
+      | before | away |
+      | 0.5    | 1    |
+      | 2      | 4    |
+      | 6      | 4    |
+      | 6      | 6    |
+
   Scenario: the owner of a team within its quota is killed and starts again
     Given 6 gateways with the teams
       | team | rate | burst |
