Rank hosts that left the registry of late as keepers of quotas

Cause: hosts took the list of hosts as the store gave it, also when it had lost the entries of living hosts; with an empty list each host kept all quotas.

Change: keepers are ranked among the hosts that are or were registered in the last 30 s, as the counts that divide limits already were. The 30 s begin with the listing that lacks a host. Before, they began with the listing before it, so after a long outage they were over at once.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -117,6 +117,25 @@
       | 6      | 4    |
       | 6      | 6    |
 
+  # Guards against hosts whose lists of hosts lack each other after an outage.
+  Scenario Outline: the hosts' registrations are lost in an outage of <away> s while a team is <load>
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 20    |
+    When the source is down for <away> seconds and loses all hosts
+    And these teams send for 12 seconds
+      | team | rate   |
+      | hot  | <rate> |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And <outcome>
+
+    Examples:
+      | away | load             | rate | outcome                                    |
+      | 0    | hot              | 94   | "hot" has run at least 0.8 times its quota |
+      | 5    | hot              | 94   | "hot" has run at least 0.8 times its quota |
+      | 45   | hot              | 94   | "hot" has run at least 0.8 times its quota |
+      | 5    | within its quota | 18   | no request of "hot" is refused             |
+
   Scenario: the owner of a team within its quota is killed and starts again
     Given 6 gateways with the teams
       | team | rate | burst |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -200,6 +200,15 @@
     run(context, context.frozen.simulate_wake())
 
 
+@when(r'the source is down for (\d+) seconds and loses all hosts')
+def lose_all_hosts(context, seconds):
+    source = context.gateway.source
+    source.is_down = int(seconds) > 0
+    source.hosts.clear()
+    run(context, asyncio.sleep(float(seconds)))
+    source.is_down = False
+
+
 def _get_sender(request):
     """Return the host that sent a report about quotas, or None."""
     if request.target != b'/v1/quota/report':
--- a/rudderrock/gateway/discovery/_fleet.py
+++ b/rudderrock/gateway/discovery/_fleet.py
@@ -10,10 +10,11 @@
 
 from rudderrock import core
 
-# How long a host that has left the registry is still counted, in seconds. A
-# registration may lapse while its host is alive. If too few hosts were
-# counted, each would use too large a share of the limits that are divided
-# among the hosts, such as the connections to an upstream.
+# How long a host that has left the registry still counts, in seconds. A
+# registration may lapse while its host is alive, and after an outage of the
+# registry those of all hosts may have. If too few hosts were counted, each
+# would use too large a share of the limits that are divided among the hosts,
+# such as the connections to an upstream, or keep quotas that others keep too.
 LEFT_RETENTION_S = 30.0
 
 
@@ -50,6 +51,7 @@
         # Cached until the next listing, and the counts at most until a
         # departed host expires. With hundreds of hosts and upstreams,
         # computing these on each use takes most of the start-up time.
+        self._recent: dict[core.HostId, HostEntry] = {own.host: own}
         self._counts: collections.Counter[core.ZoneId] = collections.Counter()
         self._counts_valid_until = -math.inf
         self._ranked_by_zone: dict[core.ZoneId, list[HostEntry]] = {}
@@ -79,7 +81,9 @@
         """Replace the known hosts; return whether anything changed."""
         found = {each.host: each for each in hosts}
         now = self._clock.now()
-        for each in found.values():
+        # A host that is missing now has been registered until the listing
+        # could be read, which may be long after the one before.
+        for each in [*self._hosts.values(), *found.values()]:
             self._last_seen[each] = now
         changed = found != self._hosts or not self._has_listing
         self._has_listing = True
@@ -101,21 +105,37 @@
         """
         if not self._has_listing:
             return collections.Counter({self.own.zone: self._assumed_count})
+        self._update_if_expired()
+        return self._counts
+
+    def find_recent(self) -> dict[core.HostId, HostEntry]:
+        """Return this host and those that are or were registered of late.
+
+        Includes hosts that left the registry less than `LEFT_RETENTION_S`
+        ago.
+        """
+        if self._has_listing:
+            self._update_if_expired()
+        return self._recent
+
+    def _update_if_expired(self) -> None:
         now = self._clock.now()
         if now >= self._counts_valid_until:
             self._update_counts(now)
-        return self._counts
 
     def _update_counts(self, now: float) -> None:
-        """Recompute the counts, valid until a departed host expires."""
+        """Recompute what counts, valid until a departed host expires."""
         self._last_seen = {
             entry: at
             for entry, at in self._last_seen.items()
             if now - at < LEFT_RETENTION_S or self._is_registered(entry)
         }
-        zones = {entry.host: entry.zone for entry in self._last_seen}
-        zones.setdefault(self.own.host, self.own.zone)
-        self._counts = collections.Counter(zones.values())
+        self._recent = {entry.host: entry for entry in self._last_seen}
+        self._recent.update(self._hosts)
+        self._recent[self.own.host] = self.own
+        self._counts = collections.Counter(
+            entry.zone for entry in self._recent.values()
+        )
         left_at = (
             at
             for entry, at in self._last_seen.items()
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -68,7 +68,7 @@
         await asyncio.gather(
             *(
                 self._send_notice(each.address, body)
-                for each in self._hosts.list_hosts()
+                for each in self._hosts.find_recent().values()
                 if each.host != own
             )
         )
@@ -95,7 +95,7 @@
         """Close connections to hosts that are no longer registered."""
         if not self._clients:
             return
-        known = {each.address for each in self._hosts.list_hosts()}
+        known = {each.address for each in self._hosts.find_recent().values()}
         for address, client in list(self._clients.items()):
             if address not in known and not client.is_busy:
                 client.close()
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -33,12 +34,16 @@
 CLOCK_PERIOD_S = 10.0
 
 
+_Listing = Mapping[core.HostId, fleet.HostEntry]
+
+
 class KeeperRanking:
     """The hosts that keep the quotas of teams, by rendezvous hashing.
 
     Hosts with the same listing compute the same order, so no election is
     needed, and a host that joins or leaves moves only some teams. The keepers
-    of a team are in different zones if there are enough zones.
+    of a team are in different zones if there are enough zones. A host that has
+    left the registry is ranked for some time more, since it may be alive.
     """
 
     def __init__(self, hosts: fleet.Fleet, clock: core.Clock):
@@ -46,10 +51,9 @@
         self._clock = clock
         self._ranked: dict[core.TeamId, list[fleet.HostEntry]] = {}
         self._kept_since: dict[core.TeamId, float] = {}
-        self._listing = hosts.list_hosts()
+        self._listing = hosts.find_recent()
         # Earlier listings, with the times at which they were replaced.
-        self._replaced: list[tuple[float, list[fleet.HostEntry]]] = []
-        hosts.add_listener(self._on_host_change)
+        self._replaced: list[tuple[float, _Listing]] = []
 
     def list_keepers(self, team: core.TeamId) -> list[fleet.HostEntry]:
         """Return the keepers of a team's quota, the first in rank first."""
@@ -82,6 +86,7 @@
 
         It is -inf if that is longer than listings are kept.
         """
+        self._update_listing()
         since = self._kept_since.get(team)
         if since is None:
             since = self._find_kept_since(team)
@@ -91,30 +96,40 @@
     def _find_kept_since(self, team: core.TeamId) -> float:
         own = self._hosts.own.host
         for replaced_at, listing in reversed(self._replaced):
-            keepers = rank_hosts(team, listing)[: quota_vote.KEEPER_COUNT]
+            keepers = rank_hosts(team, listing.values())[
+                : quota_vote.KEEPER_COUNT
+            ]
             if all(each.host != own for each in keepers):
                 return replaced_at
         return -math.inf
 
     def _rank(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        self._update_listing()
         found = self._ranked.get(team)
         if found is None:
             if len(self._ranked) >= MAX_RANKED_TEAMS:
                 self._ranked.clear()
                 self._kept_since.clear()
-            found = rank_hosts(team, self._listing)
+            found = rank_hosts(team, self._listing.values())
             self._ranked[team] = found
         return found
 
-    def _on_host_change(self) -> None:
+    def _update_listing(self) -> None:
+        """Rank anew if hosts have joined, or left long enough ago."""
+        listing = self._hosts.find_recent()
+        if listing is self._listing:
+            return
+        if listing == self._listing:
+            self._listing = listing
+            return
         now = self._clock.now()
         self._replaced = [
-            (at, listing)
-            for at, listing in self._replaced
+            (at, earlier)
+            for at, earlier in self._replaced
             if now - at < LISTING_RETENTION_S
         ]
         self._replaced.append((now, self._listing))
-        self._listing = self._hosts.list_hosts() or [self._hosts.own]
+        self._listing = listing
         self._ranked.clear()
         self._kept_since.clear()
 
@@ -389,9 +404,9 @@
         if self._ranking.is_keeper(team.team):
             return
         first = self._ranking.list_keepers(team.team)[0]
-        for each in self._hosts.list_hosts():
-            if each.host == sender:
-                self._heard_at[(first.host, each.zone)] = now
+        found = self._hosts.find_recent().get(sender)
+        if found is not None:
+            self._heard_at[(first.host, found.zone)] = now
 
     def _get_standing(self, team: teams.Team, now: float) -> quota.Standing:
         """Return this host's position as a keeper of a quota or stand-in.
@@ -413,7 +428,7 @@
             if now - at < COVERAGE_PERIOD_S
         }
         heard = sum(host == first.host for host, _ in self._heard_at)
-        zones = {each.zone for each in self._hosts.list_hosts()}
+        zones = {each.zone for each in self._hosts.find_recent().values()}
         return quota.Standing(
             started_at=self._started_at,
             coverage=min(1.0, heard / max(1, len(zones))),
