Bound the bytes of a reply's head and of an exchange

Callers waited until their deadline, and hosts lost their memory, when an upstream sent bytes without end that are no body: 26 MB of header lines or trailers took 160 MB.

Cause: only decoded bodies were counted. The parser collects a header value or a trailer that has not ended; interim replies, chunk extensions and replies with another id are each within bounds.

Change: the client that upstreams, peers and the store share counts the bytes of an exchange (16.5 MB) and those in a row without any of a body (256 KB, so that the part stamps of 1,700 shards fit), and the size of a header section as in RFC 9113, 6.5.2. A body is kept in one buffer: a list of chunks of two bytes takes many times their size.

--- a/rudderrock/gateway/http/_link.py
+++ b/rudderrock/gateway/http/_link.py
@@ -19,8 +19,16 @@
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 
-# A larger reply counts as invalid, and its connection is closed.
+# A reply with a larger body counts as invalid, and its connection is closed.
 MAX_REPLY_BYTES = 8 * 1024 * 1024
+# Maximum size of the header and trailer section of a reply, computed as for
+# HTTP/2 (RFC 9113, 6.5.2), and of bytes in a row that are no part of a body.
+# The part stamps of a query over 2,000 shards take a fifth of that.
+MAX_HEAD_BYTES = 256 * 1024
+_HEADER_OVERHEAD_BYTES = 32
+# Maximum number of bytes that may arrive for one exchange: its reply, and a
+# late one to an earlier exchange.
+MAX_EXCHANGE_BYTES = 2 * (MAX_REPLY_BYTES + MAX_HEAD_BYTES)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,8 +134,12 @@
         self._unusable = False
         self._close_reported = False
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
-        self._body_size = 0
+        self._head_size = 0
+        self._body = bytearray()
+        # Bytes since the exchange began, and since the last bytes of a body.
+        self._received = 0
+        self._received_outside_body = 0
+        self._has_body_data = False
         self._in_message = False
         self._head_done = False
         self._keep_alive = False
@@ -149,6 +161,8 @@
         exchange.link = self
         exchange.used_links.add(self)
         exchange.sent_at = self._loop.time()
+        self._received = 0
+        self._received_outside_body = 0
         self._transport.write(exchange.render())
 
     def abort(self) -> None:
@@ -170,6 +184,7 @@
         if self.exchange is None:
             self._abort_unusable()
             return
+        self._has_body_data = False
         try:
             self._parser.feed_data(data)
         except (
@@ -177,12 +192,25 @@
             httptools.HttpParserUpgrade,
         ):
             self._unusable = True
+        self._check_size(len(data))
         if self._reply is not None:
             self._deliver()
         elif self._unusable:
             self._fail('invalid HTTP reply')
             self.abort()
 
+    def _check_size(self, size: int) -> None:
+        """Count the received bytes; too many make the connection unusable."""
+        self._received += size
+        self._received_outside_body += size
+        if self._has_body_data:
+            self._received_outside_body = 0
+        if (
+            self._received > MAX_EXCHANGE_BYTES
+            or self._received_outside_body > MAX_HEAD_BYTES
+        ):
+            self._unusable = True
+
     def eof_received(self) -> bool:
         """Deliver a reply whose body ends with the connection, if any."""
         if self._ends_with_connection():
@@ -207,13 +235,17 @@
         if self._reply is not None:
             self._unusable = True
         self._headers = []
-        self._body = []
-        self._body_size = 0
+        self._head_size = 0
+        self._body = bytearray()
         self._in_message = True
         self._head_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header; raise ValueError if the section is too large."""
+        self._head_size += len(name) + len(value) + _HEADER_OVERHEAD_BYTES
+        if self._head_size > MAX_HEAD_BYTES:
+            self._unusable = True
+            raise ValueError('head too large')
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -225,11 +257,11 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body; raise ValueError if it is too large."""
-        self._body_size += len(data)
-        if self._body_size > MAX_REPLY_BYTES:
+        self._has_body_data = True
+        if len(self._body) + len(data) > MAX_REPLY_BYTES:
             self._unusable = True
             raise ValueError('reply too large')
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Complete the reply unless another one is already pending."""
@@ -249,9 +281,7 @@
             # A late reply to an earlier request.
             self._unusable = self._unusable or not self._keep_alive
             return
-        self._reply = messages.Reply(
-            status, self._headers, b''.join(self._body)
-        )
+        self._reply = messages.Reply(status, self._headers, bytes(self._body))
 
     def _ends_with_connection(self) -> bool:
         if not (self._in_message and self._head_done) or self._unusable:
