Bound the bytes of an exchange in the tier's own interface

An upstream or the key-value service that sends header lines or chunks without end was read until the caller's deadline.

Cause: aiosonic bounds neither heads nor bodies.

Change: the connection counts what arrives: 64 KB until the end of a head and 16 MB an exchange. An exchange beyond that fails, and its connection is closed.

--- a/features/replies.feature
+++ b/features/replies.feature
@@ -25,6 +25,24 @@
       | chunks                                | 20480 | 32     |
       | a body that ends with the connection  | 20480 | 32     |
 
+  @sockets
+  Scenario Outline: a server sends <bytes> without end to an entry host
+    Given a server that answers with <bytes> without end
+    When an entry host calls it with a timeout of 60 seconds
+    Then the call <outcome> before that
+    And at most <read> KB were read, and at most <memory> MB of memory used
+
+    # The library takes an interim reply for the reply, and reads no trailers.
+    Examples:
+      | bytes             | outcome | read  | memory |
+      | header lines      | fails   | 4096  | 16     |
+      | a header value    | fails   | 4096  | 16     |
+      | a reason phrase   | fails   | 4096  | 16     |
+      | interim replies   | ends    | 4096  | 16     |
+      | a chunk extension | fails   | 20480 | 64     |
+      | trailers          | ends    | 4096  | 16     |
+      | chunks            | fails   | 20480 | 64     |
+
   Scenario Outline: a reply of <size> is read whole
     Given a server that answers with <size>
     When a gateway calls it with a timeout of 60 seconds
--- a/rudderrock/transport/_http_connection.py
+++ b/rudderrock/transport/_http_connection.py
@@ -20,6 +20,13 @@
 import aiosonic.timeout
 import result
 
+# Maximum number of bytes that may arrive for one exchange. Values of the
+# key-value service have up to a megabyte.
+MAX_EXCHANGE_BYTES = 16 * 1024 * 1024
+# Maximum number of bytes that may arrive before the end of a reply's head.
+MAX_HEAD_BYTES = 64 * 1024
+_HEAD_END = b'\r\n\r\n'
+
 # Exceptions that aiosonic raises if the server or the network fails.
 _CONNECTION_ERRORS = (
     OSError,
@@ -48,12 +55,62 @@
     detail: str
 
 
+class _BoundedConnection(aiosonic.connection.Connection):
+    """A connection that fails once too much has arrived in one exchange.
+
+    aiosonic reads heads and bodies of any size, and assigns `reader` when it
+    has connected.
+    """
+
+    def __init__(self, pool: aiosonic.pools.BasePool):
+        self._bounded_reader: asyncio.StreamReader | None = None
+        self.start_exchange()
+        super().__init__(pool)
+
+    @property
+    def reader(self) -> asyncio.StreamReader | None:
+        """Return the reader of the open connection."""
+        return self._bounded_reader
+
+    @reader.setter
+    def reader(self, reader: asyncio.StreamReader | None) -> None:
+        self._bounded_reader = reader
+        if reader is None:
+            return
+        feed_data = reader.feed_data
+
+        def feed_bounded(data: bytes) -> None:
+            if self._fits(data):
+                feed_data(data)
+            else:
+                reader.set_exception(ValueError('reply too large'))
+
+        reader.feed_data = feed_bounded
+
+    def start_exchange(self) -> None:
+        """Count anew, for the reply to the request that is sent next."""
+        self._received = 0
+        self._has_head = False
+        self._head_tail = b''
+
+    def _fits(self, data: bytes) -> bool:
+        """Count received bytes; return whether they are within the limits."""
+        self._received += len(data)
+        if self._has_head:
+            return self._received <= MAX_EXCHANGE_BYTES
+        recent = self._head_tail + data
+        self._has_head = _HEAD_END in recent
+        self._head_tail = recent[1 - len(_HEAD_END) :]
+        return self._has_head or self._received <= MAX_HEAD_BYTES
+
+
 class HttpConnection:
     """A kept-alive HTTP/1.1 connection, used by one task at a time.
 
     Parameters: `address` is `IP:port`; `connect_timeout_s` is in seconds;
     `headers` are sent with every request. Exchanges have no timeout of their
-    own: the caller limits them by cancellation or `asyncio.timeout`.
+    own: the caller limits them by cancellation or `asyncio.timeout`. An
+    exchange fails if more than `MAX_EXCHANGE_BYTES` arrive.
     """
 
     def __init__(
@@ -67,7 +124,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._headers = {'content-type': 'application/json', **(headers or {})}
         self._client: aiosonic.HTTPClient | None = None
-        self._socket: aiosonic.connection.Connection | None = None
+        self._socket: _BoundedConnection | None = None
 
     async def open(self) -> result.Result[None, ExchangeFailed]:
         """Connect, so that the first exchange doesn't have to.
@@ -139,6 +196,7 @@
             if opened.is_err():
                 return opened
         client = self._get_client()
+        self._socket.start_exchange()
         finished = False
         try:
             reply = await client.post(
@@ -185,5 +243,5 @@
     ) -> aiosonic.connection.Connection:
         # The pool closes a connection only after its release. The reference
         # is kept to be able to close it in the middle of a reply.
-        self._socket = aiosonic.connection.Connection(pool)
+        self._socket = _BoundedConnection(pool)
         return self._socket
