Keep the team and the request id whatever a caller lists in Connection

Cause: the headers listed in Connection were removed after the gateway had set its own.

Change: the headers that hosts and upstreams rely on, and Host, are end to end and never removed. The same for replies: an upstream that listed its stamp took it off the answer.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -19,6 +19,15 @@
     And "u1" was not sent the header "x-own"
     And "u1" was not sent the header "connection"
 
+  Scenario: a stamp that an upstream lists in Connection reaches the caller
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And a gateway
+    And "u1" is listing
+    When a caller sends GET "/notes/1"
+    Then the reply is 200
+    And the reply has the stamp and the request id of "u1"
+
   Scenario: a chunked body reaches the upstream complete
     Given an upstream "u1" of "notes"
     And the route "/notes/" to "notes" that runs once
--- a/features/steps/gateway_checks.py
+++ b/features/steps/gateway_checks.py
@@ -62,6 +62,14 @@
     assert runs == [1] * count, runs
 
 
+@then(r'the reply has the stamp and the request id of "([^"]+)"')
+def check_stamp(context, upstream):
+    found = context.reply.headers
+    request_id = context.request_id
+    assert found['rudderrock-stamp'] == f'{upstream}.{request_id}', found
+    assert found['rudderrock-request-id'] == request_id, found
+
+
 @then(r'the reply has no stamp')
 def check_no_stamp(context):
     assert 'rudderrock-stamp' not in context.reply.headers, context.reply
@@ -169,6 +177,12 @@
     assert found.headers.get(name) == value, found
 
 
+@then(r'"([^"]+)" was sent the request id of the caller')
+def check_request_id(context, upstream):
+    found = get(context).upstreams[upstream].runs[-1]
+    assert found.request_id == context.request_id, found
+
+
 @then(r'"([^"]+)" was not sent the header "([^"]+)"')
 def check_no_header(context, upstream, name):
     found = get(context).upstreams[upstream].runs[-1]
--- a/features/teams.feature
+++ b/features/teams.feature
@@ -20,6 +20,24 @@
     Then the reply is 200
     And "a" was sent the header "rudderrock-team" as "billing"
 
+  # Guards against callers that take the team off their requests.
+  Scenario Outline: a caller that lists "<listed>" in Connection does not remove it
+    Given a gateway
+    When a caller sends GET "/desk/7" with the headers "Authorization: Bearer k-bill; Connection: keep-alive, <listed>"
+    Then the reply is 200
+    And "a" was sent the header "rudderrock-team" as "billing"
+    And "a" was sent the header "host" as "members.example"
+    And "a" was sent its own id as the expected upstream
+    And "a" was sent the request id of the caller
+    And "a" was not sent the header "authorization"
+
+    Examples:
+      | listed                                        |
+      | Rudderrock-Team                               |
+      | Rudderrock-Request-Id, Host                   |
+      | rudderrock-expect-upstream, RUDDERROCK-TEAM   |
+      | Rudderrock-Deadline-Ms, Authorization         |
+
   Scenario: the name of a team may have any letters
     Given the team "Łódź" with the key "k-far"
     And a gateway
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -533,7 +533,9 @@
     def _parse_result(
         self, entry: fleet.HostEntry, reply: messages.Reply
     ) -> results.Result:
-        forwardable = messages.make_forwardable(reply)
+        forwardable = messages.make_forwardable(
+            reply, header_names.list_end_to_end(self._names)
+        )
         detail = f'by {entry.host}'
         if reply.status != 200:
             outcome = _OUTCOME_BY_STATUS.get(
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -11,6 +11,7 @@
 from rudderrock.gateway.forwarding import _parts as parts
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.forwarding import _service_call as service_call
+from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 
 # Target fraction of first attempts that are late and therefore hedged. It
@@ -390,9 +391,10 @@
     await forwarder.run()
     settled_call = forwarder.service_calls[0]
     late = int(settled_call.is_late)
+    end_to_end = header_names.list_end_to_end(context.names)
     log_fields = make_wait_field([settled_call])
     if settled_call.answer is not None:
-        reply = messages.make_forwardable(settled_call.answer)
+        reply = messages.make_forwardable(settled_call.answer, end_to_end)
         return results.Result(
             reply,
             results.Outcome.ANSWERED,
@@ -405,7 +407,7 @@
     if settled_call.failure is not None and not _is_false_promise(
         call, settled_call.failure
     ):
-        reply = messages.make_forwardable(settled_call.failure)
+        reply = messages.make_forwardable(settled_call.failure, end_to_end)
         return results.Result(
             reply,
             results.Outcome.UPSTREAM_FAILED,
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -43,6 +43,7 @@
 from rudderrock.gateway.forwarding import _service_call as service_call
 from rudderrock.gateway.forwarding import _zones as zones
 from rudderrock.gateway.http import _digest as digest
+from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 from rudderrock.gateway.http import _reach as reach
 
@@ -649,7 +650,9 @@
             late_after_s=self._thresholds.get(route).get(),
             forwarded_headers=[
                 pair
-                for pair in messages.remove_hop_by_hop_headers(request.headers)
+                for pair in messages.remove_hop_by_hop_headers(
+                    request.headers, header_names.list_end_to_end(names)
+                )
                 if pair[0] not in excluded_headers
             ],
             canary=call_canary,
--- a/rudderrock/gateway/http/_header_names.py
+++ b/rudderrock/gateway/http/_header_names.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import functools
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -34,3 +35,13 @@
     part_stamps: bytes = b'rudderrock-part-stamps'
     missing_parts: bytes = b'rudderrock-missing-parts'
     team: bytes = b'rudderrock-team'
+
+
+@functools.cache
+def list_end_to_end(names: HeaderNames) -> frozenset[bytes]:
+    """Return the headers that no `Connection` header can take away.
+
+    They are those that hosts and upstreams rely on. A sender must not list
+    them (RFC 9110, 7.6.1), but nothing keeps a caller from it.
+    """
+    return frozenset({b'host', *dataclasses.astuple(names)})
--- a/rudderrock/gateway/http/_messages.py
+++ b/rudderrock/gateway/http/_messages.py
@@ -1,6 +1,7 @@
 """HTTP requests and replies, and their serialization."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 import dataclasses
 import http
 
@@ -78,10 +79,13 @@
     return None
 
 
-def remove_hop_by_hop_headers(headers: Headers) -> Headers:
+def remove_hop_by_hop_headers(
+    headers: Headers, end_to_end: Collection[bytes]
+) -> Headers:
     """Return the headers that may be forwarded (RFC 9110, 7.6.1).
 
-    Headers that are listed in `Connection` are removed as well.
+    Headers that are listed in `Connection` are removed as well, unless they
+    are in `end_to_end`.
     """
     listed = {
         token.strip().lower()
@@ -89,15 +93,14 @@
         if key == b'connection'
         for token in value.split(b',')
     }
-    dropped = _HOP_BY_HOP | listed
+    dropped = _HOP_BY_HOP | listed.difference(end_to_end)
     return [pair for pair in headers if pair[0] not in dropped]
 
 
-def make_forwardable(reply: Reply) -> Reply:
+def make_forwardable(reply: Reply, end_to_end: Collection[bytes]) -> Reply:
     """Return a copy of a reply without its hop-by-hop headers."""
-    return Reply(
-        reply.status, remove_hop_by_hop_headers(reply.headers), reply.body
-    )
+    headers = remove_hop_by_hop_headers(reply.headers, end_to_end)
+    return Reply(reply.status, headers, reply.body)
 
 
 def render_request(
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -29,6 +29,8 @@
     CONTENT_ENCODED = 'encoding'
     MISSING_STAMP = 'unsigned'
     CLOSING = 'closing'
+    # Lists its stamp and the request id in `Connection`.
+    LISTED_STAMP = 'listing'
     EARLY_REPLY = 'early'
     MISDIRECTED = 'misdirected'
     # Sheds the first attempt of each request. Sends a second copy of that
@@ -308,6 +310,10 @@
                 writer.write(_render_reply(200, [echo, stamp, coded], body))
             case FaultMode.MISSING_STAMP:
                 writer.write(_render_reply(200, [echo], body))
+            case FaultMode.LISTED_STAMP:
+                listed = b'%b, %b' % (names.stamp, names.request_id)
+                headers = [echo, stamp, (b'connection', listed)]
+                writer.write(_render_reply(200, headers, body))
             case FaultMode.CLOSING:
                 close = (b'connection', b'close')
                 writer.write(_render_reply(200, [echo, stamp, close], body))
