Ignore offers of an upgrade instead of answering a request twice

A POST with such an offer ran with an empty body.

Cause: the parser ends a request with an offer at its head and raises an exception. The listener had queued the request and took the exception for a malformed one; the body was lost.

Change: the head is parsed again without the offer, so bodies and further requests are read as usual. CONNECT, after which no HTTP follows, is rejected once instead of being answered 404 and 400.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -19,6 +19,33 @@
     And "u1" was not sent the header "x-own"
     And "u1" was not sent the header "connection"
 
+  # Guards against a second reply to a request, which the next request gets.
+  Scenario Outline: <count> requests that offer an upgrade, <how>, get one reply each
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And a gateway
+    When a caller sends <count> requests "<request>" that offer an upgrade, <how>
+    Then it gets <count> replies in order, each with its own request id
+    And the connection is open
+    And each of them ran whole, and "u1" was not sent the header "upgrade"
+
+    Examples:
+      | count | request                 | how            |
+      | 4     | GET /notes/1            | one by one     |
+      | 4     | POST /notes/1           | one by one     |
+      | 4     | GET /notes/1            | in one segment |
+      | 4     | POST /notes/1           | in one segment |
+      | 2     | GET /notes/1            | byte by byte   |
+      | 2     | POST /notes/1           | byte by byte   |
+
+  Scenario: a CONNECT request gets one reply
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And a gateway
+    When a caller sends CONNECT to the gateway, and bytes that are not HTTP
+    Then it gets one reply with status 400, and the connection ends
+    And no upstream ran anything
+
   Scenario: a stamp that an upstream lists in Connection reaches the caller
     Given an upstream "u1" of "notes"
     And the route "/notes/" to "notes"
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -63,9 +63,7 @@
             self._start_message()
         self._head_bytes += 0 if self._head_done else len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject('syntax')
+            self._feed(data)
         except httptools.HttpParserError:
             self._reject(self._problem or 'syntax')
         # This limits the chunks before the current one. The headers that have
@@ -76,6 +74,41 @@
         if self._pending.qsize() > MAX_PIPELINED_REQUESTS:
             self.close()
 
+    def _feed(self, data: bytes) -> None:
+        """Feed the parser, so that it ignores offers of an upgrade.
+
+        The parser ends a request that offers another protocol at its head, and
+        raises an exception with the number of bytes that it has read. The
+        offer need not be accepted (RFC 9110, 7.8), so the head is parsed again
+        without it, and what follows is a body or the next request.
+        """
+        while data and not self._closing:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                read = upgrade.args[0]
+                if not self._closing:
+                    data = self._take_head_without_upgrade() + data[read:]
+
+    def _take_head_without_upgrade(self) -> bytes:
+        """Return the head that was read, to be parsed by a new parser."""
+        line = b'%b %b HTTP/%b\r\n' % (
+            self._parser.get_method(),
+            self._target,
+            self._parser.get_http_version().encode(),
+        )
+        headers = [
+            b'%b: %b\r\n' % pair
+            for pair in self._headers
+            if pair[0] != b'upgrade'
+        ]
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b''
+        self._headers = []
+        self._header_size = 0
+        return b''.join([line, *headers, b'\r\n'])
+
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
         return False
@@ -130,8 +163,13 @@
     def on_headers_complete(self) -> None:
         """Start the timeout for the body.
 
-        If the request has an `expect` header, 100 Continue is sent.
+        If the request has an `expect` header, 100 Continue is sent. CONNECT is
+        rejected, since what follows it is not HTTP.
         """
+        if self._parser.get_method() == b'CONNECT':
+            self._reject('syntax')
+        if self._parser.should_upgrade():
+            return
         self._head_done = True
         self._set_timer(self._listener.limits.idle_timeout_s, self._time_out)
         if messages.find_header(self._headers, b'expect') is not None:
@@ -147,6 +185,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the task of this connection."""
+        if self._parser.should_upgrade():
+            return
         self._cancel_timer()
         request = messages.Request(
             self._parser.get_method(),
