Bound the bytes of a caller's request as they arrive

A caller that sent a chunk extension or a trailer without end was read until the timeout of the body, and a trailer's value was kept in memory. Found while looking for the cause of replies without end on related paths.

Cause: only what the parser reports was counted, after the head.

Change: the bytes of a request are counted, in a row without any of a body by the limit on headers, and in total by that and six times the limit on bodies, which is what chunks of one byte take.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -38,6 +38,36 @@
       | 2     | GET /notes/1            | byte by byte   |
       | 2     | POST /notes/1           | byte by byte   |
 
+  # Guards against callers that fill the memory of a host.
+  Scenario Outline: a caller that sends <bytes> without end is answered <status>
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And callers may send 1000 bytes of headers and 4000 of body, the headers within 1 second
+    And a gateway
+    When a caller sends a request with <bytes> without end
+    Then the reply is <status>
+    And the caller has sent at most 1 MB
+    And no upstream ran anything
+
+    Examples:
+      | bytes             | status |
+      | header lines      | 431    |
+      | a header value    | 431    |
+      | a target          | 431    |
+      | a chunk extension | 413    |
+      | trailers          | 431    |
+      | a trailer value   | 413    |
+      | chunk extensions  | 413    |
+      | chunks            | 413    |
+
+  Scenario: a body in chunks of one byte is read whole
+    Given an upstream "u1" of "notes"
+    And the route "/notes/" to "notes"
+    And callers may send 1000 bytes of headers and 4000 of body, the headers within 1 second
+    And a gateway
+    When a caller sends a body of 4000 bytes in chunks of one byte
+    Then the reply is 200
+
   Scenario: a CONNECT request gets one reply
     Given an upstream "u1" of "notes"
     And the route "/notes/" to "notes"
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -21,6 +21,8 @@
 LISTEN_BACKLOG = 1024
 # Requests that one connection may send before it has received their replies.
 MAX_PIPELINED_REQUESTS = 16
+# Bytes of a request for each byte of its body: a chunk of one byte takes six.
+_MAX_FRAMING_FACTOR = 6
 _STATUS_BY_PROBLEM = {'head': 431, 'body': 413, 'syntax': 400, 'slow': 408}
 
 
@@ -61,16 +63,13 @@
             return
         if not self._in_message and not self._answering:
             self._start_message()
-        self._head_bytes += 0 if self._head_done else len(data)
+        self._received += len(data)
+        self._received_outside_body += len(data)
         try:
             self._feed(data)
         except httptools.HttpParserError:
             self._reject(self._problem or 'syntax')
-        # This limits the chunks before the current one. The headers that have
-        # been parsed are limited in `on_header`.
-        limit = self._listener.limits.max_header_bytes
-        if not self._head_done and self._head_bytes > limit + len(data):
-            self._reject('head')
+        self._check_size(len(data))
         if self._pending.qsize() > MAX_PIPELINED_REQUESTS:
             self.close()
 
@@ -109,6 +108,21 @@
         self._header_size = 0
         return b''.join([line, *headers, b'\r\n'])
 
+    def _check_size(self, size: int) -> None:
+        """Reject a request of which too much has been read.
+
+        This limits what came before the last `size` bytes, since these may
+        hold the end of the head or of the request. The headers that have been
+        parsed are limited in `on_header`, and the body in `on_body`.
+        """
+        limits = self._listener.limits
+        if self._received_outside_body > limits.max_header_bytes + size:
+            self._reject('head')
+        total = limits.max_header_bytes
+        total += _MAX_FRAMING_FACTOR * limits.max_body_bytes
+        if self._received > total + size:
+            self._reject('body')
+
     def eof_received(self) -> bool:
         """Close the connection when the caller closes its side."""
         return False
@@ -170,18 +184,18 @@
             self._reject('syntax')
         if self._parser.should_upgrade():
             return
-        self._head_done = True
+        self._received_outside_body = 0
         self._set_timer(self._listener.limits.idle_timeout_s, self._time_out)
         if messages.find_header(self._headers, b'expect') is not None:
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body; raise ValueError if it is too large."""
-        self._body_size += len(data)
-        if self._body_size > self._listener.limits.max_body_bytes:
+        self._received_outside_body = 0
+        if len(self._body) + len(data) > self._listener.limits.max_body_bytes:
             self._problem = 'body'
             raise ValueError('body too large')
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Queue the complete request for the task of this connection."""
@@ -192,7 +206,7 @@
             self._parser.get_method(),
             self._target,
             self._headers,
-            b''.join(self._body),
+            bytes(self._body),
             self._started_at,
             self._parser.should_keep_alive(),
         )
@@ -206,14 +220,14 @@
 
     def _reset(self) -> None:
         self._in_message = False
-        self._head_done = False
-        self._head_bytes = 0
+        # Bytes since the request began, and since its head or body went on.
+        self._received = 0
+        self._received_outside_body = 0
         self._header_size = 0
-        self._body_size = 0
         self._target = b''
         self._problem = ''
         self._headers: messages.Headers = []
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._started_at = 0.0
 
     def _start_message(self) -> None:
