Let a keeper that starts again learn what the others have counted

Cause: a keeper that had started again knew only what hosts told it, was skipped for 3 s because it had refused a connection, and counted as not informed for a window. Within that time all three had forgotten the window.

Change: a keeper that isn't informed, and a host that stands in, asks a keeper that is for all that it has counted. A host whose connection was refused or reset is skipped for 0.3 s; one that was silent still for 3 s.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -88,6 +88,33 @@
       | 4.5    | 0.5  |
       | 4.5    | 5    |
 
+  # Guards against keepers that restart one after another and forget the window.
+  Scenario Outline: the keepers of a team are killed one after another, <apart> s apart, while it is <load>
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 20    |
+    When these teams send for 6 seconds
+      | team | rate |
+      | hot  | 12.5 |
+    And these teams send for 2 seconds
+      | team | rate   |
+      | hot  | <rate> |
+    And each keeper of "hot" is killed, back after 0.5 seconds, and the next one <apart> seconds later, with this load
+      | team | rate   |
+      | hot  | <rate> |
+    And these teams send for 8 seconds
+      | team | rate   |
+      | hot  | <rate> |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And <outcome>
+
+    Examples:
+      | apart | load             | rate | outcome                                    |
+      | 0.5   | hot              | 94   | "hot" has run at least 0.8 times its quota |
+      | 1     | hot              | 94   | "hot" has run at least 0.8 times its quota |
+      | 2     | hot              | 94   | "hot" has run at least 0.8 times its quota |
+      | 1     | within its quota | 18   | no request of "hot" is refused             |
+
   # Guards against a keeper that missed what others counted while it was frozen.
   Scenario Outline: the owner of a team freezes <before> s into a hot load, and wakes after <away> s
     Given 6 gateways with the teams
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -189,6 +189,20 @@
     _delay_messages(context.fleet.members[context.killed])
 
 
+@when(
+    r'each keeper of "([^"]+)" is killed, back after ([\d.]+) seconds, and '
+    r'the next one ([\d.]+) seconds later, with this load'
+)
+def restart_keepers(context, team, away_s, apart_s):
+    for host in _list_ranked(context, team)[: gateway.KEEPER_COUNT]:
+        context.killed = host
+        context.killed_zone = context.fleet.members[host].hosts.own.zone
+        run(context, context.fleet.kill(host))
+        send_loads(context, away_s)
+        restart_killed(context)
+        send_loads(context, apart_s)
+
+
 @when(r'the owner of "([^"]+)" is frozen')
 def freeze_owner(context, team):
     context.frozen = context.fleet.members[_get_owner(context, team)]
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -124,6 +124,7 @@
                 self.quotas.report,
                 self.quotas.announce,
                 self.quotas.check,
+                self.quotas.learn,
                 self._archive.run,
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -182,6 +182,15 @@
             self._known[key] = at
             bisect.insort(self._times, at)
 
+    def list_counted(self, now: float) -> list[tuple[ProcessId, int, float]]:
+        """Return the counted requests, with the times of their admission."""
+        oldest = now - self._bounds.window_s
+        return [
+            (*key, at)
+            for key, at in self._known.items()
+            if at > oldest and key not in self._given_back
+        ]
+
     def give_back(self, process: ProcessId, number: int, now: float) -> None:
         """Stop counting a request that has not run."""
         key = (process, number)
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -14,8 +14,10 @@
 
 # Timeout of a notice, in seconds.
 NOTICE_TIMEOUT_S = 0.5
-# How long a host that did not answer is skipped, in seconds.
+# How long a host that did not answer in time is skipped, in seconds, and one
+# whose connection was refused or reset: its process may soon start again.
 SKIP_S = 3.0
+RESET_SKIP_S = 0.3
 # Maximum number of concurrent notices.
 MAX_CONCURRENT_NOTICES = 32
 
@@ -58,7 +60,11 @@
                     log.load_absl_log().warning(
                         'Invalid answer from %s: %s', host.host, error
                     )
-        self._skipped_until[host.host] = self._clock.now() + SKIP_S
+        skip_s = SKIP_S
+        match reply:
+            case result.Err(http_client.NoReply(timed_out=False)):
+                skip_s = RESET_SKIP_S
+        self._skipped_until[host.host] = self._clock.now() + skip_s
         return None
 
     async def send_notice(self, notice: quota_messages.Notice) -> None:
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -106,6 +106,8 @@
         self._in_use = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
+        self._unlearned: set[core.TeamId] = set()
+        self._has_unlearned = asyncio.Event()
         self.owned = quota_owner.OwnedTeams(
             self._process,
             bounds,
@@ -115,6 +117,7 @@
             clock,
             events,
             self._announce,
+            self._request_counted,
         )
         hosts.add_listener(self._on_host_change)
         tables.add_listener(self._on_table_change)
@@ -219,6 +222,34 @@
             self._unannounced.clear()
             await self.client.send_notice(notice)
 
+    async def learn(self) -> None:
+        """Ask other keepers what they have counted, until cancelled."""
+        while True:
+            await self._has_unlearned.wait()
+            self._has_unlearned.clear()
+            unlearned, self._unlearned = self._unlearned, set()
+            await asyncio.gather(*(self._learn(team) for team in unlearned))
+
+    async def _learn(self, team: core.TeamId) -> None:
+        """Count what the first informed keeper that answers has counted."""
+        found = quota_messages.TeamReport(team, wants_counted=True)
+        for each in self._ranking.list_keepers(team):
+            if each.host == self._hosts.own.host:
+                continue
+            if self.client.is_skipped(each.host):
+                continue
+            answer = await self.client.call(
+                each, self._make_report([found]), REPORT_TIMEOUT_S
+            )
+            for reply in answer.teams if answer is not None else []:
+                if reply.is_informed and reply.counted is not None:
+                    self.owned.learn(team, reply.counted)
+                    return
+
+    def _request_counted(self, team: core.TeamId) -> None:
+        self._unlearned.add(team)
+        self._has_unlearned.set()
+
     async def check(self) -> None:
         """Renew notices and drop unused state until cancelled."""
         while True:
--- a/rudderrock/gateway/discovery/_quota_messages.py
+++ b/rudderrock/gateway/discovery/_quota_messages.py
@@ -12,18 +12,25 @@
 NOTICE_PATH = b'/v1/quota/notice'
 
 
+# A request by its process and number, and the milliseconds since then.
+CountedRequest = tuple[quota.ProcessId, int, int]
+
+
 class TeamReport(msgspec.Struct, array_like=True, frozen=True):
     """Requests of one team, identified by their numbers.
 
     `admitted` are pairs of a number and the time since that request was
     admitted, and `given_back` are requests that have not run. `asked` is a
-    request that may run only if a majority of the keepers admits it.
+    request that may run only if a majority of the keepers admits it. If
+    `wants_counted` is true, the answer lists all requests that the other host
+    has counted.
     """
 
     team: core.TeamId
     admitted: list[tuple[int, int]] = []
     given_back: list[int] = []
     asked: int | None = None
+    wants_counted: bool = False
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
@@ -45,7 +52,8 @@
     The host has to ask first for `ask_first_ms`. `retry_after_ms` is set if
     the request it asked for was refused, because `count` requests have run of
     `limit` that are allowed. `is_informed` is whether this host has kept the
-    quota for a whole window.
+    quota for a whole window, or has learned what others have counted.
+    `counted` is set if the report has asked for it.
     """
 
     team: core.TeamId
@@ -54,6 +62,7 @@
     count: int = 0
     limit: float = 0.0
     is_informed: bool = True
+    counted: list[CountedRequest] | None = None
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True):
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -6,6 +6,8 @@
 import dataclasses
 import math
 
+import msgspec
+
 from rudderrock import core
 from rudderrock.gateway import _events as event_kinds
 from rudderrock.gateway import _log as log
@@ -22,6 +24,9 @@
 # Number of hosts in rank that stand in, and of further ones in the own zone.
 MAX_STAND_INS = 1
 MAX_NEAR_STAND_INS = 1
+# Minimum time between attempts to learn what other keepers have counted, in
+# seconds.
+LEARN_INTERVAL_S = 0.5
 # How long earlier listings are kept, in seconds. Longer than any window.
 LISTING_RETENTION_S = 60.0
 # Maximum number of teams whose ranked hosts are kept.
@@ -187,7 +192,8 @@
     """Ledgers of the teams whose quota this host keeps, or stands in for.
 
     Parameters: `announce` is called with a team for which all hosts have to
-    ask first from now on.
+    ask first from now on, and `request_counted` with one of which this host
+    has to learn what the other keepers have counted.
     """
 
     def __init__(
@@ -200,6 +206,7 @@
         clock: core.Clock,
         events: log.EventLog,
         announce: Callable[[core.TeamId], None],
+        request_counted: Callable[[core.TeamId], None],
     ):
         self.process = process
         self._bounds = bounds
@@ -209,6 +216,10 @@
         self._clock = clock
         self._events = events
         self._announce = announce
+        self._request_counted = request_counted
+        # When this host has learned, and asked, what others have counted.
+        self._learned_at: dict[core.TeamId, float] = {}
+        self._asked_at: dict[core.TeamId, float] = {}
         self._started_at = clock.now()
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
@@ -237,12 +248,28 @@
             if team is None or (ledger.count(now) == 0 and ledger.is_empty):
                 self._end_limit(name, ledger, now)
                 del self._ledgers[name]
+                self._learned_at.pop(name, None)
+                self._asked_at.pop(name, None)
                 continue
             if name in self._limited:
                 self._notify_if_needed(team, ledger, now)
                 if now >= ledger.ask_first_until:
                     self._end_limit(name, ledger, now)
 
+    def learn(
+        self,
+        name: core.TeamId,
+        counted: Iterable[quota_messages.CountedRequest],
+    ) -> None:
+        """Count what an informed keeper has counted."""
+        now = self._clock.now()
+        ledger = self._ledgers.get(name)
+        if ledger is None:
+            return
+        for process, number, age_ms in counted:
+            ledger.record(process, number, now - age_ms / 1000, now)
+        self._learned_at[name] = now
+
     def list_teams(self) -> list[core.TeamId]:
         """Return the teams with a ledger."""
         return list(self._ledgers)
@@ -320,6 +347,9 @@
             self._ledgers[found.team] = ledger
         self._record_zone(team, report.host, now)
         standing = self._get_standing(team, now)
+        is_informed = now - standing.started_at >= self._bounds.window_s
+        if not (is_informed and standing.coverage >= 1.0):
+            self._learn_if_due(team.team, now)
         for number, age_ms in found.admitted:
             at = sent_at - age_ms / 1000
             ledger.record(report.process, number, at, now)
@@ -334,20 +364,33 @@
         ask_first_ms = quota_messages.to_ms(
             max(0.0, ledger.ask_first_until - now)
         )
-        is_informed = now - standing.started_at >= self._bounds.window_s
+        answer = quota_messages.TeamAnswer(
+            found.team, ask_first_ms, is_informed=is_informed
+        )
         match verdict:
             case quota.Denied():
-                return quota_messages.TeamAnswer(
-                    found.team,
-                    ask_first_ms,
-                    quota_messages.to_ms(verdict.retry_after_s),
-                    verdict.count,
-                    verdict.limit,
-                    is_informed,
+                answer = msgspec.structs.replace(
+                    answer,
+                    retry_after_ms=quota_messages.to_ms(verdict.retry_after_s),
+                    count=verdict.count,
+                    limit=verdict.limit,
                 )
-        return quota_messages.TeamAnswer(
-            found.team, ask_first_ms, is_informed=is_informed
-        )
+        if found.wants_counted:
+            answer = msgspec.structs.replace(
+                answer, counted=_list_counted(ledger, now)
+            )
+        return answer
+
+    def _learn_if_due(self, name: core.TeamId, now: float) -> None:
+        """Ask what other keepers have counted, unless that is known.
+
+        A host that stands in asks as well.
+        """
+        if name in self._learned_at and not self._ranking.is_keeper(name):
+            return
+        if now - self._asked_at.get(name, -math.inf) >= LEARN_INTERVAL_S:
+            self._asked_at[name] = now
+            self._request_counted(name)
 
     def _notify_if_needed(
         self,
@@ -415,12 +458,12 @@
         keepers.
         """
         if self._ranking.is_keeper(team.team):
-            return quota.Standing(
-                started_at=max(
-                    self._started_at, self._ranking.get_kept_since(team.team)
-                ),
-                coverage=1.0,
+            since = max(
+                self._started_at, self._ranking.get_kept_since(team.team)
             )
+            if self._learned_at.get(team.team, -math.inf) >= since:
+                since = -math.inf
+            return quota.Standing(started_at=since, coverage=1.0)
         first = self._ranking.list_keepers(team.team)[0]
         self._heard_at = {
             key: at
@@ -433,3 +476,12 @@
             started_at=self._started_at,
             coverage=min(1.0, heard / max(1, len(zones))),
         )
+
+
+def _list_counted(
+    ledger: quota.TeamLedger, now: float
+) -> list[quota_messages.CountedRequest]:
+    return [
+        (process, number, quota_messages.to_ms(now - at))
+        for process, number, at in ledger.list_counted(now)
+    ]
