Log what a keeper of a quota learns; findings and operations

A host that copies what another keeper has counted changes what it believes: it logs `quota_learned` with the origin and the counts, and a scenario reads the line.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -107,6 +107,7 @@
       | hot  | <rate> |
     Then the quota of "hot" is never exceeded by more than the allowance
     And <outcome>
+    And the log says from whom a keeper of "hot" has learned what is counted
 
     Examples:
       | apart | load             | rate | outcome                                    |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -745,6 +745,21 @@
     assert changes[0]['limit'] == _get_limit(context, team), changes
 
 
+@then(
+    r'the log says from whom a keeper of "([^"]+)" has learned what is counted'
+)
+def check_learned(context, team):
+    lines = [json.loads(line) for line in context.gateway.log.lines]
+    learned = [line for line in lines if line['kind'] == 'quota_learned']
+    assert learned
+    keepers = _list_ranked(context, team)[: gateway.KEEPER_COUNT]
+    for line in learned:
+        assert line['team'] == team, line
+        assert line['origin'] in keepers, line
+        assert line['origin'] != line['host'], line
+        assert line['count'] >= line['copied'] > 0, line
+
+
 async def _scrape(context, name):
     """Return the values of a gateway's metrics, by their names and labels."""
     address = context.fleet.members[name].address
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -37,6 +37,7 @@
     SOURCE_FAILED = 'source_failed'
     SOURCE_RETURNED = 'source_returned'
     QUOTA_CHANGED = 'quota_changed'
+    QUOTA_LEARNED = 'quota_learned'
     REQUEST = 'request'
     UNREADABLE = 'unreadable'
     LINES_DROPPED = 'lines_dropped'
@@ -171,9 +172,15 @@
         'they admit a request of the team (`ask_first`), or admit requests by '
         'themselves and report them (`free`). `count` requests were admitted '
         'in the window, of `limit`. `coverage` is below 1 if this host stands '
-        "in for another one that part of the hosts can't reach.",
+        "in for keepers that part of the hosts can't reach.",
         ('team', 'standing', 'count', 'limit', 'coverage'),
     ),
+    LogKind.QUOTA_LEARNED: KindInfo(
+        'This host keeps the quota of `team`, or stands in for a keeper, and '
+        'has copied from `origin` what that one has counted: `copied` '
+        'requests. It counts `count` now.',
+        ('team', 'origin', 'copied', 'count'),
+    ),
     LogKind.QUARANTINE_SAVED: KindInfo(
         'Records of requests that have crashed upstreams were saved in the '
         'source, or removed from it; `written` and `removed` count them. They '
--- a/rudderrock/gateway/decisions/_quota_vote.py
+++ b/rudderrock/gateway/decisions/_quota_vote.py
@@ -33,8 +33,9 @@
 class KeeperVote:
     """The verdict of one keeper.
 
-    `is_informed` is whether it has kept the quota for a whole window, so that
-    it knows all requests that have been reported.
+    `is_informed` is whether it knows all requests that have been reported,
+    since it has kept the quota for a whole window or has copied what another
+    keeper has counted.
     """
 
     keeper: core.HostId
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -243,7 +243,7 @@
             )
             for reply in answer.teams if answer is not None else []:
                 if reply.is_informed and reply.counted is not None:
-                    self.owned.learn(team, reply.counted)
+                    self.owned.learn(team, reply.counted, each.host)
                     return
 
     def _request_counted(self, team: core.TeamId) -> None:
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_owner.py
@@ -1,6 +1,7 @@
 """Teams whose quotas this host keeps for all hosts."""
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -259,9 +260,10 @@
     def learn(
         self,
         name: core.TeamId,
-        counted: Iterable[quota_messages.CountedRequest],
+        counted: Collection[quota_messages.CountedRequest],
+        origin: core.HostId,
     ) -> None:
-        """Count what an informed keeper has counted."""
+        """Count what an informed keeper, `origin`, has counted."""
         now = self._clock.now()
         ledger = self._ledgers.get(name)
         if ledger is None:
@@ -269,6 +271,13 @@
         for process, number, age_ms in counted:
             ledger.record(process, number, now - age_ms / 1000, now)
         self._learned_at[name] = now
+        self._events.record(
+            event_kinds.LogKind.QUOTA_LEARNED,
+            team=name,
+            origin=origin,
+            copied=len(counted),
+            count=ledger.count(now),
+        )
 
     def list_teams(self) -> list[core.TeamId]:
         """Return the teams with a ledger."""
