--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -90,8 +90,8 @@
 @when(r'the owner of "([^"]+)" does not get new tables')
 def hold_table(context, team):
     owned = context.fleet.members[_get_owner(context, team)].process.quotas
-    context.held_tables = owned.owned._tables
-    owned.owned._tables = types.SimpleNamespace(
+    context.held_tables = owned.kept._tables
+    owned.kept._tables = types.SimpleNamespace(
         current=context.held_tables.current
     )
 
@@ -99,7 +99,7 @@
 @when(r'the owner of "([^"]+)" gets the table')
 def release_table(context, team):
     owner = context.fleet.members[_get_owner(context, team)]
-    owner.process.quotas.owned._tables = context.held_tables
+    owner.process.quotas.kept._tables = context.held_tables
 
 
 @when(r'the team "([^"]+)" leaves the table')
@@ -515,7 +515,7 @@
 @then(r'no gateway has asked an owner first')
 def check_not_asked(context):
     for name, member in context.fleet.members.items():
-        owns = member.process.quotas.owned.list_use()
+        owns = member.process.quotas.kept.list_use()
         assert owns or not member.process.quotas.asked, name
 
 
@@ -537,7 +537,7 @@
 
     for name, member in context.fleet.members.items():
         quotas = member.process.quotas
-        quotas.owned.check = lambda: calls.append('check')
+        quotas.kept.check = lambda: calls.append('check')
         quotas._report_once = record_report
         metrics = run(context, _scrape(context, name))
         assert not [key for key in metrics if 'quota' in key], metrics
@@ -558,7 +558,7 @@
     run(context, asyncio.sleep(0.2))
     owner = context.fleet.members[_get_owner(context, team)]
     uses = {
-        each.team: each.count for each in owner.process.quotas.owned.list_use()
+        each.team: each.count for each in owner.process.quotas.kept.list_use()
     }
     assert uses.get(team, 0) == int(count), uses
 
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -71,7 +71,7 @@
 from rudderrock.gateway.discovery._quarantine import QuarantineState
 from rudderrock.gateway.discovery._quarantine import Record as QuarantineRecord
 from rudderrock.gateway.discovery._quota_exchange import QuotaExchange
-from rudderrock.gateway.discovery._quota_owner import rank_hosts
+from rudderrock.gateway.discovery._quota_ranking import rank_hosts
 from rudderrock.gateway.discovery._registration import Registration
 from rudderrock.gateway.discovery._routing import IntakeLimits
 from rudderrock.gateway.discovery._routing import NO_VERSION
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -225,7 +225,7 @@
             'quota_reports_total': self.quotas.client.reports_sent,
             'quota_notices_total': self.quotas.client.notices_sent,
             'quota_unreported_age_seconds': self.quotas.unreported_age_s,
-            'quota_largest_excess': self.quotas.owned.largest_excess,
+            'quota_largest_excess': self.quotas.kept.largest_excess,
         }
 
     def _list_gauges(self) -> dict[str, float]:
--- a/rudderrock/gateway/_quota_metrics.py
+++ b/rudderrock/gateway/_quota_metrics.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from rudderrock.gateway.discovery import _quota_exchange as quota_exchange
-from rudderrock.gateway.discovery import _quota_owner as quota_owner
+from rudderrock.gateway.discovery import _quota_keeper as quota_keeper
 
 # Maximum number of teams with a label of their own; the others are summed.
 MAX_NAMED_TEAMS = 8
@@ -21,14 +21,14 @@
     counts = sorted(
         quotas.counts.items(), key=lambda each: (-sum(each[1]), each[0])
     )
-    owned = sorted(
-        quotas.owned.list_use(), key=lambda use: (-use.count, use.team)
+    kept = sorted(
+        quotas.kept.list_use(), key=lambda use: (-use.count, use.team)
     )
 
-    def list_owned(
-        get: Callable[[quota_owner.TeamUse], float],
+    def list_kept(
+        get: Callable[[quota_keeper.TeamUse], float],
     ) -> Iterable[tuple[str, float]]:
-        return ((use.team, get(use)) for use in owned)
+        return ((use.team, get(use)) for use in kept)
 
     return [
         *_format(
@@ -39,10 +39,10 @@
             'quota_refused_total',
             ((team, each.refused) for team, each in counts),
         ),
-        *_format('quota_used', list_owned(lambda use: use.count)),
-        *_format('quota_limit', list_owned(lambda use: use.limit)),
+        *_format('quota_used', list_kept(lambda use: use.count)),
+        *_format('quota_limit', list_kept(lambda use: use.limit)),
         *_format(
-            'quota_possible_error', list_owned(lambda use: use.unreported)
+            'quota_possible_error', list_kept(lambda use: use.unreported)
         ),
     ]
 
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -21,8 +21,9 @@
 from rudderrock.gateway.decisions import _quota_vote as quota_vote
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_client as quota_client
+from rudderrock.gateway.discovery import _quota_keeper as quota_keeper
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
-from rudderrock.gateway.discovery import _quota_owner as quota_owner
+from rudderrock.gateway.discovery import _quota_ranking as quota_ranking
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.http import _messages as messages
@@ -98,7 +99,7 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._spending: dict[core.TeamId, quota_spending.TeamSpending] = {}
-        self._ranking = quota_owner.KeeperRanking(hosts, clock)
+        self._ranking = quota_ranking.KeeperRanking(hosts, clock)
         self._heard_at = clock.now()
         self.client = quota_client.QuotaClient(hosts, clock)
         self._has_unreported = asyncio.Event()
@@ -108,7 +109,7 @@
         self._has_unannounced = asyncio.Event()
         self._unlearned: set[core.TeamId] = set()
         self._has_unlearned = asyncio.Event()
-        self.owned = quota_owner.OwnedTeams(
+        self.kept = quota_keeper.KeptTeams(
             self._process,
             bounds,
             hosts,
@@ -166,7 +167,7 @@
         return messages.Reply(200, [], quota_messages.encode(answer))
 
     def _handle(self, report: quota_messages.Report) -> quota_messages.Answer:
-        answer = self.owned.handle(report)
+        answer = self.kept.handle(report)
         if answer.teams:
             self._in_use.set()
         return answer
@@ -184,11 +185,11 @@
     @property
     def is_in_use(self) -> bool:
         """Return whether teams have quotas, or have had them of late."""
-        return self._in_use.is_set() or self.owned.has_quotas()
+        return self._in_use.is_set() or self.kept.has_quotas()
 
     def list_teams(self) -> set[core.TeamId]:
         """Return the teams about which this host keeps something."""
-        return {*self._spending, *self.owned.list_teams()}
+        return {*self._spending, *self.kept.list_teams()}
 
     @property
     def unreported_age_s(self) -> float:
@@ -243,7 +244,7 @@
             )
             for reply in answer.teams if answer is not None else []:
                 if reply.is_informed and reply.counted is not None:
-                    self.owned.learn(team, reply.counted, each.host)
+                    self.kept.learn(team, reply.counted, each.host)
                     return
 
     def _request_counted(self, team: core.TeamId) -> None:
@@ -255,7 +256,7 @@
         while True:
             await self._in_use.wait()
             await asyncio.sleep(CHECK_INTERVAL_S)
-            self.owned.check()
+            self.kept.check()
             self.client.close_unused()
             now = self._clock.now()
             for team, spending in list(self._spending.items()):
--- a/rudderrock/gateway/discovery/_quota_owner.py
+++ b/rudderrock/gateway/discovery/_quota_keeper.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
-from collections.abc import Iterable
-from collections.abc import Mapping
 import dataclasses
 import math
 
@@ -13,25 +11,18 @@
 from rudderrock.gateway import _events as event_kinds
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _quota as quota
-from rudderrock.gateway.decisions import _quota_vote as quota_vote
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
+from rudderrock.gateway.discovery import _quota_ranking as quota_ranking
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 
 # How long a report to a stand-in counts as a sign that a zone can't reach the
 # keepers, in seconds. As long as hosts skip a keeper, and some more.
 COVERAGE_PERIOD_S = 5.0
-# Number of hosts in rank that stand in, and of further ones in the own zone.
-MAX_STAND_INS = 1
-MAX_NEAR_STAND_INS = 1
 # Minimum time between attempts to learn what other keepers have counted, in
 # seconds.
 LEARN_INTERVAL_S = 0.5
-# How long earlier listings are kept, in seconds. Longer than any window.
-LISTING_RETENTION_S = 60.0
-# Maximum number of teams whose ranked hosts are kept.
-MAX_RANKED_TEAMS = 1024
 # Maximum number of processes whose clocks are remembered.
 MAX_CLOCKS = 4096
 # How long the fastest message from a process is the measure of the others, in
@@ -40,121 +31,6 @@
 CLOCK_PERIOD_S = 10.0
 
 
-_Listing = Mapping[core.HostId, fleet.HostEntry]
-
-
-class KeeperRanking:
-    """The hosts that keep the quotas of teams, by rendezvous hashing.
-
-    Hosts with the same listing compute the same order, so no election is
-    needed, and a host that joins or leaves moves only some teams. The keepers
-    of a team are in different zones if there are enough zones. A host that has
-    left the registry is ranked for some time more, since it may be alive.
-    """
-
-    def __init__(self, hosts: fleet.Fleet, clock: core.Clock):
-        self._hosts = hosts
-        self._clock = clock
-        self._ranked: dict[core.TeamId, list[fleet.HostEntry]] = {}
-        self._kept_since: dict[core.TeamId, float] = {}
-        self._listing = hosts.find_recent()
-        # Earlier listings, with the times at which they were replaced.
-        self._replaced: list[tuple[float, _Listing]] = []
-
-    def list_keepers(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        """Return the keepers of a team's quota, the first in rank first."""
-        return self._rank(team)[: quota_vote.KEEPER_COUNT]
-
-    def is_keeper(self, team: core.TeamId) -> bool:
-        """Return whether this host is a keeper of a team's quota."""
-        own = self._hosts.own.host
-        return any(each.host == own for each in self.list_keepers(team))
-
-    def list_stand_ins(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        """Return the hosts to ask if no majority of the keepers answers.
-
-        The last one is in this host's zone, which may be the only one that it
-        reaches.
-        """
-        others = self._rank(team)[quota_vote.KEEPER_COUNT :]
-        own = self._hosts.own
-        near = [
-            each for each in others[MAX_STAND_INS:] if each.zone == own.zone
-        ]
-        return others[:MAX_STAND_INS] + near[:MAX_NEAR_STAND_INS]
-
-    def list_candidates(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        """Return all hosts that this one may ask about a team."""
-        return self.list_keepers(team) + self.list_stand_ins(team)
-
-    def get_kept_since(self, team: core.TeamId) -> float:
-        """Return since when this host, a keeper now, has been one.
-
-        It is -inf if that is longer than listings are kept.
-        """
-        self._update_listing()
-        since = self._kept_since.get(team)
-        if since is None:
-            since = self._find_kept_since(team)
-            self._kept_since[team] = since
-        return since
-
-    def _find_kept_since(self, team: core.TeamId) -> float:
-        own = self._hosts.own.host
-        for replaced_at, listing in reversed(self._replaced):
-            keepers = rank_hosts(team, listing.values())[
-                : quota_vote.KEEPER_COUNT
-            ]
-            if all(each.host != own for each in keepers):
-                return replaced_at
-        return -math.inf
-
-    def _rank(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        self._update_listing()
-        found = self._ranked.get(team)
-        if found is None:
-            if len(self._ranked) >= MAX_RANKED_TEAMS:
-                self._ranked.clear()
-                self._kept_since.clear()
-            found = rank_hosts(team, self._listing.values())
-            self._ranked[team] = found
-        return found
-
-    def _update_listing(self) -> None:
-        """Rank anew if hosts have joined, or left long enough ago."""
-        listing = self._hosts.find_recent()
-        if listing is self._listing:
-            return
-        if listing == self._listing:
-            self._listing = listing
-            return
-        now = self._clock.now()
-        self._replaced = [
-            (at, earlier)
-            for at, earlier in self._replaced
-            if now - at < LISTING_RETENTION_S
-        ]
-        self._replaced.append((now, self._listing))
-        self._listing = listing
-        self._ranked.clear()
-        self._kept_since.clear()
-
-
-def rank_hosts(
-    team: core.TeamId, hosts: Iterable[fleet.HostEntry]
-) -> list[fleet.HostEntry]:
-    """Return the keepers of a team's quota and then the other hosts in rank.
-
-    The keepers are the first hosts in rank of different zones, and then of
-    zones that have one.
-    """
-    ranked = sorted(hosts, key=lambda each: fleet.rank_pair(team, each.host))
-    firsts = {each.zone: each for each in reversed(ranked)}
-    keepers = [each for each in ranked if firsts[each.zone] == each]
-    keepers = keepers[: quota_vote.KEEPER_COUNT]
-    return keepers + [each for each in ranked if each not in keepers]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class TeamUse:
     """Use of a team's quota: requests in the window, and the limit."""
@@ -189,7 +65,7 @@
         return min(self.smallest, self.earlier)
 
 
-class OwnedTeams:
+class KeptTeams:
     """Ledgers of the teams whose quota this host keeps, or stands in for.
 
     Parameters: `announce` is called with a team for which all hosts have to
@@ -202,7 +78,7 @@
         process: quota.ProcessId,
         bounds: quota.QuotaBounds,
         hosts: fleet.Fleet,
-        ranking: KeeperRanking,
+        ranking: quota_ranking.KeeperRanking,
         tables: sources.TableHolder,
         clock: core.Clock,
         events: log.EventLog,
