Soak: keep the stand-ins of each soak apart, and end its hosts with it

Cause: a soak that was terminated left its hosts running. Calls to the store have no request id.

Change: SIGTERM ends a soak together with its hosts. Store, upstreams and proxies listen in the network of the soak's hosts, and a network at which any host of another soak listens is passed over.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -110,3 +110,15 @@
   Scenario: a soak passes over a network that another program uses
     Given the network that a soak would use, with another program on its metrics port
     Then the soak uses another network
+
+  # Guards against hosts of another soak that call this one's stand-ins.
+  @sockets
+  Scenario: the stand-ins of a soak listen in the network of its hosts
+    Given the environment of a soak with 1 host
+    Then its store, upstreams and proxies listen in the network of the host
+
+  @sockets
+  Scenario: a soak that is terminated ends its hosts
+    Given a soak that runs with 2 hosts
+    When it receives SIGTERM
+    Then it ends, and so do its hosts
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -203,7 +203,7 @@
 
 
 def _find_free_address():
-    return f'127.0.0.1:{soak.find_port_range(1)}'
+    return f'127.0.0.1:{soak.find_port_range(1, "127.0.0.1")}'
 
 
 def _read_outcome(reply):
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -5,6 +5,7 @@
 import pathlib
 import random
 import socket
+import sys
 import tempfile
 
 from behave import given
@@ -18,6 +19,7 @@
 from rudderrock import soak
 from rudderrock import standins
 from rudderrock.soak import _checks as checks
+from rudderrock.soak import _environment as environment
 
 use_step_matcher('re')
 
@@ -338,3 +340,63 @@
 def check_other_network(context):
     found = soak.find_network(platform.METRICS_PORT, random.Random(1))
     assert found != context.network, found
+
+
+@given(r'the environment of a soak with (\d+) host')
+def open_environment(context, hosts):
+    folder = pathlib.Path(
+        context.stack.enter_context(tempfile.TemporaryDirectory())
+    )
+    log = context.stack.enter_context((folder / 'log').open('wb'))
+    context.environment = environment.Environment(folder, log)
+    opened = context.environment.open(int(hosts))
+    run(context, context.stack.enter_async_context(opened))
+
+
+@then(r'its store, upstreams and proxies listen in the network of the host')
+def check_network(context):
+    found = context.environment
+    network, _, _ = found.hosts[0].ip.rpartition('.')
+    addresses = [
+        *found.list_stand_in_addresses(),
+        *(each.proxy.address for each in found.hosts),
+        *(each.address for each in found.proxies.values()),
+    ]
+    assert len(addresses) > len(found.hosts) + 2 * len(found.proxies)
+    for ip, _ in addresses:
+        assert ip.rpartition('.')[0] == network, (ip, network)
+
+
+@given(r'a soak that runs with (\d+) hosts')
+def start_soak(context, hosts):
+    async def start():
+        context.soak = await asyncio.create_subprocess_exec(
+            *(sys.executable, '-m', 'rudderrock.programs.soak'),
+            *('run', '--hosts', hosts, '--length', '60'),
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        children = pathlib.Path(
+            f'/proc/{context.soak.pid}/task/{context.soak.pid}/children'
+        )
+        context.soak_hosts = []
+        while len(context.soak_hosts) < int(hosts):
+            await asyncio.sleep(0.1)
+            context.soak_hosts = children.read_text().split()
+
+    run(context, start())
+
+
+@when(r'it receives SIGTERM')
+def terminate_soak(context):
+    context.soak.terminate()
+
+
+@then(r'it ends, and so do its hosts')
+def check_hosts_ended(context):
+    assert run(context, context.soak.wait()) != 0
+    left = [
+        pid
+        for pid in context.soak_hosts
+        if pathlib.Path('/proc', pid).exists()
+    ]
+    assert not left, left
--- a/rudderrock/programs/soak.py
+++ b/rudderrock/programs/soak.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 import pathlib
 import secrets
+import signal
 import tempfile
 import time
 
@@ -85,7 +87,9 @@
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
         report = asyncio.run(
-            soak.run_seed(seed, length, hosts, path, lethal, returns)
+            _run_until_sigterm(
+                soak.run_seed(seed, length, hosts, path, lethal, returns)
+            )
         )
         if report.violations and keep is not None:
             keep.mkdir(parents=True, exist_ok=True)
@@ -94,6 +98,16 @@
     return report
 
 
+async def _run_until_sigterm(run: Awaitable[soak.Report]) -> soak.Report:
+    """Await a run; SIGTERM ends it together with its processes."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+    try:
+        return await run
+    except asyncio.CancelledError:
+        raise SystemExit(exits.Exit.FAILED) from None
+
+
 def main() -> None:
     """Parse the command line and run the program."""
     defopt.run({'run': run})
--- a/rudderrock/soak/_environment.py
+++ b/rudderrock/soak/_environment.py
@@ -76,7 +76,7 @@
             platform_standins.make_settings_file(
                 self.ip,
                 self.port,
-                f'127.0.0.1:{self.proxy.port}',
+                '%s:%d' % self.proxy.address,
                 name=f'host-{self.number}',
                 zone=zone,
                 stop_s=STOP_GRACE_S,
@@ -139,6 +139,8 @@
         self.moves: list[str] = []
         # Targets of requests that crash each upstream which runs them.
         self.lethal: frozenset[str] = frozenset()
+        # Address of all stand-ins, in the network of this soak's hosts.
+        self._ip = ''
         self._folder = folder
         self._log = log
         self._table_version = 0
@@ -154,17 +156,18 @@
     async def open(self, hosts: int):
         """Start store, upstreams and hosts; stop them at context exit."""
         async with contextlib.AsyncExitStack() as stack:
-            port = ports.find_port_range(1)
-            await self.store.start('127.0.0.1', port)
+            network = ports.find_network(platform.METRICS_PORT)
+            self._ip = f'{network}.{ports.STAND_IN_OCTET}'
+            port = ports.find_port_range(1, self._ip)
+            await self.store.start(self._ip, port)
             stack.push_async_callback(self.store.stop)
             self._stack = stack
             await self.add_service('once')
             await self.add_shards(SHARDS)
             await self.move_route()
-            network = ports.find_network(platform.METRICS_PORT)
             for number in range(hosts):
                 host = Host(number, network, self._folder, self._log)
-                await host.configure(('127.0.0.1', port))
+                await host.configure((self._ip, port))
                 stack.push_async_callback(host.close)
                 await host.start()
                 self.hosts.append(host)
@@ -172,6 +175,11 @@
             stack.push_async_callback(core.end_task, store_task)
             yield self
 
+    def list_stand_in_addresses(self) -> list[tuple[str, int]]:
+        """Return the addresses of the store and of all upstreams."""
+        found = [self.store, *self.upstreams.values()]
+        return [each.address for each in found]
+
     async def add_upstream(self, service: str, zone: str) -> None:
         """Start one upstream behind a proxy and register it."""
         self._upstream_count += 1
@@ -183,12 +191,12 @@
             work_s=0.01,
         )
         # The upstream stops listening when it plays a crash.
-        reserved = ports.reserve_port()
+        reserved = ports.reserve_port(self._ip)
         self._stack.callback(reserved.close)
         port = reserved.getsockname()[1]
-        await upstream.start('127.0.0.1', port)
+        await upstream.start(self._ip, port)
         self._stack.push_async_callback(upstream.stop)
-        upstream_proxy = proxy.Proxy(('127.0.0.1', port))
+        upstream_proxy = proxy.Proxy((self._ip, port))
         await upstream_proxy.start()
         self._stack.push_async_callback(upstream_proxy.stop)
         upstream.lethal = self.lethal
@@ -206,7 +214,7 @@
         """Write an upstream's entry."""
         raw = platform_standins.make_server(
             self.services[name],
-            f'127.0.0.1:{self.proxies[name].port}',
+            '%s:%d' % self.proxies[name].address,
             zone,
             state,
             sequence,
--- a/rudderrock/soak/_proxy.py
+++ b/rudderrock/soak/_proxy.py
@@ -15,7 +15,10 @@
 
 
 class Proxy:
-    """Forwards connections to one address and can inject a fault."""
+    """Forwards connections to one address and can inject a fault.
+
+    It listens on another port of the same host.
+    """
 
     def __init__(self, target: tuple[str, int]):
         self.fault = plan.ProxyFault.NONE
@@ -27,15 +30,20 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address at which the proxy listens."""
+        return self._target[0], self.port
+
     async def start(self) -> None:
-        """Listen on a loopback port, which the proxy keeps until `stop`."""
-        self._reserved = ports.reserve_port()
+        """Listen on a port, which the proxy keeps until `stop`."""
+        self._reserved = ports.reserve_port(self._target[0])
         self.port = self._reserved.getsockname()[1]
         await self._listen()
 
     async def _listen(self) -> None:
         self._server = await asyncio.start_server(
-            self._on_connection, '127.0.0.1', self.port
+            self._on_connection, *self.address
         )
 
     async def stop(self) -> None:
--- a/rudderrock/standins/_wire_server.py
+++ b/rudderrock/standins/_wire_server.py
@@ -48,7 +48,7 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self._silent: set[asyncio.Task] = set()
-        self._address = ('', 0)
+        self.address = ('', 0)
         self._restart: asyncio.Task | None = None
 
     async def serve(self, reader, writer) -> None:
@@ -57,7 +57,7 @@
 
     async def start(self, ip: str, port: int) -> None:
         """Start to listen at an address."""
-        self._address = (ip, port)
+        self.address = (ip, port)
         self._server = await asyncio.start_server(
             self._on_connection, ip, port
         )
@@ -83,7 +83,7 @@
 
     async def _restart_listening(self, down_s: float) -> None:
         await asyncio.sleep(down_s)
-        await self.start(*self._address)
+        await self.start(*self.address)
 
     def _stop_listening(self) -> None:
         if self._server is not None:
