Retrieve the reset of a connection in a test's server

The exception that reading raised refers to frames that hold the connection, and in such a cycle the outcome may be reported before the connection marks it as seen.

Change: the server waits for the end of the connection. The check for unhandled errors is as it was.

--- a/features/steps/replies.py
+++ b/features/steps/replies.py
@@ -100,6 +100,9 @@
                 context.sent_bytes += len(portion)
             await reader.read()
         writer.transport.abort()
+        # The client has reset the connection if it has not read everything.
+        with contextlib.suppress(OSError):
+            await writer.wait_closed()
 
     is_virtual = isinstance(context.loop, async_solipsism.EventLoop)
     address = _ADDRESS if is_virtual else ('127.0.0.1', 0)
