--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -164,6 +164,34 @@
       | 45   | hot              | 94   | "hot" has run at least 0.8 times its quota |
       | 5    | within its quota | 18   | no request of "hot" is refused             |
 
+  # Guards against a majority of keepers that slept through the same requests.
+  Scenario Outline: two keepers of a team freeze together <before> s into a hot load, and wake after <away> s
+    Given 6 gateways with the teams
+      | team | rate | burst |
+      | hot  | 20   | 20    |
+    When these teams send for 6 seconds
+      | team | rate |
+      | hot  | 12.5 |
+    And these teams send for <before> seconds
+      | team | rate |
+      | hot  | 94   |
+    And two keepers of "hot" are frozen
+    And these teams send for <away> seconds
+      | team | rate |
+      | hot  | 94   |
+    And the frozen gateways wake
+    And these teams send for 8 seconds
+      | team | rate |
+      | hot  | 94   |
+    Then the quota of "hot" is never exceeded by more than the allowance
+    And "hot" has run at least 0.6 times its quota
+
+    Examples:
+      | before | away |
+      | 2      | 2    |
+      | 6      | 4    |
+      | 6      | 4.8  |
+
   Scenario: the owner of a team within its quota is killed and starts again
     Given 6 gateways with the teams
       | team | rate | burst |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -205,13 +205,24 @@
 
 @when(r'the owner of "([^"]+)" is frozen')
 def freeze_owner(context, team):
-    context.frozen = context.fleet.members[_get_owner(context, team)]
-    run(context, context.frozen.simulate_freeze())
+    _freeze(context, _list_ranked(context, team)[:1])
 
 
-@when(r'the frozen gateway wakes')
+@when(r'two keepers of "([^"]+)" are frozen')
+def freeze_two(context, team):
+    _freeze(context, _list_ranked(context, team)[:2])
+
+
+def _freeze(context, hosts):
+    context.frozen = [context.fleet.members[host] for host in hosts]
+    for each in context.frozen:
+        run(context, each.simulate_freeze())
+
+
+@when(r'the frozen gateways? wakes?')
 def wake_frozen(context):
-    run(context, context.frozen.simulate_wake())
+    for each in context.frozen:
+        run(context, each.simulate_wake())
 
 
 @when(r'the source is down for (\d+) seconds and loses all hosts')
