Decide in one place whether a keeper is informed

The ledger and the handler of reports each compared the age of a standing with the window; it is a method of the standing now. Learning sends its question as all others do, and finds its answer as they do. The server that a woken gateway opens in a test is closed by the scenario's exit stack.

--- a/features/gateway_bench.py
+++ b/features/gateway_bench.py
@@ -324,9 +324,6 @@
     hosts: gateway.Fleet
     task: asyncio.Task
     silent_server: asyncio.Server | None = None
-    stack: contextlib.AsyncExitStack = dataclasses.field(
-        default_factory=contextlib.AsyncExitStack
-    )
 
     def hang_peer_requests(self) -> None:
         """Delay replies to peers by an hour, as if their handler hung."""
@@ -354,12 +351,12 @@
             asyncio.Protocol, self.address, _PORT + 3
         )
 
-    async def simulate_wake(self) -> None:
-        """Reply to peers again after a simulated freeze."""
+    async def simulate_wake(self, stack: contextlib.AsyncExitStack) -> None:
+        """Reply to peers again after a freeze, until `stack` is closed."""
         self.abort_peer_connections()
         self.silent_server.close()
         self.silent_server = None
-        await self.stack.enter_async_context(
+        await stack.enter_async_context(
             self.process.peers.listen(self.address, _PORT + 3)
         )
 
--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -164,7 +164,7 @@
       | 45   | hot              | 94   | "hot" has run at least 0.8 times its quota |
       | 5    | within its quota | 18   | no request of "hot" is refused             |
 
-  # Guards against a majority of keepers that slept through the same requests.
+  # Guards against a majority of keepers that were frozen during the same requests.
   Scenario Outline: two keepers of a team freeze together <before> s into a hot load, and wake after <away> s
     Given 6 gateways with the teams
       | team | rate | burst |
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -222,7 +222,7 @@
 @when(r'the frozen gateways? wakes?')
 def wake_frozen(context):
     for each in context.frozen:
-        run(context, each.simulate_wake())
+        run(context, each.simulate_wake(context.stack))
 
 
 @when(r'the source is down for (\d+) seconds and loses all hosts')
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -142,6 +142,10 @@
     started_at: float = -math.inf
     coverage: float = 1.0
 
+    def is_informed(self, now: float, bounds: QuotaBounds) -> bool:
+        """Return whether all requests of the window have been reported."""
+        return now - self.started_at >= bounds.window_s
+
 
 class TeamLedger:
     """The requests of one team in the last window, as a keeper knows them.
@@ -293,9 +297,9 @@
         the window, it admits the rate of the quota and the part of the
         allowance that needs no knowledge, but not another burst.
         """
-        age_s = now - standing.started_at
-        if age_s >= self._bounds.window_s:
+        if standing.is_informed(now, self._bounds):
             return math.inf
+        age_s = now - standing.started_at
         initial = max(1.0, self._bounds.get_unknown_limit(team))
         allowed = initial + team.quota_per_s * age_s
         return allowed - self._count_since(standing.started_at)
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -235,17 +235,14 @@
         """Count what the first informed keeper that answers has counted."""
         found = quota_messages.TeamReport(team, wants_counted=True)
         for each in self._ranking.list_keepers(team):
-            if each.host == self._hosts.own.host:
+            is_own = each.host == self._hosts.own.host
+            if is_own or self.client.is_skipped(each.host):
                 continue
-            if self.client.is_skipped(each.host):
-                continue
-            answer = await self.client.call(
-                each, self._make_report([found]), REPORT_TIMEOUT_S
-            )
-            for reply in answer.teams if answer is not None else []:
-                if reply.is_informed and reply.counted is not None:
-                    self.kept.learn(team, reply.counted, each.host)
-                    return
+            answer = await self._send(each, [found], REPORT_TIMEOUT_S)
+            reply = _find_team(answer, team)
+            if reply is not None and reply.is_informed:
+                self.kept.learn(team, reply.counted or [], each.host)
+                return
 
     def _request_counted(self, team: core.TeamId) -> None:
         self._unlearned.add(team)
@@ -379,11 +376,7 @@
         )
         question.counted_by.add(host.host)
         answer = await self._send(host, [found], ASK_TIMEOUT_S)
-        if answer is None:
-            return None
-        reply = next(
-            (each for each in answer.teams if each.team == team), None
-        )
+        reply = _find_team(answer, team)
         if reply is None:
             return None
         verdict: quota.Verdict = quota.Granted()
@@ -504,3 +497,11 @@
         for team in {*self._spending, *self.counts} - listed:
             self._spending.pop(team, None)
             self.counts.pop(team, None)
+
+
+def _find_team(
+    answer: quota_messages.Answer | None, team: core.TeamId
+) -> quota_messages.TeamAnswer | None:
+    """Return the part of an answer that is about a team, if any."""
+    found = [] if answer is None else answer.teams
+    return next((each for each in found if each.team == team), None)
--- a/rudderrock/gateway/discovery/_quota_keeper.py
+++ b/rudderrock/gateway/discovery/_quota_keeper.py
@@ -232,7 +232,7 @@
             self._ledgers[found.team] = ledger
         self._record_zone(team, report.host, now)
         standing = self._get_standing(team, now)
-        is_informed = now - standing.started_at >= self._bounds.window_s
+        is_informed = standing.is_informed(now, self._bounds)
         if not (is_informed and standing.coverage >= 1.0):
             self._learn_if_due(team.team, now)
         for number, age_ms in found.admitted:
