Name the hosts that decide about a quota by the field's terms

Hosts that take part in a majority are voters, and the host that is asked when there is none is a fallback. `stand-in` means a test double elsewhere in this project, and `keeper` is no term of the field.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -58,7 +58,7 @@
       | killed | within its quota | 9    | no request of "hot" is refused              |
       | frozen | within its quota | 9    | no request of "hot" is refused              |
 
-  # Guards against two hosts that act as the only keeper of a quota.
+  # Guards against two hosts that act as the only voter of a quota.
   Scenario Outline: the owner of a team is killed <before> s into a hot load, and is back after <away> s
     Given 6 gateways with the teams
       | team | rate | burst |
@@ -88,8 +88,8 @@
       | 4.5    | 0.5  |
       | 4.5    | 5    |
 
-  # Guards against keepers that restart one after another and forget the window.
-  Scenario Outline: the keepers of a team are killed one after another, <apart> s apart, while it is <load>
+  # Guards against voters that restart one after another and forget the window.
+  Scenario Outline: the voters of a team are killed one after another, <apart> s apart, while it is <load>
     Given 6 gateways with the teams
       | team | rate | burst |
       | hot  | 20   | 20    |
@@ -99,7 +99,7 @@
     And these teams send for 2 seconds
       | team | rate   |
       | hot  | <rate> |
-    And each keeper of "hot" is killed, back after 0.5 seconds, and the next one <apart> seconds later, with this load
+    And each voter of "hot" is killed, back after 0.5 seconds, and the next one <apart> seconds later, with this load
       | team | rate   |
       | hot  | <rate> |
     And these teams send for 8 seconds
@@ -107,7 +107,7 @@
       | hot  | <rate> |
     Then the quota of "hot" is never exceeded by more than the allowance
     And <outcome>
-    And the log says from whom a keeper of "hot" has learned what is counted
+    And the log says from whom a voter of "hot" has learned what is counted
 
     Examples:
       | apart | load             | rate | outcome                                    |
@@ -116,7 +116,7 @@
       | 2     | hot              | 94   | "hot" has run at least 0.8 times its quota |
       | 1     | within its quota | 18   | no request of "hot" is refused             |
 
-  # Guards against a keeper that missed what others counted while it was frozen.
+  # Guards against a voter that missed what others counted while it was frozen.
   Scenario Outline: the owner of a team freezes <before> s into a hot load, and wakes after <away> s
     Given 6 gateways with the teams
       | team | rate | burst |
@@ -164,8 +164,8 @@
       | 45   | hot              | 94   | "hot" has run at least 0.8 times its quota |
       | 5    | within its quota | 18   | no request of "hot" is refused             |
 
-  # Guards against a majority of keepers that were frozen during the same requests.
-  Scenario Outline: two keepers of a team freeze together <before> s into a hot load, and wake after <away> s
+  # Guards against a majority of voters that were frozen during the same requests.
+  Scenario Outline: two voters of a team freeze together <before> s into a hot load, and wake after <away> s
     Given 6 gateways with the teams
       | team | rate | burst |
       | hot  | 20   | 20    |
@@ -175,7 +175,7 @@
     And these teams send for <before> seconds
       | team | rate |
       | hot  | 94   |
-    And two keepers of "hot" are frozen
+    And two voters of "hot" are frozen
     And these teams send for <away> seconds
       | team | rate |
       | hot  | 94   |
@@ -304,32 +304,32 @@
       | hot  | 20   |
     Then none of the last 60 requests of "hot" is refused
 
-  Scenario: a stand-in refuses what two keepers have counted without an answer
+  Scenario: a fallback refuses what two voters have counted without an answer
     Given 6 gateways that allow no overshoot with the teams
       | team | rate | burst |
       | any  | 1    | 3     |
-    When the answers of the first 2 keepers of "any" are lost
+    When the answers of the first 2 voters of "any" are lost
     And the team "any" sends 1 request to the last host in rank
     Then the owner of "any" counts 1 requests
-    When all keepers answer again
+    When all voters answer again
     And 3.2 seconds pass
     And the team "any" sends 1 request to the last host in rank
     Then the owner of "any" counts 1 requests
 
-  Scenario: a request that one keeper has counted without an answer runs
+  Scenario: a request that one voter has counted without an answer runs
     Given 6 gateways that allow no overshoot with the teams
       | team | rate | burst |
       | any  | 1    | 3     |
-    When the answers of the first 1 keeper of "any" are lost
+    When the answers of the first 1 voter of "any" are lost
     And the team "any" sends 1 request to the last host in rank
     Then no request of "any" is refused
     And the owner of "any" counts 1 requests
 
-  Scenario: a stand-in that hears of one zone does not count its own
+  Scenario: a fallback that hears of one zone does not count its own
     Given 6 gateways with the teams
       | team | rate | burst |
       | hot  | 10   | 40    |
-    When a host of another zone asks the first stand-in for "hot" 40 times in 4 seconds
+    When a host of another zone asks the first fallback for "hot" 40 times in 4 seconds
     Then it admits 14 requests, which need no knowledge of others
 
   Scenario: the owner of a team learns of its quota after the other hosts
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -190,11 +190,11 @@
 
 
 @when(
-    r'each keeper of "([^"]+)" is killed, back after ([\d.]+) seconds, and '
+    r'each voter of "([^"]+)" is killed, back after ([\d.]+) seconds, and '
     r'the next one ([\d.]+) seconds later, with this load'
 )
-def restart_keepers(context, team, away_s, apart_s):
-    for host in _list_ranked(context, team)[: gateway.KEEPER_COUNT]:
+def restart_voters(context, team, away_s, apart_s):
+    for host in _list_ranked(context, team)[: gateway.VOTER_COUNT]:
         context.killed = host
         context.killed_zone = context.fleet.members[host].hosts.own.zone
         run(context, context.fleet.kill(host))
@@ -208,7 +208,7 @@
     _freeze(context, _list_ranked(context, team)[:1])
 
 
-@when(r'two keepers of "([^"]+)" are frozen')
+@when(r'two voters of "([^"]+)" are frozen')
 def freeze_two(context, team):
     _freeze(context, _list_ranked(context, team)[:2])
 
@@ -287,15 +287,15 @@
     peers.handle = handle_earlier
 
 
-@when(r'the answers of the first (\d+) keepers? of "([^"]+)" are lost')
+@when(r'the answers of the first (\d+) voters? of "([^"]+)" are lost')
 def lose_answers(context, count, team):
     context.unanswered = set(context.fleet.members)
     for host in _list_ranked(context, team)[: int(count)]:
-        keeper = context.fleet.members[host]
-        _drop_answers(keeper, context.unanswered.__contains__)
+        voter = context.fleet.members[host]
+        _drop_answers(voter, context.unanswered.__contains__)
 
 
-@when(r'all keepers answer again')
+@when(r'all voters answer again')
 def answer_again(context):
     context.unanswered.clear()
 
@@ -589,16 +589,16 @@
 
 
 @when(
-    r'a host of another zone asks the first stand-in for "([^"]+)" '
+    r'a host of another zone asks the first fallback for "([^"]+)" '
     r'(\d+) times in (\d+) seconds'
 )
-def ask_stand_in(context, team, count, seconds):
+def ask_fallback(context, team, count, seconds):
     members = context.fleet.members
-    stand_in = members[_list_ranked(context, team)[gateway.KEEPER_COUNT]]
+    fallback = members[_list_ranked(context, team)[gateway.VOTER_COUNT]]
     sender = next(
         name
         for name, each in members.items()
-        if each.hosts.own.zone != stand_in.hosts.own.zone
+        if each.hosts.own.zone != fallback.hosts.own.zone
     )
     context.granted = 0
     for number in range(int(count)):
@@ -606,7 +606,7 @@
         teams = [[team, [], [], number]]
         body = json.dumps(['p1', sender, sent_ms, teams]).encode()
         request = gateway.Request(b'POST', b'/v1/quota/report', [], body, 0.0)
-        reply = stand_in.process.quotas.handle_report(request)
+        reply = fallback.process.quotas.handle_report(request)
         retry_after_ms = json.loads(reply.body)[1][0][2]
         context.granted += retry_after_ms is None
         run(context, asyncio.sleep(float(seconds) / int(count)))
@@ -749,24 +749,24 @@
         for line in lines
         if line['kind'] == 'quota_changed' and line['team'] == team
     ]
-    keepers = {each['host'] for each in changes}
-    assert len(keepers) == gateway.KEEPER_COUNT, changes
-    assert _get_owner(context, team) in keepers, changes
+    voters = {each['host'] for each in changes}
+    assert len(voters) == gateway.VOTER_COUNT, changes
+    assert _get_owner(context, team) in voters, changes
     assert changes[0]['standing'] == 'ask_first', changes
     assert changes[0]['limit'] == _get_limit(context, team), changes
 
 
 @then(
-    r'the log says from whom a keeper of "([^"]+)" has learned what is counted'
+    r'the log says from whom a voter of "([^"]+)" has learned what is counted'
 )
 def check_learned(context, team):
     lines = [json.loads(line) for line in context.gateway.log.lines]
     learned = [line for line in lines if line['kind'] == 'quota_learned']
     assert learned
-    keepers = _list_ranked(context, team)[: gateway.KEEPER_COUNT]
+    voters = _list_ranked(context, team)[: gateway.VOTER_COUNT]
     for line in learned:
         assert line['team'] == team, line
-        assert line['origin'] in keepers, line
+        assert line['origin'] in voters, line
         assert line['origin'] != line['host'], line
         assert line['count'] >= line['copied'] > 0, line
 
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -27,7 +27,7 @@
 from rudderrock.gateway.decisions._quota import Standing
 from rudderrock.gateway.decisions._quota import TeamLedger
 from rudderrock.gateway.decisions._quota_spending import TeamSpending
-from rudderrock.gateway.decisions._quota_vote import KEEPER_COUNT
+from rudderrock.gateway.decisions._quota_vote import VOTER_COUNT
 from rudderrock.gateway.decisions._repeats import get_wait_limit_s
 from rudderrock.gateway.decisions._repeats import RefusedRequests
 from rudderrock.gateway.decisions._repeats import RepeatKind
@@ -168,7 +168,6 @@
     'InForce',
     'InitialSync',
     'IntakeLimits',
-    'KEEPER_COUNT',
     'KIND_INFO',
     'KeyDigest',
     'Known',
@@ -239,6 +238,7 @@
     'Unavailable',
     'UpstreamReading',
     'Verdict',
+    'VOTER_COUNT',
     'WaitingAttempt',
     'Within',
     'classify_outcome',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -172,11 +172,11 @@
         'they admit a request of the team (`ask_first`), or admit requests by '
         'themselves and report them (`free`). `count` requests were admitted '
         'in the window, of `limit`. `coverage` is below 1 if this host stands '
-        "in for keepers that part of the hosts can't reach.",
+        "in for voters that part of the hosts can't reach.",
         ('team', 'standing', 'count', 'limit', 'coverage'),
     ),
     LogKind.QUOTA_LEARNED: KindInfo(
-        'This host keeps the quota of `team`, or stands in for a keeper, and '
+        'This host keeps the quota of `team`, or stands in for a voter, and '
         'has copied from `origin` what that one has counted: `copied` '
         'requests. It counts `count` now.',
         ('team', 'origin', 'copied', 'count'),
--- a/rudderrock/gateway/_quota_metrics.py
+++ b/rudderrock/gateway/_quota_metrics.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 from rudderrock.gateway.discovery import _quota_exchange as quota_exchange
-from rudderrock.gateway.discovery import _quota_keeper as quota_keeper
+from rudderrock.gateway.discovery import _quota_voter as quota_voter
 
 # Maximum number of teams with a label of their own; the others are summed.
 MAX_NAMED_TEAMS = 8
@@ -26,7 +26,7 @@
     )
 
     def list_kept(
-        get: Callable[[quota_keeper.TeamUse], float],
+        get: Callable[[quota_voter.TeamUse], float],
     ) -> Iterable[tuple[str, float]]:
         return ((use.team, get(use)) for use in kept)
 
--- a/rudderrock/gateway/decisions/_quota.py
+++ b/rudderrock/gateway/decisions/_quota.py
@@ -7,7 +7,7 @@
 
 Some hosts keep the quota of a team and count its requests (`TeamLedger`). All
 hosts admit requests by themselves and report them (`TeamSpending`), until a
-keeper tells them to ask first. Requests that are admitted before that reaches
+voter tells them to ask first. Requests that are admitted before that reaches
 all hosts may exceed the quota; the allowance, which is the overage and the
 slack of the settings, covers them.
 """
@@ -39,7 +39,7 @@
 ASK_FIRST_S = 10.0
 # A notice that ends sooner than this is renewed while there is little room.
 RENEWAL_MARGIN_S = 2.0
-# Fraction of the deployment from which on a host that stands in for keepers
+# Fraction of the deployment from which on a host that stands in for voters
 # takes them to be gone.
 MAJORITY = 0.5
 # Shortest time after which a refused request should return, in seconds.
@@ -131,12 +131,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Standing:
-    """What a keeper of a quota knows about its own position.
+    """What a voter of a quota knows about its own position.
 
-    `started_at` is when its process started, or when it became a keeper: what
+    `started_at` is when its process started, or when it became a voter: what
     hosts admitted before may be unknown. `coverage` is the fraction of the
-    deployment that reports to this host: 1 for a keeper, and less for a host
-    that stands in for keepers that some hosts may still reach.
+    deployment that reports to this host: 1 for a voter, and less for a host
+    that stands in for voters that some hosts may still reach.
     """
 
     started_at: float = -math.inf
@@ -148,10 +148,10 @@
 
 
 class TeamLedger:
-    """The requests of one team in the last window, as a keeper knows them.
+    """The requests of one team in the last window, as a voter knows them.
 
     Only their times matter, so reports may arrive in any order, and a host
-    that becomes a keeper needs to be told only of the last window.
+    that becomes a voter needs to be told only of the last window.
 
     Each request is identified by the process that admitted it and a number,
     so that a report which arrives twice counts once. A request that was given
@@ -273,10 +273,10 @@
     def _get_limit(self, team: teams.Team, standing: Standing) -> float:
         """Return the number of requests allowed in the window.
 
-        The keepers may be admitting the whole quota to others, so a host that
+        The voters may be admitting the whole quota to others, so a host that
         stands in for them admits only what needs no knowledge. One that hears
         of most of the deployment admits that fraction of the quota, as the
-        keepers are probably gone.
+        voters are probably gone.
         """
         limit = self._bounds.get_limit(team) + self._bounds.get_jitter(team)
         # A quota below one request would never admit any.
--- a/rudderrock/gateway/decisions/_quota_spending.py
+++ b/rudderrock/gateway/decisions/_quota_spending.py
@@ -25,7 +25,7 @@
 class TeamSpending:
     """The requests of one team that this host has admitted.
 
-    They are kept for one window, so that a host that becomes a keeper of the
+    They are kept for one window, so that a host that becomes a voter of the
     quota, or whose process starts again, can be told of them.
     """
 
@@ -39,7 +39,7 @@
     def may_admit(
         self,
         team: teams.Team,
-        keepers: Collection[core.HostId],
+        voters: Collection[core.HostId],
         hosts: int,
         now: float,
     ) -> bool:
@@ -47,7 +47,7 @@
         if now < self.ask_first_until:
             return False
         limit = self._bounds.get_unreported_limit(team, hosts)
-        return self._count_unreported(keepers) < limit
+        return self._count_unreported(voters) < limit
 
     def may_admit_isolated(
         self, team: teams.Team, hosts: int, now: float
@@ -65,7 +65,7 @@
         )
 
     def record(self, number: int, now: float) -> None:
-        """Remember a request that has to be reported to all keepers."""
+        """Remember a request that has to be reported to all voters."""
         self._prune(now)
         self._admitted[number] = now
         self._add_unreported(number)
@@ -125,12 +125,12 @@
         return len(self._admitted)
 
     def get_report_age_s(
-        self, keepers: Collection[core.HostId], now: float
+        self, voters: Collection[core.HostId], now: float
     ) -> float:
-        """Return the age of the oldest request that some keeper lacks."""
+        """Return the age of the oldest request that some voter lacks."""
         times = (
             self._admitted.get(number, now)
-            for host in keepers
+            for host in voters
             for number in self._get_recipient(host).unreported
         )
         return now - min(times, default=now)
@@ -152,10 +152,10 @@
         for host in self._recipients.keys() - hosts:
             del self._recipients[host]
 
-    def _count_unreported(self, keepers: Collection[core.HostId]) -> int:
-        """Return how many requests a majority of the keepers may lack."""
+    def _count_unreported(self, voters: Collection[core.HostId]) -> int:
+        """Return how many requests a majority of the voters may lack."""
         counts = sorted(
-            len(self._get_recipient(host).unreported) for host in keepers
+            len(self._get_recipient(host).unreported) for host in voters
         )
         return counts[quota_vote.get_majority(len(counts)) - 1]
 
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -23,7 +23,7 @@
 
 
 class QuotaClient:
-    """Sends reports to the keepers of quotas, and notices to all hosts."""
+    """Sends reports to the voters of quotas, and notices to all hosts."""
 
     def __init__(self, hosts: fleet.Fleet, clock: core.Clock):
         self.reports_sent = 0
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -1,7 +1,7 @@
 """Admission of requests within the quotas of teams.
 
-A host admits most requests by itself and reports them to the keepers of the
-team's quota within `REPORT_DELAY_S`. It asks the keepers first while the team
+A host admits most requests by itself and reports them to the voters of the
+team's quota within `REPORT_DELAY_S`. It asks the voters first while the team
 has little room left, and a request runs if a majority of them grants it. If no
 majority answers, the host turns to one that stands in for the others, and if
 nobody answers, it admits a small number by itself.
@@ -21,9 +21,9 @@
 from rudderrock.gateway.decisions import _quota_vote as quota_vote
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quota_client as quota_client
-from rudderrock.gateway.discovery import _quota_keeper as quota_keeper
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.discovery import _quota_ranking as quota_ranking
+from rudderrock.gateway.discovery import _quota_voter as quota_voter
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 from rudderrock.gateway.http import _messages as messages
@@ -31,7 +31,7 @@
 # Time for which reports are collected before they are sent, in seconds.
 REPORT_DELAY_S = 0.03
 # Timeout of a question, in seconds, while a caller waits: a round trip of
-# 20 ms with a new connection, and a busy core at the keeper.
+# 20 ms with a new connection, and a busy core at the voter.
 ASK_TIMEOUT_S = 0.15
 # Timeout of reports and notices, in seconds, for which nobody waits.
 REPORT_TIMEOUT_S = 0.5
@@ -99,7 +99,7 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._spending: dict[core.TeamId, quota_spending.TeamSpending] = {}
-        self._ranking = quota_ranking.KeeperRanking(hosts, clock)
+        self._ranking = quota_ranking.VoterRanking(hosts, clock)
         self._heard_at = clock.now()
         self.client = quota_client.QuotaClient(hosts, clock)
         self._has_unreported = asyncio.Event()
@@ -109,7 +109,7 @@
         self._has_unannounced = asyncio.Event()
         self._unlearned: set[core.TeamId] = set()
         self._has_unlearned = asyncio.Event()
-        self.kept = quota_keeper.KeptTeams(
+        self.kept = quota_voter.KeptTeams(
             self._process,
             bounds,
             hosts,
@@ -140,15 +140,15 @@
     async def _decide(self, team: teams.Team) -> Permit | Refusal:
         now = self._clock.now()
         number = next(self._numbers)
-        keepers = self._ranking.list_keepers(team.team)
-        hosts = [each.host for each in keepers]
+        voters = self._ranking.list_voters(team.team)
+        hosts = [each.host for each in voters]
         if hosts != [self._hosts.own.host]:
             spending = self._get_spending(team.team)
             if spending.may_admit(team, hosts, self._hosts.count(), now):
                 spending.record(number, now)
                 self._has_unreported.set()
                 return Permit(team.team, number)
-        return await self._ask(team, keepers, number)
+        return await self._ask(team, voters, number)
 
     def give_back(self, permit: Permit) -> None:
         """Withdraw a request that has not run; only once for each permit."""
@@ -173,7 +173,7 @@
         return answer
 
     def handle_notice(self, request: messages.Request) -> messages.Reply:
-        """Ask first for the teams in a notice of a keeper."""
+        """Ask first for the teams in a notice of a voter."""
         try:
             notice = quota_messages.decode_notice(request.body)
         except msgspec.DecodeError as error:
@@ -193,18 +193,18 @@
 
     @property
     def unreported_age_s(self) -> float:
-        """Return the age of the oldest request that some keeper lacks."""
+        """Return the age of the oldest request that some voter lacks."""
         now = self._clock.now()
         return max(
             (
-                spending.get_report_age_s(self._list_keepers(team), now)
+                spending.get_report_age_s(self._list_voters(team), now)
                 for team, spending in self._spending.items()
             ),
             default=0.0,
         )
 
     async def report(self) -> None:
-        """Report admitted requests to the keepers until cancelled."""
+        """Report admitted requests to the voters until cancelled."""
         while True:
             await self._has_unreported.wait()
             await asyncio.sleep(REPORT_DELAY_S)
@@ -224,7 +224,7 @@
             await self.client.send_notice(notice)
 
     async def learn(self) -> None:
-        """Ask other keepers what they have counted, until cancelled."""
+        """Ask other voters what they have counted, until cancelled."""
         while True:
             await self._has_unlearned.wait()
             self._has_unlearned.clear()
@@ -232,9 +232,9 @@
             await asyncio.gather(*(self._learn(team) for team in unlearned))
 
     async def _learn(self, team: core.TeamId) -> None:
-        """Count what the first informed keeper that answers has counted."""
+        """Count what the first informed voter that answers has counted."""
         found = quota_messages.TeamReport(team, wants_counted=True)
-        for each in self._ranking.list_keepers(team):
+        for each in self._ranking.list_voters(team):
             is_own = each.host == self._hosts.own.host
             if is_own or self.client.is_skipped(each.host):
                 continue
@@ -315,18 +315,18 @@
     async def _ask(
         self,
         team: teams.Team,
-        keepers: list[fleet.HostEntry],
+        voters: list[fleet.HostEntry],
         number: int,
     ) -> Permit | Refusal:
-        """Ask the keepers of a team's quota, or one that stands in."""
+        """Ask the voters of a team's quota, or one that stands in."""
         self.asked += 1
         question = _Question(team, number)
-        poll = quota_vote.Poll(len(keepers))
+        poll = quota_vote.Poll(len(voters))
         verdict: Permit | Refusal | None = None
         try:
-            vote = await self._ask_keepers(poll, keepers, question)
+            vote = await self._ask_voters(poll, voters, question)
             if vote is None:
-                vote = await self._ask_stand_ins(question)
+                vote = await self._ask_fallbacks(question)
             verdict = self._conclude(question, vote)
         finally:
             if not isinstance(verdict, Permit) and question.counted_by:
@@ -336,14 +336,14 @@
         self._confirm_granted(question, poll)
         return verdict
 
-    async def _ask_keepers(
+    async def _ask_voters(
         self,
         poll: quota_vote.Poll,
-        keepers: list[fleet.HostEntry],
+        voters: list[fleet.HostEntry],
         question: _Question,
-    ) -> quota_vote.KeeperVote | None:
+    ) -> quota_vote.Vote | None:
         """Return the deciding vote, or None if there is no majority."""
-        for each in keepers:
+        for each in voters:
             vote = await self._ask_one(each, question)
             if vote is None:
                 continue
@@ -352,10 +352,10 @@
                 return deciding
         return poll.decide()
 
-    async def _ask_stand_ins(
+    async def _ask_fallbacks(
         self, question: _Question
-    ) -> quota_vote.KeeperVote | None:
-        for each in self._ranking.list_stand_ins(question.team.team):
+    ) -> quota_vote.Vote | None:
+        for each in self._ranking.list_fallbacks(question.team.team):
             vote = await self._ask_one(each, question)
             if vote is not None:
                 return vote
@@ -363,7 +363,7 @@
 
     async def _ask_one(
         self, host: fleet.HostEntry, question: _Question
-    ) -> quota_vote.KeeperVote | None:
+    ) -> quota_vote.Vote | None:
         """Return the vote of one host, or None if it has none."""
         if self.client.is_skipped(host.host):
             return None
@@ -385,28 +385,28 @@
             verdict = quota.Denied(
                 reply.retry_after_ms / 1000, reply.count, reply.limit
             )
-        return quota_vote.KeeperVote(host.host, verdict, reply.is_informed)
+        return quota_vote.Vote(host.host, verdict, reply.is_informed)
 
     def _conclude(
-        self, question: _Question, vote: quota_vote.KeeperVote | None
+        self, question: _Question, vote: quota_vote.Vote | None
     ) -> Permit | Refusal:
         """Turn the deciding vote into the result of this host."""
         team = question.team
-        # The team may have left and returned while the keepers were asked.
+        # The team may have left and returned while the voters were asked.
         spending = self._get_spending(team.team)
         if vote is None:
             return self._admit_isolated(team, spending, question.number)
         now = self._clock.now()
         match vote.verdict:
             case quota.Denied() as denied:
-                return Refusal(denied, vote.keeper, now - self._heard_at)
+                return Refusal(denied, vote.voter, now - self._heard_at)
         spending.record(question.number, now)
         return Permit(team.team, question.number)
 
     def _confirm_granted(
         self, question: _Question, poll: quota_vote.Poll
     ) -> None:
-        """Record which keepers know of a request that has been decided."""
+        """Record which voters know of a request that has been decided."""
         team = question.team.team
         spending = self._get_spending(team)
         for host in poll.granted_by:
@@ -415,7 +415,7 @@
             self._has_unreported.set()
 
     async def _report_once(self) -> None:
-        """Send one report to each keeper that lacks some requests."""
+        """Send one report to each voter that lacks some requests."""
         now = self._clock.now()
         by_host: dict[core.HostId, list[quota_messages.TeamReport]] = {}
         entries: dict[core.HostId, fleet.HostEntry] = {}
@@ -435,17 +435,17 @@
             )
         )
 
-    def _list_keepers(self, team: core.TeamId) -> list[core.HostId]:
-        return [each.host for each in self._ranking.list_keepers(team)]
+    def _list_voters(self, team: core.TeamId) -> list[core.HostId]:
+        return [each.host for each in self._ranking.list_voters(team)]
 
     def _list_recipients(
         self, team: core.TeamId, now: float
     ) -> list[fleet.HostEntry]:
-        """Return the keepers that lack requests and have answered of late."""
+        """Return the voters that lack requests and have answered of late."""
         spending = self._get_spending(team)
         return [
             each
-            for each in self._ranking.list_keepers(team)
+            for each in self._ranking.list_voters(team)
             if not self.client.is_skipped(each.host)
             and spending.has_unreported(each.host, now)
         ]
--- a/rudderrock/gateway/discovery/_quota_messages.py
+++ b/rudderrock/gateway/discovery/_quota_messages.py
@@ -21,7 +21,7 @@
 
     `admitted` are pairs of a number and the time since that request was
     admitted, and `given_back` are requests that have not run. `asked` is a
-    request that may run only if a majority of the keepers admits it. If
+    request that may run only if a majority of the voters admits it. If
     `wants_counted` is true, the answer lists all requests that the other host
     has counted.
     """
@@ -47,7 +47,7 @@
 
 
 class TeamAnswer(msgspec.Struct, array_like=True, frozen=True):
-    """What a keeper of a team's quota answers to a report.
+    """What a voter of a team's quota answers to a report.
 
     The host has to ask first for `ask_first_ms`. `retry_after_ms` is set if
     the request it asked for was refused, because `count` requests have run of
@@ -66,7 +66,7 @@
 
 
 class Answer(msgspec.Struct, array_like=True, frozen=True):
-    """The reply to a report, by the process of a keeper."""
+    """The reply to a report, by the process of a voter."""
 
     process: quota.ProcessId
     teams: list[TeamAnswer]
--- a/rudderrock/gateway/discovery/_quota_ranking.py
+++ b/rudderrock/gateway/discovery/_quota_ranking.py
@@ -9,8 +9,8 @@
 from rudderrock.gateway.discovery import _fleet as fleet
 
 # Number of hosts in rank that stand in, and of further ones in the own zone.
-MAX_STAND_INS = 1
-MAX_NEAR_STAND_INS = 1
+MAX_FALLBACKS = 1
+MAX_NEAR_FALLBACKS = 1
 # How long earlier listings are kept, in seconds. Longer than any window.
 LISTING_RETENTION_S = 60.0
 # Maximum number of teams whose ranked hosts are kept.
@@ -19,11 +19,11 @@
 _Listing = Mapping[core.HostId, fleet.HostEntry]
 
 
-class KeeperRanking:
+class VoterRanking:
     """The hosts that keep the quotas of teams, by rendezvous hashing.
 
     Hosts with the same listing compute the same order, so no election is
-    needed, and a host that joins or leaves moves only some teams. The keepers
+    needed, and a host that joins or leaves moves only some teams. The voters
     of a team are in different zones if there are enough zones. A host that has
     left the registry is ranked for some time more, since it may be alive.
     """
@@ -37,34 +37,34 @@
         # Earlier listings, with the times at which they were replaced.
         self._replaced: list[tuple[float, _Listing]] = []
 
-    def list_keepers(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        """Return the keepers of a team's quota, the first in rank first."""
-        return self._rank(team)[: quota_vote.KEEPER_COUNT]
+    def list_voters(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        """Return the voters of a team's quota, the first in rank first."""
+        return self._rank(team)[: quota_vote.VOTER_COUNT]
 
-    def is_keeper(self, team: core.TeamId) -> bool:
-        """Return whether this host is a keeper of a team's quota."""
+    def is_voter(self, team: core.TeamId) -> bool:
+        """Return whether this host is a voter of a team's quota."""
         own = self._hosts.own.host
-        return any(each.host == own for each in self.list_keepers(team))
+        return any(each.host == own for each in self.list_voters(team))
 
-    def list_stand_ins(self, team: core.TeamId) -> list[fleet.HostEntry]:
-        """Return the hosts to ask if no majority of the keepers answers.
+    def list_fallbacks(self, team: core.TeamId) -> list[fleet.HostEntry]:
+        """Return the hosts to ask if no majority of the voters answers.
 
         The last one is in this host's zone, which may be the only one that it
         reaches.
         """
-        others = self._rank(team)[quota_vote.KEEPER_COUNT :]
+        others = self._rank(team)[quota_vote.VOTER_COUNT :]
         own = self._hosts.own
         near = [
-            each for each in others[MAX_STAND_INS:] if each.zone == own.zone
+            each for each in others[MAX_FALLBACKS:] if each.zone == own.zone
         ]
-        return others[:MAX_STAND_INS] + near[:MAX_NEAR_STAND_INS]
+        return others[:MAX_FALLBACKS] + near[:MAX_NEAR_FALLBACKS]
 
     def list_candidates(self, team: core.TeamId) -> list[fleet.HostEntry]:
         """Return all hosts that this one may ask about a team."""
-        return self.list_keepers(team) + self.list_stand_ins(team)
+        return self.list_voters(team) + self.list_fallbacks(team)
 
     def get_kept_since(self, team: core.TeamId) -> float:
-        """Return since when this host, a keeper now, has been one.
+        """Return since when this host, a voter now, has been one.
 
         It is -inf if that is longer than listings are kept.
         """
@@ -78,10 +78,10 @@
     def _find_kept_since(self, team: core.TeamId) -> float:
         own = self._hosts.own.host
         for replaced_at, listing in reversed(self._replaced):
-            keepers = rank_hosts(team, listing.values())[
-                : quota_vote.KEEPER_COUNT
+            voters = rank_hosts(team, listing.values())[
+                : quota_vote.VOTER_COUNT
             ]
-            if all(each.host != own for each in keepers):
+            if all(each.host != own for each in voters):
                 return replaced_at
         return -math.inf
 
@@ -119,13 +119,13 @@
 def rank_hosts(
     team: core.TeamId, hosts: Iterable[fleet.HostEntry]
 ) -> list[fleet.HostEntry]:
-    """Return the keepers of a team's quota and then the other hosts in rank.
+    """Return the voters of a team's quota and then the other hosts in rank.
 
-    The keepers are the first hosts in rank of different zones, and then of
+    The voters are the first hosts in rank of different zones, and then of
     zones that have one.
     """
     ranked = sorted(hosts, key=lambda each: fleet.rank_pair(team, each.host))
     firsts = {each.zone: each for each in reversed(ranked)}
-    keepers = [each for each in ranked if firsts[each.zone] == each]
-    keepers = keepers[: quota_vote.KEEPER_COUNT]
-    return keepers + [each for each in ranked if each not in keepers]
+    voters = [each for each in ranked if firsts[each.zone] == each]
+    voters = voters[: quota_vote.VOTER_COUNT]
+    return voters + [each for each in ranked if each not in voters]
--- a/rudderrock/gateway/discovery/_quota_keeper.py
+++ b/rudderrock/gateway/discovery/_quota_voter.py
@@ -17,10 +17,10 @@
 from rudderrock.gateway.discovery import _sources as sources
 from rudderrock.gateway.discovery import _teams as teams
 
-# How long a report to a stand-in counts as a sign that a zone can't reach the
-# keepers, in seconds. As long as hosts skip a keeper, and some more.
+# How long a report to a fallback counts as a sign that a zone can't reach the
+# voters, in seconds. As long as hosts skip a voter, and some more.
 COVERAGE_PERIOD_S = 5.0
-# Minimum time between attempts to learn what other keepers have counted, in
+# Minimum time between attempts to learn what other voters have counted, in
 # seconds.
 LEARN_INTERVAL_S = 0.5
 # Maximum number of processes whose clocks are remembered.
@@ -70,7 +70,7 @@
 
     Parameters: `announce` is called with a team for which all hosts have to
     ask first from now on, and `request_counted` with one of which this host
-    has to learn what the other keepers have counted.
+    has to learn what the other voters have counted.
     """
 
     def __init__(
@@ -78,7 +78,7 @@
         process: quota.ProcessId,
         bounds: quota.QuotaBounds,
         hosts: fleet.Fleet,
-        ranking: quota_ranking.KeeperRanking,
+        ranking: quota_ranking.VoterRanking,
         tables: sources.TableHolder,
         clock: core.Clock,
         events: log.EventLog,
@@ -139,7 +139,7 @@
         counted: Collection[quota_messages.CountedRequest],
         origin: core.HostId,
     ) -> None:
-        """Count what an informed keeper, `origin`, has counted."""
+        """Count what an informed voter, `origin`, has counted."""
         now = self._clock.now()
         ledger = self._ledgers.get(name)
         if ledger is None:
@@ -169,14 +169,14 @@
     def list_use(self) -> list[TeamUse]:
         """Return the use of the quotas of the teams with recent requests.
 
-        Only the first keeper in rank lists a team, so that sums over hosts
+        Only the first voter in rank lists a team, so that sums over hosts
         count each team once.
         """
         now = self._clock.now()
         found = []
         for name, ledger in self._ledgers.items():
             team = self._find_limited_team(name)
-            first = self._ranking.list_keepers(name)[0]
+            first = self._ranking.list_voters(name)[0]
             if team is not None and first.host == self._hosts.own.host:
                 found.append(
                     TeamUse(
@@ -267,11 +267,11 @@
         return answer
 
     def _learn_if_due(self, name: core.TeamId, now: float) -> None:
-        """Ask what other keepers have counted, unless that is known.
+        """Ask what other voters have counted, unless that is known.
 
         A host that stands in asks as well.
         """
-        if name in self._learned_at and not self._ranking.is_keeper(name):
+        if name in self._learned_at and not self._ranking.is_voter(name):
             return
         if now - self._asked_at.get(name, -math.inf) >= LEARN_INTERVAL_S:
             self._asked_at[name] = now
@@ -328,28 +328,28 @@
     def _record_zone(
         self, team: teams.Team, sender: core.HostId, now: float
     ) -> None:
-        """Record that a host reports to this one as a stand-in."""
-        if self._ranking.is_keeper(team.team):
+        """Record that a host reports to this one as a fallback."""
+        if self._ranking.is_voter(team.team):
             return
-        first = self._ranking.list_keepers(team.team)[0]
+        first = self._ranking.list_voters(team.team)[0]
         found = self._hosts.find_recent().get(sender)
         if found is not None:
             self._heard_at[(first.host, found.zone)] = now
 
     def _get_standing(self, team: teams.Team, now: float) -> quota.Standing:
-        """Return this host's position as a keeper of a quota or stand-in.
+        """Return this host's position as a voter of a quota or fallback.
 
-        A stand-in counts the zones whose hosts report to it instead of the
-        keepers.
+        A fallback counts the zones whose hosts report to it instead of the
+        voters.
         """
-        if self._ranking.is_keeper(team.team):
+        if self._ranking.is_voter(team.team):
             since = max(
                 self._started_at, self._ranking.get_kept_since(team.team)
             )
             if self._learned_at.get(team.team, -math.inf) >= since:
                 since = -math.inf
             return quota.Standing(started_at=since, coverage=1.0)
-        first = self._ranking.list_keepers(team.team)[0]
+        first = self._ranking.list_voters(team.team)[0]
         self._heard_at = {
             key: at
             for key, at in self._heard_at.items()
