Log why a gateway process ends, and its growth towards the limit

Cause: an end by settings or an address was plain text on standard error, a defect a bare traceback, and a process that its host kills for its size left no line at all. So the logs could not tell the hypotheses of the incident apart.

Change: lines starting (with architecture, Python and build), ended (with code and problem) and memory_high (steps towards limits.memory_mb); stopping names the signal. Metrics memory_peak_bytes and memory_limit_bytes.

--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -8,6 +8,7 @@
 from rudderrock.gateway._log import LOGGER_NAME
 from rudderrock.gateway._log import PipeHandler
 from rudderrock.gateway._log import set_up_log
+from rudderrock.gateway._memory_monitor import MemoryMonitor
 from rudderrock.gateway._metrics import GatewayMetrics
 from rudderrock.gateway._process import GatewayProcess
 from rudderrock.gateway._process import ProcessState
@@ -178,6 +179,7 @@
     'LoadEstimator',
     'LoopDelay',
     'LogKind',
+    'MemoryMonitor',
     'NEVER_READ',
     'NO_VERSION',
     'Outcome',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -13,9 +13,12 @@
 class LogKind(enum.Enum):
     """Kinds of log lines, described in docs/events.md."""
 
+    STARTING = 'starting'
     STARTED = 'started'
     STOPPING = 'stopping'
     STOPPED = 'stopped'
+    ENDED = 'ended'
+    MEMORY_HIGH = 'memory_high'
     RELOADED = 'reloaded'
     READY = 'ready'
     NOT_READY = 'not_ready'
@@ -54,6 +57,12 @@
 
 
 KIND_INFO: dict[LogKind, KindInfo] = {
+    LogKind.STARTING: KindInfo(
+        'The process has read its settings and does not listen yet. `build` '
+        'is as in `started`; `memory_limit_mb` is the size at which the '
+        'process is killed from outside, 0 if unknown.',
+        ('pid', 'python', 'architecture', 'build', 'memory_limit_mb'),
+    ),
     LogKind.STARTED: KindInfo(
         'The process is listening. `place` is the zone of this host, and '
         '`build` the output of `deploy/build_id.sh` for the sources that it '
@@ -61,10 +70,25 @@
         ('place', 'build'),
     ),
     LogKind.STOPPING: KindInfo(
-        'A graceful shutdown has started with `busy` requests in flight.',
-        ('busy',),
+        'A graceful shutdown has started with `busy` requests in flight, '
+        'because of the signal `cause`.',
+        ('busy', 'cause'),
+    ),
+    LogKind.STOPPED: KindInfo(
+        'The process ends after a graceful shutdown.', ()
+    ),
+    LogKind.ENDED: KindInfo(
+        'The process ends without a graceful shutdown, with the exit code '
+        '`code`; `problem` is the reason. `host` is empty if the settings '
+        'could not be read. A process whose last line is neither `stopped` '
+        'nor `ended` was killed.',
+        ('code', 'problem'),
+    ),
+    LogKind.MEMORY_HIGH: KindInfo(
+        'The largest size of the process so far, `peak_mb`, has passed a '
+        'further step towards `limit_mb`, at which it is killed from outside.',
+        ('peak_mb', 'limit_mb'),
     ),
-    LogKind.STOPPED: KindInfo('The process ends.', ()),
     LogKind.RELOADED: KindInfo(
         'The settings were read again after SIGHUP. They take effect at the '
         'next start; `problem` describes an error in them.',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -9,6 +9,7 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway import _memory_monitor as memory_monitor
 from rudderrock.gateway import _quota_metrics as quota_metrics
 from rudderrock.gateway import _settings as settings
 from rudderrock.gateway.discovery import _archive as archive_module
@@ -82,6 +83,9 @@
         self._broadcaster = broadcaster
         self.quotas = dependencies.quotas
         self._archive = archive
+        self._memory_monitor = memory_monitor.MemoryMonitor(
+            config.memory_limit_bytes, dependencies.events
+        )
         self._was_ready = False
         self._stop_started_at = 0.0
         dependencies.tables.add_listener(self._apply_table)
@@ -96,10 +100,13 @@
         """Return the holder of the current routing table."""
         return self._dependencies.tables
 
-    def stop(self) -> None:
-        """Start a graceful shutdown; a second call has no effect."""
+    def stop(self, cause: str = '') -> None:
+        """Start a graceful shutdown; a second call has no effect.
+
+        `cause` is the name of the signal that asked for it, for the log.
+        """
         if not self._stop.is_set():
-            self._start_shutdown()
+            self._start_shutdown(cause)
 
     async def run(self) -> None:
         """Serve until `stop` is called; return after the shutdown."""
@@ -129,6 +136,7 @@
                 self.gateway.sweep,
                 self.gateway.warm_hedges,
                 self.gateway.loop_monitor.run,
+                self._memory_monitor.run,
             ):
                 task = asyncio.create_task(_run_forever(background_task))
                 stack.push_async_callback(core.end_task, task)
@@ -144,14 +152,16 @@
         self.state = ProcessState.ENDED
         record(events.LogKind.STOPPED)
 
-    def _start_shutdown(self) -> None:
+    def _start_shutdown(self, cause: str) -> None:
         self._stop_started_at = self._dependencies.clock.now()
         self.state = ProcessState.LEAVING
         self._caller_listener.is_stopping = True
         self.gateway.accepts_delegated = False
         self._dependencies.initial_sync.stop()
         self._dependencies.events.record(
-            events.LogKind.STOPPING, busy=self._caller_listener.busy
+            events.LogKind.STOPPING,
+            busy=self._caller_listener.busy,
+            cause=cause,
         )
         self._stop.set()
 
@@ -246,6 +256,8 @@
             'cold_requests_total': self.gateway.cold_limits.sent,
             'cold_held_back_total': self.gateway.cold_limits.held_back,
             'hosts': self._dependencies.hosts.count(),
+            'memory_peak_bytes': memory_monitor.get_peak_bytes(),
+            'memory_limit_bytes': self._config.memory_limit_bytes,
             'caller_connections': len(self._caller_listener.links),
             'requests_under_way': self._caller_listener.busy,
             'upstream_requests_total': counters.first_attempts,
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -40,6 +40,8 @@
     `capacity` is used to compare hosts: cores times link bandwidth in Mbit/s.
     `seeds` are addresses at which some hosts serve their peers, for a host
     that starts while the source does not answer; they may be outdated.
+    `memory_limit_bytes` is the size at which the process is killed from
+    outside, 0 if unknown.
     `build_id` identifies the sources that the program was built from, and is
     empty if that is unknown.
     """
@@ -63,6 +65,7 @@
     cores: float = 1.0
     link_bytes_s: float = 0.0
     capacity: float = 1.0
+    memory_limit_bytes: int = 0
     assumed_hosts: int = ASSUMED_HOSTS
     seeds: tuple[Address, ...] = ()
     build_id: str = ''
--- a/rudderrock/platform/_settings_file.py
+++ b/rudderrock/platform/_settings_file.py
@@ -17,6 +17,7 @@
 # specifies this port.
 METRICS_PORT = 9464
 _BYTES_PER_MBIT = 125_000
+_BYTES_PER_MB = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +86,9 @@
         cores=cores,
         link_bytes_s=link_mbps * _BYTES_PER_MBIT,
         capacity=cores * (link_mbps or 1.0),
+        memory_limit_bytes=round(
+            _get_positive(fields, 'limits.memory_mb', 0.0) * _BYTES_PER_MB
+        ),
     )
 
 
--- a/rudderrock/programs/gateway.py
+++ b/rudderrock/programs/gateway.py
@@ -25,35 +25,63 @@
 _COLLECTION_THRESHOLD = 50_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ending:
+    """How the program ended: the exit code, and the reason of a failure."""
+
+    code: exits.Exit
+    problem: str = ''
+
+
 def run_gateway(*, config: pathlib.Path | None = None) -> None:
     """Serve callers until SIGTERM or SIGINT, then stop gracefully.
 
     SIGHUP checks the settings file again and logs the result; changes take
     effect only after a restart. The exit code is 0 after a graceful stop, 1
-    if an address cannot be bound and 2 if the settings are invalid.
+    if an address cannot be bound or a defect ends the program, and 2 if the
+    settings are invalid.
 
     :param config: path of the settings file; by default the value of
         RUDDERROCK_CONFIG
     """
     path = config or pathlib.Path(os.environ.get(CONFIG_VARIABLE, ''))
     gateway.set_up_log(_STDOUT_FD)
+    ending = core.run_loop(_run(path))
+    if ending.code is not exits.Exit.OK:
+        exits.fail(ending.problem, ending.code)
+
+
+async def _run(path: pathlib.Path) -> Ending:
+    """Serve with the settings in a file; log an end that is a failure."""
+    clock = runtime.make_system_clock()
     match platform.read_settings_file(path):
         case result.Err(message):
-            exits.fail(message, exits.Exit.USAGE)
+            events = gateway.EventLog('', clock)
+            ending = Ending(exits.Exit.USAGE, message)
         case result.Ok(settings_file):
-            core.run_loop(_serve(settings_file, path))
+            events = gateway.EventLog(settings_file.settings.host, clock)
+            ending = await _serve(settings_file, path, clock, events)
+    if ending.code is not exits.Exit.OK:
+        events.record(
+            gateway.LogKind.ENDED,
+            code=ending.code.value,
+            problem=ending.problem,
+        )
+    return ending
 
 
 async def _serve(
-    settings_file: platform.SettingsFile, path: pathlib.Path
-) -> None:
+    settings_file: platform.SettingsFile,
+    path: pathlib.Path,
+    clock: core.Clock,
+    events: gateway.EventLog,
+) -> Ending:
     loop = asyncio.get_running_loop()
-    clock = runtime.make_system_clock()
-    source = platform.StoreSource(settings_file.store)
     config = dataclasses.replace(
         settings_file.settings, build_id=core.read_build_id()
     )
-    events = gateway.EventLog(config.host, clock)
+    _record_starting(config, events)
+    source = platform.StoreSource(settings_file.store)
     process = gateway_root.make_gateway(
         config, source, clock, secrets.randbits(32), events
     )
@@ -67,16 +95,33 @@
                 events.record(gateway.LogKind.RELOADED, problem=message)
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, process.stop)
+        loop.add_signal_handler(number, process.stop, number.name)
     loop.add_signal_handler(signal.SIGHUP, reload)
     runtime.tune_collector(_COLLECTION_THRESHOLD)
     try:
         await process.run()
     except OSError as error:
         gateway.load_absl_log().error('cannot listen: %s', error)
-        exits.fail(str(error), exits.Exit.FAILED)
+        return Ending(exits.Exit.FAILED, str(error))
+    except Exception as error:
+        gateway.load_absl_log().exception('the process ends on a defect')
+        return Ending(exits.Exit.FAILED, f'defect: {error!r}')
     finally:
         source.close()
+    return Ending(exits.Exit.OK)
+
+
+def _record_starting(
+    config: gateway.GatewaySettings, events: gateway.EventLog
+) -> None:
+    events.record(
+        gateway.LogKind.STARTING,
+        pid=os.getpid(),
+        python=sys.version.partition(' ')[0],
+        architecture=os.uname().machine,
+        build=config.build_id,
+        memory_limit_mb=round(config.memory_limit_bytes / 1e6, 1),
+    )
 
 
 def main() -> None:
