Count what a client reads of an endless reply, not what waits unsent

Cause: the scenario counts what the server has written, and 4.2 MB of that had not left the server. Twelve plays: 20.1 to 21.6 MB written, of which 4.25 to 4.26 MB lay in the sender's queue (TIOCOUTQ) when the client closed, so 15.9 to 17.3 MB were read.

Change: the server's send buffer is 64 KB, so the count is what the client was given; the bounds stay as they were, which makes the check stricter by those 4 MB. The client is unchanged.

--- a/features/steps/replies.py
+++ b/features/steps/replies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import tracemalloc
 
 import async_solipsism
@@ -19,6 +20,9 @@
 
 _ADDRESS = ('10.9.0.1', 9000)
 _PORTION_BYTES = 64 * 1024
+# Kernel buffer of the server's side, so that hardly any bytes count as sent
+# that the client has not been given.
+_SEND_BUFFER_BYTES = 64 * 1024
 # What a server sends at most; a client that reads all of it reads on.
 _SENT_BYTES = 26 * 1024 * 1024
 _OK = b'HTTP/1.1 200 OK\r\n'
@@ -90,8 +94,14 @@
 
 async def _start(context, portions):
     context.sent_bytes = 0
+    is_virtual = isinstance(context.loop, async_solipsism.EventLoop)
 
     async def answer(reader, writer):
+        if not is_virtual:
+            connection = writer.get_extra_info('socket')
+            connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES
+            )
         with contextlib.suppress(OSError, EOFError):
             await reader.readuntil(b'\r\n\r\n')
             for portion in portions:
@@ -104,7 +114,6 @@
         with contextlib.suppress(OSError):
             await writer.wait_closed()
 
-    is_virtual = isinstance(context.loop, async_solipsism.EventLoop)
     address = _ADDRESS if is_virtual else ('127.0.0.1', 0)
     server = await asyncio.start_server(answer, *address)
     context.stack.callback(server.close)
