Let voters that froze together notice what they have missed

What callers saw: 165 and 166 requests of a team ran in 5 s where 152 are allowed, after two of the three hosts that keep its quota had stood still for 4 and 4.8 s.

Cause: each of the two took itself for informed, and two informed grants decide; the third voter, which knew, was not asked. Ruled out: the host that stands in, whose grants end once the voters answer.

Change: a voter finds out, before it handles a message, that its process has not run or has heard nothing for 1.5 s, and counts as not informed until it has learned from an informed voter or a window is over. Voters of a team that asks first send one another a sign of contact every 0.5 s, so that silence means something.

--- a/features/quotas.feature
+++ b/features/quotas.feature
@@ -164,6 +164,20 @@
       | 45   | hot              | 94   | "hot" has run at least 0.8 times its quota |
       | 5    | within its quota | 18   | no request of "hot" is refused             |
 
+  # Guards against a voter that answers its first question after a pause by old counts.
+  Scenario Outline: a voter that <pause> for <away> seconds <finds> that it may have missed something
+    Given a voter of a quota that other hosts send messages to
+    When it <pause> for <away> seconds
+    Then it <finds> a pause with the next message
+
+    Examples:
+      | pause               | away | finds         |
+      | stands still        | 2    | finds         |
+      | stands still        | 1    | does not find |
+      | gets no messages    | 2    | finds         |
+      | gets no messages    | 1    | does not find |
+      | expects no messages | 2    | does not find |
+
   # Guards against a majority of voters that were frozen during the same requests.
   Scenario Outline: two voters of a team freeze together <before> s into a hot load, and wake after <away> s
     Given 6 gateways with the teams
@@ -191,6 +205,11 @@
       | 2      | 2    |
       | 6      | 4    |
       | 6      | 4.8  |
+      | 6      | 1    |
+      | 6      | 1.4  |
+      | 6      | 3    |
+      | 2      | 4    |
+      | 10     | 8    |
 
   Scenario: the owner of a team within its quota is killed and starts again
     Given 6 gateways with the teams
--- a/features/steps/quotas.py
+++ b/features/steps/quotas.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import json
+import math
 import types
 
 from behave import given
@@ -16,6 +17,7 @@
 from features.steps import gateway as gateway_steps
 from features.steps import teams as teams_steps
 from features.steps.common import run
+from rudderrock import core
 from rudderrock import gateway
 from rudderrock import state
 
@@ -836,3 +838,34 @@
     named = {f't{number:02}' for number in range(12 - int(count), 12)}
     assert found.keys() == {*named, 'others'}, found
     assert found['others'] == int(others), found
+
+
+@given(r'a voter of a quota that other hosts send messages to')
+def make_contact_monitor(context):
+    context.contact = gateway.ContactMonitor(core.Clock(context.loop))
+    context.contact.record_message(True)
+
+
+@when(r'it stands still for (\d+) seconds')
+def stand_still(context, seconds):
+    context.expects_messages = False
+    run(context, asyncio.sleep(float(seconds)))
+
+
+@when(r'it (gets|expects) no messages for (\d+) seconds')
+def run_without_messages(context, word, seconds):
+    context.expects_messages = word == 'gets'
+
+    async def check_often():
+        for _ in range(2 * int(seconds)):
+            await asyncio.sleep(0.5)
+            context.contact.check(context.expects_messages)
+
+    run(context, check_often())
+
+
+@then(r'it (finds|does not find) a pause with the next message')
+def check_pause(context, word):
+    context.contact.record_message(context.expects_messages)
+    found = context.contact.missed_at > -math.inf
+    assert found == (word == 'finds'), context.contact.missed_at
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -71,6 +71,7 @@
 from rudderrock.gateway.discovery._quarantine import Quarantine
 from rudderrock.gateway.discovery._quarantine import QuarantineState
 from rudderrock.gateway.discovery._quarantine import Record as QuarantineRecord
+from rudderrock.gateway.discovery._quota_contact import ContactMonitor
 from rudderrock.gateway.discovery._quota_exchange import QuotaExchange
 from rudderrock.gateway.discovery._quota_ranking import rank_hosts
 from rudderrock.gateway.discovery._registration import Registration
@@ -142,6 +143,7 @@
     'ColdLimits',
     'ConnectionLost',
     'ConnectionShare',
+    'ContactMonitor',
     'Counters',
     'Denied',
     'Directory',
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -103,7 +103,8 @@
         self._heard_at = clock.now()
         self.client = quota_client.QuotaClient(hosts, clock)
         self._has_unreported = asyncio.Event()
-        # Set while this host keeps anything about the quota of a team.
+        # Set while this host keeps anything about the quota of a team, or may
+        # be asked to.
         self._in_use = asyncio.Event()
         self._unannounced: set[core.TeamId] = set()
         self._has_unannounced = asyncio.Event()
@@ -254,6 +255,7 @@
             await self._in_use.wait()
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.kept.check()
+            await self._contact_voters()
             self.client.close_unused()
             now = self._clock.now()
             for team, spending in list(self._spending.items()):
@@ -261,9 +263,19 @@
                     self._spending.pop(team)
                 elif self._list_recipients(team, now):
                     self._has_unreported.set()
-            if not self.list_teams():
+            if not (self.list_teams() or self.kept.has_quotas()):
                 self._in_use.clear()
 
+    async def _contact_voters(self) -> None:
+        """Send a sign of contact to the voters that expect one."""
+        await asyncio.gather(
+            *(
+                self._send(each, [], REPORT_TIMEOUT_S)
+                for each in self.kept.list_other_voters()
+                if not self.client.is_skipped(each.host)
+            )
+        )
+
     def _get_spending(self, team: core.TeamId) -> quota_spending.TeamSpending:
         spending = self._spending.get(team)
         if spending is None:
@@ -491,6 +503,8 @@
 
     def _on_table_change(self, table) -> None:
         """Drop the state of teams that have left the table."""
+        if self.kept.has_quotas():
+            self._in_use.set()
         listed = set()
         if table.teams is not None:
             listed = {each.team for each in table.teams.list_teams()}
--- a/rudderrock/gateway/discovery/_quota_voter.py
+++ b/rudderrock/gateway/discovery/_quota_voter.py
@@ -12,6 +12,7 @@
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.decisions import _quota as quota
 from rudderrock.gateway.discovery import _fleet as fleet
+from rudderrock.gateway.discovery import _quota_contact as quota_contact
 from rudderrock.gateway.discovery import _quota_messages as quota_messages
 from rudderrock.gateway.discovery import _quota_ranking as quota_ranking
 from rudderrock.gateway.discovery import _sources as sources
@@ -98,6 +99,7 @@
         self._learned_at: dict[core.TeamId, float] = {}
         self._asked_at: dict[core.TeamId, float] = {}
         self._started_at = clock.now()
+        self._contact = quota_contact.ContactMonitor(clock)
         self._ledgers: dict[core.TeamId, quota.TeamLedger] = {}
         self._limited: set[core.TeamId] = set()
         self._clock_offsets: dict[quota.ProcessId, ClockOffset] = {}
@@ -105,6 +107,10 @@
 
     def handle(self, report: quota_messages.Report) -> quota_messages.Answer:
         """Record what a host reports, and answer what it asks."""
+        if report.host == self._hosts.own.host:
+            self._contact.check(self._expects_messages)
+        else:
+            self._contact.record_message(self._expects_messages)
         now = self._clock.now()
         sent_at = now - self._measure_delay(report, now)
         answers = []
@@ -119,6 +125,7 @@
 
     def check(self) -> None:
         """Renew notices that are still needed, and drop unused ledgers."""
+        self._contact.check(self._expects_messages)
         now = self._clock.now()
         for name, ledger in list(self._ledgers.items()):
             team = self._find_limited_team(name)
@@ -155,6 +162,22 @@
             count=ledger.count(now),
         )
 
+    @property
+    def _expects_messages(self) -> bool:
+        """Return whether other hosts send messages regularly."""
+        return bool(self._limited) and self._hosts.count() > 1
+
+    def list_other_voters(self) -> list[fleet.HostEntry]:
+        """Return the other voters of the teams that have to ask first."""
+        found = {
+            each.host: each
+            for name in self._limited
+            if self._ranking.is_voter(name)
+            for each in self._ranking.list_voters(name)
+        }
+        found.pop(self._hosts.own.host, None)
+        return list(found.values())
+
     def list_teams(self) -> list[core.TeamId]:
         """Return the teams with a ledger."""
         return list(self._ledgers)
@@ -344,7 +367,9 @@
         """
         if self._ranking.is_voter(team.team):
             since = max(
-                self._started_at, self._ranking.get_kept_since(team.team)
+                self._started_at,
+                self._contact.missed_at,
+                self._ranking.get_kept_since(team.team),
             )
             if self._learned_at.get(team.team, -math.inf) >= since:
                 since = -math.inf
@@ -358,7 +383,7 @@
         heard = sum(host == first.host for host, _ in self._heard_at)
         zones = {each.zone for each in self._hosts.find_recent().values()}
         return quota.Standing(
-            started_at=self._started_at,
+            started_at=max(self._started_at, self._contact.missed_at),
             coverage=min(1.0, heard / max(1, len(zones))),
         )
 
