Soak: odd data and signals from outside, and no process that ends by itself

Cause: the soak did not see these faults. A host that had ended by itself was started again at the next restart or at the end without a word, no upstream sent without end, nobody else wrote to the store, and a starting host was sent no signal.

Change: three kinds of faults, each drawn from a random stream of its own, so the plans of earlier seeds are what they were: replies without end, entries of another writer, SIGHUP in series while a host starts. Three promises: no process ends by itself (also: a planned stop ends with 0), a process keeps to its memory, no traceback in the logs.

--- a/rudderrock/programs/soak.py
+++ b/rudderrock/programs/soak.py
@@ -26,6 +26,7 @@
     hosts: int = 4,
     lethal: int = 1,
     returns: int = 2,
+    odd: int = 2,
     keep: pathlib.Path | None = None,
 ) -> None:
     """Run the soak test with a range of seeds and report violations.
@@ -41,13 +42,15 @@
     :param hosts: number of gateway processes
     :param lethal: number of requests that crash the upstreams that run them
     :param returns: how many times the store is restored from an older copy
+    :param odd: how many times each kind of odd data or signal comes from
+        outside: replies without end, entries of another writer, early signals
     :param keep: folder that receives the logs of seeds with violations
     """
     failed = []
     injected: collections.Counter[str] = collections.Counter()
     checked = 0
     for number in _iterate_seeds(seed, count, minutes):
-        report = _run_seed(number, length, hosts, lethal, returns, keep)
+        report = _run_seed(number, length, hosts, lethal, returns, odd, keep)
         injected += report.injected
         checked += report.checked
         statuses = ', '.join(
@@ -82,13 +85,14 @@
     hosts: int,
     lethal: int,
     returns: int,
+    odd: int,
     keep: pathlib.Path | None,
 ) -> soak.Report:
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder)
         report = asyncio.run(
             _run_until_sigterm(
-                soak.run_seed(seed, length, hosts, path, lethal, returns)
+                soak.run_seed(seed, length, hosts, path, lethal, returns, odd)
             )
         )
         if report.violations and keep is not None:
--- a/rudderrock/soak/_environment.py
+++ b/rudderrock/soak/_environment.py
@@ -21,6 +21,7 @@
 EXTRA_SLACK = 30.0
 EXTRA_WINDOW_S = 10.0
 STOP_GRACE_S = 3.0
+MEMORY_LIMIT_BYTES = 300_000_000
 SHARDS = 4
 # Number of shards in each set that have upstreams only in zone south-1, so
 # that hosts in north-1 delegate requests for them to hosts in south-1.
@@ -32,6 +33,8 @@
 # port 9 above the first, which is not checked.
 _PORTS_PER_HOST = 4
 _READY_TRIES = 300
+_POLL_INTERVAL_S = 0.002
+_SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 # Interval between snapshots of the store, and between the revisions that
 # `_advance_store` adds.
 _SNAPSHOT_PERIOD_S = 0.5
@@ -56,6 +59,10 @@
         self.proxy = None
         self.is_paused = False
         self.is_stopping = False
+        # Exit codes of processes that ended without being asked to.
+        self.own_ends: list[int] = []
+        self.peak_bytes = 0
+        self._expected_codes: set[int] = set()
         self._log = log
         self._file = folder / f'host-{number}.conf'
         self._process: asyncio.subprocess.Process | None = None
@@ -81,15 +88,18 @@
                 zone=zone,
                 stop_s=STOP_GRACE_S,
                 slack=EXTRA_SLACK,
+                **{'limits.memory_mb': f'{MEMORY_LIMIT_BYTES / 1e6:g}'},
             ),
             encoding='utf-8',
         )
 
     async def start(self) -> None:
         """Start the process as a new incarnation."""
+        self.record_end()
         self.incarnation += 1
         self.is_paused = False
         self.is_stopping = False
+        self._expected_codes = set()
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             '-m',
@@ -102,9 +112,50 @@
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
+        match number:
+            case signal.SIGKILL:
+                self._expected_codes.add(-signal.SIGKILL)
+            case signal.SIGTERM:
+                self._expected_codes.add(0)
         if self.is_up:
             self._process.send_signal(number)
 
+    async def wait_until_signals_are_held(self) -> None:
+        """Wait until SIGHUP no longer has its default action.
+
+        Before that the interpreter starts, and no program can change it.
+        """
+        while self.is_up and not self._read_held_signals() & _SIGHUP_BIT:
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
+    def _read_held_signals(self) -> int:
+        """Return the set of blocked, ignored and caught signals (proc(5))."""
+        held = 0
+        for name, value in self._read_status().items():
+            if name in ('SigBlk', 'SigIgn', 'SigCgt'):
+                held |= int(value, 16)
+        return held
+
+    def _read_status(self) -> dict[str, str]:
+        path = pathlib.Path(f'/proc/{self._process.pid}/status')
+        try:
+            lines = path.read_text(encoding='utf-8').splitlines()
+        except OSError:
+            # The process has ended.
+            return {}
+        pairs = (line.partition(':') for line in lines)
+        return {name: value.strip() for name, _, value in pairs}
+
+    def record_end(self) -> None:
+        """Record the peak of the process, and its end if it was its own."""
+        if self._process is None:
+            return
+        if self.is_up:
+            peak = self._read_status().get('VmHWM', '0 kB').split()[0]
+            self.peak_bytes = max(self.peak_bytes, 1024 * int(peak))
+        elif self._process.returncode not in self._expected_codes:
+            self.own_ends.append(self._process.returncode)
+
     async def wait(self, seconds: float) -> bool:
         """Wait for the process to exit; return whether it did in time."""
         try:
@@ -246,6 +297,13 @@
                     name, self._registrations[name]
                 )
 
+    async def leave_odd_entry(self, number: int, seconds: float) -> None:
+        """Write an odd entry, as another writer would, for some seconds."""
+        key, value = platform_standins.make_odd_entry(number, self._ip)
+        self.store.put(key, value)
+        await asyncio.sleep(seconds)
+        self.store.remove(key)
+
     def make_lethal(self, target: str) -> None:
         """Make requests for a target crash each upstream that runs them."""
         self.lethal |= {target}
--- a/rudderrock/soak/_plan.py
+++ b/rudderrock/soak/_plan.py
@@ -30,6 +30,9 @@
     MOVE_ROUTE = 'move_route'
     REPARTITION = 'repartition'
     LETHAL_REQUEST = 'lethal_request'
+    ENDLESS_REPLIES = 'endless_replies'
+    ODD_ENTRY = 'odd_entry'
+    EARLY_SIGNALS = 'early_signals'
 
 
 class ProxyFault(enum.Enum):
@@ -51,7 +54,16 @@
 # Kinds whose number is an argument of `make_plan`. They are drawn from
 # separate random streams, so that their number does not change the rest of the
 # plan.
-_DRAWN_SEPARATELY = (FaultKind.LETHAL_REQUEST, FaultKind.STORE_RESTORED)
+_OUTSIDE_DATA = (
+    FaultKind.ENDLESS_REPLIES,
+    FaultKind.ODD_ENTRY,
+    FaultKind.EARLY_SIGNALS,
+)
+_DRAWN_SEPARATELY = (
+    FaultKind.LETHAL_REQUEST,
+    FaultKind.STORE_RESTORED,
+    *_OUTSIDE_DATA,
+)
 _DRAWN_TOGETHER = [each for each in FaultKind if each not in _DRAWN_SEPARATELY]
 # The latest time at which callers start to send a lethal request, as a
 # fraction of the load's duration. They send copies of it until the end of the
@@ -63,7 +75,12 @@
 _UPSTREAM_FAULT_MODES = [
     each
     for each in standins.FaultMode
-    if each not in (standins.FaultMode.GOOD, standins.FaultMode.EARLY_REPLY)
+    if each
+    not in (
+        standins.FaultMode.GOOD,
+        standins.FaultMode.EARLY_REPLY,
+        standins.FaultMode.ENDLESS,
+    )
 ]
 
 
@@ -100,12 +117,18 @@
 
 
 def make_plan(
-    seed: int, length_s: float, hosts: int, lethal: int = 1, restores: int = 0
+    seed: int,
+    length_s: float,
+    hosts: int,
+    lethal: int = 1,
+    restores: int = 0,
+    odd: int = 0,
 ) -> Plan:
     """Return a plan with single faults, series of one kind and overlaps.
 
     `lethal` is the number of requests that crash upstreams, `restores` how
-    many times the store is restored from a snapshot. Each of these faults is
+    many times the store is restored from a snapshot, and `odd` how many times
+    each kind of odd data or signal comes from outside. Each of these faults is
     drawn from a random stream of its own.
     """
     rng = core.make_random(seed, 'soak')
@@ -134,6 +157,11 @@
         faults.append(
             _draw_fault(separate_rng, started, FaultKind.STORE_RESTORED)
         )
+    for kind in _OUTSIDE_DATA:
+        for number in range(odd):
+            separate_rng = core.make_random(seed, f'{kind.value}{number}')
+            started = separate_rng.uniform(0.0, 0.9) * length_s
+            faults.append(_draw_fault(separate_rng, started, kind))
     faults.sort(key=lambda fault: fault.start_s)
     return Plan(seed, length_s, hosts, tuple(faults), restores)
 
--- a/rudderrock/soak/_run.py
+++ b/rudderrock/soak/_run.py
@@ -36,6 +36,10 @@
 _UNDISTURBED_S = 4.0
 # Outage before the store is restored with no other fault active.
 _RESTORE_OUTAGE_S = 0.3
+# Number of SIGHUPs that a starting host receives, and the interval between
+# them in seconds. They cover the import of its modules.
+_EARLY_SIGNALS = 10
+_EARLY_SIGNAL_INTERVAL_S = 0.03
 # Number of hosts that are stopped with no other fault active.
 _UNDISTURBED_STOPS = 2
 
@@ -257,6 +261,18 @@
                 route = routes[fault.target % len(routes)]
                 number = len(environment.lethal) or ''
                 environment.make_lethal(f'/{route}/lethal{number}')
+            case kinds.ENDLESS_REPLIES:
+                upstream = environment.upstreams[name]
+                upstream.fault_mode = standins.FaultMode.ENDLESS
+                await asyncio.sleep(fault.duration_s)
+                upstream.fault_mode = standins.FaultMode.GOOD
+                upstream.cut_connections()
+            case kinds.ODD_ENTRY:
+                await environment.leave_odd_entry(
+                    fault.target, fault.duration_s
+                )
+            case kinds.EARLY_SIGNALS:
+                await self._signal_early(host)
             case kinds.MOVE_ROUTE:
                 await environment.move_route()
             case kinds.REPARTITION:
@@ -295,6 +311,15 @@
         if not host.is_up:
             await host.start()
 
+    async def _signal_early(self, host: environment_module.Host) -> None:
+        """Kill a host, and send it SIGHUP several times while it starts."""
+        host.send(signal.SIGKILL)
+        await self._restart(host, 0.0)
+        await host.wait_until_signals_are_held()
+        for _ in range(_EARLY_SIGNALS):
+            host.send(signal.SIGHUP)
+            await asyncio.sleep(_EARLY_SIGNAL_INTERVAL_S)
+
     async def _stop_undisturbed(self) -> None:
         """Stop hosts gracefully under load, with no fault active."""
         await asyncio.sleep(_UNDISTURBED_S + 0.5)
@@ -338,7 +363,7 @@
         for host in self._environment.hosts:
             if not await self._is_serving(rng, host):
                 detail = f'host {host.number} after {_FINAL_TRIES} tries'
-                self.violations.append(checks.Violation('recovery', detail))
+                self._report('recovery', detail)
 
     async def _is_serving(
         self, rng: random.Random, host: environment_module.Host
@@ -352,6 +377,23 @@
             await asyncio.sleep(0.5)
         return False
 
+    def check_processes(self, log: str) -> None:
+        """Check that no process ended by itself, grew too large or failed."""
+        for host in self._environment.hosts:
+            host.record_end()
+            if host.own_ends:
+                detail = f'host {host.number}: exit codes {host.own_ends}'
+                self._report('no process ends by itself', detail)
+            if host.peak_bytes > environment_module.MEMORY_LIMIT_BYTES:
+                detail = f'host {host.number}: {host.peak_bytes} bytes'
+                self._report('a process keeps to its memory', detail)
+        tracebacks = log.count('Traceback')
+        if tracebacks:
+            self._report('no defect', f'{tracebacks} tracebacks')
+
+    def _report(self, guarantee: str, detail: str) -> None:
+        self.violations.append(checks.Violation(guarantee, detail))
+
     def _mark_undisturbed(self) -> None:
         """Set `calm` of each request.
 
@@ -373,6 +415,7 @@
     folder: pathlib.Path,
     lethal: int = 1,
     returns: int = 0,
+    odd: int = 0,
 ) -> Report:
     """Run the plan of one seed and return its report.
 
@@ -381,17 +424,18 @@
     number of different requests each of which crashes every upstream that
     runs it.
     `returns` is how many times the store is restored from a snapshot while
-    other faults may be active.
+    other faults may be active. `odd` is how many times each kind of odd data
+    or signal comes from outside.
     """
-    plan = plan_module.make_plan(seed, length_s, hosts, lethal, returns)
+    plan = plan_module.make_plan(seed, length_s, hosts, lethal, returns, odd)
+    log_path = folder / f'seed-{seed}.log'
     with contextlib.ExitStack() as files:
-        log = files.enter_context(
-            (folder / f'seed-{seed}.log').open('wb', buffering=0)
-        )
+        log = files.enter_context(log_path.open('wb', buffering=0))
         environment = environment_module.Environment(folder, log)
         async with environment.open(hosts):
             run = Run(plan, environment)
             await run.run()
+            run.check_processes(log_path.read_text(errors='replace'))
             records = run.collect_observations()
     violations = run.violations + checks.check_records(records)
     statuses = collections.Counter(each.status for each in run.sent)
--- a/rudderrock/standins/_wire_upstream.py
+++ b/rudderrock/standins/_wire_upstream.py
@@ -11,6 +11,7 @@
 
 # Time from a crash of an upstream until it listens again.
 DOWN_S = 3.0
+_PORTION_BYTES = 64 * 1024
 
 
 class FaultMode(enum.Enum):
@@ -38,6 +39,8 @@
     REPEATED_REJECTION = 'rejecting twice'
     # The same for every second request, and neither copy has the request id.
     ANONYMOUS_REJECTION = 'rejecting without an id'
+    # Sends a body until the connection is closed.
+    ENDLESS = 'endless'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -299,6 +302,8 @@
                 writer.close()
                 await asyncio.sleep(1.0)
                 return False
+            case FaultMode.ENDLESS:
+                await _write_without_end(writer)
             case FaultMode.DUPLICATE_REPLY:
                 writer.write(full_reply)
                 await asyncio.sleep(0.002)
@@ -324,6 +329,14 @@
         return True
 
 
+async def _write_without_end(writer: asyncio.StreamWriter) -> None:
+    """Write a body until the client closes the connection."""
+    writer.write(b'HTTP/1.1 200 OK\r\n\r\n')
+    while True:
+        writer.write(b'e' * _PORTION_BYTES)
+        await writer.drain()
+
+
 def _render_reply(status: int, headers: gateway.Headers, body: bytes) -> bytes:
     reply = gateway.Reply(status, headers, body)
     return gateway.render_reply(reply, close=False)
--- a/rudderrock/standins/platform/__init__.py
+++ b/rudderrock/standins/platform/__init__.py
@@ -9,6 +9,7 @@
 from rudderrock.standins.platform._store import StoreSnapshot
 from rudderrock.standins.platform._values import make_config
 from rudderrock.standins.platform._values import make_gather
+from rudderrock.standins.platform._values import make_odd_entry
 from rudderrock.standins.platform._values import make_route
 from rudderrock.standins.platform._values import make_server
 from rudderrock.standins.platform._values import make_settings_file
@@ -20,6 +21,7 @@
     'make_settings_file',
     'make_config',
     'make_gather',
+    'make_odd_entry',
     'make_route',
     'make_server',
 ]
--- a/rudderrock/standins/platform/_values.py
+++ b/rudderrock/standins/platform/_values.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+_MAX_DEPTH = 5000
+_NESTED = b'[' * _MAX_DEPTH + b']' * _MAX_DEPTH
 _LIMITS = {
     'max_header_bytes': 16384,
     'max_body_bytes': 262144,
@@ -85,6 +87,37 @@
     )
 
 
+def make_odd_entry(number: int, ip: str) -> tuple[str, bytes]:
+    """Return the key and the value of an entry that no program should write.
+
+    `number` selects one of them, and `ip` is an address of the deployment.
+    """
+    name = f'odd-{number}'
+    host = b'{"host":"%b","zone":"north-1","address":"%b","capacity":%b%b}'
+    entry = name.encode(), ip.encode()
+    values = [
+        (f'servers/{name}', make_server('once', f'{ip}:99999')),
+        (f'servers/{name}', make_server('once', f'{ip}:-1')),
+        (f'servers/{name}', make_server('once', 'upstream.example:80')),
+        (f'servers/{name}', make_server('once', f'{ip}:9', slots=10**18)),
+        (f'servers/{name}', _NESTED),
+        (f'servers/{name}', b'\xff\xfe'),
+        (f'rudderrock/hosts/{name}', host % (*entry, b'1', b'')),
+        (f'rudderrock/hosts/{name}', host % (*entry, b'1e999', b'')),
+        (f'rudderrock/hosts/{name}', host % (entry[0], b'a:1', b'-1', b'')),
+        (
+            f'rudderrock/hosts/{name}',
+            host % (entry[0], entry[1] + b':9', b'1', b',"odd":' + _NESTED),
+        ),
+        (f'rudderrock/hosts/{name}', b''),
+        (f'rudderrock/quarantine/{name}', _NESTED),
+        (f'rudderrock/quarantine/{name}', b'{"record":1,"saved_at":1e999}'),
+        (f'op/evacuate/{name}', _NESTED),
+        (f'op/{name}', b'\x00'),
+    ]
+    return values[number % len(values)]
+
+
 def make_route(prefix: str, service: str, *, once: bool = False) -> dict:
     """Return a route to one service.
 
