--- a/features/soak.feature
+++ b/features/soak.feature
@@ -105,6 +105,24 @@
     When 0.5 seconds of real time pass
     Then it accepts connections on the same port
 
+  # Guards against a soak that starts a host again which has ended by itself.
+  @sockets
+  Scenario Outline: a soak whose host <what> reports "<promise>"
+    Given the environment of a soak with 1 host
+    When its host <what>
+    Then the soak reports "<promise>"
+
+    Examples:
+      | what                            | promise                       |
+      | ends by itself                  | no process ends by itself     |
+      | ends by itself, and starts again | no process ends by itself    |
+      | is killed by the soak           | nothing                       |
+      | logs a traceback                | no defect                     |
+      | has grown beyond its memory     | a process keeps to its memory |
+
+  Scenario: odd data from outside leaves the other faults of a plan unchanged
+    Then plans of 50 seeds with odd data have all faults of plans without it
+
   # Guards against a soak and another program that take the same addresses: a
   # gateway then ended because its metrics port was taken.
   Scenario: a soak passes over a network that another program uses
--- a/features/steps/soak.py
+++ b/features/steps/soak.py
@@ -4,6 +4,7 @@
 import dataclasses
 import pathlib
 import random
+import signal
 import socket
 import sys
 import tempfile
@@ -353,6 +354,50 @@
     run(context, context.stack.enter_async_context(opened))
 
 
+@when(
+    r'its host (ends by itself(?:, and starts again)?|is killed by the soak|'
+    r'logs a traceback|has grown beyond its memory)'
+)
+def change_host(context, what):
+    context.soak_log = ''
+    host = context.environment.hosts[0]
+    match what:
+        case 'is killed by the soak':
+            host.send(signal.SIGKILL)
+            run(context, host.wait(5.0))
+        case 'logs a traceback':
+            context.soak_log = 'Traceback (most recent call last):'
+        case 'has grown beyond its memory':
+            host.peak_bytes = environment.MEMORY_LIMIT_BYTES + 1
+        case _:
+            host.send(signal.SIGABRT)
+            run(context, host.wait(5.0))
+            if what.endswith('again'):
+                run(context, host.start())
+
+
+@then(r'the soak reports "([^"]+)"')
+def check_reported(context, promise):
+    played = soak.Run(soak.make_plan(1, 1.0, 1), context.environment)
+    played.check_processes(context.soak_log)
+    found = [each.guarantee for each in played.violations]
+    assert found == ([] if promise == 'nothing' else [promise]), found
+
+
+@then(
+    r'plans of (\d+) seeds with odd data have all faults of plans without it'
+)
+def check_odd_plans(context, count):
+    for seed in range(int(count)):
+        usual = soak.make_plan(seed, 12.0, 4)
+        odd = soak.make_plan(seed, 12.0, 4, odd=2)
+        more = [each for each in odd.faults if each not in usual.faults]
+        assert [each for each in odd.faults if each in usual.faults] == list(
+            usual.faults
+        )
+        assert len(more) == 6, more
+
+
 @then(r'its store, upstreams and proxies listen in the network of the host')
 def check_network(context):
     found = context.environment
--- a/rudderrock/soak/__init__.py
+++ b/rudderrock/soak/__init__.py
@@ -18,6 +18,7 @@
 from rudderrock.soak._ports import find_port_range
 from rudderrock.soak._proxy import Proxy
 from rudderrock.soak._run import Report
+from rudderrock.soak._run import Run
 from rudderrock.soak._run import run_seed
 
 __all__ = [
@@ -26,6 +27,7 @@
     'Plan',
     'Proxy',
     'Report',
+    'Run',
     'Violation',
     'check_records',
     'find_network',
