Answer pipelined requests that were read before a stop ends the connection

What callers saw: of requests pipelined on one connection, the first reply after SIGTERM ended the connection, and the others, which had been read, had no answer.

Cause: a stopping listener closed with the next reply, whatever was queued.

Failed before: 1 of 3 and 1 of 6 pipelined requests were answered.

Change: the reply that ends the connection is that to the last request that has been read, or is being read.

Ruled out: reading no more from such connections, since unread bytes reset the connection and with it the reply.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -70,6 +70,20 @@
     And 2 requests are answered by 503
     And no request that was refused has run
 
+  Scenario Outline: pipelined requests that were read before a stop are answered: <count>
+    Given 4 upstreams of "notes" with 4 slots that work for <work> seconds
+    And the route "/notes/" to "notes" with a timeout of 10 seconds that runs once
+    And a gateway with a grace time of 6 seconds
+    When a caller pipelines <count> POST requests and the gateway is stopped
+    Then <count> replies come on its connection, the last with Connection: close
+    And no request that was refused has run
+    And the gateway ends within 6 seconds of the stop
+
+    Examples:
+      | count | work |
+      | 3     | 0.5  |
+      | 6     | 2.0  |
+
   Scenario Outline: a request whose body is sent slowly during a stop has a reply: <seconds> s
     Given 4 upstreams of "notes" with 4 slots that work for <work> seconds
     And the route "/notes/" to "notes" with a timeout of 10 seconds that runs once
@@ -85,6 +99,20 @@
       | 5.2     | 8    | 503    |
       | 20      | 8    | 503    |
 
+  Scenario Outline: a reply that its caller reads slowly during a stop: after <seconds> s
+    Given an upstream "u1" of "notes" that answers with 400000 bytes
+    And the route "/notes/" to "notes" with a timeout of 10 seconds
+    And a gateway with a grace time of 6 seconds
+    When a caller pipelines 3 requests for "/notes/1" and reads nothing for 1 seconds
+    And the gateway is stopped, and the caller reads on after <seconds> seconds
+    Then its replies are <replies>
+    And the line "stopped" has <unread>
+
+    Examples:
+      | seconds | replies    | unread          |
+      | 4       | complete   | no unread bytes |
+      | 30      | incomplete | unread bytes    |
+
   Scenario: a request whose handler does not end has a reply at the end of a stop
     Given 4 upstreams of "notes" with 4 slots that work for 0.1 seconds
     And the route "/notes/" to "notes"
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -291,7 +291,10 @@
             self._answering = True
             self._current = item
             reply = await self._answer(item)
-            close = not item.keep_alive or self._listener.is_stopping
+            # What has been read is answered before a stop ends the connection.
+            is_last = self._pending.empty() and not self._in_message
+            is_stopping = self._listener.is_stopping and is_last
+            close = not item.keep_alive or is_stopping
             self._write(reply, close, item.method == b'HEAD')
             self._answering = False
             self._current = None
