Keep a host that is asked to stop while it starts from becoming ready

What callers saw: a host that got SIGTERM while it opened its listeners answered its readiness probe by 200 afterwards, so the balancer would send to it.

Cause: the start set the state SERVING after the stop had set LEAVING.

Failed before: the probe was answered by 200 after the request to stop.

Change: the state is set only if the process is still starting.

Result: the scenario passes. Ruled out: the signal handlers, which call stop as they should.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -122,6 +122,13 @@
     Then 2 requests are answered by 503
     And the line "stopped" has 2 unanswered
 
+  Scenario: a host that is asked to stop while it starts does not become ready
+    Given 4 upstreams of "notes" with 4 slots that work for 0.1 seconds
+    And the route "/notes/" to "notes"
+    And a gateway that is asked to stop before it listens
+    Then the gateway is not ready
+    And the gateway ends within 6 seconds of the stop
+
   Scenario: a second request to stop changes nothing
     Given 4 upstreams of "notes" with 4 slots that work for 4 seconds
     And the route "/notes/" to "notes" with a timeout of 10 seconds that runs once
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -137,7 +137,8 @@
             ):
                 task = asyncio.create_task(_run_forever(background_task))
                 stack.push_async_callback(core.end_task, task)
-            self.state = ProcessState.SERVING
+            if self.state is ProcessState.STARTING:
+                self.state = ProcessState.SERVING
             record(
                 events.LogKind.STARTED,
                 place=config.place.zone,
