Withdraw the registration while requests are ended, not before

What callers saw: with a store that does not answer, a stop did not begin to end requests and connections before the calls for the registration had ended, so that the process was killed with requests in flight.

Cause: the drain waited for the withdrawal of the registration.

Failed before: with calls that hang, the gateway had not ended 100 s after the request to stop.

Change: the registration is a task of its own, which withdraws when the stop starts and is cancelled at the end of the drain.

Result: three POST requests in flight get 504 and the gateway ends within its grace time of 6 s. Ruled out: a shorter timeout of these calls, which would lose the withdrawal from a store that is slow.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -129,6 +129,15 @@
     Then the gateway is not ready
     And the gateway ends within 6 seconds of the stop
 
+  Scenario: a source that does not answer does not delay a stop
+    Given 1 upstreams of "notes" with 4 slots that work for 300 seconds
+    And the route "/notes/" to "notes" with a timeout of 200 seconds that runs once
+    And a gateway with a grace time of 6 seconds
+    When calls for the registration hang
+    And 3 POST requests are in flight, and the gateway is stopped
+    Then 3 requests are answered by 504
+    And the gateway ends within 6 seconds of the stop
+
   Scenario: a second request to stop changes nothing
     Given 4 upstreams of "notes" with 4 slots that work for 4 seconds
     And the route "/notes/" to "notes" with a timeout of 10 seconds that runs once
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -144,8 +144,9 @@
                 place=config.place.zone,
                 build=config.build_id,
             )
-            async with registration_module.keep_registered(self._registration):
-                await self._stop.wait()
+            registered = asyncio.create_task(self._stay_registered())
+            stack.push_async_callback(core.end_task, registered)
+            await self._stop.wait()
             await self._drain()
         self.state = ProcessState.ENDED
         record(
@@ -156,6 +157,14 @@
             unsent_bytes=self._unsent_bytes,
         )
 
+    async def _stay_registered(self) -> None:
+        """Withdraw the registration when the shutdown starts.
+
+        A source that does not answer then must not delay the shutdown.
+        """
+        async with registration_module.keep_registered(self._registration):
+            await self._stop.wait()
+
     def _start_shutdown(self, cause: str) -> None:
         self.state = ProcessState.LEAVING
         self._caller_listener.is_stopping = True
