Take no command at an entry host that leaves which its bound would cut

What callers saw: a command that an entry host took while it left, with a deadline beyond the bound of the stop, ran and was cut at the bound: "may have run", though another host could have run it. A query that was cut there had no outcome at all.

The bound was known only to the loop that waits for requests in flight.

Failed before (lag 1 s, bound 3 s, deadline 20 s): the command was run and cut with upstreams that take 8 s; queries in flight at the bound ended in a cancellation.

Change: the host knows from the start of a stop when requests are cancelled. A command with a later deadline is refused as draining, before it is claimed; a query ends 0.15 s before; what is cancelled at the bound has the outcome Unknown.

Ruled out: the observed time, as at a gateway, since the bound of 30 s is above the deadlines of commands, so few are refused.

--- a/features/stops.feature
+++ b/features/stops.feature
@@ -194,6 +194,28 @@
       | given up after a short limit | 40 x 2, 40 x 0.1 cut | 2     | 2.2  |
       | given up after a long time   | 40 x 1, 10 x 6 cut   | 6     | 16   |
 
+  # Guards against commands that an entry host takes while it leaves, and cuts
+  # at the bound of the stop.
+  Scenario Outline: an entry host that leaves takes only commands that end before its bound: <deadline> s
+    Given 2 entry hosts with a lag of 1 s and a bound of 3 s, whose upstreams take <service> s
+    When host "h1" is stopped, and is sent a command and a query with a deadline of <deadline> s
+    Then the command is <command> and ran <runs> times
+    And the query is <query>
+    And the host has ended within 5 s
+
+    Examples:
+      | deadline | service | command                | runs | query                    |
+      | 2        | 0.1     | recorded               | 1    | answered                 |
+      | 20       | 0.1     | refused as draining    | 0    | answered                 |
+      | 20       | 8       | refused as draining    | 0    | answered, with no shards |
+
+  Scenario: requests in flight at the bound of an entry host have an outcome
+    Given 2 entry hosts with a lag of 1 s and a bound of 3 s, whose upstreams take 20 s
+    When host "h1" is sent a command and a query with a deadline of 20 s, and is stopped
+    Then the command is unknown and ran 1 times
+    And the query is unknown
+    And the host has ended within 5 s
+
   @sockets
   Scenario Outline: of 3 gateway processes that are stopped in turn, none cuts a request: <method> of <work> s
     Given 3 gateway processes in front of 4 servers with 4 slots that work for <work> seconds, for requests that <kind>
--- a/rudderrock/coordination/_host.py
+++ b/rudderrock/coordination/_host.py
@@ -1,6 +1,7 @@
 """The host that receives requests: request handling, startup, planned stop."""
 
 import asyncio
+from collections.abc import Awaitable
 import contextlib
 import random
 
@@ -23,6 +24,8 @@
 
 _DRAIN_POLL_PERIOD_S = 0.02
 _NOT_READY_RETRY_S = 1.0
+# Time before the bound of a stop in which the answers reach the callers.
+_ANSWER_MARGIN_S = 0.15
 
 
 class EntryHost:
@@ -63,6 +66,8 @@
         self._limit_shares = limit_shares
         self._skip_waits = asyncio.Event()
         self._active: set[asyncio.Task] = set()
+        # When a planned stop cancels requests in flight, at the earliest.
+        self._ends_at: float | None = None
 
     # Startup and stop
 
@@ -92,20 +97,23 @@
         The host first reports that it is not ready, but accepts requests for
         `balancer_lag_s` more, until the balancer has reacted. It then refuses
         new requests and waits up to `bound_s` for those in flight; the rest is
-        cancelled. `stop_waiting` ends both waits. A further call of `stop`
-        does nothing.
+        cancelled, with the outcome `Unknown`. A command that comes while the
+        host leaves is accepted only if its deadline is before. `stop_waiting`
+        ends both waits. A further call of `stop` does nothing.
         """
         if self.lifecycle.state in (
             lifecycle.HostState.STARTING,
             lifecycle.HostState.SERVING,
         ):
+            lag_s = self.settings.drain.balancer_lag_s
+            bound_s = self.settings.drain.bound_s
+            self._ends_at = self._clock.now() + lag_s + bound_s
             self.lifecycle.leave()
             self.membership.mark_leaving()
             await self.membership.push_updates(configs.PUSH_FANOUT)
-            lag_s = self.settings.drain.balancer_lag_s
             await core.wait_for_event(self._skip_waits, lag_s)
             self.lifecycle.drain()
-            drain_until = self._clock.now() + self.settings.drain.bound_s
+            drain_until = self._clock.now() + bound_s
             while self._active and self._clock.now() < drain_until:
                 if self._skip_waits.is_set():
                     break
@@ -114,10 +122,7 @@
             self.lifecycle.stop()
 
     def stop_waiting(self) -> None:
-        """End the waits of a planned stop and cancel requests in flight.
-
-        A cancelled command that may have run has the outcome `Unknown`.
-        """
+        """End the waits of a planned stop and cancel requests in flight."""
         self._skip_waits.set()
 
     async def _cancel_active(self) -> None:
@@ -202,7 +207,8 @@
         query_id = self._make_query_id()
         started_at = self._clock.now()
         with self._track_task():
-            outcome = await self._query(row, query, query_id)
+            work = self._query(row, query, query_id)
+            outcome = await self._finish(work, query_id)
         self._record_outcome(row, query_id, outcome, started_at)
         return outcome
 
@@ -213,10 +219,24 @@
         query_id = self._make_query_id()
         started_at = self._clock.now()
         with self._track_task():
-            outcome = await self._command(row, command, key, query_id)
+            work = self._command(row, command, key, query_id)
+            outcome = await self._finish(work, query_id)
         self._record_outcome(row, query_id, outcome, started_at)
         return outcome
 
+    async def _finish(
+        self, work: Awaitable[protocol.Outcome], query_id: state.QueryId
+    ) -> protocol.Outcome:
+        """Return the outcome of a request, also if a stop cancels it."""
+        try:
+            return await work
+        except asyncio.CancelledError:
+            if self.lifecycle.state is not lifecycle.HostState.DRAINING:
+                raise
+            # The cancellation ends here, so that the caller has an outcome.
+            asyncio.current_task().uncancel()
+            return protocol.Unknown(query=query_id, detail='host stopped')
+
     async def _query(
         self,
         row: state.TeamRow,
@@ -231,6 +251,8 @@
         deadline = now + min(
             row.deadline_s, query.deadline_s or row.deadline_s
         )
+        if self._ends_at is not None:
+            deadline = min(deadline, self._ends_at - _ANSWER_MARGIN_S)
         cost = len(collection.placements[-1].shards)
         decision = self.admission.admit(row, cost, deadline)
         if decision.is_err():
@@ -266,6 +288,12 @@
         deadline = now + min(
             row.deadline_s, command.deadline_s or row.deadline_s
         )
+        if self._ends_at is not None and deadline > self._ends_at:
+            return protocol.Refused(
+                reason=protocol.RefusalReason.DRAINING,
+                detail='this host stops before the deadline',
+                retry_after_s=0.0,
+            )
         decision = self.admission.admit(row, 1, deadline)
         if decision.is_err():
             return decision.unwrap_err()
