Close the connections of peers without a reply unless they delegated a query

What callers saw: nothing; peers that wait for changes would have been answered by 503 at the end of a stop, and counted as unanswered.

Cause: the listener of peers was finished as that of callers.

Change: it is finished only while queries of peers are in flight. The reply to a request that was not read to its end has a Retry-After.

Ruled out: answering the waits for changes, since a peer reads a closed connection as the end of this host, which it is.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -251,6 +251,8 @@
         except asyncio.IncompleteReadError:
             context.bodies.append((0, 0))
         context.caller.leave()
+        # The gateway's side of the connection closes in this time.
+        await asyncio.sleep(1.0)
 
     run(context, stop())
 
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -196,8 +196,9 @@
         while self._is_busy() and loop.time() < planned.end:
             self._caller_listener.close_idle()
             await asyncio.sleep(_POLL_INTERVAL_S)
-        for each in (self._caller_listener, self.peers):
-            self._unanswered += each.finish(self._make_last_reply)
+        self._unanswered = self._caller_listener.finish(self._make_last_reply)
+        if self.gateway.delegated_in_flight:
+            self._unanswered += self.peers.finish(self._make_last_reply)
         self._unsent_bytes = self._caller_listener.unsent_bytes
 
     def _make_last_reply(
@@ -205,7 +206,8 @@
     ) -> messages.Reply:
         """Return the reply to a request that has none at the end."""
         if request is None:
-            return messages.Reply(503, [])
+            retry_after = b'%.2f' % results.RETRY_AFTER_S
+            return messages.Reply(503, [(b'retry-after', retry_after)])
         return results.make_stopped_result(self._config.names, request).reply
 
     def _is_busy(self) -> bool:
