--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -419,7 +419,7 @@
 @then(r'the store lists (\d+) hosts?')
 def check_hosts(context, count):
     call(context, context.source.list_hosts())
-    found = context.answer.ok_value
+    found = list(context.answer.ok_value.hosts)
     assert len(found) == int(count), found
     if found:
         assert found == [context.entry], found
--- a/features/steps/archive.py
+++ b/features/steps/archive.py
@@ -33,8 +33,13 @@
     """Make a host's records, and save them until the scenario ends."""
     host = quarantine_steps.make_quarantine(context, 'h1')
     clock = state.Clock(context.loop)
+    events = gateway.EventLog('h1', clock)
     archive = gateway.QuarantineArchive(
-        context.record_source, host, clock, gateway.EventLog('h1', clock)
+        context.record_source,
+        host,
+        clock,
+        events,
+        gateway.RejectedEntries(events),
     )
 
     context.archive = archive
@@ -166,4 +171,5 @@
 @then(r'the source reads back the quarantine records of the other (\d+)')
 def check_read_back(context, count):
     answer = run(context, context.source.list_saved_records())
-    assert answer.ok_value == context.saved[-int(count) :], answer
+    found = list(answer.ok_value.records)
+    assert found == context.saved[-int(count) :], answer
--- a/features/steps/entries.py
+++ b/features/steps/entries.py
@@ -93,7 +93,7 @@
     | strategies.sampled_from(['ready', 'draining', '10.0.0.1:1', 'z'])
     | strategies.text(max_size=8)
 )
-_VALUES = strategies.recursive(
+VALUES = strategies.recursive(
     _SCALARS,
     lambda inner: (
         strategies.lists(inner, max_size=3)
@@ -101,7 +101,7 @@
     ),
     max_leaves=4,
 )
-_ENTRIES = strategies.dictionaries(strategies.sampled_from(_FIELDS), _VALUES)
+_ENTRIES = strategies.dictionaries(strategies.sampled_from(_FIELDS), VALUES)
 
 
 @then(r'(\d+) entries of any kind are decoded to an upstream or a problem')
--- a/rudderrock/core/__init__.py
+++ b/rudderrock/core/__init__.py
@@ -4,6 +4,10 @@
 imported, which keeps the start of small processes fast.
 """
 
+from rudderrock.core._addresses import ADDRESS_PATTERN
+from rudderrock.core._addresses import IP_PATTERN
+from rudderrock.core._addresses import MAX_NUMBER
+from rudderrock.core._addresses import parse_number
 from rudderrock.core._addresses import split_address
 from rudderrock.core._build import read_build_id
 from rudderrock.core._clock import Clock
@@ -29,13 +33,16 @@
 from rudderrock.core._tasks import wait_for_event
 
 __all__ = [
+    'ADDRESS_PATTERN',
     'Clock',
     'CollectionId',
     'DecayingMean',
     'EditId',
     'HedgeThreshold',
     'HostId',
+    'IP_PATTERN',
     'IndexVersion',
+    'MAX_NUMBER',
     'NO_REVISION',
     'QueryId',
     'RequestId',
@@ -48,6 +55,7 @@
     'ZoneId',
     'end_task',
     'make_random',
+    'parse_number',
     'read_build_id',
     'run_loop',
     'split_address',
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -1,5 +1,20 @@
 """Gateway that forwards requests to upstreams, with routing and retries."""
 
+from rudderrock.gateway._decoding import Address
+from rudderrock.gateway._decoding import check_name
+from rudderrock.gateway._decoding import check_token
+from rudderrock.gateway._decoding import convert_value
+from rudderrock.gateway._decoding import Count
+from rudderrock.gateway._decoding import decode_json
+from rudderrock.gateway._decoding import Integer
+from rudderrock.gateway._decoding import MAX_DURATION_MS
+from rudderrock.gateway._decoding import MAX_SLOTS
+from rudderrock.gateway._decoding import Milliseconds
+from rudderrock.gateway._decoding import NAME
+from rudderrock.gateway._decoding import PositiveCount
+from rudderrock.gateway._decoding import shorten
+from rudderrock.gateway._decoding import ShortText
+from rudderrock.gateway._decoding import TOKEN
 from rudderrock.gateway._events import format_event_page
 from rudderrock.gateway._events import KIND_INFO
 from rudderrock.gateway._events import LogKind
@@ -12,6 +27,7 @@
 from rudderrock.gateway._metrics import GatewayMetrics
 from rudderrock.gateway._process import GatewayProcess
 from rudderrock.gateway._process import ProcessState
+from rudderrock.gateway._rejected_entries import RejectedEntries
 from rudderrock.gateway._settings import GatewaySettings
 from rudderrock.gateway.decisions._admission import Admission
 from rudderrock.gateway.decisions._budget import ExtraRequestBudget
@@ -65,6 +81,7 @@
 from rudderrock.gateway.discovery._peers import Known
 from rudderrock.gateway.discovery._peers import PeerClient
 from rudderrock.gateway.discovery._peers import read_changes
+from rudderrock.gateway.discovery._peers import read_reply
 from rudderrock.gateway.discovery._peers import render_changes
 from rudderrock.gateway.discovery._position import NEVER_READ
 from rudderrock.gateway.discovery._position import Position
@@ -90,8 +107,10 @@
 from rudderrock.gateway.discovery._routing import Target
 from rudderrock.gateway.discovery._saved_records import SavedRecord
 from rudderrock.gateway.discovery._sources import HistoryCompacted
+from rudderrock.gateway.discovery._sources import HostReading
 from rudderrock.gateway.discovery._sources import Lease
 from rudderrock.gateway.discovery._sources import LeaseEnded
+from rudderrock.gateway.discovery._sources import SavedReading
 from rudderrock.gateway.discovery._sources import SourcePort
 from rudderrock.gateway.discovery._sources import SourceRestored
 from rudderrock.gateway.discovery._sources import TableHolder
@@ -132,6 +151,7 @@
 from rudderrock.gateway.http._verdicts import Verdict
 
 __all__ = [
+    'Address',
     'Admission',
     'Anywhere',
     'CallerListener',
@@ -142,6 +162,7 @@
     'ColdLimits',
     'ConnectionLost',
     'ConnectionShare',
+    'Count',
     'Counters',
     'Denied',
     'Directory',
@@ -159,16 +180,18 @@
     'GatewayMetrics',
     'GatewayProcess',
     'GatewaySettings',
-    'Granted',
     'GiveUp',
+    'Granted',
     'HeaderNames',
     'Headers',
     'HistoryCompacted',
     'HostEntry',
+    'HostReading',
     'HttpClient',
     'InForce',
     'InitialSync',
     'IntakeLimits',
+    'Integer',
     'KIND_INFO',
     'KeyDigest',
     'Known',
@@ -177,9 +200,13 @@
     'LeaseEnded',
     'Link',
     'LoadEstimator',
-    'LoopDelay',
     'LogKind',
+    'LoopDelay',
+    'MAX_DURATION_MS',
+    'MAX_SLOTS',
     'MemoryMonitor',
+    'Milliseconds',
+    'NAME',
     'NEVER_READ',
     'NO_VERSION',
     'Outcome',
@@ -188,6 +215,7 @@
     'PipeHandler',
     'Pool',
     'Position',
+    'PositiveCount',
     'ProcessState',
     'Progress',
     'Quarantine',
@@ -195,13 +223,14 @@
     'QuarantineBroadcaster',
     'QuarantineRecord',
     'QuarantineState',
+    'QueryClass',
     'QuotaBounds',
     'QuotaExchange',
-    'QueryClass',
     'ReadingStamp',
+    'RefusedRequests',
     'RegionId',
     'Registration',
-    'RefusedRequests',
+    'RejectedEntries',
     'Repeat',
     'RepeatKind',
     'Replica',
@@ -213,6 +242,7 @@
     'Route',
     'RouteName',
     'RoutingTable',
+    'SavedReading',
     'SavedRecord',
     'Scatter',
     'SendDecision',
@@ -221,6 +251,7 @@
     'Service',
     'ServiceName',
     'Share',
+    'ShortText',
     'Single',
     'SourceEra',
     'SourcePort',
@@ -228,6 +259,7 @@
     'Split',
     'Standing',
     'Synchronizer',
+    'TOKEN',
     'TableHolder',
     'TableReading',
     'TableVersion',
@@ -239,27 +271,33 @@
     'Topology',
     'Unavailable',
     'UpstreamReading',
-    'Verdict',
     'VOTER_COUNT',
+    'Verdict',
     'WaitingAttempt',
     'Within',
+    'check_name',
+    'check_token',
     'classify_outcome',
     'compute_connection_share',
+    'convert_value',
+    'decode_json',
     'digest_key',
     'digest_request',
     'format_event_page',
     'get_wait_limit_s',
     'load_absl_log',
     'merge_records',
+    'plan_retry',
     'rank_hosts',
     'rank_pair',
-    'plan_retry',
     'read_changes',
     'read_records',
+    'read_reply',
     'remove_hop_by_hop_headers',
     'render_changes',
     'render_records',
     'render_reply',
     'render_request',
     'set_up_log',
+    'shorten',
 ]
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -170,7 +170,11 @@
         ('era', 'revision', 'added', 'left', 'held', 'origin'),
     ),
     LogKind.ENTRY_REJECTED: KindInfo(
-        'The registration of an upstream is invalid.', ('problem',)
+        'An entry of an upstream, a host, an evacuated zone or a quarantined '
+        'request is invalid and left out. `problem` gives its key, or the '
+        'peer that sent it, and the reason. An entry is named once for as '
+        'long as it stays so; of many, some are only counted.',
+        ('problem',),
     ),
     LogKind.EVACUATIONS_CHANGED: KindInfo(
         'Zones whose upstreams get no more requests (`begun`) or get '
--- a/rudderrock/gateway/discovery/_archive.py
+++ b/rudderrock/gateway/discovery/_archive.py
@@ -15,6 +15,7 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway import _rejected_entries as rejected_entries
 from rudderrock.gateway.discovery import _quarantine as quarantine
 from rudderrock.gateway.discovery import _saved_records as saved_records
 from rudderrock.gateway.discovery import _sources as sources
@@ -39,12 +40,14 @@
         known_quarantine: quarantine.Quarantine,
         clock: core.Clock,
         events: log.EventLog,
+        rejected: rejected_entries.RejectedEntries,
     ):
         self.is_loaded = False
         self._source = source
         self._quarantine = known_quarantine
         self._clock = clock
         self._events = events
+        self._rejected = rejected
         self._saved_generation = 0
         self._saves_all = False
         # Digests of saved records that are no longer needed.
@@ -97,9 +100,10 @@
         match await self._source.list_saved_records():
             case result.Ok(found):
                 self.is_loaded = True
-                self._merge(found)
+                self._rejected.record('quarantine', found.problems)
+                self._merge(found.records)
 
-    def _merge(self, found: list[saved_records.SavedRecord]) -> None:
+    def _merge(self, found: Iterable[saved_records.SavedRecord]) -> None:
         now = self._clock.wall()
         records = sorted(
             (saved_records.restore_record(each, now) for each in found),
--- a/rudderrock/gateway/discovery/_broadcast.py
+++ b/rudderrock/gateway/discovery/_broadcast.py
@@ -17,6 +17,7 @@
 import result
 
 from rudderrock import core
+from rudderrock.gateway import _decoding as decoding
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _fleet as fleet
 from rudderrock.gateway.discovery import _quarantine as quarantine
@@ -43,7 +44,6 @@
 PULL_INTERVAL_S = 2.0
 STARTUP_PULL_INTERVAL_S = 0.2
 _STARTUP_PULLS = 10
-_DECODER = msgspec.json.Decoder(quarantine.Record)
 
 
 class QuarantineBroadcaster:
@@ -104,11 +104,14 @@
                 self._merge_reply(reply.body, address)
 
     def _merge_reply(self, body: bytes, origin: str) -> None:
-        try:
-            self._quarantine.merge(read_records(body), origin)
-        except msgspec.DecodeError as error:
+        records, problems = _decode_records(body)
+        self._quarantine.merge(records, origin)
+        if problems:
             log.load_absl_log().warning(
-                'Invalid quarantine records from %s: %s', origin, error
+                'Invalid quarantine records from %s: %d, %s',
+                origin,
+                len(problems),
+                problems[0],
             )
 
     async def _send_to_all(self) -> None:
@@ -171,16 +174,15 @@
         """Handle a request of another host.
 
         GET returns all records. POST merges the records that are sent and
-        returns this host's records of the same requests, or status 400 if the
-        body can't be decoded.
+        returns this host's records of the same requests. Records that can't be
+        decoded are left out; the status is 400 if none can.
         """
         records = self._quarantine.list_since(0)
         if request.method == b'GET':
             return messages.Reply(200, [], render_records(records))
-        try:
-            received = read_records(request.body)
-        except msgspec.DecodeError as error:
-            return messages.Reply(400, [], str(error).encode())
+        received, problems = _decode_records(request.body)
+        if problems and not received:
+            return messages.Reply(400, [], problems[0].encode())
         # The sender may have started recently and lack parts of these records,
         # so the reply contains this host's records of the same requests.
         digests = {each.digest for each in received}
@@ -197,6 +199,16 @@
 def read_records(lines: bytes) -> list[quarantine.Record]:
     """Return the records that `render_records` has encoded.
 
-    Raises `msgspec.DecodeError` if `lines` can't be decoded.
+    Records that can't be decoded are left out.
     """
-    return _DECODER.decode_lines(lines)
+    return _decode_records(lines)[0]
+
+
+def _decode_records(
+    lines: bytes,
+) -> tuple[list[quarantine.Record], list[str]]:
+    """Return the records in lines, and why others can't be decoded."""
+    found, rejected = decoding.decode_each(
+        filter(None, lines.split(b'\n')), quarantine.Record
+    )
+    return found, [problem for _, problem in rejected]
--- a/rudderrock/gateway/discovery/_directory.py
+++ b/rudderrock/gateway/discovery/_directory.py
@@ -4,8 +4,10 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+from typing import Annotated
 
 from rudderrock import core
+from rudderrock.gateway import _decoding as decoding
 from rudderrock.gateway.discovery import _position as position
 from rudderrock.gateway.discovery import _restore as restore
 from rudderrock.gateway.discovery import _routing as routing
@@ -45,15 +47,15 @@
     from the reading on.
     """
 
-    upstream: core.UpstreamId
-    service: routing.ServiceName
-    address: tuple[str, int]
-    zone: core.ZoneId
-    slots: int
+    upstream: Annotated[core.UpstreamId, decoding.TOKEN]
+    service: Annotated[routing.ServiceName, decoding.NAME]
+    address: tuple[decoding.IpAddress, decoding.Port]
+    zone: Annotated[core.ZoneId, decoding.NAME]
+    slots: decoding.Slots
     phase: Phase
-    born: int = 0
-    sequence: int = dataclasses.field(default=0, compare=False)
-    warmup_left_s: float = 0.0
+    born: decoding.Count = 0
+    sequence: decoding.Count = dataclasses.field(default=0, compare=False)
+    warmup_left_s: decoding.Milliseconds = 0.0
 
     @property
     def incarnation_order(self) -> tuple[int, int]:
--- a/rudderrock/gateway/discovery/_fleet.py
+++ b/rudderrock/gateway/discovery/_fleet.py
@@ -5,10 +5,12 @@
 from collections.abc import Iterable
 import dataclasses
 import math
+from typing import Annotated
 
 import xxhash
 
 from rudderrock import core
+from rudderrock.gateway import _decoding as decoding
 
 # How long a host that has left the registry still counts, in seconds. A
 # registration may lapse while its host is alive, and after an outage of the
@@ -26,10 +28,10 @@
     compare hosts: processor speed in cores times link bandwidth in Mbit/s.
     """
 
-    host: core.HostId
-    zone: core.ZoneId
-    address: str
-    capacity: float = 0.0
+    host: Annotated[core.HostId, decoding.NAME]
+    zone: Annotated[core.ZoneId, decoding.NAME]
+    address: decoding.Address
+    capacity: decoding.Capacity = 0.0
 
 
 class Fleet:
@@ -78,8 +80,17 @@
         return self._has_listing and self.lists_this_host()
 
     def apply_listing(self, hosts: Iterable[HostEntry]) -> bool:
-        """Replace the known hosts; return whether anything changed."""
-        found = {each.host: each for each in hosts}
+        """Replace the known hosts; return whether anything changed.
+
+        An entry with this host's name that isn't its own is left out, as if
+        this host were not registered. It may be in another zone, of which
+        this host would be the only one.
+        """
+        found = {
+            each.host: each
+            for each in hosts
+            if each.host != self.own.host or each == self.own
+        }
         now = self._clock.now()
         # A host that is missing now has been registered until the listing
         # could be read, which may be long after the one before.
--- a/rudderrock/gateway/discovery/_operator_data.py
+++ b/rudderrock/gateway/discovery/_operator_data.py
@@ -6,6 +6,7 @@
 
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway import _rejected_entries as rejected_entries
 from rudderrock.gateway.discovery import _evacuations as evacuations
 from rudderrock.gateway.discovery import _position as position
 from rudderrock.gateway.discovery import _sources as sources
@@ -32,11 +33,13 @@
         tables: sources.TableHolder,
         evacuated: evacuations.EvacuationHolder,
         events: log.EventLog,
+        rejected: rejected_entries.RejectedEntries,
     ):
         self._source = source
         self._tables = tables
         self._evacuated = evacuated
         self._events = events
+        self._rejected = rejected
         self._task: asyncio.Task | None = None
         self._has_read = False
         # The position of a read after which no watch was started.
@@ -96,6 +99,7 @@
                 reading.position, reading.evacuated
             )
             self._evacuated.apply(found, origin)
+            self._rejected.record('evacuations', reading.rejected)
 
     async def _watch(
         self, read: position.Position, first_wait_s: float
--- a/rudderrock/gateway/discovery/_peers.py
+++ b/rudderrock/gateway/discovery/_peers.py
@@ -11,6 +11,7 @@
 import collections
 import dataclasses
 import itertools
+from typing import Annotated
 import urllib.parse
 import zlib
 
@@ -18,6 +19,7 @@
 import result
 
 from rudderrock import core
+from rudderrock.gateway import _decoding as decoding
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _evacuations as evacuations
 from rudderrock.gateway.discovery import _fleet as fleet
@@ -92,16 +94,16 @@
     """
 
     process: str = ''
-    upstreams: int = 0
-    era: int | None = None
-    hosts: int = 0
-    table: int = -1
-    table_version: int | None = None
+    upstreams: decoding.Integer = 0
+    era: decoding.Integer | None = None
+    hosts: decoding.Integer = 0
+    table: decoding.Integer = -1
+    table_version: decoding.Integer | None = None
     is_lost: bool = False
-    evacuations: int = position.NEVER_READ.revision
-    evacuations_era: int | None = None
-    quarantine: int = 0
-    max_age_ms: int = round(MAX_AGE_S * 1000)
+    evacuations: decoding.Integer = position.NEVER_READ.revision
+    evacuations_era: decoding.Integer | None = None
+    quarantine: decoding.Integer = 0
+    max_age_ms: decoding.Integer = round(MAX_AGE_S * 1000)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,28 +144,28 @@
     whole: bool
     upstreams: list[directory.Endpoint]
     left: list[str]
-    revision: int
-    era: int = 0
+    revision: decoding.Integer
+    era: decoding.Integer = 0
     origin: str
-    number: int
-    hops: int
-    age_ms: int
-    table_age_ms: int
-    hold_ms: int
-    hosts_generation: int
+    number: decoding.Integer
+    hops: decoding.Count
+    age_ms: decoding.Integer
+    table_age_ms: decoding.Integer
+    hold_ms: decoding.Integer
+    hosts_generation: decoding.Integer
     hosts: list[fleet.HostEntry] | None = None
     hosts_left: list[str] = []
     hosts_whole: bool = True
     table: bytes | None = None
-    table_version: int = routing.NO_VERSION
-    table_revision: int = 0
-    table_era: int = 0
-    evacuated: list[str] = []
-    evacuated_at: list[int] = []
-    evacuations_revision: int = position.NEVER_READ.revision
-    evacuations_era: int = 0
+    table_version: decoding.Integer = routing.NO_VERSION
+    table_revision: decoding.Integer = 0
+    table_era: decoding.Integer = 0
+    evacuated: list[Annotated[core.ZoneId, decoding.NAME]] = []
+    evacuated_at: list[decoding.Integer] = []
+    evacuations_revision: decoding.Integer = position.NEVER_READ.revision
+    evacuations_era: decoding.Integer = 0
     suspects: list[quarantine.Record] = []
-    quarantine_generation: int = 0
+    quarantine_generation: decoding.Integer = 0
     has_lost_source: bool = False
 
     @property
@@ -205,6 +207,28 @@
         )
 
 
+class _UncheckedChanges(Changes, frozen=True, kw_only=True):
+    """Changes whose entries are decoded one by one."""
+
+    upstreams: list[msgspec.Raw]
+    hosts: list[msgspec.Raw] | None = None
+    suspects: list[msgspec.Raw] = []
+
+
+class _UpstreamName(msgspec.Struct):
+    """The id in an entry of an upstream that is invalid otherwise."""
+
+    upstream: core.UpstreamId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReceivedChanges:
+    """The changes in a reply, and why entries of it were left out."""
+
+    changes: Changes
+    problems: tuple[str, ...] = ()
+
+
 class ChangeFeed:
     """Keeps recent changes of this host's state and answers polls of peers.
 
@@ -265,12 +289,12 @@
         path, _, query = request.target.decode('latin-1').partition('?')
         if path != PATH:
             return messages.Reply(404, [])
-        try:
-            known = msgspec.convert(
-                dict(urllib.parse.parse_qsl(query)), Known, strict=False
-            )
-        except msgspec.ValidationError as error:
-            return messages.Reply(400, [], str(error).encode())
+        fields = dict(urllib.parse.parse_qsl(query))
+        match decoding.convert_value(fields, Known, strict=False):
+            case result.Err(problem):
+                return messages.Reply(400, [], problem.encode())
+            case result.Ok(known):
+                pass
         received_at = self._clock.now()
         if not self._initial_sync.is_complete:
             # This host has just started and has no data to send yet.
@@ -489,6 +513,8 @@
 
     def __init__(self, entry: fleet.HostEntry):
         self.entry = entry
+        # Why entries of the last reply were left out.
+        self.problems: tuple[str, ...] = ()
         self.known = Known()
         self._hosts: dict[core.HostId, fleet.HostEntry] = {}
         self._received_table_revision = position.NEVER_READ.revision
@@ -537,12 +563,15 @@
                 return result.Err(
                     sources.Unavailable(f'status {reply.status}')
                 )
-        try:
-            changes = read_changes(
-                answer.ok_value, self._loop.time() - sent_at
-            )
-        except (msgspec.DecodeError, zlib.error) as error:
-            return result.Err(sources.Unavailable(f'unreadable: {error}'))
+        elapsed_s = self._loop.time() - sent_at
+        match read_reply(answer.ok_value, elapsed_s):
+            case result.Err(problem):
+                return result.Err(
+                    sources.Unavailable(f'unreadable: {problem}')
+                )
+            case result.Ok(received):
+                changes = received.changes
+                self.problems = received.problems
         if changes.table is not None:
             self._received_table_revision = changes.table_revision
             self._received_table_version = changes.table_version
@@ -594,14 +623,85 @@
 
     These are the time for which the reply was cached, and the part of the
     `elapsed_s` seconds since the poll for which the peer did not hold it.
-    Raises `msgspec.DecodeError` or `zlib.error` if the reply can't be decoded.
-    A reply that decompresses to more than `MAX_REPLY_BYTES` is truncated,
-    which makes it invalid.
+    Raises `msgspec.DecodeError` if the reply can't be decoded. A reply that
+    decompresses to more than `MAX_REPLY_BYTES` is truncated, which makes it
+    invalid.
+    """
+    match read_reply(reply, elapsed_s):
+        case result.Err(problem):
+            raise msgspec.DecodeError(problem)
+        case result.Ok(received):
+            return received.changes
+
+
+def read_reply(
+    reply: messages.Reply, elapsed_s: float
+) -> result.Result[ReceivedChanges, str]:
+    """Return the changes in a reply as `read_changes`, or why there are none.
+
+    Invalid entries are left out.
     """
     body = reply.body
     if reply.get_header(DEFLATE_HEADER[0]) == DEFLATE_HEADER[1]:
-        body = zlib.decompressobj().decompress(body, MAX_REPLY_BYTES)
-    changes = msgspec.json.decode(body, type=Changes)
+        try:
+            body = zlib.decompressobj().decompress(body, MAX_REPLY_BYTES)
+        except zlib.error as error:
+            return result.Err(str(error))
+    return _decode_changes(body).map(
+        lambda received: dataclasses.replace(
+            received,
+            changes=_add_delays(received.changes, reply, elapsed_s),
+        )
+    )
+
+
+def _decode_changes(body: bytes) -> result.Result[ReceivedChanges, str]:
+    """Return the changes without their invalid entries.
+
+    A peer of another version may relay entries that are invalid here.
+    """
+    match decoding.decode_json(body, Changes):
+        case result.Ok(changes):
+            return result.Ok(ReceivedChanges(changes))
+    return decoding.decode_json(body, _UncheckedChanges).map(_check_entries)
+
+
+def _check_entries(unchecked: _UncheckedChanges) -> ReceivedChanges:
+    """Return changes with those of the entries that are valid.
+
+    An upstream whose entry is invalid counts as removed, since what it has
+    reported last is not known.
+    """
+    upstreams, bad_upstreams = decoding.decode_each(
+        unchecked.upstreams, directory.Endpoint
+    )
+    hosts, bad_hosts = decoding.decode_each(
+        unchecked.hosts or (), fleet.HostEntry
+    )
+    suspects, bad_records = decoding.decode_each(
+        unchecked.suspects, quarantine.Record
+    )
+    named = [
+        decoding.decode_json(bytes(raw), _UpstreamName)
+        for raw, _ in bad_upstreams
+    ]
+    removed = [each.ok_value.upstream for each in named if each.is_ok()]
+    fields = {
+        **msgspec.structs.asdict(unchecked),
+        'upstreams': upstreams,
+        'left': [*unchecked.left, *removed],
+        'hosts': None if unchecked.hosts is None else hosts,
+        'suspects': suspects,
+    }
+    rejected = (*bad_upstreams, *bad_hosts, *bad_records)
+    return ReceivedChanges(
+        Changes(**fields), tuple(problem for _, problem in rejected)
+    )
+
+
+def _add_delays(
+    changes: Changes, reply: messages.Reply, elapsed_s: float
+) -> Changes:
     delay_ms = _read_ms(reply, CACHE_AGE_HEADER) or 0
     held_ms = _read_ms(reply, HOLD_HEADER)
     if held_ms is not None:
@@ -615,8 +715,7 @@
 
 
 def _read_ms(reply: messages.Reply, name: bytes) -> int | None:
-    value = reply.get_header(name) or b''
-    return int(value) if value.isdigit() else None
+    return core.parse_number(reply.get_header(name))
 
 
 def _add_age(age_ms: int, by_ms: int) -> int:
--- a/rudderrock/gateway/discovery/_quarantine.py
+++ b/rudderrock/gateway/discovery/_quarantine.py
@@ -18,10 +18,12 @@
 from collections.abc import Mapping
 import enum
 import math
+from typing import Annotated
 
 import msgspec
 
 from rudderrock import core
+from rudderrock.gateway import _decoding as decoding
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 
@@ -95,11 +97,13 @@
     both in milliseconds.
     """
 
-    digest: str
-    trials: list[str]
+    digest: Annotated[str, decoding.TOKEN]
+    trials: list[Annotated[str, decoding.NAME]]
     answered: bool
-    age_ms: int
-    ended: dict[core.UpstreamIncarnation, int] = {}
+    age_ms: decoding.Count
+    ended: dict[
+        Annotated[core.UpstreamIncarnation, decoding.NAME], decoding.Count
+    ] = {}
 
 
 class _RequestHistory:
--- a/rudderrock/gateway/discovery/_quota_client.py
+++ b/rudderrock/gateway/discovery/_quota_client.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Iterable
 
-import msgspec
 import result
 
 from rudderrock import core
@@ -54,12 +53,13 @@
         )
         match reply:
             case result.Ok(found) if found.status == 200:
-                try:
-                    return quota_messages.decode_answer(found.body)
-                except msgspec.DecodeError as error:
-                    log.load_absl_log().warning(
-                        'Invalid answer from %s: %s', host.host, error
-                    )
+                match quota_messages.decode_answer(found.body):
+                    case result.Ok(answer):
+                        return answer
+                    case result.Err(problem):
+                        log.load_absl_log().warning(
+                            'Invalid answer from %s: %s', host.host, problem
+                        )
         skip_s = SKIP_S
         match reply:
             case result.Err(http_client.NoReply(timed_out=False)):
--- a/rudderrock/gateway/discovery/_quota_exchange.py
+++ b/rudderrock/gateway/discovery/_quota_exchange.py
@@ -12,7 +12,7 @@
 import itertools
 from typing import NamedTuple
 
-import msgspec
+import result
 
 from rudderrock import core
 from rudderrock.gateway import _log as log
@@ -159,10 +159,11 @@
 
     def handle_report(self, request: messages.Request) -> messages.Reply:
         """Answer the report of another host."""
-        try:
-            report = quota_messages.decode_report(request.body)
-        except msgspec.DecodeError as error:
-            return messages.Reply(400, [], str(error).encode())
+        match quota_messages.decode_report(request.body):
+            case result.Err(problem):
+                return messages.Reply(400, [], problem.encode())
+            case result.Ok(report):
+                pass
         answer = self._handle(report)
         return messages.Reply(200, [], quota_messages.encode(answer))
 
@@ -174,10 +175,11 @@
 
     def handle_notice(self, request: messages.Request) -> messages.Reply:
         """Ask first for the teams in a notice of a voter."""
-        try:
-            notice = quota_messages.decode_notice(request.body)
-        except msgspec.DecodeError as error:
-            return messages.Reply(400, [], str(error).encode())
+        match quota_messages.decode_notice(request.body):
+            case result.Err(problem):
+                return messages.Reply(400, [], problem.encode())
+            case result.Ok(notice):
+                pass
         for team, ask_first_ms in notice.teams:
             self._apply_ask_first(team, ask_first_ms)
         return messages.Reply(200, [])
--- a/rudderrock/gateway/discovery/_quota_messages.py
+++ b/rudderrock/gateway/discovery/_quota_messages.py
@@ -3,9 +3,12 @@
 All are encoded as JSON arrays. Times are in milliseconds.
 """
 
+import functools
+
 import msgspec
 
 from rudderrock import core
+from rudderrock.gateway import _decoding as decoding
 from rudderrock.gateway.decisions import _quota as quota
 
 REPORT_PATH = b'/v1/quota/report'
@@ -13,7 +16,7 @@
 
 
 # A request by its process and number, and the milliseconds since then.
-CountedRequest = tuple[quota.ProcessId, int, int]
+CountedRequest = tuple[quota.ProcessId, decoding.Integer, decoding.Integer]
 
 
 class TeamReport(msgspec.Struct, array_like=True, frozen=True):
@@ -27,9 +30,9 @@
     """
 
     team: core.TeamId
-    admitted: list[tuple[int, int]] = []
-    given_back: list[int] = []
-    asked: int | None = None
+    admitted: list[tuple[decoding.Integer, decoding.Integer]] = []
+    given_back: list[decoding.Integer] = []
+    asked: decoding.Integer | None = None
     wants_counted: bool = False
 
 
@@ -42,7 +45,7 @@
 
     process: quota.ProcessId
     host: core.HostId
-    sent_ms: int
+    sent_ms: decoding.Integer
     teams: list[TeamReport]
 
 
@@ -57,9 +60,9 @@
     """
 
     team: core.TeamId
-    ask_first_ms: int = 0
-    retry_after_ms: int | None = None
-    count: int = 0
+    ask_first_ms: decoding.Integer = 0
+    retry_after_ms: decoding.Integer | None = None
+    count: decoding.Integer = 0
     limit: float = 0.0
     is_informed: bool = True
     counted: list[CountedRequest] | None = None
@@ -75,7 +78,7 @@
 class Notice(msgspec.Struct, array_like=True, frozen=True):
     """Teams for which all hosts have to ask first, with the time for it."""
 
-    teams: list[tuple[core.TeamId, int]]
+    teams: list[tuple[core.TeamId, decoding.Integer]]
 
 
 def to_ms(seconds: float) -> int:
@@ -84,6 +87,6 @@
 
 
 encode = msgspec.json.Encoder().encode
-decode_report = msgspec.json.Decoder(Report).decode
-decode_answer = msgspec.json.Decoder(Answer).decode
-decode_notice = msgspec.json.Decoder(Notice).decode
+decode_report = functools.partial(decoding.decode_json, kind=Report)
+decode_answer = functools.partial(decoding.decode_json, kind=Answer)
+decode_notice = functools.partial(decoding.decode_json, kind=Notice)
--- a/rudderrock/gateway/discovery/_saved_records.py
+++ b/rudderrock/gateway/discovery/_saved_records.py
@@ -1,5 +1,7 @@
 """Quarantine records as the source keeps them."""
 
+from typing import Annotated
+
 import msgspec
 
 from rudderrock.gateway.discovery import _quarantine as quarantine
@@ -9,13 +11,15 @@
 # last seconds matters for seconds only. With all of them, 256 records would
 # take 5 s to read over a link of 10 Mbit/s.
 MAX_SAVED_ENDED = 16
+# Greatest wall time of a saved record, in seconds.
+_MAX_WALL_S = 10**11
 
 
 class SavedRecord(msgspec.Struct, frozen=True):
     """A record, and the wall time in seconds at which it was saved."""
 
     record: quarantine.Record
-    saved_at: float
+    saved_at: Annotated[float, msgspec.Meta(ge=0, le=_MAX_WALL_S)]
 
 
 def make_saved_record(record: quarantine.Record, now: float) -> SavedRecord:
--- a/rudderrock/gateway/discovery/_sources.py
+++ b/rudderrock/gateway/discovery/_sources.py
@@ -58,6 +58,7 @@
     a table exists but cannot be used. `raw` is the table as the source stores
     it. `evacuated` maps each evacuated zone to the revision at which it was
     evacuated; it is None if the reading does not include the evacuations.
+    `rejected` describes the other keys that cannot be used.
     """
 
     table: routing.RoutingTable | None
@@ -65,6 +66,7 @@
     problem: str = ''
     raw: bytes = b''
     evacuated: Mapping[core.ZoneId, int] | None = None
+    rejected: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +81,28 @@
     problems: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostReading:
+    """All registered hosts.
+
+    `problems` describes the entries that cannot be used.
+    """
+
+    hosts: tuple[fleet.HostEntry, ...]
+    problems: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SavedReading:
+    """All saved quarantine records.
+
+    `problems` describes the entries that cannot be used.
+    """
+
+    records: tuple[saved_records.SavedRecord, ...]
+    problems: tuple[str, ...] = ()
+
+
 class SourcePort(Protocol):
     """The source, which stores the configuration and the registrations."""
 
@@ -106,7 +130,7 @@
 
     async def list_hosts(
         self,
-    ) -> result.Result[list[fleet.HostEntry], Unavailable]:
+    ) -> result.Result[HostReading, Unavailable]:
         """Return all registered hosts."""
 
     async def register(
@@ -129,7 +153,7 @@
 
     async def list_saved_records(
         self,
-    ) -> result.Result[list[saved_records.SavedRecord], Unavailable]:
+    ) -> result.Result[SavedReading, Unavailable]:
         """Return the quarantine records that hosts have saved."""
 
     async def save_records(
@@ -152,6 +176,8 @@
         self._events = events
         self._applied_at: float | None = None
         self._confirmed_at: float | None = None
+        # Why the table that was read last is invalid, if it is.
+        self._problem = ''
         self._listeners: list[Callable[[routing.RoutingTable], None]] = []
 
     @property
@@ -189,14 +215,10 @@
     def apply_reading(self, reading: TableReading, origin: str) -> None:
         """Put a table in force if it is newer than the current one."""
         if reading.problem:
-            self._events.record(
-                events.LogKind.TABLE_REJECTED,
-                problem=reading.problem,
-                era=reading.position.era,
-                revision=reading.position.revision,
-                origin=origin,
-            )
+            self._record_rejected(reading, origin)
             return
+        if reading.table is not None:
+            self._problem = ''
         table = reading.table
         if table is None or table.version <= self.version:
             return
@@ -215,3 +237,16 @@
         )
         for call in self._listeners:
             call(table)
+
+    def _record_rejected(self, reading: TableReading, origin: str) -> None:
+        """Log an invalid table once for as long as it is read."""
+        if reading.problem == self._problem:
+            return
+        self._problem = reading.problem
+        self._events.record(
+            events.LogKind.TABLE_REJECTED,
+            problem=reading.problem,
+            era=reading.position.era,
+            revision=reading.position.revision,
+            origin=origin,
+        )
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -18,6 +18,7 @@
 from rudderrock import core
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
+from rudderrock.gateway import _rejected_entries as rejected_entries
 from rudderrock.gateway.discovery import _archive as archive_module
 from rudderrock.gateway.discovery import _directory as directory
 from rudderrock.gateway.discovery import _era as era
@@ -89,6 +90,7 @@
         clock: core.Clock,
         rng: random.Random,
         events: log.EventLog,
+        rejected: rejected_entries.RejectedEntries,
         seeds: Iterable[tuple[str, int]] = (),
     ):
         self.lost_at: float | None = None
@@ -123,9 +125,9 @@
         # Random factor of the fallback retry interval, drawn for each attempt.
         self._retry_factor = 1.0
         self._reading_count = 0
-        self._problems: frozenset[str] = frozenset()
+        self._rejected = rejected
         self._operators = operator_data.OperatorDataWatch(
-            source, tables, evacuated, events
+            source, tables, evacuated, events, rejected
         )
 
     async def run(self) -> None:
@@ -430,6 +432,9 @@
         self, client: peers.PeerClient, changes: peers.Changes
     ) -> None:
         origin = f'peer {client.entry.host}'
+        self._rejected.record(
+            'peer', (f'{origin}: {each}' for each in client.problems)
+        )
         if changes.table is not None:
             reading = self._source.decode_table(
                 changes.table, changes.table_position
@@ -524,7 +529,8 @@
         match await self._source.list_hosts():
             case result.Ok(found):
                 self._hosts_read_at = now
-                self._apply_hosts(found, 'source')
+                self._rejected.record('hosts', found.problems)
+                self._apply_hosts(list(found.hosts), 'source')
             case result.Err(problem):
                 self._record_source_lost('hosts', problem.detail)
 
@@ -540,7 +546,7 @@
     def _apply_upstreams(
         self, reading: sources.UpstreamReading, began_at: float
     ) -> None:
-        self._log_new_problems(reading.problems)
+        self._rejected.record('upstreams', reading.problems)
         if self._era.record_position(
             reading.position, self._directory.position, 'source'
         ):
@@ -557,13 +563,6 @@
         )
         self._log_change(change, 'source')
 
-    def _log_new_problems(self, problems: Iterable[str]) -> None:
-        """Log each unusable entry once for as long as it stays unusable."""
-        found = frozenset(problems)
-        for problem in sorted(found - self._problems):
-            self._events.record(events.LogKind.ENTRY_REJECTED, problem=problem)
-        self._problems = found
-
     def _log_change(
         self, change: directory.DirectoryChange | None, origin: str
     ) -> None:
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -61,7 +61,10 @@
         clock=clock,
         rng=make_rng('replicas'),
     )
-    archive = gateway.QuarantineArchive(source, quarantine, clock, events)
+    rejected = gateway.RejectedEntries(events)
+    archive = gateway.QuarantineArchive(
+        source, quarantine, clock, events, rejected
+    )
     change_feed = gateway.ChangeFeed(
         process_id,
         upstream_directory,
@@ -86,6 +89,7 @@
         clock,
         make_rng('source'),
         events,
+        rejected,
         settings.seeds,
     )
     registration = gateway.Registration(
--- a/rudderrock/platform/__init__.py
+++ b/rudderrock/platform/__init__.py
@@ -5,6 +5,8 @@
 upstream.
 """
 
+from rudderrock.platform._decode import decode_host
+from rudderrock.platform._decode import decode_record
 from rudderrock.platform._decode import decode_table
 from rudderrock.platform._decode import decode_upstream
 from rudderrock.platform._decode import replace_keys
@@ -19,6 +21,8 @@
     'NAMES',
     'SettingsFile',
     'StoreSource',
+    'decode_host',
+    'decode_record',
     'decode_table',
     'decode_upstream',
     'read_settings_file',
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -5,6 +5,7 @@
 import enum
 import math
 from typing import Annotated
+from typing import TypeVar
 
 import msgspec
 import result
@@ -14,17 +15,23 @@
 
 # Exceptions of `decode_value`.
 BAD_VALUE = (binascii.Error, ValueError)
-# Exceptions of decoding and converting untrusted JSON. For values that are
-# nested too deeply, msgspec raises RecursionError instead of DecodeError.
-BAD_JSON = (msgspec.DecodeError, ValueError, RecursionError)
 
-
-_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+_Name = Annotated[str, gateway.NAME]
+# Durations that requests and connections may take.
+_Timeout = Annotated[float, msgspec.Meta(gt=0, le=gateway.MAX_DURATION_MS)]
+_Seconds = Annotated[
+    float, msgspec.Meta(ge=0, le=gateway.MAX_DURATION_MS / 1000)
+]
+_MAX_WEIGHT = 1e9
+_Weight = Annotated[float, msgspec.Meta(ge=0, le=_MAX_WEIGHT)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+_Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+_Entry = TypeVar('_Entry')
 
 
 class _WeightedService(msgspec.Struct):
-    service: str
-    weight: float
+    service: _Name
+    weight: _Weight
 
 
 class _ServerState(enum.Enum):
@@ -33,41 +40,41 @@
 
 
 class _Route(msgspec.Struct):
-    name: str
+    name: _Name
     host: str
     prefix: str
     # A `safe` request may be repeated; any other kind is run at most once.
     kind: str
-    timeout_ms: float
-    latency_goal_ms: float | None = None
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: _Timeout
+    latency_goal_ms: gateway.Milliseconds | None = None
+    priority: gateway.Integer = 0
+    max_attempts: gateway.Count = 1
     public: bool = False
-    service: str | None = None
+    service: _Name | None = None
     split: list[_WeightedService] | None = None
     # The services of all shards of an index.
-    gather: list[str] | None = None
-    top_k: int = 0
-    min_coverage: float = 1.0
+    gather: list[_Name] | None = None
+    top_k: gateway.Count = 0
+    min_coverage: _Fraction = 1.0
     # All regions are allowed if this is empty.
-    allowed_regions: list[str] | None = None
+    allowed_regions: list[_Name] | None = None
 
 
 class _Service(msgspec.Struct):
-    name: str
+    name: _Name
     # Connections that one upstream accepts from all hosts together.
-    max_conns: int = 1
+    max_conns: gateway.Count = 1
     # Duration of the warm-up of an upstream after its start, and the requests
     # per second that it can handle during it; 0 means no limit.
-    warmup_s: float = 0.0
-    warmup_per_s: float = 0.0
+    warmup_s: _Seconds = 0.0
+    warmup_per_s: _Rate = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: gateway.PositiveCount
+    max_body_bytes: gateway.Count
+    header_timeout_ms: _Timeout
+    idle_timeout_ms: _Timeout
 
 
 class _Tenant(msgspec.Struct):
@@ -75,14 +82,14 @@
     # `replace_keys` replaces the keys with their digests.
     api_keys: list[str] = []
     key_digests: list[str] = []
-    priority: int | None = None
+    priority: gateway.Integer | None = None
     # 0 sets no limit.
     rate_per_s: float = 0.0
     burst: float = 0.0
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: gateway.Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits
@@ -92,18 +99,18 @@
 class _Server(msgspec.Struct):
     """The entry of an upstream; all fields except `born` are required."""
 
-    service: str
-    address: str
-    zone: str
+    service: gateway.ShortText
+    address: gateway.ShortText
+    zone: gateway.ShortText
     # The version of the upstream's software; not used.
     version: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=0, le=gateway.MAX_SLOTS)]
     state: _ServerState
     # The remaining duration of the warm-up.
-    warmup_left_ms: float
-    sequence: _NonNegativeInt
+    warmup_left_ms: gateway.Milliseconds
+    sequence: gateway.Count
     # Unix time of the start in milliseconds; 0 if the deployment omits it.
-    born: _NonNegativeInt = 0
+    born: gateway.Count = 0
 
 
 def decode_value(text: str) -> bytes:
@@ -120,13 +127,16 @@
     raw: bytes,
 ) -> result.Result[gateway.RoutingTable, str]:
     """Return the routing table in a configuration, or why it is invalid."""
+    return gateway.decode_json(raw, _Config).and_then(_make_table)
+
+
+def _make_table(config: _Config) -> result.Result[gateway.RoutingTable, str]:
     try:
-        config = msgspec.json.decode(raw, type=_Config)
         routes = [_make_route(each) for each in config.routes]
-        services = _make_services(config.services)
         teams = _make_teams(config.tenants)
-    except BAD_JSON as error:
-        return result.Err(str(error))
+    except ValueError as error:
+        return result.Err(gateway.shorten(str(error)))
+    services = _make_services(config.services)
     limits = config.limits
     return result.Ok(
         gateway.RoutingTable(
@@ -150,15 +160,16 @@
     A configuration without tenants, or one that can't be decoded, is returned
     unchanged.
     """
-    try:
-        config = msgspec.json.decode(raw, type=dict[str, msgspec.Raw])
-        if 'tenants' not in config:
-            return raw
-        tenants = msgspec.json.decode(
-            config['tenants'], type=list[_Tenant] | None
-        )
-    except BAD_JSON:
+    decoded = gateway.decode_json(raw, dict[str, msgspec.Raw])
+    config = decoded.unwrap_or({})
+    if 'tenants' not in config:
         return raw
+    decoded = gateway.decode_json(
+        bytes(config['tenants']), list[_Tenant] | None
+    )
+    if decoded.is_err():
+        return raw
+    tenants = decoded.ok_value
     for each in tenants or ():
         each.key_digests += map(_digest_key, each.api_keys)
         each.api_keys = []
@@ -218,38 +229,38 @@
         services[name] = gateway.Service(
             name=name,
             max_connections=each.max_conns,
-            warmup_s=_check_warmup(each.warmup_s),
-            warmup_per_s=_check_warmup(each.warmup_per_s),
+            warmup_s=each.warmup_s,
+            warmup_per_s=each.warmup_per_s,
         )
     return services
 
 
-def _check_warmup(value: float) -> float:
-    """Return a warm-up value; raise ValueError if it is out of range."""
-    if not 0 <= value < math.inf:
-        raise ValueError(
-            f'a warm-up value must be finite and not below 0, not {value:g}'
-        )
-    return value
-
-
 def decode_upstream(
     upstream: str, raw: bytes
 ) -> result.Result[gateway.Endpoint, str]:
     """Return a registered upstream, or why its entry is invalid."""
+    return gateway.decode_json(raw, _Server).and_then(
+        lambda server: _make_endpoint(upstream, server)
+    )
+
+
+def _make_endpoint(
+    upstream: str, server: _Server
+) -> result.Result[gateway.Endpoint, str]:
     try:
-        server = msgspec.json.decode(raw, type=_Server)
+        name = gateway.check_token(upstream)
+        service = gateway.check_name(server.service)
         address = core.split_address(server.address)
-        _check_warmup(server.warmup_left_ms)
-    except BAD_JSON as error:
-        return result.Err(f'{upstream}: {error}')
+        zone = gateway.check_name(server.zone)
+    except ValueError as error:
+        return result.Err(gateway.shorten(str(error)))
     is_ready = server.state is _ServerState.READY
     return result.Ok(
         gateway.Endpoint(
-            upstream=core.UpstreamId(upstream),
-            service=gateway.ServiceName(server.service),
+            upstream=core.UpstreamId(name),
+            service=gateway.ServiceName(service),
             address=address,
-            zone=core.ZoneId(server.zone),
+            zone=core.ZoneId(zone),
             slots=max(1, server.slots),
             phase=gateway.Phase.READY if is_ready else gateway.Phase.DRAINING,
             born=server.born,
@@ -259,6 +270,41 @@
     )
 
 
+def decode_host(
+    host: str, raw: bytes
+) -> result.Result[gateway.HostEntry, str]:
+    """Return the entry of a host, or why it is invalid."""
+    return gateway.decode_json(raw, gateway.HostEntry).and_then(
+        lambda entry: _check_id(entry, entry.host, host)
+    )
+
+
+def decode_record(
+    digest: str, raw: bytes
+) -> result.Result[gateway.SavedRecord, str]:
+    """Return the saved quarantine record of a digest, or why it is invalid."""
+    return gateway.decode_json(raw, gateway.SavedRecord).and_then(
+        lambda entry: _check_id(entry, entry.record.digest, digest)
+    )
+
+
+def decode_zone(zone: str, raw: bytes) -> result.Result[core.ZoneId, str]:
+    """Return the zone of an evacuation, or why its name is invalid.
+
+    The value of the key isn't used.
+    """
+    return gateway.convert_value(zone, _Name).map(core.ZoneId)
+
+
+def _check_id(
+    entry: _Entry, own_id: str, key: str
+) -> result.Result[_Entry, str]:
+    """Return an entry, or an error if its id isn't the one in its key."""
+    if own_id == key:
+        return result.Ok(entry)
+    return result.Err(gateway.shorten(f'is an entry of {own_id!r}'))
+
+
 def _make_route(route: _Route) -> gateway.Route:
     safe = route.kind == 'safe'
     goal_ms = route.latency_goal_ms or route.timeout_ms
@@ -287,12 +333,16 @@
 
 def _make_target(route: _Route) -> gateway.Target:
     if route.gather:
+        if len(set(route.gather)) < len(route.gather):
+            raise ValueError(f'route {route.name} names a shard twice')
         return gateway.Scatter(
             tuple(gateway.ServiceName(each) for each in route.gather),
             route.top_k,
             route.min_coverage,
         )
     if route.split:
+        if not any(each.weight for each in route.split):
+            raise ValueError(f'route {route.name} has no weight above 0')
         return gateway.Split(
             tuple(
                 gateway.Share(gateway.ServiceName(each.service), each.weight)
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -1,6 +1,8 @@
 """Client of the platform's store that implements the gateway's source."""
 
+from collections.abc import Callable
 import dataclasses
+from typing import TypeVar
 import urllib.parse
 
 import msgspec
@@ -28,15 +30,17 @@
 # Response header with the number of times that the store has been restored
 # from a snapshot. A store that does not send it has never been restored.
 _ERA_HEADER = b'store-era'
+_MAX_ERA_BYTES = 32
+_Entry = TypeVar('_Entry')
 
 
 class _Item(msgspec.Struct):
     key: str
     value: str = ''
     # The revision of the item's last change.
-    revision: int = 0
-    created_revision: int = 0
-    lease_id: int = 0
+    revision: gateway.Count = 0
+    created_revision: gateway.Count = 0
+    lease_id: gateway.Count = 0
     # Used in events only: the item was deleted, or its history was dropped.
     compacted: bool = False
 
@@ -44,17 +48,17 @@
 class _Page(msgspec.Struct):
     items: list[_Item]
     has_more: bool
-    at_revision: int
+    at_revision: gateway.Count
 
 
 class _Events(msgspec.Struct):
     events: list[_Item]
-    at_revision: int
+    at_revision: gateway.Count
 
 
 class _Lease(msgspec.Struct):
-    lease_id: int
-    ttl_ms: int
+    lease_id: gateway.Count
+    ttl_ms: gateway.Count
 
 
 class StoreSource:
@@ -75,14 +79,21 @@
         for item in items:
             if item.key == _CONFIG_KEY:
                 reading = self._decode_config(item, position)
+        written = [
+            item for item in items if item.key.startswith(_EVACUATIONS_PREFIX)
+        ]
+        zones, rejected = _decode_entries(
+            written, _EVACUATIONS_PREFIX, decode.decode_zone
+        )
+        revisions = {item.key: item.revision for item in written}
         evacuated = {
-            core.ZoneId(
-                item.key.removeprefix(_EVACUATIONS_PREFIX)
-            ): item.revision
-            for item in items
-            if item.key.startswith(_EVACUATIONS_PREFIX)
+            zone: revisions[f'{_EVACUATIONS_PREFIX}{zone}'] for zone in zones
         }
-        return result.Ok(dataclasses.replace(reading, evacuated=evacuated))
+        return result.Ok(
+            dataclasses.replace(
+                reading, evacuated=evacuated, rejected=rejected
+            )
+        )
 
     async def watch_table(
         self, after: gateway.Position, wait_s: float
@@ -138,18 +149,11 @@
         if listed.is_err():
             return listed
         items, position = listed.ok_value
-        endpoints: list[gateway.Endpoint] = []
-        problems: list[str] = []
-        for item in items:
-            match _decode_server(item):
-                case result.Ok(endpoint):
-                    endpoints.append(endpoint)
-                case result.Err(problem):
-                    problems.append(problem)
+        endpoints, problems = _decode_entries(
+            items, _SERVERS_PREFIX, decode.decode_upstream
+        )
         return result.Ok(
-            gateway.UpstreamReading(
-                tuple(endpoints), position, tuple(problems)
-            )
+            gateway.UpstreamReading(endpoints, position, problems)
         )
 
     def close(self) -> None:
@@ -172,14 +176,15 @@
 
     async def list_hosts(
         self,
-    ) -> result.Result[list[gateway.HostEntry], gateway.Unavailable]:
+    ) -> result.Result[gateway.HostReading, gateway.Unavailable]:
         """Return all registered hosts."""
         listed = await self._list_items(_HOSTS_PREFIX)
         if listed.is_err():
             return listed
-        return result.Ok(
-            _decode_entries(listed.ok_value[0], gateway.HostEntry)
+        hosts, problems = _decode_entries(
+            listed.ok_value[0], _HOSTS_PREFIX, decode.decode_host
         )
+        return result.Ok(gateway.HostReading(hosts, problems))
 
     async def register(
         self, entry: gateway.HostEntry, ttl_s: float
@@ -260,14 +265,15 @@
 
     async def list_saved_records(
         self,
-    ) -> result.Result[list[gateway.SavedRecord], gateway.Unavailable]:
+    ) -> result.Result[gateway.SavedReading, gateway.Unavailable]:
         """Return the saved quarantine records."""
         listed = await self._list_items(_QUARANTINE_PREFIX)
         if listed.is_err():
             return listed
-        return result.Ok(
-            _decode_entries(listed.ok_value[0], gateway.SavedRecord)
+        records, problems = _decode_entries(
+            listed.ok_value[0], _QUARANTINE_PREFIX, decode.decode_record
         )
+        return result.Ok(gateway.SavedReading(records, problems))
 
     async def save_records(
         self, written: list[gateway.SavedRecord], removed: list[str]
@@ -380,19 +386,31 @@
         return answer
 
 
-def _decode_entries(items: list[_Item], kind: type) -> list:
-    """Return the values of items; invalid ones are left out and logged."""
-    entries = []
+def _decode_entries(
+    items: list[_Item],
+    prefix: str,
+    decode_entry: Callable[[str, bytes], result.Result[_Entry, str]],
+) -> tuple[tuple[_Entry, ...], tuple[str, ...]]:
+    """Return the entries of a prefix, and why others are left out.
+
+    `decode_entry` decodes the value of a key, which it is given without the
+    prefix. An invalid entry must not hide the others.
+    """
+    entries: list[_Entry] = []
+    problems: list[str] = []
     for item in items:
+        name = item.key.removeprefix(prefix)
         try:
             raw = decode.decode_value(item.value)
-            entries.append(msgspec.json.decode(raw, type=kind))
-        except (*decode.BAD_VALUE, msgspec.DecodeError) as error:
-            # An invalid entry must not hide the others.
-            gateway.load_absl_log().warning(
-                'ignoring invalid %s: %s', item.key, error
-            )
-    return entries
+        except decode.BAD_VALUE as error:
+            problems.append(gateway.shorten(f'{item.key}: {error}'))
+            continue
+        match decode_entry(name, raw):
+            case result.Ok(entry):
+                entries.append(entry)
+            case result.Err(problem):
+                problems.append(gateway.shorten(f'{item.key}: {problem}'))
+    return tuple(entries), tuple(problems)
 
 
 def _make_target(path: str, **query: str) -> bytes:
@@ -401,10 +419,9 @@
 
 
 def _decode_body(reply: gateway.Reply, kind: type):
-    try:
-        return result.Ok(msgspec.json.decode(reply.body, type=kind))
-    except msgspec.DecodeError as error:
-        return result.Err(gateway.Unavailable(f'unreadable: {error}'))
+    return gateway.decode_json(reply.body, kind).map_err(
+        lambda problem: gateway.Unavailable(f'unreadable: {problem}')
+    )
 
 
 def _decode_era(
@@ -414,14 +431,9 @@
     raw = reply.get_header(_ERA_HEADER)
     if raw is None:
         return result.Ok(0)
-    if not raw.isdigit():
-        return result.Err(gateway.Unavailable(f'unreadable era: {raw!r}'))
-    return result.Ok(int(raw))
-
-
-def _decode_server(item: _Item) -> result.Result[gateway.Endpoint, str]:
-    try:
-        raw = decode.decode_value(item.value)
-    except decode.BAD_VALUE as error:
-        return result.Err(f'{item.key}: {error}')
-    return decode.decode_upstream(item.key.removeprefix(_SERVERS_PREFIX), raw)
+    era = core.parse_number(raw)
+    if era is None or era == core.MAX_NUMBER:
+        return result.Err(
+            gateway.Unavailable(f'unreadable era: {raw[:_MAX_ERA_BYTES]!r}')
+        )
+    return result.Ok(era)
--- a/rudderrock/standins/_memory_source.py
+++ b/rudderrock/standins/_memory_source.py
@@ -207,12 +207,12 @@
 
     async def list_hosts(
         self,
-    ) -> result.Result[list[gateway.HostEntry], gateway.Unavailable]:
+    ) -> result.Result[gateway.HostReading, gateway.Unavailable]:
         """Return the registered hosts."""
         self.reads += 1
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
-        return result.Ok(list(self.hosts.values()))
+        return result.Ok(gateway.HostReading(tuple(self.hosts.values())))
 
     async def register(
         self, entry: gateway.HostEntry, ttl_s: float
@@ -265,11 +265,13 @@
 
     async def list_saved_records(
         self,
-    ) -> result.Result[list[gateway.SavedRecord], gateway.Unavailable]:
+    ) -> result.Result[gateway.SavedReading, gateway.Unavailable]:
         """Return the saved quarantine records."""
         if self.is_down:
             return result.Err(gateway.Unavailable('down'))
-        return result.Ok(list(self.saved_records.values()))
+        return result.Ok(
+            gateway.SavedReading(tuple(self.saved_records.values()))
+        )
 
     async def save_records(
         self, written: list[gateway.SavedRecord], removed: list[str]
