Read numbers in headers in one place, whatever their length

What callers saw: a deadline of 5,000 digits, which is a number, is answered with 500 and logged as a defect, and so are the table version, the elapsed time and the least number of answers in a request of a peer; the last one also if it is no number.

Cause: Python converts no more than 4,300 digits, and raises ValueError. Five places looked whether all bytes are digits and converted them, two converted what they got.

A part of a query whose least number of answers can't be read is refused, as one without a table version. A reply of another host whose number of missing shards can't be read counts as lost; no scenario sends one.

Ruled out: Retry-After and X-Server-Load of upstreams are read nowhere; a Keep-Alive of any length was converted to a float before, which is infinite.

--- a/features/gateway_processes.py
+++ b/features/gateway_processes.py
@@ -148,6 +148,10 @@
             self.get_ip(number), self.get_port(number)
         )
 
+    async def connect_to(self, number: int, port: int):
+        """Return the reader and the writer of a connection to a port."""
+        return await asyncio.open_connection(self.get_ip(number), port)
+
     def read_log(self, number: int) -> str:
         """Return what a gateway has written to its two outputs."""
         return self._get_log_path(number).read_text(errors='replace')
@@ -181,7 +185,7 @@
     path: str,
     request_id: str,
     method: str = 'GET',
-    deadline_ms: int = 9000,
+    deadline_ms: int | str = 9000,
     body: bytes = b'',
 ) -> bytes:
     """Return the bytes of a caller's request."""
--- a/rudderrock/gateway/forwarding/_delegate.py
+++ b/rudderrock/gateway/forwarding/_delegate.py
@@ -542,7 +542,14 @@
                 reply.status, results.Outcome.LOST
             )
             return results.Result(forwardable, outcome, detail)
-        missing = int(reply.get_header(self._names.missing_parts) or b'0')
+        missing_header = reply.get_header(self._names.missing_parts)
+        missing = core.parse_number(missing_header or b'0')
+        if missing is None:
+            return results.Result(
+                messages.Reply(502, []),
+                results.Outcome.LOST,
+                f'unreadable reply {detail}',
+            )
         stamps = reply.get_header(self._names.part_stamps) or b''
         answered = stamps.count(b',') + 1
         outcome = results.Outcome.ANSWERED
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -216,29 +216,28 @@
         host's table. A query without a list of shards is accepted in spite of
         that if this host's table is newer.
         """
-        version = request.get_header(delegate.VERSION) or b''
+        version = core.parse_number(request.get_header(delegate.VERSION))
+        min_answers = _read_min_answers(request)
         names = self._config.names
         table = self._dependencies.tables.current
         if not self.accepts_delegated:
             return delegate.make_refusal(
                 names, delegate.RefusalReason.STOPPING
             )
-        if table is None or not version.isdigit():
+        if table is None or version is None or min_answers is None:
             return delegate.make_refusal(names, delegate.RefusalReason.TABLE)
         listed = request.get_header(delegate.SHARDS)
         # A list of shards refers to the table of the delegating host.
-        has_newer_table = listed is None and table.version > int(version)
+        has_newer_table = listed is None and table.version > version
         if not (
-            has_newer_table
-            or self._has_same_meaning(table, request, int(version))
+            has_newer_table or self._has_same_meaning(table, request, version)
         ):
             return delegate.make_refusal(names, delegate.RefusalReason.TABLE)
         refusal = self._check_room(table, request)
         if refusal is not None:
             return refusal
-        elapsed = request.get_header(delegate.ELAPSED) or b''
-        if elapsed.isdigit():
-            request.arrived -= int(elapsed) / 1000
+        elapsed_ms = core.parse_number(request.get_header(delegate.ELAPSED))
+        request.arrived -= (elapsed_ms or 0) / 1000
         self.delegated_in_flight += 1
         try:
             return await self.handle(
@@ -469,14 +468,13 @@
                 query_class = host_load.QueryClass(route.name, is_part=True)
                 self.load_estimator.record_start(query_class, len(shards))
                 self.loop_monitor.measure_sending(query_class)
-                min_answers = request.get_header(delegate.MIN_ANSWERS) or b'1'
                 result = await gather.answer_part(
                     self._context,
                     call,
                     route.target,
                     threshold,
                     shards,
-                    int(min_answers),
+                    _read_min_answers(request),
                 )
                 self.load_estimator.record_end(
                     query_class, result.requests_sent, result.bytes_received
@@ -801,9 +799,14 @@
 
 def _read_deadline(value: bytes | None) -> float | None:
     """Return the deadline in seconds, or None if missing or malformed."""
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value) / 1000
+    deadline_ms = core.parse_number(value)
+    return None if deadline_ms is None else deadline_ms / 1000
+
+
+def _read_min_answers(request: messages.Request) -> int | None:
+    """Return how many answers a part needs, or None if malformed."""
+    value = request.get_header(delegate.MIN_ANSWERS)
+    return 1 if value is None else core.parse_number(value)
 
 
 def _has_not_run(
--- a/rudderrock/gateway/http/_link.py
+++ b/rudderrock/gateway/http/_link.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from rudderrock import core
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 
@@ -307,8 +308,9 @@
         header = reply.get_header(b'keep-alive') or b''
         for parameter in header.split(b','):
             key, _, value = parameter.strip().partition(b'=')
-            if key.lower() == b'timeout' and value.isdigit():
-                self.keep_alive_s = float(value)
+            seconds = core.parse_number(value)
+            if key.lower() == b'timeout' and seconds is not None:
+                self.keep_alive_s = float(seconds)
 
     def _abort_unusable(self) -> None:
         self._unusable = True
