Check the values of other writers in the tier's own interface

What was seen: a table or a layout with a deeply nested field ends the watch of its key, and a message of a peer like that is a defect. An address such as `[::` raised ValueError in the task of a lane.

Cause: as for the gateway's entries, types were checked and not ranges; the decoder raises RecursionError for deep nesting, and the address was parsed outside of what is caught.

Evidence: 14 of 24 scenarios of features/odd_tables.feature failed before.

The value that is in force stays so, as for every rejected one.

Result: features/odd_tables.feature, 24 passed; platform, query, sockets, schedules, replies and retries 97 passed.

--- a/rudderrock/coordination/_key_watcher.py
+++ b/rudderrock/coordination/_key_watcher.py
@@ -24,6 +24,8 @@
 TABLE_KEY = 'rudderrock/table'
 LAYOUT_KEY = 'rudderrock/layout'
 
+# Reasons may quote the value, which may be large.
+_MAX_REASON_LENGTH = 1000
 _INITIAL_PAUSE_S = 0.1
 _MAX_PAUSE_S = 5.0
 # Upper bound of the random delay before a lost value is written again. All
@@ -239,5 +241,6 @@
         return decoded
     problems = check(decoded.unwrap())
     if problems:
-        return result.Err('; '.join(str(each) for each in problems))
+        reason = '; '.join(str(each) for each in problems)
+        return result.Err(reason[:_MAX_REASON_LENGTH])
     return decoded
--- a/rudderrock/protocol/_codec.py
+++ b/rudderrock/protocol/_codec.py
@@ -13,6 +13,8 @@
 
 T = TypeVar('T')
 
+# Errors may quote the data.
+_MAX_ERROR_LENGTH = 400
 _ENCODER = msgspec.json.Encoder(order='deterministic')
 
 
@@ -27,8 +29,11 @@
 
 
 def decode(cls: type[T], data: bytes) -> result.Result[T, str]:
-    """Return the decoded message of class `cls`, or the decoder's error."""
+    """Return the decoded message of class `cls`, or the decoder's error.
+
+    For values that are nested too deeply msgspec raises RecursionError.
+    """
     try:
         return result.Ok(_get_decoder(cls).decode(data))
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return result.Err(str(exc))
+    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+        return result.Err(str(exc)[:_MAX_ERROR_LENGTH])
--- a/rudderrock/state/_table.py
+++ b/rudderrock/state/_table.py
@@ -15,6 +15,7 @@
 
 from rudderrock import core
 from rudderrock.state import _constraints as constraints
+from rudderrock.state import _layout as layout
 
 # The key-value service accepts values of up to 1 MB. 256 edits of about 400
 # bytes take about a tenth of that, which leaves room for about 800 rows.
@@ -203,10 +204,12 @@
 def check_table(table: Table) -> constraints.Problems:
     """Return the problems of a table from the key-value service or a peer.
 
-    Rows must satisfy the constraints of their fields, and the key of a row
-    must be the id of its team.
+    Rows must satisfy the constraints of their fields, the key of a row must
+    be the id of its team, and the revision must be in range.
     """
     problems: list[constraints.Problem] = []
+    if not core.NO_REVISION <= table.revision <= layout.MAX_REVISION:
+        problems.append(constraints.Problem('revision', 'is out of range'))
     for team, row in table.rows.items():
         match constraints.validate(TeamRow, dataclasses.asdict(row)):
             case result.Err(found):
--- a/rudderrock/transport/_http_connection.py
+++ b/rudderrock/transport/_http_connection.py
@@ -139,9 +139,9 @@
         connected.
         """
         client = self._get_client()
-        url = urllib.parse.urlparse(self._base_url)
         opened = False
         try:
+            url = urllib.parse.urlparse(self._base_url)
             async with asyncio.timeout(self._connect_timeout_s):
                 connection = await client.connector.acquire(
                     url, False, None, client.connector.timeouts, False
