Accept an empty service in a route with a split or a gather

A configuration may write an empty service where it names several; only a route that has no other target needs one. As strict otherwise: three scenarios, and the odd configurations are rejected as before.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -45,6 +45,16 @@
       | rudderrock/quarantine/ |
       | op/config              |
 
+  Scenario Outline: a route with a <kind> may have a service of <service>
+    Given a configuration whose route with a <kind> has a service of <service>
+    Then the configuration is decoded
+
+    Examples:
+      | kind   | service |
+      | split  | ""      |
+      | split  | null    |
+      | gather | ""      |
+
   # Guards against routes on which each request fails: a split without a weight
   # above 0 has no share to choose.
   Scenario: whatever table is decoded, a share of each split can be chosen
--- a/features/odd_values.py
+++ b/features/odd_values.py
@@ -222,7 +222,13 @@
     'routes.0.latency_goal_ms': ('-1', '1e400', 'NaN', '"1"', '1e300'),
     'routes.0.priority': ('1.5', _BEYOND_64_BITS, _LONG_DIGITS, 'null'),
     'routes.0.max_attempts': _BAD_COUNTS,
-    'routes.0.service': ('""', 'null', '"a\\nb"', '7'),
+    'routes.0.service': (
+        '""',
+        'null',
+        '"a\\nb"',
+        '7',
+        json.dumps('a' * 1000),
+    ),
     'routes.1.split': (
         '[]',
         '[{"service": "a", "weight": 0}]',
--- a/features/steps/odd_values.py
+++ b/features/steps/odd_values.py
@@ -127,6 +127,22 @@
     check()
 
 
+@given(
+    r'a configuration whose route with a (split|gather) has a service of (.+)'
+)
+def make_config(context, kind, text):
+    number = {'split': 1, 'gather': 2}[kind]
+    context.raw = odd_values.replace_field(
+        odd_values.make_config(), f'routes.{number}.service', text
+    )
+
+
+@then(r'the configuration is decoded')
+def check_config(context):
+    outcome = platform.decode_table(context.raw)
+    assert outcome.is_ok(), outcome
+
+
 @given(
     r'changes of a peer(?: with an invalid and a valid entry of each kind)?'
 )
--- a/rudderrock/gateway/_decoding.py
+++ b/rudderrock/gateway/_decoding.py
@@ -59,8 +59,8 @@
 
 @functools.lru_cache(maxsize=_CACHED_NAMES)
 def check_name(name: str) -> str:
-    """Return a `ShortText` that is a name, or raise ValueError."""
-    if not _NAME.match(name):
+    """Return text that can be written to the log, or raise ValueError."""
+    if not _NAME.match(name) or len(name) > _MAX_NAME_LENGTH:
         raise ValueError(f'not a printable name: {name!r}')
     return name
 
--- a/rudderrock/platform/_decode.py
+++ b/rudderrock/platform/_decode.py
@@ -50,7 +50,8 @@
     priority: gateway.Integer = 0
     max_attempts: gateway.Count = 1
     public: bool = False
-    service: _Name | None = None
+    # Empty or omitted if the route has a split or a gather.
+    service: str | None = None
     split: list[_WeightedService] | None = None
     # The services of all shards of an index.
     gather: list[_Name] | None = None
@@ -350,5 +351,7 @@
             )
         )
     if route.service:
-        return gateway.Single(gateway.ServiceName(route.service))
+        return gateway.Single(
+            gateway.ServiceName(gateway.check_name(route.service))
+        )
     raise ValueError(f'route {route.name} has no service')
