Leave out invalid entries of the host list one by one; check digests

What was seen: one invalid entry made the platform's list of hosts unreadable for the tier's own interface, so no host was added or removed while it lasted. A peer's digest with a demand below 0 took shares of limits from others, and one with an incarnation beyond 64 bits could not be contradicted by later ones of that host.

Change: the list is decoded entry by entry; hosts_rejected is recorded once while the same entries stay invalid. Incarnations, counts, ages and demands of a digest carry their ranges, and a probe that exceeds them is invalid.

--- a/features/odd_tables.feature
+++ b/features/odd_tables.feature
@@ -47,3 +47,30 @@
       | 127.0.0.1:x   |
       | 127.0.0.1:-1  |
       | 127.0.0.1:99999 |
+
+  # Guards against a list of hosts that one entry makes unreadable.
+  @sockets
+  Scenario: an invalid entry of the host list is left out
+    Given a host list over HTTP with a valid entry and one without a zone
+    When the list is read
+    Then it has the valid entry and a problem
+
+  Scenario: an invalid entry of the host list is recorded once while it lasts
+    Given 1 host in front of 2 services
+    And the host list has an invalid entry
+    When 30 seconds pass
+    Then exactly one host has recorded "hosts_rejected"
+
+  Scenario Outline: a probe with <field> of <value> is rejected
+    Given a probe of a peer with "<field>" replaced by <value>
+    Then the probe can't be decoded
+
+    Examples:
+      | field                     | value                   |
+      | digest.sender.incarnation | -1                      |
+      | digest.sender.incarnation | 99999999999999999999999 |
+      | digest.demands.0.rates.t  | -5                      |
+      | digest.demands.0.rates.t  | 1e300                   |
+      | digest.demands.0.count    | -1                      |
+      | digest.table_age_s        | -1                      |
+      | odd                       | NESTED                  |
--- a/features/steps/odd_tables.py
+++ b/features/steps/odd_tables.py
@@ -1,5 +1,6 @@
 """Steps for invalid values in the tier's own key-value service."""
 
+import asyncio
 import json
 
 from behave import given
@@ -10,6 +11,7 @@
 from features import odd_values
 from features.steps.common import run
 from rudderrock import coordination
+from rudderrock import protocol
 from rudderrock import transport
 
 use_step_matcher('re')
@@ -29,6 +31,23 @@
         },
     },
 }
+_PROBE = {
+    'digest': {
+        'sender': {
+            'host': 'h1',
+            'zone': 'z',
+            'control': '10.0.0.1:1',
+            'incarnation': 1,
+            'state': 'alive',
+        },
+        'stamp': {'wall': 1.0, 'count': 0},
+        'table_revision': 1,
+        'table_age_s': 1.0,
+        'layout_revision': 1,
+        'news': [],
+        'demands': [{'host': 'h1', 'count': 1, 'rates': {'t': 1.0}}],
+    }
+}
 _READERS = {
     'table': coordination.read_table,
     'layout': coordination.read_layout,
@@ -79,3 +98,56 @@
 def check_failed(context):
     assert context.outcome.is_err(), context.outcome
     assert context.outcome.err_value.detail
+
+
+@given(r'a host list over HTTP with a valid entry and one without a zone')
+def serve_list(context):
+    valid = {'host': 'h1', 'zone': 'z', 'control': '10.0.0.1:1'}
+    body = json.dumps([{'host': 'h2', 'control': 'x'}, valid]).encode()
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+
+    async def answer(reader, writer):
+        await reader.readuntil(b'\r\n\r\n')
+        writer.write(head + body)
+        await writer.drain()
+        writer.close()
+
+    async def serve():
+        server = await asyncio.start_server(answer, '127.0.0.1', 0)
+        context.stack.push_async_callback(server.wait_closed)
+        context.stack.callback(server.close)
+        return '%s:%d' % server.sockets[0].getsockname()
+
+    context.address = run(context, serve())
+
+
+@when(r'the list is read')
+def read_list(context):
+    port = transport.HttpHostListPort(context.address, 5.0)
+    context.outcome = run(context, port.list_hosts())
+
+
+@then(r'it has the valid entry and a problem')
+def check_listing(context):
+    listing = context.outcome.unwrap()
+    assert [each.host for each in listing.hosts] == ['h1'], listing
+    assert len(listing.problems) == 1, listing
+
+
+@given(r'the host list has an invalid entry')
+def add_invalid_host(context):
+    context.bench.fleet.host_list.problems = ('no zone',)
+
+
+@given(r'a probe of a peer with "([^"]+)" replaced by (.+)')
+def make_probe(context, path, value):
+    text = _SPECIAL.get(value, value)
+    context.raw = odd_values.replace_field(_PROBE, path, text)
+
+
+@then(r"the probe can't be decoded")
+def check_probe(context):
+    valid = protocol.decode(protocol.Probe, json.dumps(_PROBE).encode())
+    assert valid.is_ok(), valid
+    outcome = protocol.decode(protocol.Probe, context.raw)
+    assert outcome.is_err(), outcome
--- a/rudderrock/coordination/_membership.py
+++ b/rudderrock/coordination/_membership.py
@@ -102,6 +102,8 @@
         self._probe_order: list[state.HostId] = []
         self._listed_hosts: set[state.HostId] = set()
         self._host_list_read = False
+        # Why entries of the last host list were left out.
+        self._rejected: tuple[str, ...] = ()
 
     def list_live(self) -> list[protocol.Member]:
         """Return the peers that are not marked as failed."""
@@ -365,8 +367,10 @@
         if listed.is_err():
             return
         self._host_list_read = True
-        self._listed_hosts = {each.host for each in listed.unwrap()}
-        for each in listed.unwrap():
+        listing = listed.unwrap()
+        self._record_rejected(listing.problems)
+        self._listed_hosts = {each.host for each in listing.hosts}
+        for each in listing.hosts:
             if each.host in self._members or each.host == self.me.host:
                 continue
             if not each.leaving:
@@ -380,6 +384,15 @@
                     )
                 )
 
+    def _record_rejected(self, problems: tuple[str, ...]) -> None:
+        """Record the invalid entries of the host list once while they last."""
+        if problems and problems != self._rejected:
+            self._event_ring.record(
+                state.EventKind.HOSTS_REJECTED,
+                detail=f'{len(problems)} in the host list: {problems[0]}',
+            )
+        self._rejected = problems
+
     def _get_send_count(self) -> int:
         return _UPDATE_REPEATS * max(1, len(self._members).bit_length())
 
--- a/rudderrock/programs/_logs.py
+++ b/rudderrock/programs/_logs.py
@@ -22,6 +22,7 @@
         state.EventKind.TABLE_REJECTED,
         state.EventKind.TABLE_RESTORED,
         state.EventKind.LAYOUT_REJECTED,
+        state.EventKind.HOSTS_REJECTED,
         state.EventKind.KV_DOWN,
         state.EventKind.LEASE_LAPSED,
     }
--- a/rudderrock/protocol/__init__.py
+++ b/rudderrock/protocol/__init__.py
@@ -15,7 +15,9 @@
 from rudderrock.protocol._caller import Refused
 from rudderrock.protocol._caller import Unknown
 from rudderrock.protocol._codec import decode
+from rudderrock.protocol._codec import decode_each
 from rudderrock.protocol._codec import encode
+from rudderrock.protocol._codec import RawEntries
 from rudderrock.protocol._kv import ABSENT
 from rudderrock.protocol._kv import GET_PATH
 from rudderrock.protocol._kv import GetRequest
@@ -119,7 +121,9 @@
     'Unknown',
     'WATCH_PATH',
     'WatchRequest',
+    'RawEntries',
     'decode',
+    'decode_each',
     'encode',
     'make_http_reply',
 ]
--- a/rudderrock/protocol/_peers.py
+++ b/rudderrock/protocol/_peers.py
@@ -8,6 +8,9 @@
 
 import dataclasses
 import enum
+from typing import Annotated
+
+import msgspec
 
 from rudderrock import state
 
@@ -25,6 +28,11 @@
 MAX_DIGEST_DEMANDS = 64
 
 
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+# Shard requests a second.
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
 class MemberState(enum.Enum):
     """State of a host in the view of another host."""
 
@@ -47,7 +55,7 @@
     host: state.HostId
     zone: state.ZoneId
     control: str
-    incarnation: int
+    incarnation: _Count
     state: MemberState
 
 
@@ -60,8 +68,8 @@
     """
 
     host: state.HostId
-    count: int
-    rates: dict[state.TeamId, float]
+    count: _Count
+    rates: dict[state.TeamId, _Rate]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -77,7 +85,7 @@
     sender: Member
     stamp: state.Stamp
     table_revision: state.Revision
-    table_age_s: float
+    table_age_s: Annotated[float, msgspec.Meta(ge=0)]
     layout_revision: state.Revision
     news: list[Member]
     demands: list[Demand]
--- a/rudderrock/standins/_hosts.py
+++ b/rudderrock/standins/_hosts.py
@@ -20,7 +20,8 @@
         if listed.is_err():
             return responses.PlainTextResponse('down', 503)
         return responses.Response(
-            protocol.encode(listed.unwrap()), media_type=protocol.JSON_TYPE
+            protocol.encode(listed.unwrap().hosts),
+            media_type=protocol.JSON_TYPE,
         )
 
     return applications.Starlette(
--- a/rudderrock/standins/_memory_hosts.py
+++ b/rudderrock/standins/_memory_hosts.py
@@ -174,17 +174,21 @@
 class MemoryHostList:
     """The platform's list of running and draining hosts.
 
-    A scenario sets `hosts`; `down` makes reads of the list fail.
+    A scenario sets `hosts`, and `problems` for invalid entries; `down` makes
+    reads of the list fail.
     """
 
     def __init__(self):
         self.hosts: list[transport.ListedHost] = []
+        self.problems: tuple[str, ...] = ()
         self.down = False
 
     async def list_hosts(
         self,
-    ) -> result.Result[list[transport.ListedHost], transport.PeerUnreachable]:
+    ) -> result.Result[transport.HostListing, transport.PeerUnreachable]:
         """Return the current host list."""
         if self.down:
             return result.Err(transport.PeerUnreachable('list is down'))
-        return result.Ok(list(self.hosts))
+        return result.Ok(
+            transport.HostListing(list(self.hosts), self.problems)
+        )
--- a/rudderrock/state/_events.py
+++ b/rudderrock/state/_events.py
@@ -61,7 +61,8 @@
 
     `TABLE_IN_FORCE` and `LAYOUT_IN_FORCE`: the host now uses a new revision.
     `TABLE_RESTORED`: it has written its table to the key-value service, which
-    had lost edits. `LEASE_LAPSED`: the lease of the host has ended.
+    had lost edits. `HOSTS_REJECTED`: entries of the platform's host list are
+    invalid and left out. `LEASE_LAPSED`: the lease of the host has ended.
     `VERSION_RESTART`: a query was restarted with another index version.
     `CLAIM`: the idempotency key of a command has been claimed. `ANSWERED`,
     `REFUSED` and `UNKNOWN`: the outcome of a request.
@@ -76,6 +77,7 @@
     LAYOUT_REJECTED = 'layout_rejected'
     KV_DOWN = 'kv_down'
     KV_UP = 'kv_up'
+    HOSTS_REJECTED = 'hosts_rejected'
     LEASE_LAPSED = 'lease_lapsed'
     UPSTREAM_STATE = 'upstream_state'
     HEDGE = 'hedge'
--- a/rudderrock/transport/__init__.py
+++ b/rudderrock/transport/__init__.py
@@ -11,6 +11,7 @@
 from rudderrock.transport._ports import AbortHandle
 from rudderrock.transport._ports import ConnectFailed
 from rudderrock.transport._ports import ExchangeControl
+from rudderrock.transport._ports import HostListing
 from rudderrock.transport._ports import HostListPort
 from rudderrock.transport._ports import KvConflict
 from rudderrock.transport._ports import KvPort
@@ -40,6 +41,7 @@
     'HOST_LIST_PATH',
     'HeadLimits',
     'HostListPort',
+    'HostListing',
     'HttpConnection',
     'HttpHostListPort',
     'HttpKvPort',
--- a/rudderrock/transport/_peers.py
+++ b/rudderrock/transport/_peers.py
@@ -80,15 +80,24 @@
 
     async def list_hosts(
         self,
-    ) -> result.Result[list[ports.ListedHost], ports.PeerUnreachable]:
-        """Return the live and leaving hosts that the platform lists."""
-        return await post_once(
+    ) -> result.Result[ports.HostListing, ports.PeerUnreachable]:
+        """Return the live and leaving hosts that the platform lists.
+
+        Invalid entries are left out.
+        """
+        listed = await post_once(
             self._address,
             HOST_LIST_PATH,
             {},
             self._timeout_s,
-            list[ports.ListedHost],
+            protocol.RawEntries,
         )
+        return listed.map(_read_listing)
+
+
+def _read_listing(entries: protocol.RawEntries) -> ports.HostListing:
+    hosts, problems = protocol.decode_each(ports.ListedHost, entries)
+    return ports.HostListing(hosts, tuple(problems))
 
 
 async def post_once(
--- a/rudderrock/transport/_ports.py
+++ b/rudderrock/transport/_ports.py
@@ -173,10 +173,21 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostListing:
+    """The platform's host list.
+
+    `problems` describes the entries that can't be used.
+    """
+
+    hosts: list[ListedHost]
+    problems: tuple[str, ...] = ()
+
+
 class HostListPort(Protocol):
     """The platform's list of live and leaving hosts."""
 
     async def list_hosts(
         self,
-    ) -> result.Result[list[ListedHost], PeerUnreachable]:
+    ) -> result.Result[HostListing, PeerUnreachable]:
         """Return the live and leaving hosts that the platform lists."""
