Get the table of other hosts while the source's is invalid

What callers saw: a host that starts while the configuration in the store is invalid is never ready, if it is the first of its zone to read the source. The others serve by the table before.

Cause: the first reader asks no peer, and an invalid table counts as a reading of the table.

Evidence: with two gateways that have a table and an invalid configuration, the third process was not ready after 20 s.

Change: a host without a table that has read an invalid one asks the other hosts before the source, as one that has lost it does. With a table it goes on as before.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -23,6 +23,23 @@
       | op/evacuate/           |
       | op/config              |
 
+  # Guards against a host that has no table although all others have one: the
+  # first reader of the source asked nobody else.
+  @sockets
+  Scenario: a host that starts while the configuration is invalid gets the table of another
+    Given two gateway processes over a store
+    When an invalid configuration is written
+    And a third gateway process is started
+    Then the third gateway process is ready
+    And no gateway process has ended or logged a traceback
+
+  @sockets
+  Scenario: hosts that all start over an invalid configuration use the next valid one
+    Given three gateway processes that start over an invalid configuration
+    When an upstream and an evacuated zone are added to the store
+    Then each gateway process learns of the three hosts, the upstream and the zone
+    And no gateway process has ended or logged a traceback
+
   # Guards against a host that stays out of the registry because its key has
   # been overwritten.
   @sockets
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -57,6 +57,29 @@
     run(context, write())
 
 
+@given(r'three gateway processes that start over an invalid configuration')
+def start_over_invalid(context):
+    processes = ends.get_processes(context)
+    write_invalid_config(context)
+
+    async def start():
+        for number in _HOSTS:
+            await processes.start(number)
+        await asyncio.sleep(_OBSERVATION_S)
+
+    run(context, start())
+
+
+@when(r'an invalid configuration is written')
+def write_invalid_config(context):
+    ends.get_processes(context).store.put_config(odd_values.NESTED)
+
+
+@then(r'the third gateway process is ready')
+def check_third_ready(context):
+    run(context, ends.get_processes(context).wait_until_ready(3))
+
+
 @when(r'a third gateway process is started')
 def start_third(context):
     run(context, ends.get_processes(context).start(3))
--- a/rudderrock/gateway/discovery/_sources.py
+++ b/rudderrock/gateway/discovery/_sources.py
@@ -187,6 +187,11 @@
             return routing.NO_VERSION
         return self.current.version
 
+    @property
+    def has_only_invalid(self) -> bool:
+        """Return whether no table is in force and the source's is invalid."""
+        return self.current is None and bool(self._problem)
+
     @property
     def age_s(self) -> float:
         """Return the seconds since the table came into force, or -1."""
--- a/rudderrock/gateway/discovery/_synchronizer.py
+++ b/rudderrock/gateway/discovery/_synchronizer.py
@@ -255,6 +255,10 @@
             # when that ends. They are too large to send between zones, so this
             # host then reads the source itself.
             candidates = self._hosts.list_earlier_readers()
+        if self._tables.has_only_invalid:
+            # Others may still have the table before the invalid one.
+            candidates = ranked[:rank] + ranked[rank + 1 :]
+            candidates += self._hosts.list_hosts_of_other_zones()
         candidates = [*self._list_seeds(), *candidates]
         if self.lost_at is not None:
             candidates = ranked[:rank] + ranked[rank + 1 :]
