Bound the accepted connections, so that a crowd leaves descriptors

Callers beside some hundred connections that do nothing were not served, and readiness probes were answered seconds late or not at all.

Cause: nothing bounded the sum of sockets, and limits.max_fds was not read. asyncio accepts 1,024 times in a row here, whatever fails: 600 idle connections at a process with 256 descriptors left it none, and 1,016 tracebacks in its log.

The sockets that the settings and the operating system allow are now divided: a quarter for callers, an eighth for peers, a few each for probes and metrics, half for what the gateway opens. At the limit of a listener the longest idle connections of the caller with the most are closed, or else its oldest incomplete request is timed out (408). Where all are at work, the request is refused unrun (503 with Retry-After and Connection: close). One caller can't fill the limit. Eight connections are accepted in one iteration of the loop, so that they are counted before the next ones are. A typed line tells when the limit is reached and when there is room again; metrics count both.

Ruled out: to stop accepting at the limit, since a caller then waits without knowing why, and idle ones keep their place.

Left: outgoing connections have a share and no bound of their own.

--- a/features/odd_settings.feature
+++ b/features/odd_settings.feature
@@ -42,6 +42,9 @@
       | limits.link_mbps      | 1e300 | at most 1e+12 |
       | limits.memory_mb      | 0     | above 0       |
       | limits.memory_mb      | 300MB | a number      |
+      | limits.max_fds        | 0     | above 0       |
+      | limits.max_fds        | 200   | above 200     |
+      | limits.max_fds        | many  | a number      |
       | bounds.warmup_overage | 0     | above 0       |
       | bounds.warmup_overage | nan   | above 0       |
       | bounds.warmup_slack   | -1    | at least 0    |
@@ -62,6 +65,7 @@
       | limits.cores          |
       | limits.link_mbps      |
       | limits.memory_mb      |
+      | limits.max_fds        |
       | bounds.warmup_overage |
       | bounds.quota_window_s |
       | listen.control        |
--- a/rudderrock/core/_loop.py
+++ b/rudderrock/core/_loop.py
@@ -3,6 +3,9 @@
 import asyncio
 import time
 
+# Connections that are accepted in one iteration of the loop.
+_ACCEPTED_AT_ONCE = 8
+
 
 class SuspendAwareLoop(asyncio.SelectorEventLoop):
     """Event loop whose clock also advances while the machine is suspended.
@@ -21,6 +24,24 @@
         """Return the time since boot in seconds, suspensions included."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
+    def _accept_connection(
+        self, protocol_factory, sock, sslcontext=None, server=None, *args
+    ):
+        """Accept a few of the connections that wait.
+
+        asyncio accepts as many at a time as may wait, so a crowd would take
+        all descriptors before the first of its connections is counted.
+        """
+        backlog, *timeouts = args or (_ACCEPTED_AT_ONCE,)
+        super()._accept_connection(
+            protocol_factory,
+            sock,
+            sslcontext,
+            server,
+            min(backlog, _ACCEPTED_AT_ONCE),
+            *timeouts,
+        )
+
 
 def run_loop(main):
     """Run the coroutine `main` on a `SuspendAwareLoop`; return its result."""
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -13,6 +13,8 @@
 from rudderrock.gateway._process import GatewayProcess
 from rudderrock.gateway._process import ProcessState
 from rudderrock.gateway._settings import GatewaySettings
+from rudderrock.gateway._sockets import divide_sockets
+from rudderrock.gateway._sockets import find_socket_limit
 from rudderrock.gateway.decisions._admission import Admission
 from rudderrock.gateway.decisions._budget import ExtraRequestBudget
 from rudderrock.gateway.decisions._canary import Canary
@@ -247,6 +249,8 @@
     'compute_connection_share',
     'digest_key',
     'digest_request',
+    'divide_sockets',
+    'find_socket_limit',
     'format_event_page',
     'get_wait_limit_s',
     'load_absl_log',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -20,6 +20,7 @@
     STOPPED = 'stopped'
     ENDED = 'ended'
     MEMORY_HIGH = 'memory_high'
+    CONNECTIONS_LIMITED = 'connections_limited'
     RELOADED = 'reloaded'
     READY = 'ready'
     NOT_READY = 'not_ready'
@@ -96,6 +97,13 @@
         'further step towards `limit_mb`, at which it is killed from outside.',
         ('peak_mb', 'limit_mb'),
     ),
+    LogKind.CONNECTIONS_LIMITED: KindInfo(
+        'The accepted connections at `listener` have reached their limit '
+        '(`state` is `full`), or there is room again (`normal`). Since the '
+        'start, `closed` idle or incomplete ones made room, and `refused` '
+        'found none.',
+        ('listener', 'state', 'limit', 'closed', 'refused'),
+    ),
     LogKind.RELOADED: KindInfo(
         'The settings were read again after SIGHUP. They take effect at the '
         'next start; `problem` describes an error in them.',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import contextlib
 import enum
+import functools
 
 from rudderrock import core
 from rudderrock.gateway import _events as events
@@ -12,6 +13,7 @@
 from rudderrock.gateway import _memory_monitor as memory_monitor
 from rudderrock.gateway import _quota_metrics as quota_metrics
 from rudderrock.gateway import _settings as settings
+from rudderrock.gateway import _sockets as sockets
 from rudderrock.gateway.discovery import _archive as archive_module
 from rudderrock.gateway.discovery import _broadcast as broadcast
 from rudderrock.gateway.discovery import _fleet as fleet
@@ -23,6 +25,8 @@
 from rudderrock.gateway.discovery import _synchronizer as synchronizer_module
 from rudderrock.gateway.forwarding import _delegate as delegate
 from rudderrock.gateway.forwarding import _gateway as gateway
+from rudderrock.gateway.forwarding import _results as results
+from rudderrock.gateway.http import _connection_limit as connection_limit
 from rudderrock.gateway.http import _listener as listener
 from rudderrock.gateway.http import _messages as messages
 
@@ -60,6 +64,7 @@
         broadcaster: broadcast.QuarantineBroadcaster,
         archive: archive_module.QuarantineArchive,
         dependencies: gateway.GatewayDependencies,
+        shares: sockets.SocketShares,
     ):
         self.state = ProcessState.STARTING
         self._config = config
@@ -79,6 +84,7 @@
             max_body_bytes=delegate.PEER_BODY_BYTES,
             idle_timeout_s=delegate.PEER_IDLE_S,
         )
+        self._limit_connections(shares)
         self._changes = change_feed
         self._broadcaster = broadcaster
         self.quotas = dependencies.quotas
@@ -152,6 +158,43 @@
         self.state = ProcessState.ENDED
         record(events.LogKind.STOPPED)
 
+    def _limit_connections(self, shares: sockets.SocketShares) -> None:
+        self._caller_listener.refuse = self._refuse
+        for name, limited, limit in (
+            ('callers', self._caller_listener, shares.callers),
+            ('readiness', self._readiness_listener, shares.probes),
+            ('metrics', self._metrics_listener, shares.scrapes),
+            ('peers', self.peers, shares.peers),
+        ):
+            limited.connection_limit = connection_limit.ConnectionLimit(
+                limit,
+                asyncio.get_running_loop(),
+                functools.partial(self._record_limited, name, limited),
+            )
+
+    def _record_limited(
+        self, name: str, limited: listener.CallerListener, is_full: bool
+    ) -> None:
+        self._dependencies.events.record(
+            events.LogKind.CONNECTIONS_LIMITED,
+            listener=name,
+            state='full' if is_full else 'normal',
+            limit=limited.connection_limit.limit,
+            closed=limited.connection_limit.closed,
+            refused=limited.connection_limit.refused,
+        )
+
+    def _refuse(self, request: messages.Request) -> messages.Reply:
+        """Return the reply to a request on a connection beyond the limit."""
+        names = self._config.names
+        request_id = request.get_header(names.request_id) or b''
+        return results.make_refusal_result(
+            names,
+            request_id,
+            results.RETRY_AFTER_S,
+            results.Outcome.OVERLOADED,
+        ).reply
+
     def _start_shutdown(self, cause: str) -> None:
         self._stop_started_at = self._dependencies.clock.now()
         self.state = ProcessState.LEAVING
@@ -259,6 +302,13 @@
             'memory_peak_bytes': memory_monitor.get_peak_bytes(),
             'memory_limit_bytes': self._config.memory_limit_bytes,
             'caller_connections': len(self._caller_listener.links),
+            'connection_limit': self._caller_listener.connection_limit.limit,
+            'connections_closed_total': (
+                self._caller_listener.connection_limit.closed
+            ),
+            'connections_refused_total': (
+                self._caller_listener.connection_limit.refused
+            ),
             'requests_under_way': self._caller_listener.busy,
             'upstream_requests_total': counters.first_attempts,
             'hedges_total': counters.hedges,
--- a/rudderrock/gateway/_settings.py
+++ b/rudderrock/gateway/_settings.py
@@ -42,6 +42,8 @@
     that starts while the source does not answer; they may be outdated.
     `memory_limit_bytes` is the size at which the process is killed from
     outside, 0 if unknown.
+    `socket_limit` is the number of sockets that the process may have, 0 if
+    unknown.
     `build_id` identifies the sources that the program was built from, and is
     empty if that is unknown.
     """
@@ -66,6 +68,7 @@
     link_bytes_s: float = 0.0
     capacity: float = 1.0
     memory_limit_bytes: int = 0
+    socket_limit: int = 0
     assumed_hosts: int = ASSUMED_HOSTS
     seeds: tuple[Address, ...] = ()
     build_id: str = ''
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -12,6 +12,7 @@
 
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.http import _connection_limit as connection_limit
 from rudderrock.gateway.http import _messages as messages
 
 Handler = Callable[[messages.Request], Awaitable[messages.Reply]]
@@ -42,6 +43,8 @@
         self._writable.set()
         self._answering = False
         self._closing = False
+        self._is_excess = False
+        self.idle_since = self._loop.time()
         self._reset()
 
     @property
@@ -50,13 +53,38 @@
         busy = self._answering or self._in_message or not self._pending.empty()
         return not busy
 
+    @property
+    def is_closable(self) -> bool:
+        """Return whether nothing is being read, answered or written."""
+        unsent = self._transport.get_write_buffer_size()
+        return self.is_idle and not self._closing and unsent == 0
+
+    @property
+    def is_reading(self) -> bool:
+        """Return whether a request has begun, and none is complete."""
+        busy = self._answering or not self._pending.empty()
+        return self._in_message and not busy and not self._closing
+
     def connection_made(self, transport) -> None:
         """Register the connection and start its task."""
         self._transport = transport
+        if not self._count():
+            self.abort()
+            return
         self._listener.links.add(self)
         self._task = self._loop.create_task(self._serve())
         self._set_timer(self._listener.limits.idle_timeout_s, self.close)
 
+    def _count(self) -> bool:
+        """Return whether the limit allows the connection."""
+        limit = self._listener.connection_limit
+        if limit is None:
+            return True
+        peer = self._transport.get_extra_info('peername') or ('',)
+        verdict = limit.add(self, peer[0])
+        self._is_excess = verdict is connection_limit.Verdict.EXCESS
+        return verdict is not connection_limit.Verdict.REJECTED
+
     def data_received(self, data: bytes) -> None:
         """Feed the parser; answer invalid HTTP with an error and close."""
         if self._closing:
@@ -146,6 +174,8 @@
         self._cancel_timer()
         self._cancel_stall_timer()
         self._listener.links.discard(self)
+        if self._listener.connection_limit is not None:
+            self._listener.connection_limit.discard(self)
         if self._task is not None:
             self._task.cancel()
 
@@ -155,6 +185,11 @@
         if self._transport is not None:
             self._transport.close()
 
+    def abort(self) -> None:
+        """Close at once."""
+        self._closing = True
+        self._transport.abort()
+
     # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
@@ -185,7 +220,7 @@
         if self._parser.should_upgrade():
             return
         self._received_outside_body = 0
-        self._set_timer(self._listener.limits.idle_timeout_s, self._time_out)
+        self._set_timer(self._listener.limits.idle_timeout_s, self.time_out)
         if messages.find_header(self._headers, b'expect') is not None:
             self._transport.write(b'HTTP/1.1 100 Continue\r\n\r\n')
 
@@ -233,8 +268,9 @@
     def _start_message(self) -> None:
         self._in_message = True
         self._started_at = self._loop.time()
+        self.idle_since = self._started_at
         limits = self._listener.limits
-        self._set_timer(limits.header_timeout_s, self._time_out)
+        self._set_timer(limits.header_timeout_s, self.time_out)
 
     def _reject(self, problem: str) -> None:
         """Queue an error reply for an invalid request and stop reading."""
@@ -242,7 +278,8 @@
             self._closing = True
             self._pending.put_nowait(problem)
 
-    def _time_out(self) -> None:
+    def time_out(self) -> None:
+        """Answer an incomplete request with status 408 and close."""
         self._reject('slow')
 
     async def _serve(self) -> None:
@@ -258,8 +295,10 @@
             self._answering = True
             reply = await self._answer(item)
             close = not item.keep_alive or self._listener.is_stopping
+            close = close or self._is_excess
             self._write(reply, close, item.method == b'HEAD')
             self._answering = False
+            self.idle_since = self._loop.time()
             if close:
                 return
             if self._pending.empty() and not self._in_message:
@@ -267,6 +306,9 @@
                 self._set_timer(idle_s, self.close)
 
     async def _answer(self, request: messages.Request) -> messages.Reply:
+        refuse = self._listener.refuse
+        if self._is_excess and refuse is not None:
+            return refuse(request)
         try:
             return await self._listener.handle(request)
         except Exception:
@@ -306,7 +348,9 @@
 
     `handle` returns the reply to a request. `record_unreadable` is called with
     the reason if a request could not be read: 'head' or 'body' if that part
-    is too large, 'syntax' or 'slow'.
+    is too large, 'syntax' or 'slow'. `connection_limit` bounds the number of
+    connections. `refuse` returns the reply to the first request of one beyond
+    it; if it is None, that request is handled, and its connection closed.
     """
 
     def __init__(
@@ -317,6 +361,8 @@
         self.handle = handle
         self.record_unreadable = record_unreadable
         self.limits = routing.IntakeLimits()
+        self.connection_limit: connection_limit.ConnectionLimit | None = None
+        self.refuse: Callable[[messages.Request], messages.Reply] | None = None
         self.links: set[CallerConnection] = set()
         self.is_stopping = False
         self._server: asyncio.Server | None = None
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -108,4 +108,7 @@
         ),
         archive,
         dependencies,
+        gateway.divide_sockets(
+            gateway.find_socket_limit(settings.socket_limit)
+        ),
     )
--- a/rudderrock/platform/_settings_file.py
+++ b/rudderrock/platform/_settings_file.py
@@ -19,6 +19,8 @@
 _MAX_FILE_BYTES = 2**20
 _BYTES_PER_MBIT = 125_000
 _BYTES_PER_MB = 1_000_000
+# Descriptors of `limits.max_fds` that are reserved for files.
+_FILE_DESCRIPTORS = 200
 _ZONES_PREFIX = 'zones.'
 _parse_address = fields_module.parse_address
 _parse_positive = fields_module.parse_positive
@@ -105,6 +107,7 @@
             fields.find('limits.memory_mb', _parse_positive, 0.0)
             * _BYTES_PER_MB
         ),
+        socket_limit=_get_socket_limit(fields),
     )
 
 
@@ -162,3 +165,19 @@
 def _get_link_mbps(fields: fields_module.Fields) -> float:
     """Return the speed of the link in Mbit/s, or 0 if it is not given."""
     return fields.find('limits.link_mbps', _parse_positive, 0.0)
+
+
+def _get_socket_limit(fields: fields_module.Fields) -> int:
+    """Return the number of sockets of the process, or 0 if not given."""
+    descriptors = fields.find('limits.max_fds', _parse_descriptors, 0)
+    return max(0, descriptors - _FILE_DESCRIPTORS)
+
+
+def _parse_descriptors(text: str) -> int:
+    count = int(_parse_positive(text))
+    if count <= _FILE_DESCRIPTORS:
+        raise ValueError(
+            f'must be above {_FILE_DESCRIPTORS}, not '
+            f'{fields_module.quote(text)}'
+        )
+    return count
