Bound the connections to upstreams, so that queries leave descriptors

Callers beside wide queries waited, and probes were unanswered for up to 8.1 s, at a process with 256 descriptors in front of 300 services: three queries to all of them took every descriptor.

Each pool has a limit, and their sum had none.

At the limit, seven eighths of what is left for outgoing connections, the longest idle connections to any upstream make way for one that a request waits for; those that would be opened in advance are not. If none is idle, the attempt fails unsent, as when no connection can be made. Two metrics show the limit and what was denied.

Left: peers, the source and checks of upstreams have no bound of their own; a query that is wider than the limit is not served in parts.

--- a/features/crowd.feature
+++ b/features/crowd.feature
@@ -68,3 +68,19 @@
     Given a gateway process with 1024 descriptors in front of an upstream
     When 200 connections arrive that are idle after a reply
     Then the connections of the crowd are open
+
+  Scenario: idle connections to upstreams make way for others
+    Given a gateway process with 256 descriptors in front of 300 services
+    When a caller sends a request to each service in turn
+    Then each of them is answered by 200
+    And the process has at most 192 sockets
+    And all readiness probes meanwhile are answered by 200 within a second
+    And the log has no sign that descriptors ran out
+
+  Scenario: a query wider than the room of a process leaves some for others
+    Given a gateway process with 256 descriptors in front of 300 services
+    When 3 callers send a query to all services at once
+    Then all readiness probes meanwhile are answered by 200 within a second
+    And a caller of one service is served within 2 seconds
+    And the process has at most 192 sockets
+    And the log has no sign that descriptors ran out
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -34,6 +34,7 @@
     'idle after a reply': _HEAD + b'X-Request-Id: crowd\r\n\r\n',
 }
 _SLOW_S = 0.5
+_WIDE_WORK_S = 0.01
 
 
 class Crowd:
@@ -140,6 +141,85 @@
     run(context, start_site(context, prepare))
 
 
+async def start_wide_site(context, prepare, count):
+    processes = context.crowd.processes
+    first_port = soak.find_port_range(count, processes.stand_in_ip)
+    routes = []
+    for number in range(count):
+        name = f's{number}'
+        upstream = standins.WireUpstream(
+            f'i-{number}', platform.NAMES, b'r' * 16, _WIDE_WORK_S
+        )
+        address = (processes.stand_in_ip, first_port + number)
+        await upstream.start(*address)
+        context.stack.push_async_callback(upstream.stop)
+        processes.store.put(
+            f'servers/i-{number}',
+            platform_standins.make_server(name, '%s:%d' % address),
+        )
+        routes.append(platform_standins.make_route(f'/{name}/', name))
+    shards = [f's{number}' for number in range(count)]
+    routes.append(platform_standins.make_gather('/all/', shards, 5, 1.0))
+    config = platform_standins.make_config(1, routes, timeout_s=9.0)
+    processes.store.put_config(config)
+    await processes.start(1, prepare=prepare)
+    await processes.wait_until_ready(1)
+    probing = asyncio.create_task(context.crowd.probe_forever())
+    context.stack.push_async_callback(core.end_task, probing)
+    context.stack.push_async_callback(context.crowd.close)
+
+
+@given(r'a gateway process with (\d+) descriptors in front of (\d+) services')
+def start_in_front_of_many(context, descriptors, count):
+    limits = (int(descriptors), int(descriptors))
+
+    def prepare():
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
+    context.crowd = Crowd(ends.get_processes(context))
+    context.service_count = int(count)
+    run(context, start_wide_site(context, prepare, int(count)))
+
+
+@when(r'a caller sends a request to each service in turn')
+def send_to_each(context):
+    async def send():
+        context.crowd.replies = [
+            await context.crowd.call(_OTHER_OCTET, f'/s{number}/1')
+            for number in range(context.service_count)
+        ]
+
+    run(context, send())
+
+
+@then(r'each of them is answered by 200')
+def check_all_answered(context):
+    statuses = [status for _, status, _ in context.crowd.replies]
+    assert statuses == [200] * context.service_count, statuses
+
+
+@when(r'(\d+) callers send a query to all services at once')
+def send_wide(context, count):
+    async def send():
+        calls = [
+            context.crowd.call(_OTHER_OCTET, '/all/1')
+            for _ in range(int(count))
+        ]
+        async with asyncio.timeout(_TIMEOUT_S):
+            await asyncio.gather(*calls)
+
+    run(context, send())
+
+
+@then(r'a caller of one service is served within 2 seconds')
+def check_one_served(context):
+    async def call():
+        async with asyncio.timeout(2.0):
+            return await call_until_served(context.crowd, '/s7/1')
+
+    assert run(context, call()) == 200
+
+
 @given(r'a gateway process whose settings allow (\d+) descriptors')
 def start_with_setting(context, count):
     fields = {'limits.max_fds': count}
@@ -190,10 +270,10 @@
     run(context, context.crowd.close())
 
 
-async def call_until_served(crowd):
+async def call_until_served(crowd, path='/fast/1'):
     """Return the status of a reply; come back when a refusal says so."""
     while True:
-        _, status, headers = await crowd.call(_OTHER_OCTET)
+        _, status, headers = await crowd.call(_OTHER_OCTET, path)
         if status != 503:
             return status
         await asyncio.sleep(float(headers['retry-after']))
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -160,6 +160,7 @@
 
     def _limit_connections(self, shares: sockets.SocketShares) -> None:
         self._caller_listener.refuse = self._refuse
+        self.gateway.selector.open_limit.limit = shares.upstreams
         for name, limited, limit in (
             ('callers', self._caller_listener, shares.callers),
             ('readiness', self._readiness_listener, shares.probes),
@@ -333,6 +334,12 @@
             ),
             **self._list_quota_gauges(),
             'reach_checks_total': self.gateway.checker.checks,
+            'upstream_connection_limit': (
+                self.gateway.selector.open_limit.limit
+            ),
+            'connections_denied_total': (
+                self.gateway.selector.open_limit.denied
+            ),
             'connections_opened_total': (
                 self.gateway.selector.connections_opened
             ),
--- a/rudderrock/gateway/_sockets.py
+++ b/rudderrock/gateway/_sockets.py
@@ -14,6 +14,8 @@
 _PEERS_FRACTION = 1 / 8
 _PROBES_FRACTION = 1 / 64
 _MIN_PROBES = 4
+# Fraction of the outgoing connections that leads to upstreams.
+_UPSTREAMS_FRACTION = 7 / 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,14 +23,15 @@
     """Numbers of sockets that each use may have.
 
     `callers`, `peers`, `probes` and `scrapes` are accepted connections;
-    `outgoing` are those to upstreams, peers and the source.
+    `upstreams` are connections to upstreams. The rest of half of the sockets
+    remains for connections to peers and the source.
     """
 
     callers: int
     peers: int
     probes: int
     scrapes: int
-    outgoing: int
+    upstreams: int
 
 
 def divide_sockets(limit: int) -> SocketShares:
@@ -42,7 +45,8 @@
     peers = int(total * _PEERS_FRACTION)
     probes = max(_MIN_PROBES, int(total * _PROBES_FRACTION))
     accepted = callers + peers + 2 * probes + min(IN_TRANSIT, total // 8)
-    return SocketShares(callers, peers, probes, probes, total - accepted)
+    upstreams = int((total - accepted) * _UPSTREAMS_FRACTION)
+    return SocketShares(callers, peers, probes, probes, upstreams)
 
 
 def find_socket_limit(configured: int) -> int:
--- a/rudderrock/gateway/decisions/_replicas.py
+++ b/rudderrock/gateway/decisions/_replicas.py
@@ -13,6 +13,7 @@
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _topology as topology
 from rudderrock.gateway.http import _header_names as header_names
+from rudderrock.gateway.http import _open_limit as open_limit
 from rudderrock.gateway.http import _pool as pool
 
 # Time in seconds during which an upstream is avoided after a late or failed
@@ -122,6 +123,7 @@
         has_crashed: Callable[[core.UpstreamIncarnation], bool],
     ):
         self.connections_opened = 0
+        self.open_limit = open_limit.OpenLimit(self._list_pools)
         self._has_crashed = has_crashed
         self._cold = cold_limits
         self._own = own
@@ -324,6 +326,7 @@
                 asyncio.get_running_loop(),
                 self._names,
                 self._count_opened,
+                may_open=self.open_limit.may_open,
             )
             distance = self._topology.get_distance(endpoint.zone)
             replica = Replica(endpoint, links, distance, self._clock)
@@ -346,6 +349,10 @@
         replica.links.cap = share.cap
         replica.links.is_unallocated = share.is_unallocated
 
+    def _list_pools(self) -> list[pool.Pool]:
+        replicas = (*self._replicas.values(), *self._retired)
+        return [each.links for each in replicas]
+
     def _count_opened(self) -> None:
         self.connections_opened += 1
 
--- a/rudderrock/gateway/http/_pool.py
+++ b/rudderrock/gateway/http/_pool.py
@@ -34,7 +34,8 @@
 
     If `is_unallocated` is true, this host has no share of the upstream's
     connections and closes each connection after a short idle time.
-    `count_opened` is called each time that opening a connection starts.
+    `count_opened` is called each time that opening a connection starts, if
+    `may_open` allows it; its argument is whether a request waits for it.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         count_opened: Callable[[], None],
         cap: int = 1,
         keep_alive_s: float = DEFAULT_KEEP_ALIVE_S,
+        may_open: Callable[[bool], bool] = lambda is_needed: True,
     ):
         self.endpoint = endpoint
         self.cap = cap
@@ -55,6 +57,7 @@
         self._loop = loop
         self._names = names
         self._count_opened = count_opened
+        self._may_open = may_open
         self._keep_alive_s = keep_alive_s
         self._free: list[link_module.Link] = []
         self._links: set[link_module.Link] = set()
@@ -75,6 +78,11 @@
         """Return whether a connection is open or being opened."""
         return bool(self._links or self._connecting)
 
+    @property
+    def open_count(self) -> int:
+        """Return the number of connections that are open or being opened."""
+        return len(self._links) + len(self._connecting)
+
     @property
     def is_idle(self) -> bool:
         """Return whether a connection is idle."""
@@ -201,6 +209,16 @@
         while self._free:
             self._free.pop().abort()
 
+    def list_idle_times(self) -> list[float]:
+        """Return the loop times in seconds since which each idle one is."""
+        return [link.idle_since for link in self._free]
+
+    def drop_oldest(self) -> None:
+        """Close the connection that has been idle for longest."""
+        oldest = min(self._free, key=lambda link: link.idle_since)
+        self._free.remove(oldest)
+        oldest.abort()
+
     def close(self) -> None:
         """Close every connection at once, and stop opening new ones."""
         self.retire()
@@ -241,6 +259,9 @@
             self._free.pop(0).abort()
 
     def _start_opening(self) -> None:
+        if not self._may_open(bool(self._waiting)):
+            self._loop.call_soon(self._fail_unconnected)
+            return
         self._count_opened()
         task = self._loop.create_task(self._connect())
         self._connecting.add(task)
@@ -264,6 +285,10 @@
         self._connecting.discard(asyncio.current_task())
         self._on_free(link)
 
+    def _fail_unconnected(self) -> None:
+        if not self._connecting:
+            self._fail_waiting('this host has too many')
+
     def _make_link(self) -> link_module.Link:
         return link_module.Link(
             self._loop, self._names, self._on_free, self._on_closed
