--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -29,6 +29,8 @@
 from rudderrock.gateway._process import ProcessState
 from rudderrock.gateway._rejected_entries import RejectedEntries
 from rudderrock.gateway._settings import GatewaySettings
+from rudderrock.gateway._sockets import divide_sockets
+from rudderrock.gateway._sockets import find_socket_limit
 from rudderrock.gateway.decisions._admission import Admission
 from rudderrock.gateway.decisions._budget import ExtraRequestBudget
 from rudderrock.gateway.decisions._canary import Canary
@@ -291,6 +293,8 @@
     'decode_json',
     'digest_key',
     'digest_request',
+    'divide_sockets',
+    'find_socket_limit',
     'format_event_page',
     'get_wait_limit_s',
     'load_absl_log',
