Serve while the metrics port is taken; wait for other addresses

Seen: something else listens on port 9464 of the address, which the settings don't name, and the gateway ends with 1. So it does if the process before it has not closed an address of the settings yet.

Cause: what only observes the process was started like what it serves with, and there was one attempt for each address.

Lines address_in_use and address_bound. The callers' address is bound last, so that a stop before it has no caller to serve. A SIGTERM while addresses are bound no longer is overwritten by the state in which readiness is answered by 200.

Ruled out: another port for metrics, where nobody looks; SO_REUSEPORT, with which connections go to either process.

--- a/features/gateway_processes.py
+++ b/features/gateway_processes.py
@@ -7,9 +7,11 @@
 from collections.abc import Callable
 import contextlib
 import json
+import os
 import pathlib
 import sys
 import tempfile
+from typing import Any
 
 from rudderrock import platform
 from rudderrock import soak
@@ -34,6 +36,12 @@
     def __init__(self) -> None:
         self.command = [sys.executable, '-m', 'rudderrock.programs.gateway']
         self.cwd: pathlib.Path | None = None
+        # What is passed before the path of the settings file.
+        self.path_option = ['--config']
+        # Variables in addition to those of the test process.
+        self.env: dict[str, str] = {}
+        # Settings of all gateways, unless others are given for one.
+        self.fields: dict[str, Any] = {}
         self.store = platform_standins.PlatformStore()
         self.running: dict[int, asyncio.subprocess.Process] = {}
         self.network = ''
@@ -75,7 +83,7 @@
             self.get_port(number),
             '%s:%d' % self.store.address,
             name=f'host-{number}',
-            **fields,
+            **{**self.fields, **fields},
         )
         path = self._folder / f'host-{number}.conf'
         path.write_bytes(edit(text.encode()))
@@ -93,11 +101,12 @@
         with self._get_log_path(number).open('ab') as log:
             process = await asyncio.create_subprocess_exec(
                 *self.command,
-                '--config',
+                *self.path_option,
                 str(path),
                 stdout=log,
                 stderr=log,
                 cwd=self.cwd,
+                env={**os.environ, **self.env},
                 preexec_fn=prepare,
             )
         self.running[number] = process
--- a/features/steps/ends.py
+++ b/features/steps/ends.py
@@ -58,7 +58,7 @@
     context.occupied.listen()
 
 
-@when(r'the gateway process receives (SIG[A-Z]+)')
+@when(r'the gateway process receives (SIG[A-Z0-9]+)')
 def send_signal(context, name):
     get_processes(context).running[1].send_signal(signal.Signals[name])
 
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -18,6 +18,8 @@
     STOPPING = 'stopping'
     STOPPED = 'stopped'
     ENDED = 'ended'
+    ADDRESS_IN_USE = 'address_in_use'
+    ADDRESS_BOUND = 'address_bound'
     MEMORY_HIGH = 'memory_high'
     RELOADED = 'reloaded'
     READY = 'ready'
@@ -84,6 +86,18 @@
         'nor `ended` was killed.',
         ('code', 'problem'),
     ),
+    LogKind.ADDRESS_IN_USE: KindInfo(
+        'An `address` of this host cannot be bound. It is tried again: for '
+        'the `purpose` metrics as long as the process runs, while it serves '
+        'all the same, and for other purposes for a few seconds, before '
+        'which it does not serve.',
+        ('purpose', 'address', 'problem'),
+    ),
+    LogKind.ADDRESS_BOUND: KindInfo(
+        'An address that could not be bound is bound after `waited_s` '
+        'seconds.',
+        ('purpose', 'address', 'waited_s'),
+    ),
     LogKind.MEMORY_HIGH: KindInfo(
         'The largest size of the process so far, `peak_mb`, has passed a '
         'further step towards `limit_mb`, at which it is killed from outside.',
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -7,6 +7,7 @@
 import enum
 
 from rudderrock import core
+from rudderrock.gateway import _addresses as addresses
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _memory_monitor as memory_monitor
@@ -110,20 +111,15 @@
 
     async def run(self) -> None:
         """Serve until `stop` is called; return after the shutdown."""
-        record = self._dependencies.events.record
-        config = self._config
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.gateway.selector.close)
             stack.callback(self.gateway.delegation.close)
             stack.push_async_callback(self.gateway.checker.close)
             stack.callback(self.quotas.client.close)
-            for each_listener, address in (
-                (self._caller_listener, config.callers),
-                (self._readiness_listener, config.readiness),
-                (self._metrics_listener, config.metrics),
-                (self.peers, config.peers),
-            ):
-                await stack.enter_async_context(each_listener.listen(*address))
+            if not await self._listen(stack):
+                # No caller has been accepted, so there is nothing to drain.
+                self._record_stopped()
+                return
             for background_task in (
                 self._synchronizer.run,
                 self._broadcaster.run,
@@ -140,17 +136,46 @@
             ):
                 task = asyncio.create_task(_run_forever(background_task))
                 stack.push_async_callback(core.end_task, task)
-            self.state = ProcessState.SERVING
-            record(
-                events.LogKind.STARTED,
-                place=config.place.zone,
-                build=config.build_id,
-            )
+            self._start_serving()
             async with registration_module.keep_registered(self._registration):
                 await self._stop.wait()
             await self._drain()
+        self._record_stopped()
+
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> bool:
+        """Listen at all addresses; return whether callers are accepted."""
+        config = self._config
+        binder = addresses.AddressBinder(
+            stack,
+            self._stop,
+            self._dependencies.events,
+            self._dependencies.clock,
+        )
+        purpose = addresses.Purpose
+        await binder.bind_or_retry(
+            purpose.METRICS, self._metrics_listener, config.metrics
+        )
+        await binder.bind(
+            purpose.READINESS, self._readiness_listener, config.readiness
+        )
+        await binder.bind(purpose.PEERS, self.peers, config.peers)
+        return await binder.bind(
+            purpose.CALLERS, self._caller_listener, config.callers
+        )
+
+    def _start_serving(self) -> None:
+        if self._stop.is_set():
+            return
+        self.state = ProcessState.SERVING
+        self._dependencies.events.record(
+            events.LogKind.STARTED,
+            place=self._config.place.zone,
+            build=self._config.build_id,
+        )
+
+    def _record_stopped(self) -> None:
         self.state = ProcessState.ENDED
-        record(events.LogKind.STOPPED)
+        self._dependencies.events.record(events.LogKind.STOPPED)
 
     def _start_shutdown(self, cause: str) -> None:
         self._stop_started_at = self._dependencies.clock.now()
