--- a/features/steps/adapter.py
+++ b/features/steps/adapter.py
@@ -499,6 +499,7 @@
 def import_program(context):
     code = (
         'import sys; import rudderrock.programs.gateway; '
+        'import rudderrock.programs._gateway_daemon; '
         'print(*sorted(sys.modules))'
     )
     completed = subprocess.run(
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -48,6 +48,18 @@
     LINES_DROPPED = 'lines_dropped'
 
 
+# Kinds of which a process writes one line at most, so that no limit is needed.
+UNLIMITED_KINDS = frozenset(
+    {
+        LogKind.STARTING,
+        LogKind.STARTED,
+        LogKind.STOPPING,
+        LogKind.STOPPED,
+        LogKind.ENDED,
+    }
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KindInfo:
     """Description and fields of a kind of log line."""
--- a/rudderrock/gateway/_log.py
+++ b/rudderrock/gateway/_log.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import logging as standard_logging
 import os
 from typing import Any
@@ -48,11 +49,18 @@
 class EventLog:
     """Write typed log lines for one host.
 
-    `dropped` counts the lines that exceeded a rate limit.
+    `dropped` counts the lines that exceeded a rate limit, and `handler` those
+    that could not be written.
     """
 
-    def __init__(self, host: str, clock: core.Clock):
+    def __init__(
+        self,
+        host: str,
+        clock: core.Clock,
+        handler: 'PipeHandler | None' = None,
+    ):
         self.dropped = 0
+        self._handler = handler
         self._host = host
         self._clock = clock
         self._reported_drops = 0
@@ -60,6 +68,11 @@
         self._failure = _TokenBucket(clock, events.FAILURE_LINES_PER_S)
         self._state = _TokenBucket(clock, events.STATE_LINES_PER_S)
 
+    @property
+    def unwritten(self) -> int:
+        """Return the number of lines that could not be written."""
+        return 0 if self._handler is None else self._handler.dropped
+
     def record(self, kind: events.LogKind, **fields: Any) -> None:
         """Write a line about an action or a state change of the process."""
         self._write(self._state, kind, fields)
@@ -78,7 +91,8 @@
         kind: events.LogKind,
         fields: dict[str, Any],
     ) -> None:
-        if not bucket.try_take():
+        is_limited = kind not in events.UNLIMITED_KINDS
+        if is_limited and not bucket.try_take():
             self.dropped += 1
             return
         if self.dropped > self._reported_drops:
@@ -108,7 +122,9 @@
         self._descriptor = descriptor
         self._buffer: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
-        os.set_blocking(descriptor, False)
+        # Writing to a closed descriptor fails as well, and is counted.
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
 
     def emit(self, record: standard_logging.LogRecord) -> None:
         """Queue a line, or drop it if the buffer is full."""
@@ -154,7 +170,9 @@
             loop = asyncio.get_running_loop()
         except RuntimeError:
             return
-        loop.add_writer(self._descriptor, self._on_writable)
+        # A file that cannot be waited for is tried again at the next line.
+        with contextlib.suppress(OSError):
+            loop.add_writer(self._descriptor, self._on_writable)
 
     def _on_writable(self) -> None:
         asyncio.get_running_loop().remove_writer(self._descriptor)
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -312,6 +312,7 @@
                 self.gateway.selector.connections_opened
             ),
             'log_lines_dropped_total': self._dependencies.events.dropped,
+            'log_lines_unwritten_total': self._dependencies.events.unwritten,
         }
 
 
--- a/rudderrock/programs/_exits.py
+++ b/rudderrock/programs/_exits.py
@@ -1,5 +1,6 @@
 """Exit codes of all programs; docs/operators.md documents them."""
 
+import contextlib
 import enum
 import sys
 from typing import NoReturn
@@ -24,5 +25,8 @@
 
 def fail(message: str, code: Exit) -> NoReturn:
     """Print an error message to standard error and exit."""
-    print(f'error: {message}', file=sys.stderr)
+    # It is None if standard error is closed, and may have lost its reader.
+    if sys.stderr is not None:
+        with contextlib.suppress(OSError):
+            print(f'error: {message}', file=sys.stderr)
     sys.exit(code)
