Log the defects that end a process, and those that don't

Seen: a defect in the composition, a cancelled main task or a failure outside of the loop leaves a traceback only, an end without a signal is code 0. A background task that fails while absl can't be loaded ends for good without a word: absl is loaded at the first defect, which needs a free descriptor.

Cause: only an exception of the serving itself had a line, and a handler of errors depended on something that can fail for the same reason.

Change: `ended` lines for all ends; `defect` lines for callbacks, for tasks that nobody awaits and for background tasks; defects are logged without absl if it can't be loaded. The text of an exception in a line is limited, as it may quote what was received.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -146,6 +146,32 @@
       | msgspec   |
       | httptools |
 
+  Scenario Outline: a process that ends on <defect> says so
+    Given a gateway process with <defect>
+    Then it ends with code 1
+    And its "ended" line has "problem" with "<text>"
+
+    Examples:
+      | defect                        | text        |
+      | a defect in the composition   | TypeError   |
+      | too little memory             | MemoryError |
+      | an end without a cause        | no signal   |
+      | a cancelled main task         | Cancelled   |
+      | a defect outside of the loop  | OSError     |
+
+  Scenario Outline: a gateway with <defect> lives and says so
+    Given a gateway process with <defect>
+    Then it has a "defect" line
+    And it answers readiness probes
+    And its "defect" line has "problem" with "<text>"
+    And it ends with code 0 after SIGTERM
+
+    Examples:
+      | defect                              | text             |
+      | a defect in a callback of the loop  | ZeroDivisionError |
+      | a defect in a task that nobody awaits | ZeroDivisionError |
+      | a background task that fails, and without the library absl | ZeroDivisionError |
+
   # Guards against the same ends of the other daemon.
   Scenario Outline: <signal> during the imports does not end an entry process
     Given an entry process that is importing its modules
--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -3,6 +3,7 @@
 from rudderrock.gateway._events import format_event_page
 from rudderrock.gateway._events import KIND_INFO
 from rudderrock.gateway._events import LogKind
+from rudderrock.gateway._log import describe_error
 from rudderrock.gateway._log import EventLog
 from rudderrock.gateway._log import load_absl_log
 from rudderrock.gateway._log import LOGGER_NAME
@@ -245,6 +246,7 @@
     'Within',
     'classify_outcome',
     'compute_connection_share',
+    'describe_error',
     'digest_key',
     'digest_request',
     'format_event_page',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -18,6 +18,7 @@
     STOPPING = 'stopping'
     STOPPED = 'stopped'
     ENDED = 'ended'
+    DEFECT = 'defect'
     ADDRESS_IN_USE = 'address_in_use'
     ADDRESS_BOUND = 'address_bound'
     MEMORY_HIGH = 'memory_high'
@@ -98,6 +99,11 @@
         'nor `ended` was killed.',
         ('code', 'problem'),
     ),
+    LogKind.DEFECT: KindInfo(
+        'A part of the process failed with the exception `problem`, whose '
+        'traceback follows; the process goes on. `where` is the part.',
+        ('where', 'problem'),
+    ),
     LogKind.ADDRESS_IN_USE: KindInfo(
         'An `address` of this host cannot be bound. It is tried again: for '
         'the `purpose` metrics as long as the process runs, while it serves '
--- a/rudderrock/gateway/_log.py
+++ b/rudderrock/gateway/_log.py
@@ -22,6 +22,8 @@
 _BURST_S = 2.0
 # Bytes buffered for a slow reader before lines are dropped.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Characters of an exception in a line: its text may quote what was received.
+_MAX_ERROR_CHARS = 500
 LOGGER_NAME = 'rudderrock'
 _logger = standard_logging.getLogger(LOGGER_NAME)
 
@@ -194,13 +196,22 @@
     return handler
 
 
+def describe_error(error: BaseException | None) -> str:
+    """Return the type and the text of an exception, cut if it is long."""
+    return f'{type(error).__name__}: {error}'[:_MAX_ERROR_CHARS]
+
+
 def load_absl_log():
     """Return absl's logging module, which logs to the handlers of the root.
 
-    It is loaded at the first call.
+    It is loaded at the first call, if that is possible: a defect must be
+    logged without it too, for example if no more files can be opened.
     """
-    from absl import flags
-    from absl import logging
+    try:
+        from absl import flags
+        from absl import logging
+    except (ImportError, OSError):
+        return _logger
 
     if not flags.FLAGS.is_parsed():
         flags.FLAGS.mark_as_parsed()
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -111,6 +111,7 @@
 
     async def run(self) -> None:
         """Serve until `stop` is called; return after the shutdown."""
+        record = self._dependencies.events.record
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.gateway.selector.close)
             stack.callback(self.gateway.delegation.close)
@@ -134,7 +135,9 @@
                 self.gateway.loop_monitor.run,
                 self._memory_monitor.run,
             ):
-                task = asyncio.create_task(_run_forever(background_task))
+                task = asyncio.create_task(
+                    _run_forever(background_task, record)
+                )
                 stack.push_async_callback(core.end_task, task)
             self._start_serving()
             async with registration_module.keep_registered(self._registration):
@@ -316,13 +319,17 @@
         }
 
 
-async def _run_forever(background_task: Callable[[], Awaitable[None]]) -> None:
+async def _run_forever(
+    background_task: Callable[[], Awaitable[None]],
+    record: Callable[..., None],
+) -> None:
     """Run a background task forever; log exceptions and restart it."""
     while True:
         try:
             await background_task()
-        except Exception:
-            log.load_absl_log().exception(
-                '%s failed on a defect', background_task.__qualname__
-            )
+        except Exception as error:
+            name = background_task.__qualname__
+            problem = log.describe_error(error)
+            record(events.LogKind.DEFECT, where=name, problem=problem)
+            log.load_absl_log().exception('%s failed on a defect', name)
         await asyncio.sleep(RESTART_DELAY_S)
--- a/rudderrock/programs/_gateway_daemon.py
+++ b/rudderrock/programs/_gateway_daemon.py
@@ -1,5 +1,6 @@
 """Serving of callers by the gateway daemon, until a signal stops it."""
 
+import asyncio
 from collections.abc import Callable
 import dataclasses
 import functools
@@ -81,6 +82,7 @@
     events: gateway.EventLog,
     held: start.HeldSignals,
 ) -> Ending:
+    _log_defects(events)
     config = dataclasses.replace(
         settings_file.settings, build_id=core.read_build_id()
     )
@@ -110,12 +112,29 @@
         return Ending(exits.Exit.FAILED, str(error))
     except Exception as error:
         gateway.load_absl_log().exception('the process ends on a defect')
-        return Ending(exits.Exit.FAILED, f'defect: {error!r}')
+        problem = f'defect: {gateway.describe_error(error)}'
+        return Ending(exits.Exit.FAILED, problem)
     finally:
         source.close()
+    if process.state is not gateway.ProcessState.ENDED:
+        return Ending(exits.Exit.FAILED, 'defect: ended with no signal')
     return Ending(exits.Exit.OK)
 
 
+def _log_defects(events: gateway.EventLog) -> None:
+    """Log the exceptions of callbacks, and of tasks that nobody awaits."""
+
+    def handle(loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        events.record(
+            gateway.LogKind.DEFECT,
+            where=context['message'],
+            problem=gateway.describe_error(context.get('exception')),
+        )
+        loop.default_exception_handler(context)
+
+    asyncio.get_running_loop().set_exception_handler(handle)
+
+
 def _record_starting(
     config: gateway.GatewaySettings, events: gateway.EventLog
 ) -> None:
