Check the settings on SIGHUP at most once a second, and never wait

Seen: 300 SIGHUP in a row are 133 lines, which displace others; SIGHUP while the settings file is a FIFO blocks the loop, and while it is not UTF-8 is a traceback; a huge file is read whole. A start with a FIFO waits without a word.

Cause: whoever may send a signal or write the file decided how long and how often the loop reads.

Change: programs/_reload.py reads only a regular file of at most 1 MB, returns every exception as a problem, and checks once a second at most.

Left: a file that is replaced by a FIFO between check and opening.

--- a/features/starts.feature
+++ b/features/starts.feature
@@ -50,6 +50,12 @@
       | SIGINT  |
       | SIGUSR1 |
 
+  Scenario: a storm of SIGHUP is answered by few checks of the settings
+    Given a gateway process
+    When it receives 300 SIGHUP, one every 2 ms
+    Then it has logged at most one check of the settings a second
+    And it ends with code 0 after SIGTERM
+
   # Guards against signals lost when the pipe that wakes the loop is full.
   Scenario: SIGTERM after a storm of SIGHUP in a blocked loop is not lost
     Given a gateway process whose loop is blocked after it has started
@@ -57,6 +63,36 @@
     Then it ends with code 0
     And its "stopping" line has "cause" with "SIGTERM"
 
+  # Guards against a reload that blocks serving or ends the process.
+  Scenario Outline: SIGHUP while the settings file is <state> leaves it serving
+    Given a gateway process
+    When its settings file is <state>
+    And the gateway process receives SIGHUP
+    Then its "reloaded" line names a problem
+    And it answers readiness probes
+    And it ends with code 0 after SIGTERM
+
+    Examples:
+      | state        |
+      | missing      |
+      | half written |
+      | a directory  |
+      | a FIFO       |
+      | huge         |
+
+  Scenario: SIGHUP while the settings file is not UTF-8 leaves it serving
+    Given a gateway process
+    When its settings file is not UTF-8
+    And the gateway process receives SIGHUP
+    Then it has a "reloaded" line
+    And it answers readiness probes
+    And it ends with code 0 after SIGTERM
+
+  Scenario: a start whose settings file is a FIFO says so
+    Given a gateway process whose settings file is a FIFO
+    Then it ends with code 2
+    And its "ended" line has "problem" with "not a regular file"
+
   # Guards against an address for metrics that decides about a start.
   Scenario: a start whose metrics address is in use serves callers
     Given another program that listens on the metrics port of a gateway
--- a/rudderrock/programs/_gateway_daemon.py
+++ b/rudderrock/programs/_gateway_daemon.py
@@ -17,6 +17,7 @@
 from rudderrock import gateway_root
 from rudderrock import platform
 from rudderrock.programs import _exits as exits
+from rudderrock.programs import _reload as reload
 from rudderrock.programs import _runtime as runtime
 from rudderrock.programs import _signals as signals
 from rudderrock.programs import _start as start
@@ -58,7 +59,7 @@
 ) -> Ending:
     """Serve with the settings in a file; log an end that is a failure."""
     clock = runtime.make_system_clock()
-    match platform.read_settings_file(path):
+    match reload.read_settings(path):
         case result.Err(message):
             events = gateway.EventLog('', clock, handler)
             ending = Ending(exits.Exit.USAGE, message)
@@ -91,16 +92,10 @@
     process = gateway_root.make_gateway(
         config, source, clock, secrets.randbits(32), events
     )
-
     # Only checks the file: changes take effect after a restart.
-    def reload() -> None:
-        match platform.read_settings_file(path):
-            case result.Ok(_):
-                events.record(gateway.LogKind.RELOADED, problem='')
-            case result.Err(message):
-                events.record(gateway.LogKind.RELOADED, problem=message)
-
-    handlers: dict[int, Callable[[], object]] = {signal.SIGHUP: reload}
+    handlers: dict[int, Callable[[], object]] = {
+        signal.SIGHUP: reload.Reloader(path, events).request
+    }
     for number in (signal.SIGTERM, signal.SIGINT):
         handlers[number] = functools.partial(process.stop, number.name)
     runtime.tune_collector(_COLLECTION_THRESHOLD)
