--- a/rudderrock/programs/_start.py
+++ b/rudderrock/programs/_start.py
@@ -11,6 +11,8 @@
 import types
 
 _FAILED = 1
+# The text of an exception may quote what was received.
+_MAX_PROBLEM_CHARS = 1000
 _STANDARD_DESCRIPTORS = (0, 1, 2)
 # Signals that ask something of the process.
 HANDLED_SIGNALS = (_signal.SIGHUP, _signal.SIGINT, _signal.SIGTERM)
@@ -118,7 +120,7 @@
         'host': '',
         'kind': 'ended',
         'code': _FAILED,
-        'problem': problem,
+        'problem': problem[:_MAX_PROBLEM_CHARS],
     }
     # If it can't be written, the traceback on standard error remains.
     with contextlib.suppress(OSError):
