--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -18,6 +18,7 @@
 from rudderrock.gateway._events import format_event_page
 from rudderrock.gateway._events import KIND_INFO
 from rudderrock.gateway._events import LogKind
+from rudderrock.gateway._log import describe_error
 from rudderrock.gateway._log import EventLog
 from rudderrock.gateway._log import load_absl_log
 from rudderrock.gateway._log import LOGGER_NAME
@@ -291,6 +292,7 @@
     'compute_connection_share',
     'convert_value',
     'decode_json',
+    'describe_error',
     'digest_key',
     'digest_request',
     'divide_sockets',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -19,6 +19,9 @@
     STOPPING = 'stopping'
     STOPPED = 'stopped'
     ENDED = 'ended'
+    DEFECT = 'defect'
+    ADDRESS_IN_USE = 'address_in_use'
+    ADDRESS_BOUND = 'address_bound'
     MEMORY_HIGH = 'memory_high'
     CONNECTIONS_LIMITED = 'connections_limited'
     RELOADED = 'reloaded'
@@ -48,6 +51,18 @@
     LINES_DROPPED = 'lines_dropped'
 
 
+# Kinds of which a process writes one line at most, so that no limit is needed.
+UNLIMITED_KINDS = frozenset(
+    {
+        LogKind.STARTING,
+        LogKind.STARTED,
+        LogKind.STOPPING,
+        LogKind.STOPPED,
+        LogKind.ENDED,
+    }
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KindInfo:
     """Description and fields of a kind of log line."""
@@ -97,6 +112,23 @@
         'nor `ended` was killed.',
         ('code', 'problem'),
     ),
+    LogKind.DEFECT: KindInfo(
+        'A part of the process failed with the exception `problem`, whose '
+        'traceback follows; the process goes on. `where` is the part.',
+        ('where', 'problem'),
+    ),
+    LogKind.ADDRESS_IN_USE: KindInfo(
+        'An `address` of this host cannot be bound. It is tried again: for '
+        'the `purpose` metrics as long as the process runs, while it serves '
+        'all the same, and for other purposes for a few seconds, before '
+        'which it does not serve.',
+        ('purpose', 'address', 'problem'),
+    ),
+    LogKind.ADDRESS_BOUND: KindInfo(
+        'An address that could not be bound is bound after `waited_s` '
+        'seconds.',
+        ('purpose', 'address', 'waited_s'),
+    ),
     LogKind.MEMORY_HIGH: KindInfo(
         'The largest size of the process so far, `peak_mb`, has passed a '
         'further step towards `limit_mb`, at which it is killed from outside.',
--- a/rudderrock/gateway/_log.py
+++ b/rudderrock/gateway/_log.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import contextlib
 import logging as standard_logging
 import os
 from typing import Any
@@ -21,6 +22,8 @@
 _BURST_S = 2.0
 # Bytes buffered for a slow reader before lines are dropped.
 MAX_BUFFERED_BYTES = 256 * 1024
+# Characters of an exception in a line: its text may quote what was received.
+_MAX_ERROR_CHARS = 500
 LOGGER_NAME = 'rudderrock'
 _logger = standard_logging.getLogger(LOGGER_NAME)
 
@@ -48,11 +51,18 @@
 class EventLog:
     """Write typed log lines for one host.
 
-    `dropped` counts the lines that exceeded a rate limit.
+    `dropped` counts the lines that exceeded a rate limit, and `handler` those
+    that could not be written.
     """
 
-    def __init__(self, host: str, clock: core.Clock):
+    def __init__(
+        self,
+        host: str,
+        clock: core.Clock,
+        handler: 'PipeHandler | None' = None,
+    ):
         self.dropped = 0
+        self._handler = handler
         self._host = host
         self._clock = clock
         self._reported_drops = 0
@@ -60,6 +70,11 @@
         self._failure = _TokenBucket(clock, events.FAILURE_LINES_PER_S)
         self._state = _TokenBucket(clock, events.STATE_LINES_PER_S)
 
+    @property
+    def unwritten(self) -> int:
+        """Return the number of lines that could not be written."""
+        return 0 if self._handler is None else self._handler.dropped
+
     def record(self, kind: events.LogKind, **fields: Any) -> None:
         """Write a line about an action or a state change of the process."""
         self._write(self._state, kind, fields)
@@ -78,7 +93,8 @@
         kind: events.LogKind,
         fields: dict[str, Any],
     ) -> None:
-        if not bucket.try_take():
+        is_limited = kind not in events.UNLIMITED_KINDS
+        if is_limited and not bucket.try_take():
             self.dropped += 1
             return
         if self.dropped > self._reported_drops:
@@ -108,7 +124,9 @@
         self._descriptor = descriptor
         self._buffer: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
-        os.set_blocking(descriptor, False)
+        # Writing to a closed descriptor fails as well, and is counted.
+        with contextlib.suppress(OSError):
+            os.set_blocking(descriptor, False)
 
     def emit(self, record: standard_logging.LogRecord) -> None:
         """Queue a line, or drop it if the buffer is full."""
@@ -154,7 +172,9 @@
             loop = asyncio.get_running_loop()
         except RuntimeError:
             return
-        loop.add_writer(self._descriptor, self._on_writable)
+        # A file that cannot be waited for is tried again at the next line.
+        with contextlib.suppress(OSError):
+            loop.add_writer(self._descriptor, self._on_writable)
 
     def _on_writable(self) -> None:
         asyncio.get_running_loop().remove_writer(self._descriptor)
@@ -176,13 +196,22 @@
     return handler
 
 
+def describe_error(error: BaseException | None) -> str:
+    """Return the type and the text of an exception, cut if it is long."""
+    return f'{type(error).__name__}: {error}'[:_MAX_ERROR_CHARS]
+
+
 def load_absl_log():
     """Return absl's logging module, which logs to the handlers of the root.
 
-    It is loaded at the first call.
+    It is loaded at the first call, if that is possible: a defect must be
+    logged without it too, for example if no more files can be opened.
     """
-    from absl import flags
-    from absl import logging
+    try:
+        from absl import flags
+        from absl import logging
+    except (ImportError, OSError):
+        return _logger
 
     if not flags.FLAGS.is_parsed():
         flags.FLAGS.mark_as_parsed()
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -8,6 +8,7 @@
 import functools
 
 from rudderrock import core
+from rudderrock.gateway import _addresses as addresses
 from rudderrock.gateway import _events as events
 from rudderrock.gateway import _log as log
 from rudderrock.gateway import _memory_monitor as memory_monitor
@@ -113,19 +114,15 @@
     async def run(self) -> None:
         """Serve until `stop` is called; return after the shutdown."""
         record = self._dependencies.events.record
-        config = self._config
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self.gateway.selector.close)
             stack.callback(self.gateway.delegation.close)
             stack.push_async_callback(self.gateway.checker.close)
             stack.callback(self.quotas.client.close)
-            for each_listener, address in (
-                (self._caller_listener, config.callers),
-                (self._readiness_listener, config.readiness),
-                (self._metrics_listener, config.metrics),
-                (self.peers, config.peers),
-            ):
-                await stack.enter_async_context(each_listener.listen(*address))
+            if not await self._listen(stack):
+                # No caller has been accepted, so there is nothing to drain.
+                self._record_stopped()
+                return
             for background_task in (
                 self._synchronizer.run,
                 self._broadcaster.run,
@@ -140,21 +137,51 @@
                 self.gateway.loop_monitor.run,
                 self._memory_monitor.run,
             ):
-                task = asyncio.create_task(_run_forever(background_task))
+                task = asyncio.create_task(
+                    _run_forever(background_task, record)
+                )
                 stack.push_async_callback(core.end_task, task)
-            if self.state is ProcessState.STARTING:
-                self.state = ProcessState.SERVING
-            record(
-                events.LogKind.STARTED,
-                place=config.place.zone,
-                build=config.build_id,
-            )
+            self._start_serving()
             registered = asyncio.create_task(self._stay_registered())
             stack.push_async_callback(core.end_task, registered)
             await self._stop.wait()
             await self._drain()
+        self._record_stopped()
+
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> bool:
+        """Listen at all addresses; return whether callers are accepted."""
+        config = self._config
+        binder = addresses.AddressBinder(
+            stack,
+            self._stop,
+            self._dependencies.events,
+            self._dependencies.clock,
+        )
+        purpose = addresses.Purpose
+        await binder.bind_or_retry(
+            purpose.METRICS, self._metrics_listener, config.metrics
+        )
+        await binder.bind(
+            purpose.READINESS, self._readiness_listener, config.readiness
+        )
+        await binder.bind(purpose.PEERS, self.peers, config.peers)
+        return await binder.bind(
+            purpose.CALLERS, self._caller_listener, config.callers
+        )
+
+    def _start_serving(self) -> None:
+        if self._stop.is_set():
+            return
+        self.state = ProcessState.SERVING
+        self._dependencies.events.record(
+            events.LogKind.STARTED,
+            place=self._config.place.zone,
+            build=self._config.build_id,
+        )
+
+    def _record_stopped(self) -> None:
         self.state = ProcessState.ENDED
-        record(
+        self._dependencies.events.record(
             events.LogKind.STOPPED,
             refused=self.gateway.request_limits.refused,
             unfinished=self.gateway.request_limits.ended,
@@ -368,16 +395,21 @@
                 self.gateway.selector.connections_opened
             ),
             'log_lines_dropped_total': self._dependencies.events.dropped,
+            'log_lines_unwritten_total': self._dependencies.events.unwritten,
         }
 
 
-async def _run_forever(background_task: Callable[[], Awaitable[None]]) -> None:
+async def _run_forever(
+    background_task: Callable[[], Awaitable[None]],
+    record: Callable[..., None],
+) -> None:
     """Run a background task forever; log exceptions and restart it."""
     while True:
         try:
             await background_task()
-        except Exception:
-            log.load_absl_log().exception(
-                '%s failed on a defect', background_task.__qualname__
-            )
+        except Exception as error:
+            name = background_task.__qualname__
+            problem = log.describe_error(error)
+            record(events.LogKind.DEFECT, where=name, problem=problem)
+            log.load_absl_log().exception('%s failed on a defect', name)
         await asyncio.sleep(RESTART_DELAY_S)
