Try a built program up to its command line

The build imported the module that is run, which now imports the others only once it holds signals: an incomplete folder would have passed again.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
 # Builds the program and its libraries into target/deps, which is on Python's
 # path at run time. Libraries that are there are kept if their stamp shows that
-# they are complete and fit this machine, and if the program can be imported
-# with them. The program is put in place last, so that a build that fails or is
-# killed leaves none.
+# they are complete and fit this machine, and if the program starts with them.
+# The program is put in place last, so that a build that fails or is killed
+# leaves none.
 set -eu
 cd "$(dirname "$0")/.."
 
@@ -48,11 +48,12 @@
     python3 -m compileall -q "$partial/rudderrock"
 }
 
-# Imports the program with the options and the environment of a run.
-can_import() {
+# Runs the program up to its command line, for which it imports all of its
+# modules, with the options and the environment of a run.
+can_start() {
     env -i PATH="$PATH" HOME="${HOME:-/}" \
         PYTHONPATH="$root/$partial:$root/$deps" \
-        python3 -P -S -c 'import rudderrock.programs.gateway'
+        python3 -P -S -m rudderrock.programs.gateway --help > /dev/null
 }
 
 mkdir -p target
@@ -60,9 +61,9 @@
 rm -rf "$partial" "$deps/rudderrock"
 mkdir "$partial"
 copy_program
-if ! has_libraries || ! can_import; then
+if ! has_libraries || ! can_start; then
     install_libraries
-    can_import
+    can_start
 fi
 mv "$partial/rudderrock" "$deps/rudderrock"
 rm -rf "$partial"
--- a/features/build.feature
+++ b/features/build.feature
@@ -76,4 +76,4 @@
 
   Scenario: a build tries the program as it is run
     Given a checkout that has been built
-    Then the program was imported with the options and the path of a run
+    Then the program was tried with the options and the path of a run
--- a/features/steps/build.py
+++ b/features/steps/build.py
@@ -329,13 +329,13 @@
     assert installed.count('\n') == int(count), installed
 
 
-@then(r'the program was imported with the options and the path of a run')
+@then(r'the program was tried with the options and the path of a run')
 def check_trial(context):
     words = read_deploy_file(context)['roles']['entry']['run'].split()
     options = ' '.join(words[1 : words.index('-m')])
     calls = (context.checkout / 'calls.txt').read_text().splitlines()
     found = [
-        call for call in calls if f' {options} -c import {words[-1]}' in call
+        call for call in calls if f' {options} -m {words[-1]} --help' in call
     ]
     assert found, calls
     for call in found:
