Bound the sum of the bytes held for requests and replies

What callers saw: with a memory limit of 300 MB, 60 requests at once to upstreams that reply without end took the process to 1 GB. Where the limit is enforced, the process ends and all its callers with it.

Cause: each reply and each request was bounded by itself, the sum by nothing, and what was over was kept until a collection of cycles.

Change: a byte budget, made from the memory limit. If the sum of what is larger than 4 KB exceeds it, the owner that holds most (the team, else the service or the route) loses its largest holding, so others lose nothing. A reply ends as lost and is retried by the usual rules; a request that is still being read is refused by 503 with Retry-After; one that was read whole is never dropped, and refused before that if its owner has more than a share. Answers of shards are cut down to the records that can count when they arrive, and large replies are written in pieces.

--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -114,6 +114,9 @@
 from rudderrock.gateway.forwarding._records import merge_records
 from rudderrock.gateway.forwarding._results import Outcome
 from rudderrock.gateway.forwarding._results import Result
+from rudderrock.gateway.http._byte_budget import ByteBudget
+from rudderrock.gateway.http._byte_budget import compute_byte_limit
+from rudderrock.gateway.http._byte_budget import Eviction
 from rudderrock.gateway.http._digest import digest_request
 from rudderrock.gateway.http._header_names import HeaderNames
 from rudderrock.gateway.http._http_client import HttpClient
@@ -134,6 +137,7 @@
 __all__ = [
     'Admission',
     'Anywhere',
+    'ByteBudget',
     'CallerListener',
     'Canary',
     'Candidates',
@@ -150,6 +154,7 @@
     'EvacuationHolder',
     'Evacuations',
     'EventLog',
+    'Eviction',
     'Exchange',
     'ExtraRequestBudget',
     'Failure',
@@ -244,6 +249,7 @@
     'WaitingAttempt',
     'Within',
     'classify_outcome',
+    'compute_byte_limit',
     'compute_connection_share',
     'digest_key',
     'digest_request',
--- a/rudderrock/gateway/_events.py
+++ b/rudderrock/gateway/_events.py
@@ -41,6 +41,7 @@
     SOURCE_RETURNED = 'source_returned'
     QUOTA_CHANGED = 'quota_changed'
     QUOTA_LEARNED = 'quota_learned'
+    EVICTED = 'evicted'
     REQUEST = 'request'
     UNREADABLE = 'unreadable'
     LINES_DROPPED = 'lines_dropped'
@@ -212,6 +213,13 @@
         'did not confirm it, and it is repeated.',
         ('written', 'removed', 'problem'),
     ),
+    LogKind.EVICTED: KindInfo(
+        'The bytes held for requests and replies, `held_bytes`, exceeded '
+        'their limit. The largest of `owner`, which held most, was given up: '
+        'a reply that was being read or written, or a request that was being '
+        'read and is refused. `owner` is a team, else a service or a route.',
+        ('owner', 'size_bytes', 'held_bytes'),
+    ),
     LogKind.REQUEST: KindInfo(
         'One request of a caller and its outcome. `late` is the number of '
         'shards that had not answered at the hedge threshold, and `far` the '
--- a/rudderrock/gateway/_process.py
+++ b/rudderrock/gateway/_process.py
@@ -69,11 +69,20 @@
         self._dependencies = dependencies
         self._stop = asyncio.Event()
         self._caller_listener = listener.CallerListener(
-            served.handle, self._record_unreadable
+            served.handle,
+            self._record_unreadable,
+            dependencies.byte_budget,
+            served.find_owner,
+        )
+        self._readiness_listener = listener.CallerListener(
+            self._answer_probe, budget=dependencies.byte_budget
+        )
+        self._metrics_listener = listener.CallerListener(
+            self._answer_scrape, budget=dependencies.byte_budget
+        )
+        self.peers = listener.CallerListener(
+            self._answer_peer, budget=dependencies.byte_budget
         )
-        self._readiness_listener = listener.CallerListener(self._answer_probe)
-        self._metrics_listener = listener.CallerListener(self._answer_scrape)
-        self.peers = listener.CallerListener(self._answer_peer)
         self.peers.limits = routing.IntakeLimits(
             max_header_bytes=delegate.PEER_HEADER_BYTES,
             max_body_bytes=delegate.PEER_BODY_BYTES,
@@ -258,6 +267,9 @@
             'hosts': self._dependencies.hosts.count(),
             'memory_peak_bytes': memory_monitor.get_peak_bytes(),
             'memory_limit_bytes': self._config.memory_limit_bytes,
+            'held_bytes': self._dependencies.byte_budget.held_bytes,
+            'held_limit_bytes': self._dependencies.byte_budget.limit_bytes,
+            'evictions_total': self._dependencies.byte_budget.evictions,
             'caller_connections': len(self._caller_listener.links),
             'requests_under_way': self._caller_listener.busy,
             'upstream_requests_total': counters.first_attempts,
--- a/rudderrock/gateway/forwarding/_calls.py
+++ b/rudderrock/gateway/forwarding/_calls.py
@@ -12,6 +12,7 @@
 from rudderrock.gateway.decisions import _retry_plan as retry_plan
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.discovery import _teams as teams
+from rudderrock.gateway.http import _byte_budget as byte_budget
 from rudderrock.gateway.http import _digest as digest
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
@@ -49,6 +50,7 @@
     checker: reach.ReachChecker
     late_requests: retry_plan.LateRequests
     refused_requests: repeats.RefusedRequests
+    byte_budget: byte_budget.ByteBudget
 
 
 @dataclasses.dataclass(slots=True)
--- a/rudderrock/gateway/forwarding/_forward.py
+++ b/rudderrock/gateway/forwarding/_forward.py
@@ -159,6 +159,7 @@
             for each in self.service_calls:
                 if not each.settled:
                     each.abort()
+                each.detach()
             call.canary.finish()
 
     def count_answers(self) -> int:
--- a/rudderrock/gateway/forwarding/_gateway.py
+++ b/rudderrock/gateway/forwarding/_gateway.py
@@ -42,6 +42,7 @@
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.forwarding import _service_call as service_call
 from rudderrock.gateway.forwarding import _zones as zones
+from rudderrock.gateway.http import _byte_budget as byte_budget
 from rudderrock.gateway.http import _digest as digest
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
@@ -72,6 +73,7 @@
     quotas: quota_exchange.QuotaExchange
     events: log.EventLog
     metrics: metrics_module.GatewayMetrics
+    byte_budget: byte_budget.ByteBudget
     clock: core.Clock
     rng: random.Random
 
@@ -159,6 +161,7 @@
             self.checker,
             self.late_requests,
             repeats.RefusedRequests(dependencies.clock),
+            dependencies.byte_budget,
         )
         dependencies.tables.add_listener(self._on_table_change)
         dependencies.hosts.add_listener(self._on_hosts_change)
@@ -181,6 +184,18 @@
         """Return the number of requests that wait for the initial data."""
         return self._dependencies.initial_sync.kept.count
 
+    def find_owner(self, target: bytes, headers: messages.Headers) -> str:
+        """Return the team that a key identifies, else the route's name."""
+        table = self._dependencies.tables.current
+        request = messages.Request(b'', target, headers, b'', 0.0)
+        route = self._find_route(table, request)
+        if route is None:
+            return ''
+        match identity_module.identify_caller(table, route, request):
+            case identity_module.Identified(team=team):
+                return team.team
+        return route.name
+
     def _on_hosts_change(self) -> None:
         """Redistribute budgets and connections among the hosts."""
         self._share_slack()
--- a/rudderrock/gateway/forwarding/_gather.py
+++ b/rudderrock/gateway/forwarding/_gather.py
@@ -137,9 +137,11 @@
     ]
     stamps = [each.get_header(context.names.stamp) for each in replies]
     bodies = [each.body for each in replies]
+    bytes_received = sum(each.received_bytes for each in service_calls)
     for each in part_answers:
         stamps += each.stamps
         bodies.append(each.body)
+        bytes_received += len(each.body)
     missing = len(service_calls) - forwarder.count_answers()
     headers = _make_part_headers(
         context.names, call.request_id, stamps, missing
@@ -154,7 +156,7 @@
         answered=len(stamps),
         requests_sent=sum(not each.was_delegated for each in service_calls)
         + len(forwarder.parts),
-        bytes_received=sum(len(each) for each in bodies),
+        bytes_received=bytes_received,
         late=sum(each.is_late for each in service_calls),
         far=forward.count_cross_region(service_calls),
         extras=sum(each.extras for each in service_calls),
--- a/rudderrock/gateway/forwarding/_records.py
+++ b/rudderrock/gateway/forwarding/_records.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import heapq
+import struct
 
 # Size of a record. The byte order of records is their rank.
 RECORD_BYTES = 16
@@ -16,6 +17,19 @@
     ]
 
 
+def keep_greatest(body: bytes, top_k: int) -> bytes:
+    """Return the `top_k` greatest records of a body, in descending order.
+
+    The other records are not held at once, as the body may be large.
+
+    >>> keep_greatest(b'a' * 16 + b'b' * 16 + b'c', 1) == b'b' * 16
+    True
+    """
+    whole = memoryview(body)[: len(body) - len(body) % RECORD_BYTES]
+    found = struct.iter_unpack(f'{RECORD_BYTES}s', whole)
+    return b''.join(heapq.nlargest(top_k, (record for (record,) in found)))
+
+
 def merge_records(bodies: Iterable[bytes], top_k: int) -> bytes:
     """Return the `top_k` greatest records of all bodies in descending order.
 
--- a/rudderrock/gateway/forwarding/_service_call.py
+++ b/rudderrock/gateway/forwarding/_service_call.py
@@ -15,6 +15,7 @@
 from rudderrock.gateway.discovery import _routing as routing
 from rudderrock.gateway.forwarding import _budget_wait as budget_wait
 from rudderrock.gateway.forwarding import _calls as calls
+from rudderrock.gateway.forwarding import _records as records
 from rudderrock.gateway.forwarding import _results as results
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _link as link
@@ -83,6 +84,8 @@
         self.answer: messages.Reply | None = None
         self.failure: messages.Reply | None = None
         self.may_have_run = call.may_have_run_elsewhere
+        # Size of the body of the answer as it was received.
+        self.received_bytes = 0
         self.was_cancelled = False
         # Upstreams that were processing the call when it was aborted.
         self.unanswered: tuple[core.UpstreamId, ...] = ()
@@ -355,6 +358,15 @@
             self._context.counters.hedges += 1
             self._send(other)
 
+    def detach(self) -> None:
+        """Forget the callbacks; the call is over.
+
+        Their owner refers to this call, whose answer may be large, so both
+        would otherwise live until a collection of cycles.
+        """
+        self._on_settled = lambda settled: None
+        self._on_wait = lambda: None
+
     def abort(self) -> None:
         """Cancel all attempts by closing their connections."""
         self.settled = True
@@ -415,6 +427,8 @@
             is_head_request=call.request.method == b'HEAD',
             needs_recent_connection=not self._is_idempotent,
             used_links=self._used_links,
+            budget=context.byte_budget,
+            owner=call.team_id or self.service,
         )
         attempt = Attempt(replica, exchange, context.loop.time())
         self._attempts.append(attempt)
@@ -431,13 +445,14 @@
         match verdict:
             case verdicts.Verdict.ANSWER:
                 attempt.replica.record_success()
-                self.answer = outcome
+                self.received_bytes = len(outcome.body)
+                self.answer = self._trim(outcome)
                 self.winner = attempt.replica
                 self._settle()
                 return
             case verdicts.Verdict.FAILURE:
                 self.may_have_run = True
-                self.failure = outcome
+                self._keep_failure(outcome)
                 if outcome.status < 500:
                     self._settle()
                     return
@@ -467,6 +482,32 @@
             else:
                 self._retry_when_allowed(_classify_failure(verdict))
 
+    def _trim(self, reply: messages.Reply) -> messages.Reply:
+        """Return what a large answer adds to a query over shards.
+
+        The answers of all shards are kept until the last one has come.
+        """
+        if reply.holding is None:
+            return reply
+        match self._call.route.target:
+            case routing.Scatter(top_k=top_k):
+                stamp = self._context.names.stamp
+                return messages.Reply(
+                    reply.status,
+                    [(stamp, reply.get_header(stamp))],
+                    records.keep_greatest(reply.body, top_k),
+                )
+        return reply
+
+    def _keep_failure(self, reply: messages.Reply) -> None:
+        """Keep a failure during retries, as long as there is room."""
+        self.failure = reply
+        if reply.holding is not None:
+            reply.holding.set_evict(self._drop_failure)
+
+    def _drop_failure(self) -> None:
+        self.failure = None
+
     def _update_canary(
         self,
         attempt: Attempt,
--- a/rudderrock/gateway/http/_link.py
+++ b/rudderrock/gateway/http/_link.py
@@ -16,6 +16,7 @@
 
 import httptools
 
+from rudderrock.gateway.http import _byte_budget as byte_budget
 from rudderrock.gateway.http import _header_names as header_names
 from rudderrock.gateway.http import _messages as messages
 
@@ -57,7 +58,8 @@
     `needs_recent_connection` is true, the request must not be sent on a
     connection that has been idle for long. `used_links`, shared by all
     attempts of a request, holds the connections that have carried it, which
-    must not carry it again.
+    must not carry it again. The reply is counted in `budget`, if any, for
+    `owner`, and the exchange is lost if there is no room for it.
 
     `sent_at` is the loop time at which the request was written. `abort_at` is
     set when the reply is no longer needed: the loop time at which the
@@ -73,6 +75,8 @@
         'used_links',
         'on_done',
         'on_interim_reply',
+        'budget',
+        'owner',
         'sent_at',
         'abort_at',
         'link',
@@ -88,6 +92,8 @@
         needs_recent_connection: bool = False,
         on_interim_reply: Callable[[], None] | None = None,
         used_links: set['Link'] | None = None,
+        budget: byte_budget.ByteBudget | None = None,
+        owner: str = '',
     ):
         self.request_id = request_id
         self.render = render
@@ -96,6 +102,8 @@
         self.used_links = set() if used_links is None else used_links
         self.on_done = on_done
         self.on_interim_reply = on_interim_reply
+        self.budget = budget
+        self.owner = owner
         self.sent_at: float | None = None
         self.abort_at: float | None = None
         self.link: 'Link | None' = None
@@ -130,8 +138,16 @@
         self._on_free = on_free
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        # None once the connection is closed. The parser holds what it has not
+        # reported, and refers to the link, so both would otherwise live until
+        # a collection of cycles.
+        self._parser: httptools.HttpResponseParser | None = (
+            httptools.HttpResponseParser(self)
+        )
         self._unusable = False
+        self._problem = 'invalid HTTP reply'
+        self._is_evicted = False
+        self._holding: byte_budget.Holding | None = None
         self._close_reported = False
         self._headers: messages.Headers = []
         self._head_size = 0
@@ -181,7 +197,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed the parser and deliver the reply once it is complete."""
-        if self.exchange is None:
+        if self.exchange is None or self._parser is None:
             self._abort_unusable()
             return
         self._has_body_data = False
@@ -193,12 +209,48 @@
         ):
             self._unusable = True
         self._check_size(len(data))
+        if (
+            self._received > byte_budget.SMALL_BYTES
+            or len(self._headers) > byte_budget.SMALL_HEADERS
+        ):
+            self._count_held()
         if self._reply is not None:
             self._deliver()
         elif self._unusable:
-            self._fail('invalid HTTP reply')
+            self._fail(self._problem)
             self.abort()
 
+    def _count_held(self) -> None:
+        """Count what is held for the reply; it may be evicted for that."""
+        exchange = self.exchange
+        if exchange.on_done is None:
+            # Nobody waits for the reply, but its head tells whose it is.
+            self._body.clear()
+        if exchange.budget is None:
+            return
+        if self._holding is None:
+            self._holding = exchange.budget.open(exchange.owner, self._evict)
+        body = self._body if self._reply is None else self._reply.body
+        self._holding.resize(
+            byte_budget.compute_head_size(self._head_size, len(self._headers))
+            + self._received_outside_body
+            + len(body)
+        )
+
+    def _evict(self) -> None:
+        """Drop what has been read, and close; the exchange is lost."""
+        self._is_evicted = True
+        self._problem = 'too many bytes held'
+        self._reply = None
+        self._drop_reply()
+        self._parser = None
+        self._abort_unusable()
+
+    def _drop_reply(self) -> None:
+        self._headers = []
+        self._body = bytearray()
+        self._holding = None
+
     def _check_size(self, size: int) -> None:
         """Count the received bytes; too many make the connection unusable."""
         self._received += size
@@ -223,7 +275,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the current exchange, if any, and report the close once."""
         self._unusable = True
-        self._fail('reset' if exc is not None else 'closed')
+        if not self._is_evicted:
+            self._problem = 'reset' if exc is not None else 'closed'
+        self._fail(self._problem)
+        self._drop_reply()
+        self._parser = None
         if not self._close_reported:
             self._close_reported = True
             self._on_closed(self)
@@ -236,7 +292,6 @@
             self._unusable = True
         self._headers = []
         self._head_size = 0
-        self._body = bytearray()
         self._in_message = True
         self._head_done = False
 
@@ -279,9 +334,11 @@
         self._keep_alive = self._parser.should_keep_alive()
         if reply_id is not None and reply_id != self.exchange.request_id:
             # A late reply to an earlier request.
+            self._drop_reply()
             self._unusable = self._unusable or not self._keep_alive
             return
         self._reply = messages.Reply(status, self._headers, bytes(self._body))
+        self._body = bytearray()
 
     def _ends_with_connection(self) -> bool:
         if not (self._in_message and self._head_done) or self._unusable:
@@ -292,6 +349,12 @@
     def _deliver(self) -> None:
         reply, self._reply = self._reply, None
         exchange, self.exchange = self.exchange, None
+        if self._holding is not None:
+            holding, self._holding = self._holding, None
+            holding.set_evict(None)
+            reply = dataclasses.replace(reply, holding=holding)
+        # The link must not keep what the reply refers to.
+        self._headers = []
         self._record_keep_alive(reply)
         unsent = self._transport.get_write_buffer_size()
         reusable = self._keep_alive and not unsent
--- a/rudderrock/gateway/http/_listener.py
+++ b/rudderrock/gateway/http/_listener.py
@@ -12,9 +12,12 @@
 
 from rudderrock.gateway import _log as log
 from rudderrock.gateway.discovery import _routing as routing
+from rudderrock.gateway.http import _byte_budget as byte_budget
 from rudderrock.gateway.http import _messages as messages
 
 Handler = Callable[[messages.Request], Awaitable[messages.Reply]]
+# Returns who is charged for a request, by its target and headers.
+OwnerFinder = Callable[[bytes, messages.Headers], str]
 
 # Connections that may wait to be accepted. If the queue is full, the caller's
 # SYN packet is dropped and sent again only after a second or more.
@@ -23,7 +26,21 @@
 MAX_PIPELINED_REQUESTS = 16
 # Bytes of a request for each byte of its body: a chunk of one byte takes six.
 _MAX_FRAMING_FACTOR = 6
-_STATUS_BY_PROBLEM = {'head': 431, 'body': 413, 'syntax': 400, 'slow': 408}
+# A larger body is written in pieces of this size, so that a caller that does
+# not read makes no copy of it necessary.
+_PIECE_BYTES = 64 * 1024
+# Value of retry-after for a request that there is no room for, in seconds.
+_NO_ROOM_RETRY_AFTER = b'0.5'
+# A request is kept in the write buffer of an upstream too, until it is read.
+_REQUEST_COPIES = 2
+_NO_ROOM = 'no room'
+_STATUS_BY_PROBLEM = {
+    'head': 431,
+    'body': 413,
+    'syntax': 400,
+    'slow': 408,
+    _NO_ROOM: 503,
+}
 
 
 class CallerConnection(asyncio.Protocol):
@@ -42,6 +59,8 @@
         self._writable.set()
         self._answering = False
         self._closing = False
+        self._writing_pieces = False
+        self._was_refused = False
         self._reset()
 
     @property
@@ -70,6 +89,8 @@
         except httptools.HttpParserError:
             self._reject(self._problem or 'syntax')
         self._check_size(len(data))
+        if not self._closing and self._is_large():
+            self._count_held()
         if self._pending.qsize() > MAX_PIPELINED_REQUESTS:
             self.close()
 
@@ -123,9 +144,40 @@
         if self._received > total + size:
             self._reject('body')
 
+    def _is_large(self) -> bool:
+        """Return whether the request being read is counted."""
+        return (
+            self._received > byte_budget.SMALL_BYTES
+            or len(self._body) > byte_budget.SMALL_BYTES
+            or len(self._headers) > byte_budget.SMALL_HEADERS
+        )
+
+    def _count_held(self, copies: int = 1) -> None:
+        """Count what is held for a request; it may be refused for that."""
+        budget = self._listener.budget
+        if budget is None:
+            return
+        if self._holding is None:
+            owner = self._listener.find_owner(self._target, self._headers)
+            self._holding = budget.open(owner, self._refuse)
+        headers = len(self._headers)
+        size = byte_budget.compute_head_size(self._header_size, headers)
+        size += self._received_outside_body + len(self._target)
+        self._holding.resize(size + copies * len(self._body))
+
+    def _refuse(self) -> None:
+        """Refuse the request that is being read, and drop it."""
+        self._reject(_NO_ROOM)
+        self._reset()
+        self._was_refused = True
+
     def eof_received(self) -> bool:
-        """Close the connection when the caller closes its side."""
-        return False
+        """Close the connection when the caller closes its side.
+
+        It is kept open while a reply is written in pieces.
+        """
+        self._closing = self._closing or self._writing_pieces
+        return self._writing_pieces
 
     def pause_writing(self) -> None:
         """Stop replying until the caller reads; abort if it does not."""
@@ -146,13 +198,19 @@
         self._cancel_timer()
         self._cancel_stall_timer()
         self._listener.links.discard(self)
+        # The parser and the task refer to this object, so these would
+        # otherwise live until a collection of cycles.
+        self._reset()
+        self._pending = asyncio.Queue()
+        self._parser = None
         if self._task is not None:
             self._task.cancel()
+            self._task = None
 
     def close(self) -> None:
         """Close after the buffered data has been sent."""
         self._closing = True
-        if self._transport is not None:
+        if self._transport is not None and not self._writing_pieces:
             self._transport.close()
 
     # Callbacks of the parser.
@@ -168,6 +226,8 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header; raise ValueError if the head is too large."""
+        if self._was_refused:
+            raise ValueError('refused')
         self._header_size += len(name) + len(value) + 4
         if self._header_size > self._listener.limits.max_header_bytes:
             self._problem = 'head'
@@ -191,6 +251,8 @@
 
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body; raise ValueError if it is too large."""
+        if self._was_refused:
+            raise ValueError('refused')
         self._received_outside_body = 0
         if len(self._body) + len(data) > self._listener.limits.max_body_bytes:
             self._problem = 'body'
@@ -202,6 +264,13 @@
         if self._parser.should_upgrade():
             return
         self._cancel_timer()
+        if self._is_large() or not self._pending.empty():
+            self._count_held(_REQUEST_COPIES)
+        if not self._was_refused and self._holding is not None:
+            if not self._holding.try_pin():
+                self._refuse()
+        if self._was_refused:
+            return
         request = messages.Request(
             self._parser.get_method(),
             self._target,
@@ -209,6 +278,7 @@
             bytes(self._body),
             self._started_at,
             self._parser.should_keep_alive(),
+            holding=self._holding,
         )
         if request.get_header(b'expect') is not None:
             request.send_progress = self._send_progress
@@ -228,6 +298,7 @@
         self._problem = ''
         self._headers: messages.Headers = []
         self._body = bytearray()
+        self._holding: byte_budget.Holding | None = None
         self._started_at = 0.0
 
     def _start_message(self) -> None:
@@ -251,14 +322,18 @@
             await self._writable.wait()
             item = await self._pending.get()
             if isinstance(item, str):
-                reply = messages.Reply(_STATUS_BY_PROBLEM[item], [])
-                self._listener.record_unreadable(item)
-                self._write(reply, close=True, is_head_request=False)
+                self._write_problem(item)
                 return
             self._answering = True
             reply = await self._answer(item)
             close = not item.keep_alive or self._listener.is_stopping
-            self._write(reply, close, item.method == b'HEAD')
+            is_head_request = item.method == b'HEAD'
+            if len(reply.body) > _PIECE_BYTES and not is_head_request:
+                await self._write_in_pieces(reply, close, item.team)
+            else:
+                self._write(reply, close, is_head_request)
+            # An idle connection must not keep them.
+            del reply, item
             self._answering = False
             if close:
                 return
@@ -275,6 +350,46 @@
             log.load_absl_log().exception('a request failed on a defect')
             return messages.Reply(500, [])
 
+    def _write_problem(self, problem: str) -> None:
+        """Answer a request that could not be read, and close."""
+        headers = []
+        if problem == _NO_ROOM:
+            headers.append((b'retry-after', _NO_ROOM_RETRY_AFTER))
+        else:
+            self._listener.record_unreadable(problem)
+        reply = messages.Reply(_STATUS_BY_PROBLEM[problem], headers)
+        self._write(reply, close=True, is_head_request=False)
+
+    async def _write_in_pieces(
+        self, reply: messages.Reply, close: bool, team: str
+    ) -> None:
+        """Write a large reply as the caller reads it.
+
+        The connection is closed if there is no room for the rest any more.
+        """
+        holding = reply.holding
+        if holding is None and self._listener.budget is not None:
+            holding = self._listener.budget.open(team)
+        if holding is not None:
+            holding.set_evict(self._transport.abort)
+            holding.resize(len(reply.body))
+        self._writing_pieces = True
+        head = messages.render_reply(reply, close, with_body=False)
+        self._write_bytes(head)
+        body = memoryview(reply.body)
+        for start in range(0, len(body), _PIECE_BYTES):
+            await self._writable.wait()
+            self._write_bytes(body[start : start + _PIECE_BYTES])
+        self._writing_pieces = False
+        if holding is not None:
+            holding.set_evict(None)
+        if close or self._closing:
+            self.close()
+
+    def _write_bytes(self, data: bytes | memoryview) -> None:
+        if not self._transport.is_closing():
+            self._transport.write(data)
+
     def _write(
         self, reply: messages.Reply, close: bool, is_head_request: bool
     ) -> None:
@@ -306,16 +421,21 @@
 
     `handle` returns the reply to a request. `record_unreadable` is called with
     the reason if a request could not be read: 'head' or 'body' if that part
-    is too large, 'syntax' or 'slow'.
+    is too large, 'syntax' or 'slow'. Large requests and replies are counted
+    in `budget` for the owner that `find_owner` returns.
     """
 
     def __init__(
         self,
         handle: Handler,
         record_unreadable: Callable[[str], None] = lambda problem: None,
+        budget: byte_budget.ByteBudget | None = None,
+        find_owner: OwnerFinder = lambda target, headers: '',
     ):
         self.handle = handle
         self.record_unreadable = record_unreadable
+        self.budget = budget
+        self.find_owner = find_owner
         self.limits = routing.IntakeLimits()
         self.links: set[CallerConnection] = set()
         self.is_stopping = False
--- a/rudderrock/gateway/http/_messages.py
+++ b/rudderrock/gateway/http/_messages.py
@@ -5,6 +5,8 @@
 import dataclasses
 import http
 
+from rudderrock.gateway.http import _byte_budget as byte_budget
+
 Headers = list[tuple[bytes, bytes]]
 
 # Headers that apply to a single connection (RFC 9110, 7.6.1), and headers that
@@ -38,6 +40,7 @@
     `was_sent` is set once it has been written to an upstream or another host.
     `send_progress` sends an interim reply that says that the request is still
     processed; it is None if the sender does not expect interim replies.
+    `holding` counts the bytes of a large request.
     """
 
     method: bytes
@@ -49,6 +52,7 @@
     team: str = ''
     was_sent: bool = False
     send_progress: Callable[[], None] | None = None
+    holding: byte_budget.Holding | None = None
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
@@ -57,11 +61,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """A complete reply of an upstream or of the gateway itself."""
+    """A complete reply of an upstream or of the gateway itself.
+
+    `holding` counts the bytes of a large reply as long as it exists.
+    """
 
     status: int
     headers: Headers
     body: bytes = b''
+    holding: byte_budget.Holding | None = dataclasses.field(
+        default=None, repr=False, compare=False
+    )
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
@@ -100,7 +110,7 @@
 def make_forwardable(reply: Reply, end_to_end: Collection[bytes]) -> Reply:
     """Return a copy of a reply without its hop-by-hop headers."""
     headers = remove_hop_by_hop_headers(reply.headers, end_to_end)
-    return Reply(reply.status, headers, reply.body)
+    return Reply(reply.status, headers, reply.body, reply.holding)
 
 
 def render_request(
@@ -121,9 +131,12 @@
 
 
 def render_reply(
-    reply: Reply, close: bool, is_head_request: bool = False
+    reply: Reply,
+    close: bool,
+    is_head_request: bool = False,
+    with_body: bool = True,
 ) -> bytes:
-    """Return the bytes of a reply.
+    """Return the bytes of a reply, or of its head only.
 
     If `close` is true, the reply announces that the connection will be closed.
     If `is_head_request` is true, the body and the content length are left out,
@@ -137,6 +150,6 @@
     if close:
         lines.append(b'connection: close\r\n')
     lines.append(b'\r\n')
-    if not is_head_request:
+    if with_body and not is_head_request:
         lines.append(reply.body)
     return b''.join(lines)
--- a/rudderrock/gateway_root.py
+++ b/rudderrock/gateway_root.py
@@ -58,6 +58,10 @@
         ),
         events=events,
         metrics=gateway.GatewayMetrics(),
+        byte_budget=gateway.ByteBudget(
+            gateway.compute_byte_limit(settings.memory_limit_bytes),
+            lambda eviction: _record_eviction(events, eviction),
+        ),
         clock=clock,
         rng=make_rng('replicas'),
     )
@@ -109,3 +113,14 @@
         archive,
         dependencies,
     )
+
+
+def _record_eviction(
+    events: gateway.EventLog, eviction: gateway.Eviction
+) -> None:
+    events.record(
+        gateway.LogKind.EVICTED,
+        owner=eviction.owner,
+        size_bytes=eviction.size,
+        held_bytes=eviction.held_bytes,
+    )
