Keep no large entries of other writers while listing the store

What was seen: 250 entries of 1 MB that another writer left under servers/, rudderrock/hosts/ or rudderrock/quarantine/ took the process to 1287, 880 and 712 MB, of 300.

Cause: a listing gathers all pages, with their values whole; and a call whose reply has come kept it in a reference cycle, by its callback for interim replies, until a collection of cycles. The first alone made no difference (1176, 893 and 374 MB).

Change: an entry over 64 KB, other than the configuration, loses its value, which makes it invalid and costs only itself; a prefix over 32 MB can't be listed. A call forgets its callback when it is over.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -41,6 +41,19 @@
     And every query is answered with the greatest records
     And the process has stayed below its memory limit
 
+  # Guards against entries of other writers that are kept until all are read.
+  Scenario Outline: large entries under <prefix> are not kept
+    Given a gateway process with a memory limit of 300 MB
+    When another writer leaves 250 entries of 1 MB under "<prefix>"
+    Then every other request meanwhile is answered by 200
+    And the process has stayed below its memory limit
+
+    Examples:
+      | prefix                 |
+      | servers/               |
+      | rudderrock/hosts/      |
+      | rudderrock/quarantine/ |
+
   # Guards against a greedy team that gets the replies of others dropped.
   Scenario: the owner that holds most loses its largest holding
     Given a byte budget of 100000 bytes
--- a/rudderrock/gateway/http/_http_client.py
+++ b/rudderrock/gateway/http/_http_client.py
@@ -156,6 +156,9 @@
         finally:
             if not pending.is_done:
                 self._pool.cancel(exchange)
+            # The callback refers to the exchange and to the reply, which would
+            # otherwise live until a collection of cycles.
+            exchange.on_interim_reply = None
             self._pool.sweep()
         match outcome:
             case link.ConnectionLost(sent=sent, detail=detail):
--- a/rudderrock/platform/_store.py
+++ b/rudderrock/platform/_store.py
@@ -30,6 +30,14 @@
 _ERA_HEADER = b'store-era'
 
 
+# Maximum size of an entry's text, except for the configuration. Those of
+# upstreams, hosts and quarantined requests are at most a few KB.
+_MAX_ENTRY_BYTES = 64 * 1024
+# Maximum size of all keys and entries of a prefix, several times what the
+# largest deployment has.
+_MAX_LISTED_BYTES = 32 * 1024 * 1024
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str = ''
@@ -317,8 +325,13 @@
     ) -> result.Result[
         tuple[list[_Item], gateway.Position], gateway.Unavailable
     ]:
-        """Return all items of a prefix and the position of the first page."""
+        """Return all items of a prefix and the position of the first page.
+
+        Other writers may leave any number of entries of any size. One that is
+        too large loses its value, which makes it invalid.
+        """
         items: list[_Item] = []
+        size = 0
         after = ''
         first: gateway.Position | None = None
         while True:
@@ -330,6 +343,17 @@
             if position.era != first.era:
                 # Pages of different histories can't be combined.
                 return result.Err(gateway.Unavailable('back from a copy'))
+            for item in page.items:
+                if (
+                    len(item.value) > _MAX_ENTRY_BYTES
+                    and item.key != _CONFIG_KEY
+                ):
+                    item.value = ''
+                size += len(item.key) + len(item.value)
+            if size > _MAX_LISTED_BYTES:
+                return result.Err(
+                    gateway.Unavailable(f'too many entries under {prefix}')
+                )
             items += page.items
             if not page.has_more or not page.items:
                 return result.Ok((items, first))
