--- a/rudderrock/gateway/__init__.py
+++ b/rudderrock/gateway/__init__.py
@@ -141,6 +141,9 @@
 from rudderrock.gateway.forwarding._records import merge_records
 from rudderrock.gateway.forwarding._results import Outcome
 from rudderrock.gateway.forwarding._results import Result
+from rudderrock.gateway.http._byte_budget import ByteBudget
+from rudderrock.gateway.http._byte_budget import compute_byte_limit
+from rudderrock.gateway.http._byte_budget import Eviction
 from rudderrock.gateway.http._digest import digest_request
 from rudderrock.gateway.http._header_names import HeaderNames
 from rudderrock.gateway.http._http_client import HttpClient
@@ -162,6 +165,7 @@
     'Address',
     'Admission',
     'Anywhere',
+    'ByteBudget',
     'CallerListener',
     'Canary',
     'Candidates',
@@ -181,6 +185,7 @@
     'EvacuationHolder',
     'Evacuations',
     'EventLog',
+    'Eviction',
     'Exchange',
     'ExtraRequestBudget',
     'Failure',
@@ -289,6 +294,7 @@
     'check_name',
     'check_token',
     'classify_outcome',
+    'compute_byte_limit',
     'compute_connection_share',
     'convert_value',
     'decode_json',
