Bound the entries of a peer's reply, and what it decompresses to

Cause: that of the sum of replies: a bound on what arrives, 32 MB after decompression, and none on the number of entries and of the problems that are told of them. Not in the budget of bytes, which counts what arrives.

Change: 4 MB after decompression, which covers a table, 2,400 upstreams, 580 hosts and 256 records; at most 20,000 entries a list; bounded ids.

The four scenarios failed on the code before, where the changes were accepted, and pass.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -103,6 +103,18 @@
     Given changes of a peer that are nested too deep
     Then the changes can't be decoded
 
+  # Guards against a small compressed reply of a peer that takes all memory.
+  Scenario Outline: changes of a peer with <count> <entries> are unreadable
+    Given compressed changes of a peer with <count> <entries>
+    Then they can't be decoded, and that takes at most 200 MB
+
+    Examples:
+      | count    | entries         |
+      | 1390000  | empty upstreams |
+      | 1390000  | names that left |
+      | 10000000 | empty upstreams |
+      | 30000    | empty upstreams |
+
   # Guards against a host that is the only one of a zone it isn't in: it found
   # no first host of that zone at each reading.
   Scenario: an entry with a host's own name in another zone is left out
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -3,15 +3,19 @@
 import asyncio
 import collections
 import json
+import tracemalloc
+import zlib
 
 from behave import given
 from behave import then
 from behave import use_step_matcher
 from behave import when
+import result
 
 from features import odd_values
 from features.steps import ends
 from features.steps.common import run
+from rudderrock import gateway
 from rudderrock import platform
 from rudderrock.standins import platform as platform_standins
 
@@ -217,3 +221,32 @@
 def _make_config(version):
     route = platform_standins.make_route('/late/', odd_values.SERVICE)
     return platform_standins.make_config(version, [route])
+
+
+@given(
+    r'compressed changes of a peer with (\d+) (empty upstreams|names that '
+    r'left)'
+)
+def make_compressed_changes(context, count, entries):
+    listed = {'empty upstreams': b'', 'names that left': b''}
+    entry = b'{}' if entries == 'empty upstreams' else b'""'
+    listed[entries] = b','.join([entry] * int(count))
+    body = (
+        b'{"process":"p","generation":1,"whole":true,"upstreams":[%b],'
+        b'"left":[%b],"revision":1,"origin":"p","number":1,"hops":0,'
+        b'"age_ms":1,"table_age_ms":1,"hold_ms":0,"hosts_generation":1}'
+    ) % (listed['empty upstreams'], listed['names that left'])
+    deflated = (b'content-encoding', b'deflate')
+    context.reply = gateway.Reply(200, [deflated], zlib.compress(body))
+
+
+@then(r"they can't be decoded, and that takes at most (\d+) MB")
+def check_undecodable(context, megabytes):
+    tracemalloc.start()
+    try:
+        found = gateway.read_reply(context.reply, 0.0)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert isinstance(found, result.Err), type(found)
+    assert peak_bytes <= int(megabytes) * 10**6, peak_bytes
--- a/rudderrock/gateway/discovery/_peers.py
+++ b/rudderrock/gateway/discovery/_peers.py
@@ -65,8 +65,15 @@
 # of hundreds of entries shrink to a fifth, and they are sent across regions.
 COMPRESSION_THRESHOLD_BYTES = 2048
 DEFLATE_HEADER = (b'content-encoding', b'deflate')
-# Maximum size of a decompressed reply, in bytes.
-MAX_REPLY_BYTES = 32 * 1024 * 1024
+# Maximum size of a decompressed reply, in bytes: a table, which the source
+# limits to 1 MB, in base64, 2,400 upstreams, 580 hosts and 256 records.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
+# Maximum number of entries of a list in a reply, eight times the upstreams
+# that the tier is designed for.
+_MAX_ENTRIES = 20_000
+_BOUNDED = msgspec.Meta(max_length=_MAX_ENTRIES)
+# The id of a process has the name of its host.
+_Identifier = Annotated[str, msgspec.Meta(max_length=512)]
 # Number of changes kept for peers. A peer that is further behind is sent the
 # full state.
 MAX_CHANGES = 64
@@ -139,32 +146,34 @@
     no longer renew this data, because the source does not answer it.
     """
 
-    process: str
-    generation: int
+    process: _Identifier
+    generation: decoding.Integer
     whole: bool
-    upstreams: list[directory.Endpoint]
-    left: list[str]
+    upstreams: Annotated[list[directory.Endpoint], _BOUNDED]
+    left: Annotated[list[str], _BOUNDED]
     revision: decoding.Integer
     era: decoding.Integer = 0
-    origin: str
+    origin: _Identifier
     number: decoding.Integer
     hops: decoding.Count
     age_ms: decoding.Integer
     table_age_ms: decoding.Integer
     hold_ms: decoding.Integer
     hosts_generation: decoding.Integer
-    hosts: list[fleet.HostEntry] | None = None
-    hosts_left: list[str] = []
+    hosts: Annotated[list[fleet.HostEntry], _BOUNDED] | None = None
+    hosts_left: Annotated[list[str], _BOUNDED] = []
     hosts_whole: bool = True
     table: bytes | None = None
     table_version: decoding.Integer = routing.NO_VERSION
     table_revision: decoding.Integer = 0
     table_era: decoding.Integer = 0
-    evacuated: list[Annotated[core.ZoneId, decoding.NAME]] = []
-    evacuated_at: list[decoding.Integer] = []
+    evacuated: Annotated[
+        list[Annotated[core.ZoneId, decoding.NAME]], _BOUNDED
+    ] = []
+    evacuated_at: Annotated[list[decoding.Integer], _BOUNDED] = []
     evacuations_revision: decoding.Integer = position.NEVER_READ.revision
     evacuations_era: decoding.Integer = 0
-    suspects: list[quarantine.Record] = []
+    suspects: Annotated[list[quarantine.Record], _BOUNDED] = []
     quarantine_generation: decoding.Integer = 0
     has_lost_source: bool = False
 
@@ -210,9 +219,9 @@
 class _UncheckedChanges(Changes, frozen=True, kw_only=True):
     """Changes whose entries are decoded one by one."""
 
-    upstreams: list[msgspec.Raw]
-    hosts: list[msgspec.Raw] | None = None
-    suspects: list[msgspec.Raw] = []
+    upstreams: Annotated[list[msgspec.Raw], _BOUNDED]
+    hosts: Annotated[list[msgspec.Raw], _BOUNDED] | None = None
+    suspects: Annotated[list[msgspec.Raw], _BOUNDED] = []
 
 
 class _UpstreamName(msgspec.Struct):
