Count a connection until it is closed if its caller does not read

Cause: such a connection was timed out to make room, and left the count at once, but the 408 waited behind the reply that was not read, so that the connection stayed open until its stall timer.

Change: one with unsent bytes is aborted instead, which closes it at once. If no request is incomplete, the reply that has not been read for longest is cut, so that such connections can't hold all the room.

--- a/features/crowd.feature
+++ b/features/crowd.feature
@@ -22,6 +22,7 @@
       | idle at the metrics port | 256         |
       | idle at the peers' port  | 256         |
       | closed at once           | 256         |
+      | unread, and sending more | 256         |
 
   Scenario: the platform's number of descriptors counts if it is lower
     Given a gateway process whose settings allow 456 descriptors
--- a/features/steps/crowds.py
+++ b/features/steps/crowds.py
@@ -34,6 +34,9 @@
     'idle after a reply': _HEAD + b'X-Request-Id: crowd\r\n\r\n',
 }
 _SLOW_S = 0.5
+_LARGE_BYTES = 1_000_000
+# Time in seconds in which the gateway fills the buffers of a connection.
+_UNREAD_PAUSE_S = 0.02
 _WIDE_WORK_S = 0.01
 
 
@@ -104,9 +107,13 @@
     store = processes.store
     routes = []
     context.upstreams = {}
-    for name, work_s in (('fast', 0.0), ('slow', _SLOW_S)):
+    for name, work_s, size in (
+        ('fast', 0.0, 16),
+        ('slow', _SLOW_S, 16),
+        ('large', 0.0, _LARGE_BYTES),
+    ):
         upstream = standins.WireUpstream(
-            f'i-{name}', platform.NAMES, b'r' * 16, work_s
+            f'i-{name}', platform.NAMES, b'r' * size, work_s
         )
         port = soak.find_port_range(1, processes.stand_in_ip)
         await upstream.start(processes.stand_in_ip, port)
@@ -251,6 +258,8 @@
                     continue
                 crowd.readers.append(reader)
                 crowd.writers.append(writer)
+                if kind == 'unread, and sending more':
+                    await _send_without_reading(crowd, writer)
                 if first_bytes:
                     writer.write(first_bytes)
                 if kind == 'idle after a reply':
@@ -265,6 +274,14 @@
     run(context, arrive_in_time())
 
 
+async def _send_without_reading(crowd, writer):
+    """Ask for a large reply, do not read it, and begin another request."""
+    writer.transport.pause_reading()
+    writer.write(gateway_processes.render_request('/large/1', crowd.make_id()))
+    await asyncio.sleep(_UNREAD_PAUSE_S)
+    writer.write(_HEAD)
+
+
 @when(r'the crowd leaves')
 def leave(context):
     run(context, context.crowd.close())
--- a/rudderrock/gateway/http/_connection_limit.py
+++ b/rudderrock/gateway/http/_connection_limit.py
@@ -35,6 +35,14 @@
     def is_closable(self) -> bool:
         """Return whether nothing is being read, answered or written."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Return the size of what the caller has not taken."""
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read, queued or answered."""
+
     @property
     def is_reading(self) -> bool:
         """Return whether a request has begun, and none is complete."""
@@ -66,7 +74,8 @@
 
     Room for a new connection is made at the caller with the most: its longest
     idle connections are closed, or else the request that has been incomplete
-    for longest is timed out. Callers are told apart by their IP address.
+    for longest is timed out, or else the reply that has not been read for
+    longest is cut. Callers are told apart by their IP address.
     `on_change` is called with True when the limit is reached, and with False
     when there is room again.
     """
@@ -162,14 +171,31 @@
             self.discard(link)
             link.close()
         if not victims:
-            reading = [link for link in links if link.is_reading]
-            victims = sorted(reading, key=lambda link: link.idle_since)[:1]
+            waiting = [
+                link for link in links if link.is_reading or link.is_idle
+            ]
+            waiting.sort(
+                key=lambda link: (link.unsent_bytes > 0, link.idle_since)
+            )
+            victims = [
+                link
+                for link in waiting[:1]
+                if now - link.idle_since >= MIN_IDLE_S
+            ]
             for link in victims:
-                self.discard(link)
-                link.time_out()
+                self._end(link)
         self.closed += len(victims)
         return bool(victims)
 
+    def _end(self, link: Link) -> None:
+        """End a connection whose caller has yet to send or to read."""
+        self.discard(link)
+        if link.unsent_bytes:
+            # What is written now would wait behind a reply that is not read.
+            link.abort()
+        else:
+            link.time_out()
+
     def _expire(self, link: Link) -> None:
         if link in self._excess:
             link.abort()
