Soak: accept a signal's default action before the first line of a program

Cause: a planned stop was drawn for a host whose process had just been started; SIGTERM came while the interpreter started. From its first line on the program holds the signal, at its end it ignores it, so its default action is possible before that line only.

Change: what the kernel says of the process (proc(5)) when the signal is sent tells whether that is so. A process that ends by SIGHUP or SIGTERM later is reported as before.

--- a/rudderrock/soak/_environment.py
+++ b/rudderrock/soak/_environment.py
@@ -34,6 +34,7 @@
 _PORTS_PER_HOST = 4
 _READY_TRIES = 300
 _POLL_INTERVAL_S = 0.002
+_HANDLED_SIGNALS = (signal.SIGHUP, signal.SIGTERM)
 _SIGHUP_BIT = 1 << (signal.SIGHUP - 1)
 # Interval between snapshots of the store, and between the revisions that
 # `_advance_store` adds.
@@ -118,6 +119,11 @@
             case signal.SIGTERM:
                 self._expected_codes.add(0)
         if self.is_up:
+            is_held = self._read_held_signals() & 1 << (number - 1)
+            if number in _HANDLED_SIGNALS and not is_held:
+                # The interpreter starts, and no program can change the
+                # default action of the signal, which ends the process.
+                self._expected_codes.add(-number)
             self._process.send_signal(number)
 
     async def wait_until_signals_are_held(self) -> None:
