Check addresses in the settings by the function for all addresses

Cause: two parts of the change each decided what an address is: an IPv4 address with a port from 1 to 65535.

Change: the settings use core.split_address and keep their message.

--- a/rudderrock/platform/_fields.py
+++ b/rudderrock/platform/_fields.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Callable
 import math
-import socket
 from typing import TypeVar
 
+from rudderrock import core
+
 _T = TypeVar('_T')
 _BYTE_ORDER_MARK = b'\xef\xbb\xbf'
 _MAX_PORT = 65_535
@@ -124,11 +125,9 @@
 
 def parse_address(text: str) -> tuple[str, int]:
     """Return the parts of `IP:port`; raise ValueError if it is not that."""
-    ip, _, port = text.strip().rpartition(':')
     try:
-        socket.inet_pton(socket.AF_INET, ip)
-        return ip, parse_port(port)
-    except (OSError, ValueError):
+        return core.split_address(text.strip())
+    except ValueError:
         raise ValueError(f'must be IP:port, not {quote(text)}') from None
 
 
